--- a/barleybarrow/interface.py
+++ b/barleybarrow/interface.py
@@ -72,6 +72,7 @@
     effect: Effect = Effect.UNSAFE
     group: Group = Group.ALL
     window: float = 0.0
+    name: str = ""
 
 
 @dataclass(slots=True)
@@ -89,6 +90,7 @@
     probing: bool = False
     probe_reports: list[str] = field(default_factory=list)
     max_retry_after: float = 0.0
+    conn_idle: float = 0.0
     connect_timeout: float = 0.0
     drain_grace: float = 0.0
     hang_up_within: float = 0.0
@@ -103,6 +105,9 @@
     worst_class_weight: float = 0.0
     quotas: list[float] = field(default_factory=list)
     over_quota_worth: float = 1.0
+    tenants: list[str] = field(default_factory=list)
+    zones: list[str] = field(default_factory=list)
+    kinds: list[str] = field(default_factory=list)
 
     def check(self) -> None:
         """Raise SettingsError where no decision could be made by these settings."""
--- /dev/null
+++ b/brackenusher/cli.py
@@ -0,0 +1,59 @@
+"""The command line."""
+
+import argparse
+import logging
+import os
+import sys
+from collections.abc import Sequence
+
+from barleybarrow.interface import SettingsError
+from brackenusher import __version__
+from brackenusher.config import ConfigError, load
+from brackenusher.daemon import Daemon
+
+LEVELS = ("debug", "info", "warning", "error")
+
+
+def serve(options: argparse.Namespace) -> int:
+    config = load(os.environ)
+    logging.basicConfig(
+        level=options.log_level.upper(), format="%(asctime)s %(levelname)s %(name)s: %(message)s"
+    )
+    try:
+        daemon = Daemon(config)
+        return daemon.run()
+    except OSError as error:
+        print(f"brackenusher: {error}", file=sys.stderr)
+        return 1
+
+
+def check_config(options: argparse.Namespace) -> int:
+    config = load(os.environ)
+    classes, hosts = len(config.settings.classes), len(config.known.get("hosts", []))
+    print(
+        f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}, {classes} classes, {hosts} known"
+    )
+    return 0
+
+
+def version(options: argparse.Namespace) -> int:
+    print(f"brackenusher {__version__}")
+    return 0
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="brackenusher", description="A reverse proxy for turn servers.")
+    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    command = commands.add_parser("serve", help="serve until SIGTERM, as GW_CONFIG says")
+    command.add_argument("--log-level", choices=LEVELS, default="info")
+    command.set_defaults(call=serve)
+    command = commands.add_parser("check-config", help="read the configuration and say what it holds")
+    command.set_defaults(call=check_config)
+    command = commands.add_parser("version", help="print the version")
+    command.set_defaults(call=version)
+    options = parser.parse_args(arguments)
+    try:
+        return options.call(options)
+    except (ConfigError, SettingsError) as error:
+        print(f"brackenusher: {' '.join(str(error).split())}", file=sys.stderr)
+        return 2
--- /dev/null
+++ b/brackenusher/config.py
@@ -0,0 +1,81 @@
+"""What a proxy is told at its start: the variables GW_* and the JSON file that one of them names."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import ujson
+
+from barleybarrow import interface as face
+from barleybarrow.settings import read_settings
+
+Address = tuple[str, int]
+LEAST_SOCKETS = 64
+
+
+class ConfigError(ValueError):
+    """The configuration cannot be worked with."""
+
+
+@dataclass(slots=True)
+class Config:
+    """The configuration, checked."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: dict[str, Any]
+    settings: face.Settings
+
+
+def read_address(text: Any, what: str) -> Address:
+    """Take ``host:port`` apart."""
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
+        raise ConfigError(f"{what}: host:port expected, not {text!r}")
+    return host, int(port)
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Read the configuration; a variable wins over the same entry of the file."""
+    path = environ.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG is not set")
+    try:
+        conf = ujson.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+    if not isinstance(conf, dict):
+        raise ConfigError(f"{path}: an object expected")
+    try:
+        return read(conf, environ)
+    except ConfigError:
+        raise
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise ConfigError(f"{path}: {type(error).__name__}: {error}") from error
+
+
+def read(conf: dict[str, Any], environ: Mapping[str, str]) -> Config:
+    """Translate the configuration's object."""
+    settings = read_settings(conf["settings"])
+    settings.check()
+    if not all(c.name for c in settings.classes):
+        raise ConfigError("settings: a class without a name")
+    sockets = int(conf.get("limits", {}).get("sockets", 1024))
+    if sockets < LEAST_SOCKETS:
+        raise ConfigError(f"limits: {sockets} sockets are too few, {LEAST_SOCKETS} are needed")
+    known = conf.get("known") or {}
+    if not isinstance(known, dict):
+        raise ConfigError("known: an object expected")
+    return Config(
+        name=str(environ.get("GW_NAME") or conf.get("name", "")),
+        listen=read_address(environ.get("GW_LISTEN") or conf.get("listen"), "listen"),
+        discovery=read_address(environ.get("GW_DISCOVERY") or conf.get("discovery"), "discovery"),
+        seed=int(str(conf.get("seed", "0")), 16),
+        sockets=sockets,
+        known=known,
+        settings=settings,
+    )
--- /dev/null
+++ b/brackenusher/daemon.py
@@ -0,0 +1,111 @@
+"""Puts the parts together, runs them, and stops them in good order."""
+
+import gc
+import logging
+import random
+import signal
+import socket
+import time
+from collections.abc import Callable
+
+from barleybarrow.brain import Balancer
+from brackenusher.buffers import Buffers
+from brackenusher.config import Config
+from brackenusher.deadlines import Deadlines
+from brackenusher.discovery import Broken, read_listing
+from brackenusher.driver import CLIENT_PART, OVERFLOW, SPARE_SOCKETS, Agent, Clients, Upstream
+from brackenusher.loop import READ, Coroutine, Loop, clock
+from brackenusher.pool import Pool
+from brackenusher.transaction import Transactions
+from brackenusher.virtual_server import Front
+
+log = logging.getLogger(__name__)
+
+FAREWELL = 450.0  # milliseconds after SIGTERM in which clients still come
+GRACE = 700.0  # what comes in later than this after SIGTERM is not waited for
+CHECK = 10.0  # how often it is looked whether all is answered
+
+
+class Daemon:
+    """One proxy."""
+
+    def __init__(self, config: Config) -> None:
+        settings = config.settings
+        deadlines, buffers = Deadlines(), Buffers()
+        self.config, self.loop = config, Loop(deadlines)
+        room = config.sockets - SPARE_SOCKETS - OVERFLOW
+        for_clients = int(room * CLIENT_PART)
+        self.pool = Pool(settings, clock, time.time() * 1000.0 - clock())
+        self.upstream = Upstream(self.loop, self.pool, settings, room - for_clients, buffers)
+        balancer = Balancer(settings, config.seed, clock())
+        self.transactions = Transactions(balancer, clock, deadlines, self.upstream)
+        self.upstream.owner = self.transactions
+        self.clients = Clients(self.loop, Front(settings), self.transactions, self.pool, for_clients, buffers)
+        self.agent = Agent(
+            self.loop, config.discovery, self.pool, self.transactions, buffers, random.Random(config.seed)
+        )
+        self.upstream.watch = self.agent.connect
+
+    def run(self) -> int:
+        """Serve until SIGTERM or SIGINT and until all is answered then."""
+        self.catch_signals()
+        self.transactions.begin()
+        if self.config.known.get("hosts"):
+            try:
+                self.transactions.post(self.pool.take(read_listing(self.config.known)))
+            except Broken as error:
+                log.warning("the known list is left aside: %s", error)
+        self.clients.listen(self.config.listen)
+        self.agent.connect()
+        gc.collect()
+        gc.freeze()  # what is here stays: later collections need not look at it
+        log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
+        self.loop.run()
+        log.info(
+            "ended: %d taken, %d stood unanswered", self.transactions.taken, self.transactions.unanswered
+        )
+        return 0
+
+    def catch_signals(self) -> None:
+        """Have signals wake the loop through a socket of its own."""
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        theirs.setblocking(False)
+        signal.set_wakeup_fd(theirs.fileno())
+        self.waker = theirs
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: None)
+        signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+        self.loop.spawn(self.listen_to_signals(ours), ours)
+
+    def listen_to_signals(self, sock: socket.socket) -> Coroutine:
+        while True:
+            yield READ
+            try:
+                sock.recv(64)
+            except BlockingIOError:
+                continue
+            if not self.clients.stopping:
+                log.info("stopping")
+                self.clients.stopping = True
+                self.later(FAREWELL, self.close_the_door)
+
+    def close_the_door(self) -> None:
+        """Take no new connections; end those that stand between requests."""
+        self.clients.stop_accepting()
+        longest = max(c.deadline for c in self.config.settings.classes)
+        self.last_call = clock() + GRACE - FAREWELL + longest
+        self.leave_when_done()
+
+    def leave_when_done(self) -> None:
+        """End once no client is left; connections that fell idle meanwhile are closed."""
+        if not self.clients.links or clock() >= self.last_call:
+            self.loop.running = False
+            return
+        for link in list(self.clients.links):
+            if link.idle:
+                link.task.stop()
+        self.later(CHECK, self.leave_when_done)
+
+    def later(self, span: float, action: Callable[[], None]) -> None:
+        self.loop.deadlines.add(clock() + span, action)
--- /dev/null
+++ b/brackenusher/discovery.py
@@ -0,0 +1,140 @@
+"""Discovery's side: reads lists, and speaks to the agent as a state machine that is fed bytes."""
+
+import logging
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+import ujson
+
+from brackenusher.config import Address, ConfigError, read_address
+
+log = logging.getLogger(__name__)
+
+PATH = "/registry/instances"
+LONGEST_LINE = 4 * 1024 * 1024
+
+
+class Broken(Exception):
+    """Discovery's answer cannot be used; the connection is of no further use."""
+
+
+@dataclass(slots=True)
+class Host:
+    """One entry of a list."""
+
+    name: str
+    address: Address
+    zone: str
+    kind: str
+    cell: int
+    health: str
+    born_ms: float
+
+
+@dataclass(slots=True)
+class Listing:
+    """A version of the list, or what changed since the one before."""
+
+    seq: int
+    whole: bool
+    hosts: list[Host]
+
+
+def read_host(entry: dict[str, Any]) -> Host:
+    return Host(
+        name=str(entry["host"]),
+        address=read_address(entry["dial"], "dial"),
+        zone=str(entry.get("site", "")),
+        kind=str(entry.get("class", "")),
+        cell=int(entry.get("block") or 0),
+        health=str(entry["health"]),
+        born_ms=float(entry.get("born_ms") or 0.0),
+    )
+
+
+def read_listing(document: Any) -> Listing:
+    """Read a list in discovery's form; an entry that cannot be read is left out and logged."""
+    if not isinstance(document, dict):
+        raise Broken("a list is an object")
+    try:
+        listing = Listing(int(document["seq"]), bool(document.get("whole")), [])
+        entries = list(document["hosts"])
+    except (KeyError, TypeError, ValueError) as error:
+        raise Broken(f"not a list: {error!r}") from error
+    for entry in entries:
+        try:
+            listing.hosts.append(read_host(entry))
+        except (KeyError, TypeError, ValueError, ConfigError) as error:
+            log.warning("discovery: an entry was left out: %r", error)
+    return listing
+
+
+def parse(text: bytes) -> Listing:
+    try:
+        return read_listing(ujson.loads(text))
+    except ValueError as error:
+        raise Broken(f"not JSON: {error}") from error
+
+
+class Discovery:
+    """One connection to the agent: fetches the whole list if it has none, then watches it from there on."""
+
+    def __init__(self, authority: str, seq: int | None) -> None:
+        self.authority, self.seq = authority, seq
+        self.machine = h11.Connection(h11.CLIENT)
+        self.watching, self.text = False, bytearray()
+
+    def start(self) -> bytes:
+        """The bytes of the next call."""
+        self.watching = self.seq is not None
+        target = f"{PATH}?watch=1&from={self.seq}" if self.watching else PATH
+        self.text.clear()
+        call = h11.Request(method="GET", target=target, headers=[("Host", self.authority)])
+        return self.machine.send(call) + self.machine.send(h11.EndOfMessage())
+
+    def receive(self, data) -> tuple[list[Listing], bytes]:
+        """Take bytes, b"" at the end of the stream; return the lists they hold and what to send in turn."""
+        listings: list[Listing] = []
+        reply = b""
+        try:
+            self.machine.receive_data(data)
+            while True:
+                event = self.machine.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return listings, reply
+                if isinstance(event, h11.Response) and event.status_code != 200:
+                    raise Broken(f"status {event.status_code}")
+                if isinstance(event, h11.Data):
+                    self.text += event.data
+                    self.lines(listings)
+                elif isinstance(event, h11.EndOfMessage):
+                    reply = self.ended(listings)
+                elif isinstance(event, h11.ConnectionClosed):
+                    raise Broken("closed")
+        except h11.RemoteProtocolError as error:
+            raise Broken(str(error)) from error
+
+    def lines(self, listings: list[Listing]) -> None:
+        """Read the whole lines of a watch; an empty one says only that the agent is there."""
+        if len(self.text) > LONGEST_LINE:
+            raise Broken("a line without end")
+        if not self.watching:
+            return
+        *whole, rest = bytes(self.text).split(b"\n")
+        self.text = bytearray(rest)
+        for line in whole:
+            if line.strip():
+                listings.append(parse(line))
+                self.seq = listings[-1].seq
+
+    def ended(self, listings: list[Listing]) -> bytes:
+        """The answer is whole: after the list comes the watch, on the same connection if it is kept."""
+        if self.watching:
+            raise Broken("the watch ended")
+        listings.append(parse(bytes(self.text)))
+        self.seq = listings[-1].seq
+        if self.machine.our_state is not h11.DONE or self.machine.their_state is not h11.DONE:
+            return b""  # it closes; the next connection watches
+        self.machine.start_next_cycle()
+        return self.start()
--- /dev/null
+++ b/brackenusher/loop.py
@@ -0,0 +1,114 @@
+"""The event loop: epoll, with generators as coroutines.
+
+A coroutine owns one socket. It yields the epoll mask that it waits for, and is resumed with the events that
+came, or with 0 when somebody woke it. When it ends, its socket is closed.
+"""
+
+import logging
+import select
+import socket
+import time
+from collections import deque
+from collections.abc import Generator
+
+from brackenusher.deadlines import Deadlines
+
+log = logging.getLogger(__name__)
+
+READ, WRITE = select.EPOLLIN, select.EPOLLOUT
+HANGUP = select.EPOLLRDHUP
+LONGEST_WAIT = 1000.0  # milliseconds
+
+Coroutine = Generator[int, int, None]
+
+
+def clock() -> float:
+    """The one clock: monotonic milliseconds."""
+    return time.monotonic() * 1000.0
+
+
+class Task:
+    """A running coroutine with its socket."""
+
+    __slots__ = ("loop", "coroutine", "sock", "fd", "mask", "woken", "stopped", "ended")
+
+    def __init__(self, loop: "Loop", coroutine: Coroutine, sock: socket.socket) -> None:
+        self.loop, self.coroutine, self.sock, self.fd = loop, coroutine, sock, sock.fileno()
+        self.mask, self.woken, self.stopped, self.ended = 0, False, False, False
+
+    def wake(self) -> None:
+        """Resume the coroutine in this turn though its socket has no news."""
+        if not self.woken and not self.ended:
+            self.woken = True
+            self.loop.woken.append(self)
+
+    def stop(self) -> None:
+        """End the coroutine where it waits; one that runs at this moment ends where it waits next."""
+        if self.coroutine.gi_running:
+            self.stopped = True
+        elif not self.ended:
+            self.coroutine.close()
+            self.loop.end(self)
+
+
+class Loop:
+    """Runs the tasks and sweeps the deadlines, turn by turn."""
+
+    def __init__(self, deadlines: Deadlines) -> None:
+        self.epoll = select.epoll()
+        self.deadlines = deadlines
+        self.tasks: dict[int, Task] = {}
+        self.woken: deque[Task] = deque()
+        self.running = True
+
+    def spawn(self, coroutine: Coroutine, sock: socket.socket) -> Task:
+        """Start a coroutine that owns a socket, and run it to where it first waits."""
+        task = Task(self, coroutine, sock)
+        self.tasks[task.fd] = task
+        self.epoll.register(task.fd, 0)
+        self.resume(task, None)
+        return task
+
+    def end(self, task: Task) -> None:
+        task.ended = True
+        if self.tasks.pop(task.fd, None) is not None:
+            self.epoll.unregister(task.fd)
+        task.sock.close()
+
+    def resume(self, task: Task, events: int | None) -> None:
+        try:
+            mask = task.coroutine.send(events)
+        except StopIteration:
+            self.end(task)
+        except Exception:  # a fault costs the connection on which it showed, and no other
+            log.exception("a coroutine failed")
+            self.end(task)
+        else:
+            if task.stopped:
+                task.stop()
+            elif mask != task.mask:
+                task.mask = mask
+                self.epoll.modify(task.fd, mask)
+
+    def turn(self) -> None:
+        """Wait for news, resume whom it concerns, then sweep the deadlines."""
+        due = self.deadlines.next()
+        wait = LONGEST_WAIT if due is None else min(max(due - clock(), 0.0), LONGEST_WAIT)
+        for fd, events in self.epoll.poll(0 if self.woken else wait / 1000.0):
+            task = self.tasks.get(fd)
+            if task is not None:
+                self.resume(task, events)
+        self.resume_woken()
+        self.deadlines.sweep(clock())
+        self.resume_woken()
+
+    def resume_woken(self) -> None:
+        while self.woken:
+            task = self.woken.popleft()
+            task.woken = False
+            if not task.ended:
+                self.resume(task, 0)
+
+    def run(self) -> None:
+        while self.running:
+            self.turn()
--- /dev/null
+++ b/brackenusher/transaction.py
@@ -0,0 +1,246 @@
+"""Owns every transaction: turns what happens into the module's events and carries out its actions.
+
+Nothing here knows of HTTP or sockets. A protocol brings a message that it alone can read and a way to reply;
+a carrier makes attempts, each of which comes back with one outcome. Each transaction gets one final answer.
+"""
+
+import logging
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any, Protocol
+
+from barleybarrow import interface as face
+from barleybarrow.brain import Balancer
+from barleybarrow.interface import Outcome
+from brackenusher.deadlines import Deadlines, Entry
+
+log = logging.getLogger(__name__)
+
+RESERVE = 10.0  # milliseconds kept back, so that an answer is there before the client gives up
+
+
+@dataclass(slots=True)
+class Message:
+    """A request as it is passed on; names of headers are in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: Sequence[tuple[bytes, bytes]] = ()
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class Served:
+    """Final answer: what a pool member answered."""
+
+    body: bytes
+    content_type: bytes | None = None
+
+
+@dataclass(slots=True)
+class Refused:
+    """Final answer: trying again is harmless, after so many milliseconds."""
+
+    retry_after: float
+
+
+@dataclass(slots=True)
+class Failed:
+    """Final answer: failed, nothing promised."""
+
+
+Answer = Served | Refused | Failed
+
+
+@dataclass(slots=True, eq=False)
+class Transaction:
+    """A request that was taken, until it is answered and none of its attempts is out."""
+
+    id: int
+    message: Any
+    reply: Callable[[Answer], None]
+    deadline: float
+    guard: Entry | None = None
+    over: bool = False  # answered, or nobody is there to be answered
+    attempts: list["Attempt"] = field(default_factory=list)
+    out: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One server-side flow of a transaction; the carrier calls `ended` with its one outcome."""
+
+    transaction: Transaction
+    number: int
+    backend: str
+    message: Any
+    sent_at: float
+    deadline: float
+    ended: Callable[["Attempt", Outcome, Served | None], None]
+    outcome: Outcome | None = None
+    carriage: Any = None  # the carrier's own
+
+
+class Carrier(Protocol):
+    """What carries out the actions that leave the program."""
+
+    def start(self, attempt: Attempt) -> None: ...
+    def cancel(self, attempt: Attempt) -> None: ...
+    def disconnect(self, backend: str) -> None: ...
+    def watch(self) -> None: ...
+    def probe(self, backend: str) -> None: ...
+
+
+class Transactions:
+    """All transactions of the program, and the module that decides on them."""
+
+    def __init__(
+        self, balancer: Balancer, clock: Callable[[], float], deadlines: Deadlines, carrier: Carrier
+    ) -> None:
+        self.balancer, self.clock, self.deadlines, self.carrier = balancer, clock, deadlines, carrier
+        self.open: dict[int, Transaction] = {}
+        self.events: deque[face.Event] = deque()
+        self.parting: list[Transaction] = []
+        self.acting, self.taken, self.unanswered = False, 0, 0
+        self.performers: dict[type, Callable[[Any], None]] = {
+            face.Send: self.send,
+            face.Refuse: lambda a: self.answer(a.request, Refused(a.retry_after)),
+            face.Fail: lambda a: self.answer(a.request, Failed()),
+            face.Cancel: self.cancel,
+            face.SetTimer: lambda a: deadlines.add(a.at, partial(self.post, face.TimerDue(a.token))),
+            face.Disconnect: lambda a: carrier.disconnect(a.backend),
+            face.Watch: lambda a: carrier.watch(),
+            face.Probe: lambda a: carrier.probe(a.backend),
+        }
+
+    def begin(self) -> None:
+        """Carry out what the module asks for at its start."""
+        self.perform(self.balancer.begin())
+
+    def arrive(
+        self,
+        klass: int,
+        span: float,
+        message: Any,
+        reply: Callable[[Answer], None],
+        tenant: int = 0,
+        repeated: bool = False,
+    ) -> Transaction:
+        """Take a request whose client waits for `span` milliseconds; `reply` gets its final answer."""
+        now = self.clock()
+        self.taken += 1
+        transaction = Transaction(self.taken, message, reply, now + max(0.0, span - RESERVE))
+        transaction.guard = self.deadlines.add(now + span, partial(self.overdue, transaction))
+        self.open[transaction.id] = transaction
+        self.post(face.Arrived(transaction.id, klass, transaction.deadline, tenant, repeated))
+        return transaction
+
+    def left(self, transaction: Transaction) -> None:
+        """The client has gone."""
+        if not transaction.over:
+            self.close(transaction)
+            self.post(face.Left(transaction.id))
+
+    def finished(self, attempt: Attempt, outcome: Outcome, served: Served | None = None) -> None:
+        """An attempt has ended; only the first word of it counts."""
+        if attempt.outcome is not None:
+            return
+        attempt.outcome, transaction = outcome, attempt.transaction
+        transaction.out -= 1
+        if served is not None:
+            self.answer(transaction.id, served)
+        elapsed = self.clock() - attempt.sent_at
+        self.post(face.Finished(transaction.id, attempt.number, outcome, elapsed, transaction.over))
+        self.forget(transaction)
+
+    def post(self, event: face.Event) -> None:
+        """Hand an event to the module; one that is raised while acting on another waits its turn."""
+        self.events.append(event)
+        if self.acting:
+            return
+        self.acting = True
+        try:
+            while self.events:
+                event = self.events.popleft()
+                try:
+                    actions = self.balancer.handle(self.clock(), event)
+                except Exception:
+                    log.exception("the module failed on %s", type(event).__name__)
+                    self.give_up(event)
+                else:
+                    self.perform(actions)
+        finally:
+            self.acting = False
+            parting, self.parting = self.parting, []
+            for transaction in parting:
+                self.forget(transaction)
+
+    def perform(self, actions: list[face.Action]) -> None:
+        for action in actions:
+            try:
+                self.performers[type(action)](action)
+            except Exception:
+                log.exception("%s could not be carried out", type(action).__name__)
+                self.give_up(action)
+
+    def give_up(self, item: Any) -> None:
+        """Answer the one transaction that a fault concerns, if it concerns one."""
+        transaction = self.open.get(getattr(item, "request", -1))
+        if transaction is not None and not transaction.over:
+            self.answer(transaction.id, Failed())
+            self.post(face.Left(transaction.id))
+
+    def send(self, action: face.Send) -> None:
+        transaction, now = self.open[action.request], self.clock()
+        deadline = min(now + action.timeout, transaction.deadline) if action.timeout else transaction.deadline
+        number, message = len(transaction.attempts), transaction.message
+        attempt = Attempt(transaction, number, action.backend, message, now, deadline, self.finished)
+        transaction.attempts.append(attempt)
+        transaction.out += 1
+        if transaction.over:
+            self.finished(attempt, Outcome.NOT_SENT)
+            return
+        try:
+            self.carrier.start(attempt)
+        except Exception:
+            log.exception("an attempt could not be started")
+            self.finished(attempt, Outcome.NOT_SENT)
+
+    def cancel(self, action: face.Cancel) -> None:
+        transaction = self.open.get(action.request)
+        if transaction is None or action.attempt >= len(transaction.attempts):
+            return
+        attempt = transaction.attempts[action.attempt]
+        if attempt.outcome is None:
+            self.carrier.cancel(attempt)
+            self.finished(attempt, Outcome.CANCELLED)
+
+    def answer(self, request: int, answer: Answer) -> None:
+        """Give the final answer, unless there was one."""
+        transaction = self.open.get(request)
+        if transaction is None or transaction.over:
+            return
+        self.close(transaction)
+        transaction.reply(answer)
+
+    def close(self, transaction: Transaction) -> None:
+        transaction.over = True
+        self.deadlines.remove(transaction.guard)
+        self.forget(transaction)
+
+    def forget(self, transaction: Transaction) -> None:
+        """Drop what is over; later while acting, as the module may still name what it thinks is open."""
+        if self.acting:
+            self.parting.append(transaction)
+        elif transaction.over and not transaction.out:
+            self.open.pop(transaction.id, None)
+
+    def overdue(self, transaction: Transaction) -> None:
+        """The last guard: the client's deadline is here and nobody has answered."""
+        if not transaction.over:
+            self.unanswered += 1
+            log.error("transaction %d stood unanswered at its deadline", transaction.id)
+            self.answer(transaction.id, Failed())
+            self.post(face.Left(transaction.id))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,10 +1,21 @@
-"""What the tests of the decision module share."""
+"""What the tests share: the module with a clock, and the real program with all that it talks to."""
+
+import contextlib
+import json
+import os
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
 
 from barleybarrow import interface as face
 from barleybarrow.brain import Balancer
 from barleybarrow.interface import Effect, Group, ListScope, Outcome, State
 
 SAFE, KEYED, UNSAFE = 0, 1, 2
+ROOT = Path(__file__).parent.parent
 
 
 def settings(**changes):
@@ -84,3 +95,237 @@
             took = (latency or {}).get(self.backend(r), 20.0)
             self.now += took
             self.finish(r, elapsed=took)
+
+
+WAIT = 20.0  # seconds: generous, as machines are shared; nothing waits so long when all is well
+
+SETTINGS = {
+    "classes": [
+        {"name": "board-read", "slo": 580.0, "deadline": 1400.0, "worth": 2.0, "repeat": "free"},
+        {
+            "name": "turn-submit",
+            "slo": 750.0,
+            "deadline": 1900.0,
+            "worth": 8.0,
+            "repeat": "guarded",
+            "group": "all",
+            "window": 6000.0,
+        },
+    ],
+    "tick": 5.0,
+    "instances": 1,
+    "membershipMode": "automatic",
+    "tenants": [{"name": "kente-wars", "portion": 1.0, "quotaPerS": 100.0}],
+    "localities": ["accra-dc1"],
+    "limits": {
+        "attemptsCap": 4,
+        "cancelling": True,
+        "parallelTries": True,
+        "connIdle": 15000.0,
+        "connectTimeout": 200.0,
+        "maxRetryAfter": 600.0,
+        "retryAfter": True,
+    },
+    "rules": {"stopSendingWithin": 500.0, "cold": 8800.0, "coldFrom": 0.32, "tipAfter": 1000.0},
+}
+
+
+def until(condition, what="the condition"):
+    """Wait for something to be so, and return it."""
+    end = time.monotonic() + WAIT
+    while not (value := condition()):
+        assert time.monotonic() < end, f"{what} did not come about"
+        time.sleep(0.005)
+    return value
+
+
+def read_message(file):
+    """Read one HTTP message: its first line, its headers by lower-case name, and its body."""
+    first = file.readline().decode().strip()
+    if not first:
+        return None
+    headers = {}
+    while line := file.readline().decode().strip():
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    return first, headers, file.read(int(headers.get("content-length", 0)))
+
+
+def response(status, body=b"", *headers):
+    lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}", *headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class Listener:
+    """A listening socket on a free loopback port, with a thread for each connection."""
+
+    def __init__(self, port=0):
+        self.sock = socket.create_server(("127.0.0.1", port))
+        self.port = self.sock.getsockname()[1]
+        self.address = f"127.0.0.1:{self.port}"
+        self.connections = []
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                return
+            self.connections.append(sock)
+            threading.Thread(target=self.guarded, args=(sock,), daemon=True).start()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.close()
+
+    def guarded(self, sock):
+        with contextlib.suppress(OSError, ValueError):
+            self.serve(sock)
+
+    def close(self):
+        for sock in (self.sock, *self.connections):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
+
+class TurnServer(Listener):
+    """Notes each request; `behave` returns the bytes to answer, or None to close the connection."""
+
+    def __init__(self, behave=lambda server, message: response(200, b"board")):
+        self.behave, self.requests = behave, []
+        super().__init__()
+
+    def serve(self, sock):
+        file = sock.makefile("rb")
+        while message := read_message(file):
+            self.requests.append(message)
+            answer = self.behave(self, message)
+            if answer is None:
+                break
+            sock.sendall(answer)
+        sock.shutdown(socket.SHUT_RDWR)
+
+
+class DiscoveryAgent(Listener):
+    """Holds a list and tells its watchers of changes."""
+
+    def __init__(self, hosts):
+        self.seq, self.hosts, self.calls, self.watchers = 1, list(hosts), [], []
+        super().__init__()
+
+    def listing(self, whole, hosts):
+        return json.dumps({"seq": self.seq, "whole": whole, "hosts": hosts}).encode()
+
+    def serve(self, sock):
+        file = sock.makefile("rb")
+        while message := read_message(file):
+            self.calls.append(message[0])
+            if "watch=1" in message[0]:
+                sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                self.watchers.append(sock)
+            else:
+                sock.sendall(response(200, self.listing(True, self.hosts)))
+
+    def tell(self, hosts, whole=False):
+        self.seq += 1
+        line = self.listing(whole, hosts) + b"\n"
+        for sock in self.watchers:
+            with contextlib.suppress(OSError):
+                sock.sendall(b"%x\r\n%s\r\n" % (len(line), line))
+
+
+def host(name, server, health="ready", born_ms=0):
+    entry = {"host": name, "dial": server.address, "site": "accra-dc1", "class": "dual-fast", "block": 1}
+    return {**entry, "health": health, "share": 1.0, "born_ms": born_ms}
+
+
+class Program:
+    """The real program as a process, with turn servers and discovery round it."""
+
+    def __init__(self, tmp_path, *servers, known=(), sockets=256, settings=None, agent=None):
+        self.servers = servers
+        hosts = [host(f"s{n}", server) for n, server in enumerate(servers)]
+        self.agent = agent or DiscoveryAgent(hosts)
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.port = free.getsockname()[1]
+        self.log_path = tmp_path / "log"
+        config = {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": self.agent.address,
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "known": {"seq": 0, "whole": True, "hosts": list(known)},
+            "settings": SETTINGS | (settings or {}),
+        }
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(config), encoding="utf-8")
+        with self.log_path.open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "brackenusher", "serve"],
+                cwd=ROOT,
+                env={**os.environ, "GW_CONFIG": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def __enter__(self):
+        until(self.ready, "readiness")
+        return self
+
+    def __exit__(self, *_):
+        self.process.kill()
+        self.process.wait()
+        for listener in (*self.servers, self.agent):
+            listener.close()
+
+    @property
+    def log(self):
+        return self.log_path.read_text(encoding="utf-8")
+
+    def connect(self):
+        sock = socket.create_connection(("127.0.0.1", self.port), timeout=WAIT)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return sock
+
+    def ready(self):
+        assert self.process.poll() is None, self.log
+        with contextlib.suppress(OSError), self.connect() as sock:
+            return self.ask(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n", sock)[0] == 200
+        return False
+
+    def ask(self, data, sock=None):
+        """Send bytes and read one answer: status, headers, body."""
+        own = sock or self.connect()
+        try:
+            own.sendall(data)
+            first, headers, body = read_message(own.makefile("rb"))
+            return int(first.split()[1]), headers, body
+        finally:
+            if sock is None:
+                own.close()
+
+    def stop(self):
+        """Ask it to end, and return its exit code."""
+        self.process.terminate()
+        return self.process.wait(WAIT)
+
+
+def read_request(number=1, target="/board-read?k=m1", extra="", span="1400m"):
+    return (
+        f"GET {target} HTTP/1.1\r\nHost: service.internal\r\nReq-Id: id{number}\r\nReq-Kind: board-read\r\n"
+        f"Req-Owner: kente-wars\r\nReq-Deadline: {span}\r\n{extra}\r\n"
+    ).encode()
+
+
+def submit_request(number=1, body=b"move", extra=""):
+    head = (
+        f"POST /turn-submit?k=m1 HTTP/1.1\r\nHost: service.internal\r\nReq-Id: id{number}\r\n"
+        f"Req-Kind: turn-submit\r\nReq-Owner: kente-wars\r\nReq-Deadline: 1900m\r\n"
+        f"Idempotency-Key: key{number}\r\nContent-Length: {len(body)}\r\n{extra}\r\n"
+    )
+    return head.encode() + body
