Module: give up a held repeat once its aim has passed, not only at its deadline

Seen: with no member in reach a client waited 1.39 s of its 1.40 s for a refusal; the module's trace shows the repeat held from 10 ms after its arrival on.

--- a/barleybarrow/brain.py
+++ b/barleybarrow/brain.py
@@ -235,7 +235,9 @@
     def dispatch(self):
         """Send held requests to idle backends: repeats first, then by worth per expected work."""
         for r in [self.retry.popleft() for _ in range(len(self.retry))]:
-            if r.held and not self.may_send(r):  # its window may have passed while it was held
+            klass = self.classes[r.klass]  # its window or its aim may have passed while it was held
+            lapsed = klass.conf.late_worth <= 0 and self.now > r.arrived + klass.conf.aim
+            if r.held and (lapsed or not self.may_send(r)):
                 self.end(r)
             elif r.held and not self.send(r):
                 self.retry.append(r)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -39,6 +39,17 @@
     assert 0 < proxy.answers[r].retry_after <= 1000
 
 
+def test_a_repeat_is_given_up_once_its_aim_has_passed():
+    # guards against keeping a client waiting to its deadline (800) for an answer that is worth nothing then
+    proxy = Proxy(("a",))
+    r = proxy.arrive()
+    proxy.now += 10
+    proxy.finish(r, Outcome.CONNECT_FAILED, elapsed=10.0)
+    assert r not in proxy.answers
+    proxy.sweep(190)
+    assert isinstance(proxy.answers[r], face.Refuse)
+
+
 def test_a_request_that_comes_at_its_deadline_is_answered_at_once():
     proxy = Proxy()
     assert proxy.arrive(UNSAFE, span=0) in proxy.answers
