Refuse only the clients beyond their part; requests without a host; tests of the limits

Seen in a read-through of the driver: while the table of clients was over its part every client's request was refused, not only the extra ones'; a shortage of descriptors logged a line each 10 ms; a HTTP/1.0 request without Host could not be written to a pool member; a class Probing was dead.

--- a/brackenusher/cli.py
+++ b/brackenusher/cli.py
@@ -29,7 +29,7 @@
 
 def check_config(options: argparse.Namespace) -> int:
     config = load(os.environ)
-    classes, hosts = len(config.settings.classes), len(config.known.get("hosts", []))
+    classes, hosts = len(config.settings.classes), len(config.known.get("hosts") or [])
     print(
         f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}, {classes} classes, {hosts} known"
     )
--- a/brackenusher/driver.py
+++ b/brackenusher/driver.py
@@ -34,6 +34,7 @@
 BACK_OFF, LONGEST_BACK_OFF = 100.0, 1000.0
 IDLE_SHARE = 0.6  # of the time after which a pool member closes an idle connection
 CONNECT_TIME = 1000.0  # where the settings name none
+WARN_AGAIN = 1000.0  # a shortage is logged no more often
 SHORTAGE = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -106,7 +107,7 @@
     def probe(self, backend: str) -> None:
         """Ask a member for its report, or where there are none whether it lives."""
         reports = bool(self.settings.probe_reports)
-        message = Message(b"GET", b"/stats" if reports else b"/health/live", [(b"host", backend.encode())])
+        message = Message(b"GET", b"/stats" if reports else b"/health/live")
         now = clock()
         self.start(Probe(backend, message, now, now + self.connect_time, self.probed))
 
@@ -148,7 +149,7 @@
         self.attempt: Attempt | Probe | None = None
         self.limit = self.expiry = self.idle_limit = None
         self.written = False
-        self.flow = Flow()
+        self.flow = Flow(f"{member.address[0]}:{member.address[1]}".encode())
         self.reply: Reply | None = None
         deadlines = upstream.loop.deadlines
         if not connected:
@@ -276,21 +277,22 @@
             self.done(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
 
 
-class Probing:
-    """One probe: an attempt outside of all transactions, whose outcome goes to the module as a probe's."""
-
-    def __init__(self, upstream: Upstream, backend: str) -> None:
-        self.upstream, self.backend = upstream, backend
-
-
 class Clients:
     """Accepts client connections and keeps count of them."""
 
-    def __init__(self, loop: Loop, front: Front, owner: Transactions, pool: Pool, room: int, buffers) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        front: Front,
+        owner: Transactions,
+        pool: Pool,
+        room: int,
+        buffers: Buffers,
+    ) -> None:
         self.loop, self.front, self.owner, self.pool, self.room = loop, front, owner, pool, room
         self.buffers = buffers
         self.links: dict[ClientLink, None] = {}  # the one that was used last stands last
-        self.stopping = False
+        self.stopping, self.warned_at = False, -WARN_AGAIN
         self.task: Task | None = None
 
     def listen(self, address: Address) -> None:
@@ -325,7 +327,9 @@
             except OSError as error:
                 if error.errno not in SHORTAGE:
                     raise
-                log.warning("accept: %s", error)
+                if clock() >= self.warned_at + WARN_AGAIN:
+                    self.warned_at = clock()
+                    log.warning("accept: %s", error)
                 return self.spare()
             client.setblocking(False)
             client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -360,6 +364,7 @@
         self.limit = None
         self.late = False
         clients.links[self] = None
+        self.beyond = len(clients.links) > clients.room  # taken only to be refused
         self.task = clients.loop.spawn(self.run(), sock)
 
     @property
@@ -412,7 +417,7 @@
     def serve(self, request: Request) -> Generator[int, int, bytes]:
         """Have a request answered; no bytes if the client left before."""
         clients = self.clients
-        if len(clients.links) > clients.room and not clients.stopping:
+        if self.beyond:
             return self.machine.answer(Refused(clients.owner.balancer.conf.max_retry_after), True)
         self.answer = None
         self.transaction = clients.owner.arrive(
@@ -513,7 +518,7 @@
         why = "ended"
         try:
             yield WRITE
-            rest = machine.start()
+            rest, self.call = machine.start(), b""
             while True:
                 if rest:
                     rest = write(sock, rest)
--- a/brackenusher/flow.py
+++ b/brackenusher/flow.py
@@ -35,7 +35,8 @@
 class Flow:
     """The client's side of HTTP on one connection; it is fed bytes and knows no socket."""
 
-    def __init__(self) -> None:
+    def __init__(self, authority: bytes) -> None:
+        self.authority = authority  # for a request that names no host, as HTTP/1.0 allows
         self.machine = h11.Connection(h11.CLIENT)
         self.reset()
 
@@ -47,6 +48,8 @@
         """The bytes of a request; `wait` tells the server how many milliseconds it has."""
         headers = [(n, v) for n, v in message.headers if n not in HOP_BY_HOP]
         headers.append((b"req-deadline", b"%dm" % max(1, int(wait))))
+        if not any(name == b"host" for name, _ in headers):
+            headers.insert(0, (b"host", self.authority))
         if message.body or message.method != b"GET":
             headers.append((b"content-length", b"%d" % len(message.body)))
         send = self.machine.send
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -325,11 +325,6 @@
             if sock is None:
                 own.close()
 
-    def stop(self):
-        """Ask it to end, and return its exit code."""
-        self.process.terminate()
-        return self.process.wait(WAIT)
-
 
 def read_request(number=1, target="/board-read?k=m1", extra="", span="1400m"):
     return (
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -22,7 +22,7 @@
 
 def flow_reply(data, step=None):
     """What a flow makes of an answer, fed in pieces of `step` bytes."""
-    flow = Flow()
+    flow = Flow(b"a:1")
     flow.request(READ, 500.0)
     step = step or len(data)
     for i in range(0, len(data), step):
@@ -76,11 +76,16 @@
 
 def test_a_flow_says_how_long_the_proxy_will_wait_and_drops_what_concerned_one_hop():
     message = Message(b"POST", b"/t", [(b"host", b"x"), (b"connection", b"close"), (b"a", b"b")], b"move")
-    data = Flow().request(message, 812.7)
+    data = Flow(b"a:1").request(message, 812.7)
     assert b"req-deadline: 812m" in data and b"close" not in data and b"a: b" in data
     assert data.endswith(b"content-length: 4\r\n\r\nmove")
 
 
+def test_a_request_that_names_no_host_gets_the_members():
+    # guards against HTTP/1.0 clients, who need not name one: the attempt failed before it was written
+    assert b"host: a:1\r\n" in Flow(b"a:1").request(Message(b"GET", b"/r"), 5.0)
+
+
 def front():
     return VirtualServer(Front(CONF), lambda: True)
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -78,7 +78,7 @@
         release.wait(20)
         return response(200, b"late board")
 
-    with Program(tmp_path, TurnServer(slow)) as program, program.connect() as sock:
+    with Program(tmp_path, TurnServer(slow)) as program, program.connect() as sock, program.connect() as idle:
         sock.sendall(submit_request())
         until(lambda: program.servers[0].requests, "the attempt")
         program.process.terminate()
@@ -86,7 +86,7 @@
         release.set()
         status, headers, body = program.ask(b"", sock)
         assert (status, headers["connection"], body) == (200, "close", b"late board")
-        assert program.process.wait(20) == 0
+        assert idle.recv(1) == b"" and program.process.wait(20) == 0
 
 
 def test_nothing_goes_to_a_member_that_drains_and_a_new_one_is_taken_up(tmp_path):
@@ -162,6 +162,28 @@
         assert [program.ask(read_request(n))[0] for n in range(8)] == [200] * 8
 
 
+def test_clients_beyond_their_part_are_refused_and_told_when_to_come_back(tmp_path):
+    # guards against leaving them in the listener's queue: a client sees them accepted, so they are taken
+    patient = {"classes": [{**SETTINGS["classes"][0], "slo": 60000.0, "deadline": 60000.0}]}
+    release = threading.Event()
+
+    def slow(server, message):
+        release.wait(20)
+        return response(200, b"board")
+
+    with Program(tmp_path, TurnServer(slow), sockets=64, settings=patient) as program:
+        socks = []
+        for n in range(20):
+            socks.append(program.connect())
+            socks[-1].sendall(read_request(n, span="60000m"))
+        status, headers, _ = program.ask(b"", socks[-1])
+        assert (status, headers["retry-after"], headers["connection"]) == (503, "0.600", "close")
+        release.set()
+        assert program.ask(b"", socks[0])[0] == 200
+        for sock in socks:
+            sock.close()
+
+
 def test_with_few_descriptors_all_are_answered_and_the_program_lives(tmp_path):
     # guards against running out of descriptors: the accounts say 64, the system gives 40
     with Program(tmp_path, TurnServer(), sockets=64, files=40) as program:
@@ -238,5 +260,16 @@
         assert done.stderr.startswith("brackenusher: ")
 
 
+def test_a_good_configuration_is_summed_up(program):
+    done = command("check-config", GW_CONFIG=str(program.log_path.with_name("config.json")))
+    assert done.stdout == f"n0: listens on 127.0.0.1:{program.port}, 2 classes, 0 known\n"
+
+
+def test_an_address_in_use_ends_the_program_with_one_line(program):
+    done = command("serve", GW_CONFIG=str(program.log_path.with_name("config.json")))
+    assert done.returncode == 1 and "brackenusher: [Errno 98]" in done.stderr
+    assert "Traceback" not in done.stderr
+
+
 def test_the_version_is_printed():
     assert command("version").stdout == "brackenusher 0.1.0\n"
