--- a/brackenusher/driver.py
+++ b/brackenusher/driver.py
@@ -14,10 +14,10 @@
 from brackenusher.buffers import Buffers
 from brackenusher.config import Address
 from brackenusher.discovery import Broken, Discovery
-from brackenusher.flow import Flow, Reply
+from brackenusher.flow import Flow, Message, Reply
 from brackenusher.loop import HANGUP, READ, WRITE, Coroutine, Loop, Task, clock
 from brackenusher.pool import Member, Pool
-from brackenusher.transaction import Answer, Attempt, Message, Refused, Served, Transaction, Transactions
+from brackenusher.transaction import Answer, Attempt, Refused, Served, Transaction, Transactions
 from brackenusher.virtual_server import Front, Rejection, Request, VirtualServer
 
 log = logging.getLogger(__name__)
@@ -112,7 +112,7 @@
         self.start(Probe(backend, message, now, now + self.connect_time, self.probed))
 
     def probed(self, probe: "Probe", outcome: Outcome, served: Served | None) -> None:
-        report = read_report(served.body) if served and self.settings.probe_reports else None
+        report = read_report(served.content.body) if served and self.settings.probe_reports else None
         self.owner.post(face.Probed(probe.backend, outcome, clock() - probe.sent_at, report))
 
 
--- a/brackenusher/flow.py
+++ b/brackenusher/flow.py
@@ -1,11 +1,12 @@
 """The server-side flow on the wire: one attempt after another on a connection to a pool member."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import h11
 
 from barleybarrow.interface import Outcome
-from brackenusher.transaction import Message, Served
+from brackenusher.transaction import Served
 
 LONGEST_BODY = 64 * 1024
 HOP_BY_HOP = frozenset(
@@ -24,6 +25,24 @@
 )
 
 
+@dataclass(slots=True)
+class Message:
+    """A request as it is passed on; names of headers are in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: Sequence[tuple[bytes, bytes]] = ()
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class Content:
+    """What a pool member answered."""
+
+    body: bytes
+    kind: bytes | None = None
+
+
 @dataclass(slots=True)
 class Reply:
     """What an attempt came to."""
@@ -41,7 +60,7 @@
         self.reset()
 
     def reset(self) -> None:
-        self.status, self.declined, self.content_type = 0, False, None
+        self.status, self.declined, self.kind = 0, False, None
         self.body = bytearray()
 
     def request(self, message: Message, wait: float) -> bytes:
@@ -86,12 +105,12 @@
             if name == b"srv-declined":
                 self.declined = value.strip() == b"1"
             elif name == b"content-type":
-                self.content_type = value
+                self.kind = value
 
     def whole(self) -> Reply:
         """Judge an answer that has come whole."""
         if self.status == 200:
-            return Reply(Outcome.SERVED, Served(bytes(self.body), self.content_type))
+            return Reply(Outcome.SERVED, Served(Content(bytes(self.body), self.kind)))
         if self.status in (503, 504) and self.declined:
             return Reply(Outcome.FULL)
         return Reply(Outcome.ERROR)
--- a/brackenusher/pool.py
+++ b/brackenusher/pool.py
@@ -40,7 +40,7 @@
     def __init__(self, names: list[str]) -> None:
         self.positions = {name: i for i, name in enumerate(names)}
 
-    def __getitem__(self, name: str) -> int:
+    def position(self, name: str) -> int:
         return self.positions.setdefault(name, len(self.positions))
 
 
@@ -84,8 +84,8 @@
             STATES[host.health],
             self.module_time(host.born_ms),
             host.cell,
-            self.zones[host.zone],
-            self.kinds[host.kind],
+            self.zones.position(host.zone),
+            self.kinds.position(host.kind),
         )
 
     def part(self, member: Member) -> None:
--- a/brackenusher/transaction.py
+++ b/brackenusher/transaction.py
@@ -6,7 +6,7 @@
 
 import logging
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Any, Protocol
@@ -21,22 +21,11 @@
 RESERVE = 10.0  # milliseconds kept back, so that an answer is there before the client gives up
 
 
-@dataclass(slots=True)
-class Message:
-    """A request as it is passed on; names of headers are in lower case."""
-
-    method: bytes
-    target: bytes
-    headers: Sequence[tuple[bytes, bytes]] = ()
-    body: bytes = b""
-
-
 @dataclass(slots=True)
 class Served:
-    """Final answer: what a pool member answered."""
+    """Final answer: what a pool member answered, in the protocol's own form."""
 
-    body: bytes
-    content_type: bytes | None = None
+    content: Any
 
 
 @dataclass(slots=True)
--- a/brackenusher/virtual_server.py
+++ b/brackenusher/virtual_server.py
@@ -10,9 +10,9 @@
 
 from barleybarrow import interface as face
 from barleybarrow.interface import Effect
-from brackenusher.transaction import Answer, Message, Refused, Served
+from brackenusher.flow import LONGEST_BODY, Message
+from brackenusher.transaction import Answer, Refused, Served
 
-LONGEST_BODY = 64 * 1024
 LONGEST_HEAD = 16 * 1024
 READY = b"/health/ready"
 SPAN = re.compile(rb"([0-9]{1,9}(?:\.[0-9]{1,9})?)([mu])\Z")
@@ -168,8 +168,8 @@
     def answer(self, answer: Answer, last: bool) -> bytes:
         """The bytes of a final answer; `last` where the connection is to end after it."""
         if isinstance(answer, Served):
-            kind = answer.content_type or b"application/octet-stream"
-            return self.respond(200, answer.body, [(b"content-type", kind)], last)
+            kind = answer.content.kind or b"application/octet-stream"
+            return self.respond(200, answer.content.body, [(b"content-type", kind)], last)
         if isinstance(answer, Refused):
             wait = b"%.3f" % (math.ceil(answer.retry_after) / 1000.0)
             return self.respond(503, b"refused\n", [(b"retry-after", wait)], last)
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -11,9 +11,9 @@
 from brackenusher.buffers import Buffers
 from brackenusher.deadlines import Deadlines
 from brackenusher.discovery import Broken, Discovery, read_listing
-from brackenusher.flow import Flow
+from brackenusher.flow import Content, Flow, Message
 from brackenusher.pool import Pool
-from brackenusher.transaction import Failed, Message, Refused, Served
+from brackenusher.transaction import Failed, Refused, Served
 from brackenusher.virtual_server import Front, Rejection, Request, VirtualServer
 
 CONF = read_settings(SETTINGS)
@@ -55,7 +55,7 @@
     # guards against taking an undeclined 503 for proof that nothing ran, and a cut-off answer for a whole one
     _, reply = flow_reply(data, step)
     assert reply.outcome is outcome
-    assert (reply.served == Served(b"board", None)) is (outcome is Outcome.SERVED)
+    assert (reply.served == Served(Content(b"board"))) is (outcome is Outcome.SERVED)
 
 
 @pytest.mark.parametrize(
