--- /dev/null
+++ b/brackenusher/agent.py
@@ -0,0 +1,97 @@
+"""The driver toward discovery's agent: keeps the pool up to date."""
+
+import logging
+import random
+import socket
+from functools import partial
+
+from barleybarrow import interface as face
+from brackenusher.buffers import Buffers
+from brackenusher.config import Address
+from brackenusher.discovery import Broken, Discovery
+from brackenusher.driver import open_socket, write
+from brackenusher.loop import READ, WRITE, Coroutine, Loop, clock
+from brackenusher.pool import Pool
+from brackenusher.transaction import Transactions
+
+log = logging.getLogger(__name__)
+
+SILENCE = 3500.0  # discovery sends a line every 2 s
+BACK_OFF, LONGEST_BACK_OFF = 100.0, 1000.0
+
+
+class Agent:
+    """Keeps the pool up to date from discovery's agent."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        pool: Pool,
+        owner: Transactions,
+        buffers: Buffers,
+        rng: random.Random,
+    ) -> None:
+        self.loop, self.address, self.pool, self.owner, self.buffers = loop, address, pool, owner, buffers
+        self.rng = rng
+        self.seq: int | None = None
+        self.back_off, self.task, self.limit = BACK_OFF, None, None
+
+    def connect(self) -> None:
+        """Open a connection, unless one is open."""
+        if self.task is not None and not self.task.ended:
+            return
+        try:
+            sock, _ = open_socket(self.address)
+        except OSError as error:
+            self.again(str(error))
+            return
+        machine = Discovery(f"{self.address[0]}:{self.address[1]}", self.seq)
+        self.task = self.loop.spawn(self.run(sock, machine), sock)
+        self.limit = self.loop.deadlines.add(clock() + SILENCE, self.silent)
+
+    def run(self, sock: socket.socket, machine: Discovery) -> Coroutine:
+        why = "ended"
+        try:
+            yield WRITE
+            rest, self.call = machine.start(), b""
+            while True:
+                if rest:
+                    rest = write(sock, rest)
+                yield READ | (WRITE if rest else 0)
+                try:
+                    self.buffers.receive(sock, partial(self.take, machine))
+                except BlockingIOError:
+                    continue
+                rest += self.call
+        except (OSError, Broken) as error:
+            why = str(error)
+        except GeneratorExit:
+            why = "silent"
+            raise
+        finally:
+            self.loop.deadlines.remove(self.limit)
+            if self.loop.running:
+                self.again(why)
+
+    def take(self, machine: Discovery, data: memoryview) -> None:
+        """Feed the machine, and tell the module of each list."""
+        self.loop.deadlines.remove(self.limit)
+        self.limit = self.loop.deadlines.add(clock() + SILENCE, self.silent)
+        listings, self.call = machine.receive(data)
+        self.back_off = BACK_OFF
+        for listing in listings:
+            self.seq = listing.seq
+            self.owner.post(self.pool.take(listing))
+
+    def silent(self) -> None:
+        self.task.stop()
+
+    def again(self, why: str) -> None:
+        """Try again after a while that doubles."""
+        log.warning("discovery: %s", why)
+        if self.owner.balancer.conf.must_ask:
+            self.owner.post(face.ListChanged(face.ListScope.LOST, []))
+        wait = self.back_off * (0.5 + self.rng.random())
+        self.back_off = min(2 * self.back_off, LONGEST_BACK_OFF)
+        self.loop.deadlines.add(clock() + wait, self.connect)
--- /dev/null
+++ b/brackenusher/clients.py
@@ -0,0 +1,230 @@
+"""The driver toward clients: the listener, and sockets round the virtual server's machines."""
+
+import logging
+import socket
+from collections.abc import Generator
+
+from brackenusher.buffers import Buffers
+from brackenusher.config import Address
+from brackenusher.driver import SHORTAGE, write
+from brackenusher.loop import HANGUP, READ, WRITE, Coroutine, Loop, Task, clock
+from brackenusher.pool import Pool
+from brackenusher.transaction import Answer, Refused, Transaction, Transactions
+from brackenusher.virtual_server import Front, Rejection, Request, VirtualServer
+
+log = logging.getLogger(__name__)
+
+OVERFLOW = 16  # client connections beyond their part that are taken only to be refused
+ACCEPTS = 64  # connections accepted in a row before the others get their turn
+REQUEST_TIME = 10_000.0  # a request that began to come in must be whole in this time
+ANSWER_TIME = 10_000.0  # an answer must be taken by the client in this time
+LINGER = 500.0  # so long the rest of a stream that ends is read away, so that the answer is not reset
+AHEAD = 16 * 1024  # bytes that a client may send ahead of the answer it waits for
+WARN_AGAIN = 1000.0  # a shortage is logged no more often
+
+
+class Clients:
+    """Accepts client connections and keeps count of them."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        front: Front,
+        owner: Transactions,
+        pool: Pool,
+        room: int,
+        buffers: Buffers,
+    ) -> None:
+        self.loop, self.front, self.owner, self.pool, self.room = loop, front, owner, pool, room
+        self.buffers = buffers
+        self.links: dict[ClientLink, None] = {}  # the one that was used last stands last
+        self.stopping, self.warned_at = False, -WARN_AGAIN
+        self.task: Task | None = None
+
+    def listen(self, address: Address) -> None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(1024)
+        self.task = self.loop.spawn(self.accept(sock), sock)
+
+    def accept(self, sock: socket.socket) -> Coroutine:
+        pause = False
+        while True:
+            if pause:
+                pause = False
+                self.loop.deadlines.add(clock() + 10.0, self.task.wake)
+                yield 0
+            else:
+                yield READ
+            pause = not self.take_in(sock)
+
+    def take_in(self, sock: socket.socket) -> bool:
+        """Accept what waits; False where there is no room for more just now."""
+        for _ in range(ACCEPTS):
+            if len(self.links) >= self.room and not self.spare() and len(self.links) >= self.room + OVERFLOW:
+                return False
+            try:
+                client, _ = sock.accept()
+            except BlockingIOError:
+                return True
+            except ConnectionError:
+                continue
+            except OSError as error:
+                if error.errno not in SHORTAGE:
+                    raise
+                if clock() >= self.warned_at + WARN_AGAIN:
+                    self.warned_at = clock()
+                    log.warning("accept: %s", error)
+                return self.spare()
+            client.setblocking(False)
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            ClientLink(self, client)
+        return True
+
+    def spare(self) -> bool:
+        """Close the connection that has stood between requests for longest; False where none does."""
+        link = next((link for link in self.links if link.idle), None)
+        if link is not None:
+            link.task.stop()
+        return link is not None
+
+    def stop_accepting(self) -> None:
+        """Take in what waits, then close the listener and the connections between requests."""
+        if not self.task.ended:
+            self.take_in(self.task.sock)
+            self.task.stop()
+        for link in list(self.links):
+            if link.idle:
+                link.task.stop()
+
+
+class ClientLink:
+    """A client's connection."""
+
+    def __init__(self, clients: Clients, sock: socket.socket) -> None:
+        self.clients, self.sock = clients, sock
+        self.machine = VirtualServer(clients.front, lambda: clients.pool.held)
+        self.transaction: Transaction | None = None
+        self.answer: Answer | None = None
+        self.limit = None
+        self.late = False
+        clients.links[self] = None
+        self.beyond = len(clients.links) > clients.room  # taken only to be refused
+        self.task = clients.loop.spawn(self.run(), sock)
+
+    @property
+    def idle(self) -> bool:
+        """Whether it stands between requests, with none on its way that could be seen."""
+        if self.transaction is not None or not self.machine.between:
+            return False
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return True
+
+    def run(self) -> Coroutine:
+        machine = self.machine
+        try:
+            while not machine.last:
+                item = machine.next()
+                if item is None:
+                    if machine.ended or machine.last:
+                        return
+                    if machine.between:
+                        self.time()
+                    elif self.limit is None:
+                        self.time(REQUEST_TIME)
+                    if not (yield from self.write(machine.go_on())):
+                        return
+                    yield READ
+                    self.read()
+                    if not self.late:
+                        continue
+                    item = Rejection(408, "the request took too long", fatal=True)
+                self.time()
+                if isinstance(item, Request):
+                    data = yield from self.serve(item)
+                else:
+                    data = machine.reject(item, self.clients.stopping)
+                if not data or not (yield from self.write(data)):
+                    return
+            yield from self.linger()
+        except OSError:
+            pass  # the client broke the connection
+        finally:
+            self.time()
+            self.clients.links.pop(self, None)
+            if self.transaction is not None:
+                self.clients.owner.left(self.transaction)
+
+    def serve(self, request: Request) -> Generator[int, int, bytes]:
+        """Have a request answered; no bytes if the client left before."""
+        clients = self.clients
+        if self.beyond:
+            return self.machine.answer(Refused(clients.owner.balancer.conf.max_retry_after), True)
+        self.answer = None
+        self.transaction = clients.owner.arrive(
+            request.klass, request.span, request.message, self.reply, request.tenant, request.repeated
+        )
+        while self.answer is None:
+            events = yield READ if self.machine.waiting < AHEAD else HANGUP
+            if events and self.answer is None:
+                if events & HANGUP and self.machine.waiting >= AHEAD:
+                    return b""
+                self.read()
+                if self.machine.ended:
+                    return b""
+        self.transaction = None
+        clients.links[self] = clients.links.pop(self)
+        return self.machine.answer(self.answer, clients.stopping)
+
+    def reply(self, answer: Answer) -> None:
+        self.answer = answer
+        self.task.wake()
+
+    def read(self) -> None:
+        try:
+            self.clients.buffers.receive(self.sock, self.machine.receive)
+        except BlockingIOError:
+            pass
+
+    def write(self, data: bytes) -> Generator[int, int, bool]:
+        """Write all of it; False if the client took too long."""
+        data = write(self.sock, data) if data else data
+        if data:
+            self.time(ANSWER_TIME)
+        while data:
+            yield WRITE
+            if self.late:
+                return False
+            data = write(self.sock, data)
+            if not data:
+                self.time()
+        return True
+
+    def linger(self) -> Coroutine:
+        """End the stream, and read away the rest of what comes, lest a reset overtake the answer."""
+        self.sock.shutdown(socket.SHUT_WR)
+        self.time(LINGER)
+        while not self.late:
+            yield READ
+            try:
+                if not self.clients.buffers.receive(self.sock, len):
+                    return
+            except BlockingIOError:
+                pass
+
+    def time(self, span: float | None = None) -> None:
+        """Set the time limit anew, or take it away."""
+        deadlines = self.clients.loop.deadlines
+        deadlines.remove(self.limit)
+        self.late, self.limit = False, None
+        if span is not None:
+            self.limit = deadlines.add(clock() + span, self.too_late)
+
+    def too_late(self) -> None:
+        self.late, self.limit = True, None
+        self.task.wake()
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -9,18 +9,22 @@
 from collections.abc import Callable
 
 from barleybarrow.brain import Balancer
+from brackenusher.agent import Agent
 from brackenusher.buffers import Buffers
+from brackenusher.clients import OVERFLOW, Clients
 from brackenusher.config import Config
 from brackenusher.deadlines import Deadlines
 from brackenusher.discovery import Broken, read_listing
-from brackenusher.driver import CLIENT_PART, OVERFLOW, SPARE_SOCKETS, Agent, Clients, Upstream
 from brackenusher.loop import READ, Coroutine, Loop, clock
 from brackenusher.pool import Pool
 from brackenusher.transaction import Transactions
+from brackenusher.upstream import Upstream
 from brackenusher.virtual_server import Front
 
 log = logging.getLogger(__name__)
 
+SPARE_SOCKETS = 24  # listener, epoll, discovery, standard streams, and some to refuse with
+CLIENT_PART = 0.625  # of the other descriptors: a held request has a client connection and no flow
 FAREWELL = 450.0  # milliseconds after SIGTERM in which clients still come
 GRACE = 700.0  # what comes in later than this after SIGTERM is not waited for
 CHECK = 10.0  # how often it is looked whether all is answered
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -221,6 +221,19 @@
         until(lambda: len(agent.calls) > 1, "the second call")
 
 
+@pytest.mark.parametrize("mode", ["automatic", "subscribe"])
+def test_a_broken_watch_is_taken_up_again_from_the_last_version(tmp_path, mode):
+    # guards against missing what changed meanwhile, and against a list never asked for again
+    with Program(tmp_path, TurnServer(), settings={"membershipMode": mode}) as program:
+        agent = program.agent
+        until(lambda: agent.watchers, "the watch")
+        agent.tell([host("s0", program.servers[0])])
+        agent.watchers[0].shutdown(socket.SHUT_RDWR)
+        until(lambda: len(agent.watchers) > 1, "the next watch")
+        assert "watch=1&from=2 " in agent.calls[-1]
+        assert program.ask(read_request())[0] == 200
+
+
 def test_probes_are_sent_where_reports_tell_what_others_have_in_hand(tmp_path):
     def behave(server, message):
         return response(200, b"busy_reqs=0,svc_ms=3.5" if "/stats" in message[0] else b"board")
