Reload on SIGHUP; reject two lengths, doubled headers and ids still open

Checked and ruled out: the variable GW_DISCOVERY keeps the address of the start, so config.load cannot be used for a reload as it is; load_again lets the file win. A second Req-Id or Idempotency-Key was passed on while dict() judged only the last of them. Change: SIGHUP reads the file anew, leaves the old agent at once and asks the new one for the whole list; what cannot be read is logged and changes nothing. Heads with both lengths or with a header that counts twice are answered 400 and end the connection; an id that is still open gets 409. A client's wait is never taken for longer than its class's deadline. The first word of the agent is waited for 1.5 s, not 3.5 s, as the agent sits on this machine.

--- a/brackenusher/agent.py
+++ b/brackenusher/agent.py
@@ -17,6 +17,7 @@
 log = logging.getLogger(__name__)
 
 SILENCE = 3500.0  # discovery sends a line every 2 s
+FIRST_WORD = 1500.0  # the agent is on this machine and answers at once, if at all
 BACK_OFF, LONGEST_BACK_OFF = 100.0, 1000.0
 
 
@@ -35,20 +36,30 @@
         self.loop, self.address, self.pool, self.owner, self.buffers = loop, address, pool, owner, buffers
         self.rng = rng
         self.seq: int | None = None
-        self.back_off, self.task, self.limit = BACK_OFF, None, None
+        self.back_off, self.task, self.limit, self.retry = BACK_OFF, None, None, None
+        self.machine: Discovery | None = None  # that of the connection which counts
+
+    def move(self, address: Address) -> None:
+        """Leave this agent for another at once; that one is asked for the whole list."""
+        old, self.machine = self.machine, None
+        if old is not None and not self.task.ended:
+            self.task.stop()
+        self.address, self.seq, self.back_off = address, None, BACK_OFF
+        self.connect()
 
     def connect(self) -> None:
         """Open a connection, unless one is open."""
-        if self.task is not None and not self.task.ended:
+        if self.machine is not None and not self.task.ended:
             return
+        self.loop.deadlines.remove(self.retry)
         try:
             sock, _ = open_socket(self.address)
         except OSError as error:
             self.again(str(error))
             return
-        machine = Discovery(f"{self.address[0]}:{self.address[1]}", self.seq)
-        self.task = self.loop.spawn(self.run(sock, machine), sock)
-        self.limit = self.loop.deadlines.add(clock() + SILENCE, self.silent)
+        self.machine = Discovery(f"{self.address[0]}:{self.address[1]}", self.seq)
+        self.task = self.loop.spawn(self.run(sock, self.machine), sock)
+        self.limit = self.loop.deadlines.add(clock() + FIRST_WORD, self.silent)
 
     def run(self, sock: socket.socket, machine: Discovery) -> Coroutine:
         why = "ended"
@@ -71,7 +82,7 @@
             raise
         finally:
             self.loop.deadlines.remove(self.limit)
-            if self.loop.running:
+            if self.loop.running and machine is self.machine:
                 self.again(why)
 
     def take(self, machine: Discovery, data: memoryview) -> None:
@@ -94,4 +105,5 @@
             self.owner.post(face.ListChanged(face.ListScope.LOST, []))
         wait = self.back_off * (0.5 + self.rng.random())
         self.back_off = min(2 * self.back_off, LONGEST_BACK_OFF)
-        self.loop.deadlines.add(clock() + wait, self.connect)
+        self.loop.deadlines.remove(self.retry)
+        self.retry = self.loop.deadlines.add(clock() + wait, self.connect)
--- a/brackenusher/cli.py
+++ b/brackenusher/cli.py
@@ -5,10 +5,11 @@
 import os
 import sys
 from collections.abc import Sequence
+from functools import partial
 
 from barleybarrow.interface import SettingsError
 from brackenusher import __version__
-from brackenusher.config import ConfigError, load
+from brackenusher.config import ConfigError, load, load_again
 from brackenusher.daemon import Daemon
 
 LEVELS = ("debug", "info", "warning", "error")
@@ -20,8 +21,7 @@
         level=options.log_level.upper(), format="%(asctime)s %(levelname)s %(name)s: %(message)s"
     )
     try:
-        daemon = Daemon(config)
-        return daemon.run()
+        return Daemon(config, partial(load_again, os.environ)).run()
     except OSError as error:
         print(f"brackenusher: {error}", file=sys.stderr)
         return 1
--- a/brackenusher/clients.py
+++ b/brackenusher/clients.py
@@ -167,8 +167,16 @@
             return self.machine.answer(Refused(clients.owner.balancer.conf.max_retry_after), True)
         self.answer = None
         self.transaction = clients.owner.arrive(
-            request.klass, request.span, request.message, self.reply, request.tenant, request.repeated
+            request.name,
+            request.klass,
+            request.span,
+            request.message,
+            self.reply,
+            request.tenant,
+            request.repeated,
         )
+        if self.transaction is None:
+            return self.machine.reject(Rejection(409, "Req-Id is that of an open request"), True)
         while self.answer is None:
             events = yield READ if self.machine.waiting < AHEAD else HANGUP
             if events and self.answer is None:
--- a/brackenusher/config.py
+++ b/brackenusher/config.py
@@ -58,6 +58,14 @@
         raise ConfigError(f"{path}: {type(error).__name__}: {error}") from error
 
 
+def load_again(environ: Mapping[str, str]) -> Config:
+    """Read the configuration while the program runs: the file says where discovery is now.
+
+    The variable still holds what was so at the start.
+    """
+    return load({name: value for name, value in environ.items() if name != "GW_DISCOVERY"})
+
+
 def read(conf: dict[str, Any], environ: Mapping[str, str]) -> Config:
     """Translate the configuration's object."""
     settings = read_settings(conf["settings"])
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -12,7 +12,7 @@
 from brackenusher.agent import Agent
 from brackenusher.buffers import Buffers
 from brackenusher.clients import OVERFLOW, Clients
-from brackenusher.config import Config
+from brackenusher.config import Config, ConfigError
 from brackenusher.deadlines import Deadlines
 from brackenusher.discovery import Broken, read_listing
 from brackenusher.loop import READ, Coroutine, Loop, clock
@@ -33,7 +33,8 @@
 class Daemon:
     """One proxy."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, load: Callable[[], Config]) -> None:
+        self.load = load  # reads the configuration anew
         settings = config.settings
         deadlines, buffers = Deadlines(), Buffers()
         self.config, self.loop = config, Loop(deadlines)
@@ -77,7 +78,7 @@
         theirs.setblocking(False)
         signal.set_wakeup_fd(theirs.fileno())
         self.waker = theirs
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, lambda *_: None)
         signal.signal(signal.SIGPIPE, signal.SIG_IGN)
         self.loop.spawn(self.listen_to_signals(ours), ours)
@@ -86,14 +87,30 @@
         while True:
             yield READ
             try:
-                sock.recv(64)
+                numbers = sock.recv(64)
             except BlockingIOError:
                 continue
-            if not self.clients.stopping:
+            if signal.SIGHUP in numbers:
+                self.reload()
+            if not self.clients.stopping and any(number != signal.SIGHUP for number in numbers):
                 log.info("stopping")
                 self.clients.stopping = True
                 self.later(FAREWELL, self.close_the_door)
 
+    def reload(self) -> None:
+        """Take up what the configuration's file says now; one that cannot be used changes nothing."""
+        try:
+            config = self.load()
+        except ConfigError as error:
+            log.error("reload: left as it was: %s", error)
+            return
+        for name in ("listen", "sockets", "settings"):
+            if getattr(config, name) != getattr(self.config, name):
+                log.warning("reload: %s counts from the next start on", name)
+        log.info("reload: discovery is at %s:%d", *config.discovery)
+        if config.discovery != self.agent.address:
+            self.agent.move(config.discovery)
+
     def close_the_door(self) -> None:
         """Take no new connections; end those that stand between requests."""
         self.clients.stop_accepting()
--- a/brackenusher/transaction.py
+++ b/brackenusher/transaction.py
@@ -48,6 +48,7 @@
     """A request that was taken, until it is answered and none of its attempts is out."""
 
     id: int
+    name: bytes
     message: Any
     reply: Callable[[Answer], None]
     deadline: float
@@ -90,6 +91,7 @@
     ) -> None:
         self.balancer, self.clock, self.deadlines, self.carrier = balancer, clock, deadlines, carrier
         self.open: dict[int, Transaction] = {}
+        self.names: set[bytes] = set()  # of what is open: no two may be known to pool members as one
         self.events: deque[face.Event] = deque()
         self.parting: list[Transaction] = []
         self.acting, self.taken, self.unanswered = False, 0, 0
@@ -110,17 +112,24 @@
 
     def arrive(
         self,
+        name: bytes,
         klass: int,
         span: float,
         message: Any,
         reply: Callable[[Answer], None],
         tenant: int = 0,
         repeated: bool = False,
-    ) -> Transaction:
-        """Take a request whose client waits for `span` milliseconds; `reply` gets its final answer."""
+    ) -> Transaction | None:
+        """Take a request whose client waits for `span` milliseconds; `reply` gets its final answer.
+
+        None, and nothing is taken, where one of that name is still open.
+        """
+        if name in self.names:
+            return None
         now = self.clock()
         self.taken += 1
-        transaction = Transaction(self.taken, message, reply, now + max(0.0, span - RESERVE))
+        self.names.add(name)
+        transaction = Transaction(self.taken, name, message, reply, now + max(0.0, span - RESERVE))
         transaction.guard = self.deadlines.add(now + span, partial(self.overdue, transaction))
         self.open[transaction.id] = transaction
         self.post(face.Arrived(transaction.id, klass, transaction.deadline, tenant, repeated))
@@ -223,8 +232,8 @@
         """Drop what is over; later while acting, as the module may still name what it thinks is open."""
         if self.acting:
             self.parting.append(transaction)
-        elif transaction.over and not transaction.out:
-            self.open.pop(transaction.id, None)
+        elif transaction.over and not transaction.out and self.open.pop(transaction.id, None):
+            self.names.discard(transaction.name)
 
     def overdue(self, transaction: Transaction) -> None:
         """The last guard: the client's deadline is here and nobody has answered."""
--- a/brackenusher/virtual_server.py
+++ b/brackenusher/virtual_server.py
@@ -2,7 +2,7 @@
 
 import math
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from urllib.parse import unquote
 
@@ -15,6 +15,21 @@
 
 LONGEST_HEAD = 16 * 1024
 READY = b"/health/ready"
+ONCE = frozenset(  # headers that are read here or there: a second one could be read otherwise by the next
+    (
+        b"host",
+        b"content-length",
+        b"transfer-encoding",
+        b"idempotency-key",
+        b"req-id",
+        b"req-kind",
+        b"req-owner",
+        b"req-deadline",
+        b"req-retry",
+        b"req-extra",
+    )
+)
+ID = re.compile(rb"[!-~]{1,256}\Z")  # an id or a key that can be passed on
 SPAN = re.compile(rb"([0-9]{1,9}(?:\.[0-9]{1,9})?)([mu])\Z")
 REASONS = {
     200: b"OK",
@@ -22,6 +37,7 @@
     404: b"Not Found",
     405: b"Method Not Allowed",
     408: b"Request Timeout",
+    409: b"Conflict",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
     502: b"Bad Gateway",
@@ -33,6 +49,7 @@
 class Request:
     """A request that may be taken."""
 
+    name: bytes
     klass: int
     span: float
     tenant: int
@@ -70,16 +87,16 @@
             return Rejection(404, "no such class")
         if head.method != self.methods[klass]:
             return Rejection(405, "wrong method for the class", ((b"allow", self.methods[klass]),))
-        fields = dict(head.headers)
+        fields = dict(head.headers)  # none that counts is there twice
         kind = fields.get(b"req-kind")
         if kind is not None and self.classes.get(kind) != klass:
             return Rejection(404 if kind not in self.classes else 400, "Req-Kind is not the path's class")
-        if not fields.get(b"req-id"):
-            return Rejection(400, "Req-Id is missing")
+        if not ID.match(fields.get(b"req-id", b"")):
+            return Rejection(400, "Req-Id is missing or cannot be passed on")
         if self.methods[klass] == b"GET" and body:
             return Rejection(400, "no body is expected")
-        if self.methods[klass] == b"POST" and not fields.get(b"idempotency-key"):
-            return Rejection(400, "Idempotency-Key is missing")
+        if self.methods[klass] == b"POST" and not ID.match(fields.get(b"idempotency-key", b"")):
+            return Rejection(400, "Idempotency-Key is missing or cannot be passed on")
         owner, tenant = fields.get(b"req-owner"), 0
         if owner is not None and self.tenants:
             tenant = self.tenants.get(owner, -1)
@@ -90,9 +107,24 @@
             match = SPAN.match(fields[b"req-deadline"])
             if match is None:
                 return Rejection(400, "Req-Deadline cannot be read")
-            span = float(match[1]) / (1.0 if match[2] == b"m" else 1000.0)
+            span = min(span, float(match[1]) / (1.0 if match[2] == b"m" else 1000.0))
         message = Message(bytes(head.method), bytes(head.target), list(head.headers), body)
-        return Request(klass, span, tenant, fields.get(b"req-retry") == b"1", message)
+        return Request(fields[b"req-id"], klass, span, tenant, fields.get(b"req-retry") == b"1", message)
+
+
+def frame(headers: Sequence[tuple[bytes, bytes]]) -> Rejection | None:
+    """Say what is wrong with a head, where the rest of the stream cannot be trusted after it."""
+    seen: dict[bytes, bytes] = {}
+    for name, value in headers:
+        if name in ONCE and name in seen:
+            return Rejection(400, f"{name.decode()} is there twice", fatal=True)
+        seen[name] = value
+    if b"content-length" in seen:
+        if b"transfer-encoding" in seen:  # which of them counts? another request may hide in the body
+            return Rejection(400, "Content-Length and Transfer-Encoding exclude each other", fatal=True)
+        if int(seen[b"content-length"]) > LONGEST_BODY:
+            return Rejection(413, "the body is too large", fatal=True)
+    return None
 
 
 class VirtualServer:
@@ -135,8 +167,8 @@
                     return None
                 if isinstance(event, h11.Request):
                     self.head, self.body = event, bytearray()
-                    if int(dict(event.headers).get(b"content-length", b"0")) > LONGEST_BODY:
-                        return Rejection(413, "the body is too large", fatal=True)
+                    if (rejection := frame(event.headers)) is not None:
+                        return rejection
                 elif isinstance(event, h11.Data):
                     self.body += event.data
                     if len(self.body) > LONGEST_BODY:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -282,7 +282,7 @@
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "brackenusher", "serve"],
                 cwd=ROOT,
-                env={**os.environ, "GW_CONFIG": str(path)},
+                env={**os.environ, "GW_CONFIG": str(path), "GW_DISCOVERY": self.agent.address},
                 stdout=log,
                 stderr=log,
             )
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,6 +1,8 @@
 """The real program, as a process, between clients, turn servers and discovery."""
 
 import contextlib
+import json
+import signal
 import socket
 import subprocess
 import sys
@@ -48,6 +50,12 @@
     (submit_request().replace(b"Idempotency-Key: key1\r\n", b""), 400),
     (submit_request(body=b"x" * 65537), 413),
     (read_request(extra="X: " + "x" * 60000 + "\r\n"), 431),
+    (submit_request(extra="Transfer-Encoding: chunked\r\n"), 400),
+    (submit_request(extra="Req-Id: another\r\n"), 400),
+    (submit_request(extra="Idempotency-Key: another\r\n"), 400),
+    (read_request(extra="Req-Deadline: 5m\r\n"), 400),
+    (read_request(span="-5m"), 400),
+    (read_request("\u00e9"), 400),
 ]
 
 
@@ -63,6 +71,52 @@
     assert program.servers[0].requests == []
 
 
+def test_a_request_inside_a_body_of_doubtful_length_goes_nowhere(program):
+    # guards against smuggling: with both headers there are two readings of where the body ends
+    inner = read_request(66)
+    outer = submit_request(65, b"", "Transfer-Encoding: chunked\r\n").replace(
+        b"Length: 0", b"Length: %d" % len(inner)
+    )
+    for length in (b"Content-Length", b"content-length"):
+        status, headers, _ = program.ask(outer.replace(b"Content-Length", length) + inner)
+        assert (status, headers["connection"]) == (400, "close")
+    assert program.servers[0].requests == []
+
+
+def test_the_id_of_an_open_request_is_turned_away_and_its_owner_served(tmp_path):
+    # guards against a second request under one id: a turn server takes it for a copy of the first
+    release = threading.Event()
+
+    def slow(server, message):
+        release.wait(20)
+        return response(200, b"board")
+
+    with Program(tmp_path, TurnServer(slow)) as program, program.connect() as sock:
+        sock.sendall(read_request(1))
+        until(lambda: program.servers[0].requests, "the attempt")
+        assert program.ask(read_request(1))[0] == 409
+        release.set()
+        assert program.ask(b"", sock)[::2] == (200, b"board") and len(program.servers[0].requests) == 1
+
+
+def test_on_sighup_discovery_is_where_the_file_says_and_what_cannot_be_read_changes_nothing(tmp_path):
+    # guards against ending on SIGHUP, and against GW_DISCOVERY, which keeps the address of the start
+    with Program(tmp_path, TurnServer()) as program, TurnServer() as other:
+        agent = DiscoveryAgent([host("s1", other)])
+        path = tmp_path / "config.json"
+        config = json.loads(path.read_text(encoding="utf-8"))
+        until(lambda: program.agent.watchers, "the watch")
+        for text in ("{broken", json.dumps(config | {"discovery": agent.address})):
+            path.write_text(text, encoding="utf-8")
+            program.process.send_signal(signal.SIGHUP)
+            until(lambda: "reload: left as it was" in program.log, "the complaint")
+            assert program.ask(read_request())[0] == 200
+        until(lambda: agent.watchers, "the new watch")
+        assert program.agent.watchers[0].recv(1) == b"" and "discovery: silent" not in program.log
+        assert program.ask(read_request(2))[0] == 200 and other.requests
+        agent.close()
+
+
 def test_no_turn_servers_means_a_refusal_with_advice_when_to_come_back(tmp_path):
     gone = TurnServer()
     gone.close()
--- a/tests/test_transaction.py
+++ b/tests/test_transaction.py
@@ -40,12 +40,15 @@
 class World:
     def __init__(self, module=None):
         self.now, self.deadlines, self.carrier, self.answers = 1000.0, Deadlines(), Carrier(), []
+        self.count = 0
         module = module or Balancer(settings(), 1, self.now)
         self.owner = Transactions(module, lambda: self.now, self.deadlines, self.carrier)
         self.owner.post(face.ListChanged(ListScope.COMPLETE, [face.Entry("a", State.LIVE)]))
 
-    def arrive(self, span=800.0, klass=0):
-        return self.owner.arrive(klass, span, "message", self.answers.append)
+    def arrive(self, span=800.0, klass=0, name=None):
+        self.count += 1
+        name = name or b"%d" % self.count
+        return self.owner.arrive(name, klass, span, "message", self.answers.append)
 
     def pass_time(self, span):
         end = self.now + span
@@ -73,6 +76,16 @@
     assert world.answers == [Failed()] and not world.owner.open
 
 
+def test_the_name_of_an_open_transaction_is_not_taken_a_second_time():
+    # guards against two requests that pool members know as one: the answer to one would serve the other
+    world = World()
+    first = world.arrive(name=b"a")
+    assert first and world.arrive(name=b"a") is None and len(world.carrier.started) == 1
+    world.owner.finished(world.carrier.started[0], Outcome.SERVED, Served(b"board"))
+    assert world.answers == [Served(b"board")] and world.arrive(name=b"a")
+    assert world.owner.names == {b"a"}
+
+
 def test_an_outcome_that_comes_while_acting_waits_its_turn():
     # guards against the module being entered a second time from inside an action
     world = World(Script(**SEND))
