Let go of client connections that say nothing, half of a request or no more

Lines: ClientLink.run took every time limit away between requests; REQUEST_TIME was 10 s, where an error is owed within 3 s of the connect; Clients.spare peeked at links in order of use, so a client's own idle connection went before hundreds of newer silent ones. Change: a connection between requests is closed after 2.05 s, a request has 2.5 s to come in, the first counted from the connect; at the limit the silent ones go first. spare looks only at those between requests.

--- a/brackenusher/clients.py
+++ b/brackenusher/clients.py
@@ -16,7 +16,8 @@
 
 OVERFLOW = 16  # client connections beyond their part that are taken only to be refused
 ACCEPTS = 64  # connections accepted in a row before the others get their turn
-REQUEST_TIME = 10_000.0  # a request that began to come in must be whole in this time
+IDLE_TIME = 2_050.0  # a connection between requests is kept so long: some clients ask once and stay
+REQUEST_TIME = 2_500.0  # a request must be whole in this time, the first one counted from the connect
 ANSWER_TIME = 10_000.0  # an answer must be taken by the client in this time
 LINGER = 500.0  # so long the rest of a stream that ends is read away, so that the answer is not reset
 AHEAD = 16 * 1024  # bytes that a client may send ahead of the answer it waits for
@@ -37,7 +38,9 @@
     ) -> None:
         self.loop, self.front, self.owner, self.pool, self.room = loop, front, owner, pool, room
         self.buffers = buffers
-        self.links: dict[ClientLink, None] = {}  # the one that was used last stands last
+        self.links: set[ClientLink] = set()
+        self.silent: dict[ClientLink, None] = {}  # between requests, none answered yet; the oldest first
+        self.kept: dict[ClientLink, None] = {}  # between requests; the one that was used last stands last
         self.stopping, self.warned_at = False, -WARN_AGAIN
         self.task: Task | None = None
 
@@ -83,8 +86,11 @@
         return True
 
     def spare(self) -> bool:
-        """Close the connection that has stood between requests for longest; False where none does."""
-        link = next((link for link in self.links if link.idle), None)
+        """Close the connection that has stood between requests for longest; False where none does.
+
+        Those that never asked go first, lest many of them push out the clients that do.
+        """
+        link = next((link for links in (self.silent, self.kept) for link in links if link.unheard()), None)
         if link is not None:
             link.task.stop()
         return link is not None
@@ -94,8 +100,12 @@
         if not self.task.ended:
             self.take_in(self.task.sock)
             self.task.stop()
-        for link in list(self.links):
-            if link.idle:
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close the connections between requests."""
+        for link in [*self.silent, *self.kept]:
+            if link.unheard():
                 link.task.stop()
 
 
@@ -109,15 +119,14 @@
         self.answer: Answer | None = None
         self.limit = None
         self.late = False
-        clients.links[self] = None
+        self.opened_at, self.resting = clock(), False
+        self.place = clients.silent  # among which it counts between requests
+        clients.links.add(self)
         self.beyond = len(clients.links) > clients.room  # taken only to be refused
         self.task = clients.loop.spawn(self.run(), sock)
 
-    @property
-    def idle(self) -> bool:
-        """Whether it stands between requests, with none on its way that could be seen."""
-        if self.transaction is not None or not self.machine.between:
-            return False
+    def unheard(self) -> bool:
+        """Whether nothing has come that is not read yet; asked of one that stands between requests."""
         try:
             return not self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
@@ -133,18 +142,17 @@
                 if item is None:
                     if machine.ended or machine.last:
                         return
-                    if machine.between:
-                        self.time()
-                    elif self.limit is None:
-                        self.time(REQUEST_TIME)
+                    self.rest(machine.between)
                     if not (yield from self.write(machine.go_on())):
                         return
                     yield READ
                     self.read()
-                    if not self.late:
+                    if not self.late or self.resting and not machine.between:
                         continue
+                    if self.resting:
+                        return
                     item = Rejection(408, "the request took too long", fatal=True)
-                self.time()
+                self.rest(None)
                 if isinstance(item, Request):
                     data = yield from self.serve(item)
                 else:
@@ -155,11 +163,25 @@
         except OSError:
             pass  # the client broke the connection
         finally:
-            self.time()
-            self.clients.links.pop(self, None)
+            self.rest(None)
+            self.clients.links.discard(self)
             if self.transaction is not None:
                 self.clients.owner.left(self.transaction)
 
+    def rest(self, between: bool | None) -> None:
+        """Note that it stands between requests or that one comes in, None for neither; each has its time."""
+        if between is None:
+            self.time()
+        elif between and not self.resting:
+            self.place[self] = None
+            self.time(IDLE_TIME)
+        elif not between and (self.resting or self.limit is None):
+            first = self.place is self.clients.silent
+            self.time(REQUEST_TIME - (clock() - self.opened_at if first else 0.0))
+        if self.resting and not between:
+            self.place.pop(self, None)
+        self.resting = bool(between)
+
     def serve(self, request: Request) -> Generator[int, int, bytes]:
         """Have a request answered; no bytes if the client left before."""
         clients = self.clients
@@ -185,8 +207,7 @@
                 self.read()
                 if self.machine.ended:
                     return b""
-        self.transaction = None
-        clients.links[self] = clients.links.pop(self)
+        self.transaction, self.place = None, clients.kept
         return self.machine.answer(self.answer, clients.stopping)
 
     def reply(self, answer: Answer) -> None:
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -123,9 +123,7 @@
         if not self.clients.links or clock() >= self.last_call:
             self.loop.running = False
             return
-        for link in list(self.clients.links):
-            if link.idle:
-                link.task.stop()
+        self.clients.close_idle()
         self.later(CHECK, self.leave_when_done)
 
     def later(self, span: float, action: Callable[[], None]) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -238,6 +238,30 @@
             sock.close()
 
 
+def test_silent_connections_make_room_before_that_of_a_client_who_asks(tmp_path):
+    # guards against hundreds that connect and say nothing pushing out the clients that do ask
+    with Program(tmp_path, TurnServer(), sockets=64) as program, program.connect() as sock:
+        assert program.ask(read_request(1), sock)[0] == 200
+        silent = [program.connect() for _ in range(40)]
+        assert silent[0].recv(1) == b""
+        assert program.ask(read_request(2), sock)[0] == 200
+        for other in silent:
+            other.close()
+
+
+def test_a_client_that_says_nothing_or_half_of_it_or_no_more_is_let_go_soon(tmp_path):
+    # guards against descriptors held for good: clients may have only so many, and get no further one
+    with Program(tmp_path, TurnServer()) as program:
+        start = time.monotonic()
+        silent, half, done = (program.connect() for _ in range(3))
+        half.sendall(submit_request()[:-1])
+        assert program.ask(read_request(), done)[0] == 200
+        assert silent.recv(1) == done.recv(1) == b"" and program.ask(b"", half)[0] == 408
+        assert time.monotonic() - start < 8.0
+        for sock in (silent, half, done):
+            sock.close()
+
+
 def test_with_few_descriptors_all_are_answered_and_the_program_lives(tmp_path):
     # guards against running out of descriptors: the accounts say 64, the system gives 40
     with Program(tmp_path, TurnServer(), sockets=64, files=40) as program:
