Module: one broken connection is no dead process, two without an answer between are

A trace of the module's picture showed every server at 0.33 to 0.6 of its warmth and left alone for 0.5 to 5 s at a time: Balancer.leave took each reset for a dead process (back-off of 4 aims, cold for 8.8 s). Change: a break counts as one failure; two with no other word from that server between them tell that its process went.

--- a/barleybarrow/brain.py
+++ b/barleybarrow/brain.py
@@ -28,7 +28,8 @@
 FORGET = 0.02  # a second moves a backend's own latency this far toward that of its kind: trials may be rare
 START = 2.0  # first threshold, of all proxies together: one at work and one on its way
 HOPE = 3.0  # usual latencies that must be left to the aim of a held request, half the aim at most
-BREAK, LONGEST = 4.0, 8.0  # aims that a backend whose connection broke is left alone; the longest back-off
+BREAK, LONGEST = 4.0, 8.0  # aims that a backend whose process went is left alone; the longest back-off
+BREAKS = 2  # connections broken with no answer between them tell that the process went; one tells nothing
 RETRY_SHARE, RETRY_DEPTH = 0.2, 10.0  # repeats per arrival, and how many can be saved up
 COLD_SHARE = 0.5  # of the tip multiple: the other half is for class mix, guesses and chance
 SWEEP_TICKS = 4  # a sweep takes several batches, so that its cost stays small beside theirs
@@ -64,6 +65,7 @@
         self.warm_from, self.lost = entry.started, [0.0] * classes  # share unanswered, by class
         self.heard_at, self.asked = -inf, False  # when a probe told what others have there; one is out
         self.busy_until = self.busy_for = 0.0  # back-off after failures
+        self.breaks = 0  # connections that broke since it last answered anything
         self.pace, self.paced_at = 0.0, now  # cold budget
         self.served, self.cold = 0.0, 1.0  # work served lately; share warm
 
@@ -405,6 +407,7 @@
             return
         if outcome is Outcome.SERVED:
             b.busy_for /= 2  # one that fails now and then stays on probation
+            b.breaks = 0
             b.served += klass.cost
             b.lost[k] -= LOST * b.lost[k]
             sample = log(max(elapsed, self.conf.tick / 4))
@@ -451,9 +454,13 @@
         """Leave a backend that failed alone for a while that doubles: it errs, is full, hangs or is gone."""
         first = self.aim if self.many else klass.cost
         if outcome is Outcome.RESET or outcome is Outcome.CONNECT_FAILED and b.open:
-            first = BREAK * self.aim
-            b.warm_from = self.now  # its process has gone: it may be back, and cold, before the list tells
-            b.cold = min(b.cold, self.conf.cold_from)
+            b.breaks += 1
+            if b.breaks >= BREAKS:
+                first = BREAK * self.aim
+                b.warm_from = self.now  # its process went: it may be back, and cold, before the list tells
+                b.cold = min(b.cold, self.conf.cold_from)
+        elif outcome is not Outcome.TIMEOUT:
+            b.breaks = 0
         b.open = b.open and outcome is not Outcome.CONNECT_FAILED
         if self.now >= b.busy_until:
             b.busy_for = min(max(2 * b.busy_for, first), LONGEST * self.aim)
