Module: give an attempt up at the aim; breaks tell of a dead process only within an aim

Lines: Balancer.leave counted breaks without time; Balancer.send set no time-out; finished held what had timed out again. Change: breaks count together within one aim; an attempt is waited for to the aim where late worth is nothing, and what has lapsed is answered at once and takes nothing from the budget for repeats.

--- a/barleybarrow/brain.py
+++ b/barleybarrow/brain.py
@@ -29,7 +29,7 @@
 START = 2.0  # first threshold, of all proxies together: one at work and one on its way
 HOPE = 3.0  # usual latencies that must be left to the aim of a held request, half the aim at most
 BREAK, LONGEST = 4.0, 8.0  # aims that a backend whose process went is left alone; the longest back-off
-BREAKS = 2  # connections broken with no answer between them tell that the process went; one tells nothing
+BREAKS = 2  # connections broken within an aim and no answer between tell that a process went; one does not
 RETRY_SHARE, RETRY_DEPTH = 0.2, 10.0  # repeats per arrival, and how many can be saved up
 COLD_SHARE = 0.5  # of the tip multiple: the other half is for class mix, guesses and chance
 SWEEP_TICKS = 4  # a sweep takes several batches, so that its cost stays small beside theirs
@@ -65,7 +65,7 @@
         self.warm_from, self.lost = entry.started, [0.0] * classes  # share unanswered, by class
         self.heard_at, self.asked = -inf, False  # when a probe told what others have there; one is out
         self.busy_until = self.busy_for = 0.0  # back-off after failures
-        self.breaks = 0  # connections that broke since it last answered anything
+        self.breaks, self.broke_at = 0, -inf  # connections broken in a row, and when the last one was
         self.pace, self.paced_at = 0.0, now  # cold budget
         self.served, self.cold = 0.0, 1.0  # work served lately; share warm
 
@@ -236,10 +236,8 @@
 
     def dispatch(self):
         """Send held requests to idle backends: repeats first, then by worth per expected work."""
-        for r in [self.retry.popleft() for _ in range(len(self.retry))]:
-            klass = self.classes[r.klass]  # its window or its aim may have passed while it was held
-            lapsed = klass.conf.late_worth <= 0 and self.now > r.arrived + klass.conf.aim
-            if r.held and (lapsed or not self.may_send(r)):
+        for r in [self.retry.popleft() for _ in range(len(self.retry))]:  # its window or aim may have passed
+            if r.held and (self.lapsed(r) or not self.may_send(r)):
                 self.end(r)
             elif r.held and not self.send(r):
                 self.retry.append(r)
@@ -248,6 +246,11 @@
                 queue.popleft()
         self.held = any(c.fresh or c.late for c in self.classes)
 
+    def lapsed(self, r):
+        """Whether an answer is worth nothing any more."""
+        conf = self.classes[r.klass].conf
+        return conf.late_worth <= 0 and self.now >= r.arrived + conf.aim
+
     def settle(self, r, klass, fresh):
         """Whether the first of a queue has left it: closed, sent, or its aim out of reach."""
         if r.held and fresh and self.now > r.arrived + klass.patience:
@@ -275,7 +278,8 @@
         if b.cold < 1:
             b.pace -= klass.cost
         self.pause = FRESH * self.aim / 4
-        self.actions.append(face.Send(r.id, b.name))
+        wait = max(r.arrived + klass.conf.aim - self.now, self.margin)  # later, an answer is worth less
+        self.actions.append(face.Send(r.id, b.name, 0.0 if klass.conf.late_worth > 0 else wait))
         return True
 
     def pick(self, r):
@@ -388,7 +392,7 @@
             self.close(r)
         elif not r.held and not r.out:
             price = 0 if outcome in PROVEN and not self.many else 1
-            if self.budget >= price and self.may_send(r):
+            if self.budget >= price and not self.lapsed(r) and self.may_send(r):
                 self.budget -= price
                 self.hold(r)
             else:
@@ -454,7 +458,8 @@
         """Leave a backend that failed alone for a while that doubles: it errs, is full, hangs or is gone."""
         first = self.aim if self.many else klass.cost
         if outcome is Outcome.RESET or outcome is Outcome.CONNECT_FAILED and b.open:
-            b.breaks += 1
+            b.breaks = b.breaks + 1 if self.now < b.broke_at + self.aim else 1
+            b.broke_at = self.now
             if b.breaks >= BREAKS:
                 first = BREAK * self.aim
                 b.warm_from = self.now  # its process went: it may be back, and cold, before the list tells
