Module: three breaks tell of a dead process; the pace of the cold outlives a lull

A trace of the module's picture showed two causes beside the count of breaks: the pace allowed to a cold server had fallen to a few ms of work (Balancer.tend took the rate from what the warm ones, by then hardly used, served just now), and thresholds of 0.5 (leave cut them for each connect that broke). Change: three breaks within an aim and no answer between count as a dead process, connects refused after a break among them; the rate of a warm server decays by 5% a second instead of following its use; a break cuts no threshold. An answer that begun and stops short is a failed attempt after 0.25 s (ServerLink.exchange waited to the attempt's end). sent_to is kept only where connections have to be closed, and drops a name after its last connection.

--- a/barleybarrow/brain.py
+++ b/barleybarrow/brain.py
@@ -29,7 +29,8 @@
 START = 2.0  # first threshold, of all proxies together: one at work and one on its way
 HOPE = 3.0  # usual latencies that must be left to the aim of a held request, half the aim at most
 BREAK, LONGEST = 4.0, 8.0  # aims that a backend whose process went is left alone; the longest back-off
-BREAKS = 2  # connections broken within an aim and no answer between tell that a process went; one does not
+BREAKS = 3  # connections broken within an aim and no answer between tell that a process went; fewer do not
+CALM = 0.05  # a second takes this share off what a warm backend is known to serve, unless it serves more
 RETRY_SHARE, RETRY_DEPTH = 0.2, 10.0  # repeats per arrival, and how many can be saved up
 COLD_SHARE = 0.5  # of the tip multiple: the other half is for class mix, guesses and chance
 SWEEP_TICKS = 4  # a sweep takes several batches, so that its cost stays small beside theirs
@@ -167,8 +168,10 @@
 
     def hang_up(self, b):
         """Close what is idle toward a backend that is left, where that is asked for."""
-        if self.conf.hang_up_within > 0 and b.name in self.sent_to and b.name not in self.backends:
+        if b.name in self.sent_to and b.name not in self.backends:
             self.actions.append(face.Disconnect(b.name))
+            if not b.inflight:  # names come and go without end
+                del self.sent_to[b.name]
 
     def add_up(self):
         """The sum of the thresholds is the room for what is out; probes tell more than it can."""
@@ -267,7 +270,9 @@
         r.held = b is None
         if b is None:
             return False
-        b.open = self.sent_to[b.name] = True
+        b.open = True
+        if self.conf.hang_up_within > 0:
+            self.sent_to[b.name] = True
         if b.far * klass.conf.aim > TIE * klass.cost:
             self.crossed = self.now  # a crossing asks for room at home
         r.attempts.append((b, self.now))
@@ -457,7 +462,8 @@
     def leave(self, b, klass, outcome):
         """Leave a backend that failed alone for a while that doubles: it errs, is full, hangs or is gone."""
         first = self.aim if self.many else klass.cost
-        if outcome is Outcome.RESET or outcome is Outcome.CONNECT_FAILED and b.open:
+        broke = outcome is Outcome.RESET or outcome is Outcome.CONNECT_FAILED and (b.open or b.breaks > 0)
+        if broke:
             b.breaks = b.breaks + 1 if self.now < b.broke_at + self.aim else 1
             b.broke_at = self.now
             if b.breaks >= BREAKS:
@@ -470,7 +476,7 @@
         if self.now >= b.busy_until:
             b.busy_for = min(max(2 * b.busy_for, first), LONGEST * self.aim)
             b.busy_until = self.now + b.busy_for * (0.5 + self.rng.random())
-        if outcome in PROVEN:
+        if outcome in PROVEN and not broke:
             b.limit = max(self.least, b.limit * CUT)
 
     def timer(self, event):
@@ -503,7 +509,8 @@
                 warm += 1
                 served += b.served
             b.served *= keep
-        self.rate = served * (1 - keep) / max(span, self.conf.tick) / warm if warm else self.rate
+        rate = served * (1 - keep) / max(span, self.conf.tick) / warm if warm else 0.0
+        self.rate = max(rate, self.rate * (1 - min(1.0, CALM * span / 1000)))  # idle ones could serve as much
         self.add_up()
         hope = log(min(c.conf.aim / c.cost for c in self.classes))
         self.far = max(NEAR, hope - log(4) if self.many else min(FAR, hope - log(2)))
--- a/brackenusher/flow.py
+++ b/brackenusher/flow.py
@@ -68,7 +68,7 @@
 
     def reset(self) -> None:
         self.reply: Reply | None = None
-        self.interim = 0
+        self.begun, self.interim = False, 0  # a byte of the final answer is here
         self.begin()
 
     def begin(self) -> None:
@@ -116,9 +116,8 @@
     # what the parser calls
 
     def on_message_begin(self) -> None:
-        if (
-            self.reply is not None
-        ):  # more than belongs to the answer: it could pass for that to the next request
+        self.begun = True
+        if self.reply is not None:  # more than belongs to the answer: the next request could be given it
             raise Spoilt
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -157,6 +156,7 @@
 
     def on_message_complete(self) -> None:
         if self.parser.get_status_code() < 200:
+            self.begun = False
             self.begin()
             return
         self.reply = self.whole()
--- a/brackenusher/upstream.py
+++ b/brackenusher/upstream.py
@@ -19,6 +19,7 @@
 
 IDLE_SHARE = 0.6  # of the time after which a pool member closes an idle connection
 CONNECT_TIME = 1000.0  # where the settings name none
+ANSWER_TIME = 250.0  # an answer that has begun must be whole in this time: it is 64 KiB at most, and near
 
 
 class Upstream:
@@ -107,7 +108,7 @@
     def __init__(self, upstream: Upstream, member: Member, sock: socket.socket, connected: bool) -> None:
         self.upstream, self.member, self.sock = upstream, member, sock
         self.attempt: Attempt | Probe | None = None
-        self.limit = self.expiry = self.idle_limit = None
+        self.limit = self.expiry = self.idle_limit = self.stall = None
         self.written = False
         self.flow = Flow(f"{member.address[0]}:{member.address[1]}".encode())
         self.reply: Reply | None = None
@@ -170,6 +171,8 @@
             while self.reply is None:
                 yield READ
                 self.read()
+                if self.stall is None and self.flow.begun and self.reply is None:
+                    self.stall = self.upstream.loop.deadlines.add(clock() + ANSWER_TIME, self.stalled)
         except OSError:
             self.done(Outcome.RESET)
             return False
@@ -192,6 +195,8 @@
         """
         deadlines, attempt, self.attempt = self.upstream.loop.deadlines, self.attempt, None
         deadlines.remove(self.expiry)
+        deadlines.remove(self.stall)
+        self.stall = None
         attempt.carriage = None
         kept = keep and self.upstream.pool.give_back(self)
         if kept:
@@ -209,6 +214,11 @@
         self.done(Outcome.TIMEOUT if self.written else Outcome.NOT_SENT)
         self.close()
 
+    def stalled(self) -> None:
+        """The answer began and does not go on: it may have run, and nothing more will come of it."""
+        self.done(Outcome.ERROR)
+        self.close()
+
     def healthy(self) -> bool:
         """Whether nothing has come on an idle connection, not even its end."""
         try:
@@ -223,6 +233,7 @@
         """Close the connection; an attempt that is given up tells no outcome from here."""
         if self.attempt is not None:
             self.upstream.loop.deadlines.remove(self.expiry)
+            self.upstream.loop.deadlines.remove(self.stall)
             self.attempt.carriage = None
             self.attempt = None
         self.task.stop()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -205,6 +205,23 @@
         assert len(servers[0].requests) == len(servers[1].requests) == 1
 
 
+@pytest.mark.parametrize("part", [b"HTTP/1.1 2", response(200, b"board")[:-1], response(200, b"board")[:20]])
+def test_an_answer_that_stops_short_is_given_up_soon_and_asked_for_elsewhere(tmp_path, part):
+    # guards against waiting for the rest to the end of the attempt's time: the client's aim is past by then
+    def behave(server, message):
+        if len(servers[0].requests) + len(servers[1].requests) > 1:
+            return response(200, b"board")
+        server.connections[-1].sendall(part)
+        release.wait(20)
+        return None
+
+    release, servers = threading.Event(), [TurnServer(behave), TurnServer(behave)]
+    patient = {"classes": [{**SETTINGS["classes"][0], "slo": 60000.0, "deadline": 60000.0}]}
+    with Program(tmp_path, *servers, settings=patient) as program:
+        assert program.ask(read_request(span="60000m"))[::2] == (200, b"board")
+        release.set()
+
+
 def test_an_idle_connection_that_the_server_closed_is_not_used_again(tmp_path):
     # guards against a reset on a dead connection: the module would shun the member for seconds
     with Program(tmp_path, TurnServer()) as program:
