Keep a fifth of the descriptors at most for connections between requests

A trace of the client connections: 86 silent, 126 kept between requests, 0 to 10 busy; 126 is a third of 384, all that clients may hold, used up by those that ask once and stay (ClientLink.rest kept each for 2.05 s however many there were). Change: beyond a fifth of the descriptors the connection that has stood between requests for longest is closed. Lingering and half-asked connections make room too, before those of clients that ask; Clients.take_in made room before it knew of a newcomer and closed the connection it had just taken in. A broken connection is no sample of latency for the module.

--- a/barleybarrow/brain.py
+++ b/barleybarrow/brain.py
@@ -431,6 +431,8 @@
             if outcome is Outcome.FULL:
                 return
             b.lost[k] += 2 * LOST * (1 - b.lost[k])
+            if 0 < b.breaks < BREAKS and outcome is not Outcome.TIMEOUT:
+                return  # a connection that broke tells nothing of latency
             if self.many:  # lost answers must not pass for crowding, nor a fleet that answers none for idle
                 if outcome is Outcome.TIMEOUT:
                     self.fleet.take(log(FAILED), SMOOTH)
--- a/brackenusher/clients.py
+++ b/brackenusher/clients.py
@@ -18,6 +18,7 @@
 ACCEPTS = 64  # connections accepted in a row before the others get their turn
 IDLE_TIME = 2_050.0  # a connection between requests is kept so long: some clients ask once and stay
 REQUEST_TIME = 2_500.0  # a request must be whole in this time, the first one counted from the connect
+PARTIAL_TIME = 200.0  # where there is no room left, a request is waited for no longer than this
 ANSWER_TIME = 10_000.0  # an answer must be taken by the client in this time
 LINGER = 500.0  # so long the rest of a stream that ends is read away, so that the answer is not reset
 WARN_AGAIN = 1000.0  # a shortage is logged no more often
@@ -33,13 +34,17 @@
         owner: Transactions,
         pool: Pool,
         room: int,
+        most_kept: int,
         buffers: Buffers,
     ) -> None:
         self.loop, self.front, self.owner, self.pool, self.room = loop, front, owner, pool, room
+        self.most_kept = most_kept
         self.buffers = buffers
         self.links: set[ClientLink] = set()
         self.silent: dict[ClientLink, None] = {}  # between requests, none answered yet; the oldest first
         self.kept: dict[ClientLink, None] = {}  # between requests; the one that was used last stands last
+        self.partial: dict[ClientLink, None] = {}  # with a request that is not whole; the oldest first
+        self.spent: dict[ClientLink, None] = {}  # with their last answer written, the rest is read away
         self.stopping, self.warned_at = False, -WARN_AGAIN
         self.task: Task | None = None
 
@@ -64,7 +69,7 @@
     def take_in(self, sock: socket.socket) -> bool:
         """Accept what waits; False where there is no room for more just now."""
         for _ in range(ACCEPTS):
-            if len(self.links) >= self.room and not self.spare() and len(self.links) >= self.room + OVERFLOW:
+            if len(self.links) >= self.room + OVERFLOW and not self.spare():
                 return False
             try:
                 client, _ = sock.accept()
@@ -79,17 +84,25 @@
                     self.warned_at = clock()
                     log.warning("accept: %s", error)
                 return self.spare()
+            if len(self.links) >= self.room:
+                self.spare()  # only now: there may have been nobody to make room for
             client.setblocking(False)
             client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             ClientLink(self, client)
         return True
 
     def spare(self) -> bool:
-        """Close the connection that has stood between requests for longest; False where none does.
+        """Close a connection on which nothing is owed; False where there is none.
 
-        Those that never asked go first, lest many of them push out the clients that do.
+        Those that had their last answer go first, then those that never asked or do not finish asking, lest
+        many of them push out the clients that do.
         """
-        link = next((link for links in (self.silent, self.kept) for link in links if link.unheard()), None)
+        link = next(iter(self.spent), None)
+        link = link or next((link for link in self.silent if link.unheard()), None)
+        if link is None and self.partial:
+            oldest = next(iter(self.partial))
+            link = oldest if clock() >= oldest.since + PARTIAL_TIME else None
+        link = link or next((link for link in self.kept if link.unheard()), None)
         if link is not None:
             link.task.stop()
         return link is not None
@@ -118,7 +131,8 @@
         self.answer: Answer | None = None
         self.limit = None
         self.late = False
-        self.opened_at, self.resting = clock(), False
+        self.opened_at, self.resting, self.since = clock(), False, 0.0
+        self.stands: dict[ClientLink, None] | None = None  # where it is counted just now
         self.place = clients.silent  # among which it counts between requests
         clients.links.add(self)
         self.beyond = len(clients.links) > clients.room  # taken only to be refused
@@ -171,16 +185,28 @@
         """Note that it stands between requests or that one comes in, None for neither; each has its time."""
         if between is None:
             self.time()
+            self.stand(None)
         elif between and not self.resting:
-            self.place[self] = None
             self.time(IDLE_TIME)
+            self.stand(self.place)
         elif not between and (self.resting or self.limit is None):
             first = self.place is self.clients.silent
             self.time(REQUEST_TIME - (clock() - self.opened_at if first else 0.0))
-        if self.resting and not between:
-            self.place.pop(self, None)
+            self.stand(self.clients.partial)
         self.resting = bool(between)
 
+    def stand(self, where: "dict[ClientLink, None] | None") -> None:
+        """Be counted among those that may make room, or among none."""
+        if self.stands is not None:
+            self.stands.pop(self, None)
+        self.stands, self.since = where, clock()
+        if where is not None:
+            where[self] = None
+        if where is self.clients.kept and len(where) > self.clients.most_kept:
+            oldest = next(iter(where))
+            if oldest.unheard():
+                oldest.task.stop()
+
     def serve(self, request: Request) -> Generator[int, int, bytes]:
         """Have a request answered; no bytes if the client left before."""
         clients = self.clients
@@ -238,6 +264,7 @@
         """End the stream, and read away the rest of what comes, lest a reset overtake the answer."""
         self.sock.shutdown(socket.SHUT_WR)
         self.time(LINGER)
+        self.stand(self.clients.spent)
         while not self.late:
             yield READ
             try:
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -25,6 +25,7 @@
 
 SPARE_SOCKETS = 24  # listener, epoll, discovery, standard streams, and some to refuse with
 CLIENT_PART = 0.625  # of the other descriptors: a held request has a client connection and no flow
+KEPT_PART = 0.2  # of all, between requests: clients hold a third at most, and some ask once and stay
 FAREWELL = 450.0  # milliseconds after SIGTERM in which clients still come
 GRACE = 700.0  # what comes in later than this after SIGTERM is not waited for
 CHECK = 10.0  # how often it is looked whether all is answered
@@ -45,7 +46,10 @@
         balancer = Balancer(settings, config.seed, clock())
         self.transactions = Transactions(balancer, clock, deadlines, self.upstream)
         self.upstream.owner = self.transactions
-        self.clients = Clients(self.loop, Front(settings), self.transactions, self.pool, for_clients, buffers)
+        most_kept = int(config.sockets * KEPT_PART)
+        self.clients = Clients(
+            self.loop, Front(settings), self.transactions, self.pool, for_clients, most_kept, buffers
+        )
         self.agent = Agent(
             self.loop, config.discovery, self.pool, self.transactions, buffers, random.Random(config.seed)
         )
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -65,6 +65,18 @@
     assert (1 in proxy.answers) is not bool(late_worth)
 
 
+def test_a_broken_connection_tells_nothing_of_latency():
+    # guards against breaks that pass for crowding: thresholds were cut while the servers stood idle
+    proxy = Proxy(("a",))
+    proxy.warm_up(40)
+    a = proxy.brain.backends["a"]
+    before = (a.mean, a.limit)
+    for _ in range(8):
+        proxy.finish(proxy.arrive(UNSAFE), Outcome.RESET, elapsed=1.0)
+        proxy.sweep(400)
+    assert a.mean < before[0] + 0.1 and a.limit >= before[1] and a.lost[UNSAFE] > 0
+
+
 def test_breaks_that_lie_far_apart_are_no_dead_process():
     # guards against counting breaks of a server that gets little: it was shut out for ever longer
     proxy = Proxy(("a",))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -272,6 +272,41 @@
             other.close()
 
 
+def test_only_so_many_connections_are_kept_between_requests(tmp_path):
+    # guards against clients that ask once and stay: they use up what clients may hold
+    with Program(tmp_path, TurnServer(), sockets=64) as program:
+        socks = [program.connect() for _ in range(14)]
+        for n, sock in enumerate(socks):
+            assert program.ask(read_request(n), sock)[0] == 200
+        start = time.monotonic()
+        assert socks[0].recv(1) == b"" and time.monotonic() - start < 1.0
+        assert program.ask(read_request(99), socks[-1])[0] == 200
+        for sock in socks:
+            sock.close()
+
+
+@pytest.mark.parametrize("data", [submit_request()[:-1], submit_request(extra="Req-Id: b\r\n")])
+def test_requests_that_do_not_get_whole_and_rejected_clients_make_room(tmp_path, data):
+    # guards against hundreds that hold a half request, or stay on after their rejection, filling the clients'
+    # part: usual clients were refused for as long as they came
+    with Program(tmp_path, TurnServer(), sockets=64) as program:
+        stuck = []
+        for _ in range(15):
+            stuck.append(program.connect())
+            stuck[-1].sendall(data)
+        until(lambda: program.ask(read_request(2))[0] == 200, "a served request")
+        statuses = []
+        start = time.monotonic()
+        while time.monotonic() - start < 1.5:
+            stuck.append(program.connect())
+            stuck[-1].sendall(data)
+            statuses.append(program.ask(read_request(3))[0])
+            time.sleep(0.05)
+        assert statuses.count(200) > 0.9 * len(statuses)
+        for sock in stuck:
+            sock.close()
+
+
 def test_a_client_that_says_nothing_or_half_of_it_or_no_more_is_let_go_soon(tmp_path):
     # guards against descriptors held for good: clients may have only so many, and get no further one
     with Program(tmp_path, TurnServer()) as program:
