Door limits: a token bucket for each tenant or client address, answered with 429

The verdict is a pure unit (barleybarrow/door.py), told the time; Front.admit turns it into 429 with a decimal Retry-After, ahead of Transactions.arrive, so that what is turned away reaches neither module nor turn server.

--- a/brackenusher/cli.py
+++ b/brackenusher/cli.py
@@ -11,28 +11,33 @@
 from brackenusher import __version__
 from brackenusher.config import ConfigError, load, load_again
 from brackenusher.daemon import Daemon
+from brackenusher.operator import doubts, load_operator
 
 LEVELS = ("debug", "info", "warning", "error")
 
 
 def serve(options: argparse.Namespace) -> int:
-    config = load(os.environ)
+    config, operator = load(os.environ), load_operator(options.operator)
     logging.basicConfig(
         level=options.log_level.upper(), format="%(asctime)s %(levelname)s %(name)s: %(message)s"
     )
     try:
-        return Daemon(config, partial(load_again, os.environ)).run()
+        return Daemon(config, partial(load_again, os.environ), operator).run()
     except OSError as error:
         print(f"brackenusher: {error}", file=sys.stderr)
         return 1
 
 
 def check_config(options: argparse.Namespace) -> int:
-    config = load(os.environ)
+    config, operator = load(os.environ), load_operator(options.operator)
     classes, hosts = len(config.settings.classes), len(config.known.get("hosts") or [])
     print(
         f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}, {classes} classes, {hosts} known"
     )
+    if options.operator:
+        print(f"{options.operator}: on: {', '.join(operator.features) or 'nothing'}")
+    for doubt in doubts(operator, config.settings):
+        print(f"{options.operator}: {doubt}")
     return 0
 
 
@@ -46,8 +51,12 @@
     commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
     command = commands.add_parser("serve", help="serve until SIGTERM, as GW_CONFIG says")
     command.add_argument("--log-level", choices=LEVELS, default="info")
+    command.add_argument(
+        "--operator", metavar="FILE", help="the operators' file: features and their settings"
+    )
     command.set_defaults(call=serve)
     command = commands.add_parser("check-config", help="read the configuration and say what it holds")
+    command.add_argument("--operator", metavar="FILE", help="check this operators' file as well")
     command.set_defaults(call=check_config)
     command = commands.add_parser("version", help="print the version")
     command.set_defaults(call=version)
--- a/brackenusher/clients.py
+++ b/brackenusher/clients.py
@@ -72,7 +72,7 @@
             if len(self.links) >= self.room + OVERFLOW and not self.spare():
                 return False
             try:
-                client, _ = sock.accept()
+                client, peer = sock.accept()
             except BlockingIOError:
                 return True
             except ConnectionError:
@@ -88,7 +88,7 @@
                 self.spare()  # only now: there may have been nobody to make room for
             client.setblocking(False)
             client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            ClientLink(self, client)
+            ClientLink(self, client, peer[0])
         return True
 
     def spare(self) -> bool:
@@ -124,8 +124,8 @@
 class ClientLink:
     """A client's connection."""
 
-    def __init__(self, clients: Clients, sock: socket.socket) -> None:
-        self.clients, self.sock = clients, sock
+    def __init__(self, clients: Clients, sock: socket.socket, address: str) -> None:
+        self.clients, self.sock, self.address = clients, sock, address
         self.machine = VirtualServer(clients.front, lambda: clients.pool.held)
         self.transaction: Transaction | None = None
         self.answer: Answer | None = None
@@ -212,6 +212,9 @@
         clients = self.clients
         if self.beyond:
             return self.machine.answer(Refused(clients.owner.balancer.conf.max_retry_after), True)
+        rejection = clients.front.admit(request, self.address)
+        if rejection is not None:
+            return self.machine.reject(rejection, clients.stopping)
         self.answer = None
         self.transaction = clients.owner.arrive(
             request.name,
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from barleybarrow.brain import Balancer
+from barleybarrow.door import Door
 from brackenusher.agent import Agent
 from brackenusher.buffers import Buffers
 from brackenusher.clients import OVERFLOW, Clients
@@ -16,6 +17,7 @@
 from brackenusher.deadlines import Deadlines
 from brackenusher.discovery import Broken, read_listing
 from brackenusher.loop import READ, Coroutine, Loop, clock
+from brackenusher.operator import Operator, doubts
 from brackenusher.pool import Pool
 from brackenusher.transaction import Transactions
 from brackenusher.upstream import Upstream
@@ -34,11 +36,11 @@
 class Daemon:
     """One proxy."""
 
-    def __init__(self, config: Config, load: Callable[[], Config]) -> None:
+    def __init__(self, config: Config, load: Callable[[], Config], operator: Operator) -> None:
         self.load = load  # reads the configuration anew
         settings = config.settings
         deadlines, buffers = Deadlines(), Buffers()
-        self.config, self.loop = config, Loop(deadlines)
+        self.config, self.operator, self.loop = config, operator, Loop(deadlines)
         room = config.sockets - SPARE_SOCKETS - OVERFLOW
         for_clients = int(room * CLIENT_PART)
         self.pool = Pool(settings, clock, time.time() * 1000.0 - clock())
@@ -47,8 +49,9 @@
         self.transactions = Transactions(balancer, clock, deadlines, self.upstream)
         self.upstream.owner = self.transactions
         most_kept = int(config.sockets * KEPT_PART)
+        front = Front(settings, Door(operator.door) if operator.door else None, clock)
         self.clients = Clients(
-            self.loop, Front(settings), self.transactions, self.pool, for_clients, most_kept, buffers
+            self.loop, front, self.transactions, self.pool, for_clients, most_kept, buffers
         )
         self.agent = Agent(
             self.loop, config.discovery, self.pool, self.transactions, buffers, random.Random(config.seed)
@@ -68,6 +71,8 @@
         self.agent.connect()
         gc.collect()
         gc.freeze()  # what is here stays: later collections need not look at it
+        for doubt in doubts(self.operator, self.config.settings):
+            log.warning("operators' file: %s", doubt)
         log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
         self.loop.run()
         log.info(
--- a/brackenusher/flow.py
+++ b/brackenusher/flow.py
@@ -35,6 +35,7 @@
     target: bytes
     headers: Sequence[tuple[bytes, bytes]] = ()
     body: bytes = b""
+    owner: bytes | None = None  # as the client worded it
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/brackenusher/operator.py
@@ -0,0 +1,145 @@
+"""The operators' file: which features are on, and their settings, in properties format."""
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import javaproperties
+
+from barleybarrow import interface as face
+from barleybarrow.door import DoorSettings, Limit
+from brackenusher.config import ConfigError
+
+
+@dataclass(frozen=True)
+class Operator:
+    """The features that are on; None for one that is off."""
+
+    door: DoorSettings | None = None
+
+    @property
+    def features(self) -> list[str]:
+        return [name for name, settings in vars(self).items() if settings is not None]
+
+
+class Entries:
+    """The file's entries; each is asked for once, and what nobody asked for is not known."""
+
+    def __init__(self, path: str, text: str) -> None:
+        self.path, self.values = path, {}
+        try:
+            for element in javaproperties.parse(text):
+                if isinstance(element, javaproperties.KeyValue):
+                    if element.key in self.values:
+                        raise self.error(element.key, "is there twice")
+                    self.values[element.key] = element.value
+        except javaproperties.InvalidUEscapeError as error:
+            raise ConfigError(f"{path}: {error}") from error
+
+    def error(self, key: str, what: str) -> ConfigError:
+        return ConfigError(f"{self.path}: {key} {what}")
+
+    def take(self, key: str, read: Callable[[str], Any], default: Any = None) -> Any:
+        """The value of a key, or the default where the file lacks it."""
+        if key not in self.values:
+            return default
+        try:
+            return read(self.values.pop(key).strip())
+        except ValueError as error:
+            raise self.error(key, str(error)) from error
+
+    def family(self, prefix: str, read: Callable[[str], Any]) -> dict[str, Any]:
+        """The values of all keys with a prefix, by what follows it."""
+        keys = [key for key in self.values if key.startswith(prefix) and len(key) > len(prefix)]
+        return {key.removeprefix(prefix): self.take(key, read) for key in keys}
+
+    def done(self) -> None:
+        for key in self.values:
+            raise self.error(key, "is not known")
+
+
+def switch(text: str) -> bool:
+    if text not in ("true", "false"):
+        raise ValueError(f"must be true or false, not {text!r}")
+    return text == "true"
+
+
+def choice(*words: str) -> Callable[[str], str]:
+    def read(text: str) -> str:
+        if text not in words:
+            raise ValueError(f"must be {' or '.join(words)}, not {text!r}")
+        return text
+
+    return read
+
+
+def whole(least: int, most: int) -> Callable[[str], int]:
+    """A whole number within bounds."""
+
+    def read(text: str) -> int:
+        if not re.fullmatch(r"[0-9]{1,12}", text, re.ASCII) or not least <= int(text) <= most:
+            raise ValueError(f"must be a whole number from {least} to {most}, not {text!r}")
+        return int(text)
+
+    return read
+
+
+def rate(text: str) -> float:
+    """Requests a second; so little that the wait for one has no end in sight is no rate."""
+    number = float(text) if re.fullmatch(r"[0-9]{1,9}(\.[0-9]{1,9})?", text, re.ASCII) else -1.0
+    if number and not 0.001 <= number <= 1_000_000:
+        raise ValueError(f"must be 0 or a number from 0.001 to 1000000, not {text!r}")
+    return number
+
+
+BURST = whole(1, 1_000_000)
+
+
+def read_door(entries: Entries) -> DoorSettings:
+    least = DoorSettings()
+    address = Limit(
+        entries.take("door.rate.address", rate, least.address.rate),
+        entries.take("door.burst.address", BURST, least.address.burst),
+    )
+    rates, bursts = entries.family("door.rate.", rate), entries.family("door.burst.", BURST)
+    tenants = {
+        name: Limit(rates.get(name, least.tenant.rate), bursts.get(name, least.tenant.burst))
+        for name in rates | bursts
+    }
+    return DoorSettings(
+        by_address=entries.take("door.key", choice("tenant", "address"), "tenant") == "address",
+        address=address,
+        tenants=tenants,
+        table=entries.take("door.table", whole(1, 100_000), least.table),
+    )
+
+
+FEATURES: dict[str, Callable[[Entries], Any]] = {"door": read_door}
+
+
+def read_operator(path: str, text: str) -> Operator:
+    """Read the whole file; a feature that is off has its settings checked all the same."""
+    entries = Entries(path, text)
+    on = {name: entries.take(f"{name}.enabled", switch, False) for name in FEATURES}
+    features = {name: read(entries) for name, read in FEATURES.items()}
+    entries.done()
+    return Operator(**{name: settings for name, settings in features.items() if on[name]})
+
+
+def doubts(operator: Operator, settings: face.Settings) -> list[str]:
+    """What the file says that can have no effect: not wrong, as tenants come and go, but maybe a slip."""
+    tenants = operator.door.tenants if operator.door and settings.tenants else ()
+    return [f"door: the settings name no tenant {name}" for name in tenants if name not in settings.tenants]
+
+
+def load_operator(path: str | None) -> Operator:
+    """Read the operators' file; without one every feature is off."""
+    if path is None:
+        return Operator()
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+    return read_operator(path, text)
--- a/brackenusher/virtual_server.py
+++ b/brackenusher/virtual_server.py
@@ -10,6 +10,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from barleybarrow import interface as face
+from barleybarrow.door import Door
 from barleybarrow.interface import Effect
 from brackenusher.flow import LONGEST_BODY, LONGEST_HEAD, Message, Spoilt
 from brackenusher.transaction import Answer, Refused, Served
@@ -40,6 +41,7 @@
     408: b"Request Timeout",
     409: b"Conflict",
     413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     501: b"Not Implemented",
     502: b"Bad Gateway",
@@ -71,9 +73,12 @@
 
 
 class Front:
-    """What every connection's machine needs to know: the classes and the tenants by name."""
+    """What every connection's machine needs to know: the classes, the tenants by name, and whom to let in."""
 
-    def __init__(self, settings: face.Settings) -> None:
+    def __init__(
+        self, settings: face.Settings, door: Door | None = None, clock: Callable[[], float] = lambda: 0.0
+    ) -> None:
+        self.door, self.clock = door, clock
         self.classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
         self.methods = [b"GET" if c.effect is Effect.SAFE else b"POST" for c in settings.classes]
         self.deadlines = [c.deadline for c in settings.classes]
@@ -101,6 +106,7 @@
         if self.methods[klass] == b"POST" and not ID.match(fields.get(b"idempotency-key", b"")):
             return Rejection(400, "Idempotency-Key is missing or cannot be passed on")
         owner, tenant = fields.get(b"req-owner"), 0
+        message.owner = owner
         if owner is not None and self.tenants:
             tenant = self.tenants.get(owner, -1)
             if tenant < 0:
@@ -113,6 +119,26 @@
             span = min(span, float(match[1]) / (1.0 if match[2] == b"m" else 1000.0))
         return Request(fields[b"req-id"], klass, span, tenant, fields.get(b"req-retry") == b"1", message)
 
+    def admit(self, request: Request, address: str) -> Rejection | None:
+        """Say why a request from an address is not let in; it reaches neither module nor pool then."""
+        if self.door is None:
+            return None
+        by_address = self.door.settings.by_address
+        wait = self.door.ask(address if by_address else name_of(request.message.owner), self.clock())
+        if not wait:
+            return None
+        return Rejection(429, "over the limit", ((b"retry-after", seconds(wait)),))
+
+
+def name_of(owner: bytes | None) -> str:
+    """A tenant's key at the door; requests that name none share one, of no tenant's name."""
+    return "" if owner is None else owner.decode("latin-1")
+
+
+def seconds(wait: float) -> bytes:
+    """Milliseconds as decimal seconds, rounded up."""
+    return b"%.3f" % (math.ceil(wait) / 1000.0)
+
 
 def judge(headers: Sequence[tuple[bytes, bytes]], version: str) -> Rejection | None:
     """Say what is wrong with a head, where the rest of the stream cannot be trusted after it."""
@@ -251,7 +277,7 @@
             kind = answer.content.kind or b"application/octet-stream"
             return self.respond(200, answer.content.body, ((b"content-type", kind),), last)
         if isinstance(answer, Refused):
-            wait = b"%.3f" % (math.ceil(answer.retry_after) / 1000.0)
+            wait = seconds(answer.retry_after)
             return self.respond(503, b"refused\n", ((b"retry-after", wait),), last)
         return self.respond(502, b"failed\n", (), last)
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -98,6 +98,19 @@
             self.finish(r, elapsed=took)
 
 
+def command(*arguments, **environ):
+    """Run the program's command line to its end."""
+    return subprocess.run(
+        [sys.executable, "-m", "brackenusher", *arguments],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        env=environ,
+        timeout=60,
+        check=False,
+    )
+
+
 WAIT = 20.0  # seconds: generous, as machines are shared; nothing waits so long when all is well
 
 SETTINGS = {
@@ -257,32 +270,59 @@
     return {**entry, "health": health, "share": 1.0, "born_ms": born_ms}
 
 
+def write_config(tmp_path, **changes):
+    """Write a configuration's file, and return its path."""
+    config = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "known": {"seq": 0, "whole": True, "hosts": []},
+        "settings": SETTINGS,
+    }
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config | changes), encoding="utf-8")
+    return str(path)
+
+
 class Program:
     """The real program as a process, with turn servers and discovery round it."""
 
-    def __init__(self, tmp_path, *servers, known=(), sockets=256, settings=None, agent=None, files=None):
+    def __init__(
+        self,
+        tmp_path,
+        *servers,
+        known=(),
+        sockets=256,
+        settings=None,
+        agent=None,
+        files=None,
+        operator=None,
+    ):
         self.servers = servers
         hosts = [host(f"s{n}", server) for n, server in enumerate(servers)]
         self.agent = agent or DiscoveryAgent(hosts)
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
         self.log_path = tmp_path / "log"
-        config = {
-            "name": "n0",
-            "listen": f"127.0.0.1:{self.port}",
-            "discovery": self.agent.address,
-            "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-            "known": {"seq": 0, "whole": True, "hosts": list(known)},
-            "settings": SETTINGS | (settings or {}),
-        }
-        path = tmp_path / "config.json"
-        path.write_text(json.dumps(config), encoding="utf-8")
+        path = write_config(
+            tmp_path,
+            listen=f"127.0.0.1:{self.port}",
+            discovery=self.agent.address,
+            limits={"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            known={"seq": 0, "whole": True, "hosts": list(known)},
+            settings=SETTINGS | (settings or {}),
+        )
+        arguments = ["serve"]
+        if operator is not None:
+            (tmp_path / "operator.properties").write_text(operator, encoding="utf-8")
+            arguments += ["--operator", str(tmp_path / "operator.properties")]
         with self.log_path.open("wb") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "brackenusher", "serve"],
+                [sys.executable, "-m", "brackenusher", *arguments],
                 cwd=ROOT,
-                env={**os.environ, "GW_CONFIG": str(path), "GW_DISCOVERY": self.agent.address},
+                env={**os.environ, "GW_CONFIG": path, "GW_DISCOVERY": self.agent.address},
                 stdout=log,
                 stderr=log,
             )
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -4,19 +4,17 @@
 import json
 import signal
 import socket
-import subprocess
-import sys
 import threading
 import time
 
 import pytest
 from helpers import (
-    ROOT,
     SETTINGS,
     DeafServer,
     DiscoveryAgent,
     Program,
     TurnServer,
+    command,
     host,
     read_request,
     response,
@@ -386,18 +384,6 @@
         ]
 
 
-def command(*arguments, **environ):
-    return subprocess.run(
-        [sys.executable, "-m", "brackenusher", *arguments],
-        capture_output=True,
-        text=True,
-        cwd=ROOT,
-        env=environ,
-        timeout=60,
-        check=False,
-    )
-
-
 @pytest.mark.parametrize("text", [None, "{broken", "[]", "{}", '{"settings":{"classes":[]}}'])
 def test_a_bad_configuration_is_one_line_and_exit_code_2(tmp_path, text):
     path = tmp_path / "config.json"
