Capture: a record for each list change and request, replayed through the module

Asked for by the operators: the exact inputs and decisions behind a disputed turn. Transactions tells observers of arrivals, of each event with the module's actions, and of answers (one test of an empty tuple where nobody looks on); capture numbers the events and writes a request's line once nothing more can come for it; replay tells a new module the same events at the same times and prints both decisions where they differ, marked exact, following from an earlier difference, or a guess where input is missing. A log line written straight to a pipe that records have filled would block the loop: the log goes through the same outlet then.

--- a/barleybarrow/interface.py
+++ b/barleybarrow/interface.py
@@ -140,6 +140,7 @@
 
     scope: ListScope
     entries: list[Entry]
+    version: int = 0  # as discovery counts them
 
 
 @dataclass(slots=True)
--- a/brackenusher/cli.py
+++ b/brackenusher/cli.py
@@ -12,6 +12,7 @@
 from brackenusher.config import ConfigError, load, load_again
 from brackenusher.daemon import Daemon
 from brackenusher.operator import doubts, load_operator
+from brackenusher.replay import replay_capture
 
 LEVELS = ("debug", "info", "warning", "error")
 
@@ -41,6 +42,10 @@
     return 0
 
 
+def replay(options: argparse.Namespace) -> int:
+    return replay_capture(options.file, load_operator(options.properties), sys.stdout)
+
+
 def version(options: argparse.Namespace) -> int:
     print(f"brackenusher {__version__}")
     return 0
@@ -58,6 +63,14 @@
     command = commands.add_parser("check-config", help="read the configuration and say what it holds")
     command.add_argument("--operator", metavar="FILE", help="check this operators' file as well")
     command.set_defaults(call=check_config)
+    command = commands.add_parser("capture", help="work with what capture wrote")
+    verbs = command.add_subparsers(dest="verb", required=True, metavar="VERB")
+    command = verbs.add_parser(
+        "replay", help="feed a capture to the module; print each line on which it decides otherwise"
+    )
+    command.add_argument("file", help="what capture wrote, or standard error held; - for standard input")
+    command.add_argument("properties", help="the operators' file")
+    command.set_defaults(call=replay)
     command = commands.add_parser("version", help="print the version")
     command.set_defaults(call=version)
     options = parser.parse_args(arguments)
--- a/brackenusher/config.py
+++ b/brackenusher/config.py
@@ -29,6 +29,7 @@
     sockets: int
     known: dict[str, Any]
     settings: face.Settings
+    worded: dict[str, Any]  # the settings as the operators word them
 
 
 def read_address(text: Any, what: str) -> Address:
@@ -86,4 +87,5 @@
         sockets=sockets,
         known=known,
         settings=settings,
+        worded=conf["settings"],
     )
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -12,12 +12,14 @@
 from barleybarrow.door import Door
 from brackenusher.agent import Agent
 from brackenusher.buffers import Buffers
+from brackenusher.capture import Capture
 from brackenusher.clients import OVERFLOW, Clients
 from brackenusher.config import Config, ConfigError
 from brackenusher.deadlines import Deadlines
 from brackenusher.discovery import Broken, read_listing
 from brackenusher.loop import READ, Coroutine, Loop, clock
 from brackenusher.operator import Operator, doubts
+from brackenusher.outlet import Outlet
 from brackenusher.pool import Pool
 from brackenusher.transaction import Transactions
 from brackenusher.upstream import Upstream
@@ -45,7 +47,8 @@
         for_clients = int(room * CLIENT_PART)
         self.pool = Pool(settings, clock, time.time() * 1000.0 - clock())
         self.upstream = Upstream(self.loop, self.pool, settings, room - for_clients, buffers)
-        balancer = Balancer(settings, config.seed, clock())
+        began = clock()
+        balancer = Balancer(settings, config.seed, began)
         self.transactions = Transactions(balancer, clock, deadlines, self.upstream)
         self.upstream.owner = self.transactions
         most_kept = int(config.sockets * KEPT_PART)
@@ -57,6 +60,22 @@
             self.loop, config.discovery, self.pool, self.transactions, buffers, random.Random(config.seed)
         )
         self.upstream.watch = self.agent.connect
+        self.outlet = Outlet(deadlines, clock)
+        self.look_on(began)
+
+    def look_on(self, began: float) -> None:
+        """Start what observes the transactions, where the operators want it."""
+        operator, config = self.operator, self.config
+        self.capture = None
+        if operator.capture:
+            try:
+                self.capture = Capture(
+                    operator.capture, self.outlet, config.settings, config.worded, config.seed, began
+                )
+            except OSError as error:
+                raise ConfigError(f"capture.dir: {error}") from error
+        self.transactions.observers = tuple(filter(None, (self.capture,)))
+        self.outlet.take_log()
 
     def run(self) -> int:
         """Serve until SIGTERM or SIGINT and until all is answered then."""
@@ -78,6 +97,10 @@
         log.info(
             "ended: %d taken, %d stood unanswered", self.transactions.taken, self.transactions.unanswered
         )
+        if self.capture:
+            self.capture.close()
+            log.info("capture: %d records, %d dropped", self.capture.serial, self.capture.dropped)
+        self.outlet.close()
         return 0
 
     def catch_signals(self) -> None:
--- a/brackenusher/flow.py
+++ b/brackenusher/flow.py
@@ -35,7 +35,9 @@
     target: bytes
     headers: Sequence[tuple[bytes, bytes]] = ()
     body: bytes = b""
-    owner: bytes | None = None  # as the client worded it
+    owner: bytes | None = None  # Req-Owner and Req-Deadline, as the client worded them
+    deadline: bytes | None = None
+    charged: tuple[str, float] | None = None  # to whose bucket at the door, and when
 
 
 @dataclass(slots=True)
--- a/brackenusher/operator.py
+++ b/brackenusher/operator.py
@@ -6,10 +6,9 @@
 from pathlib import Path
 from typing import Any
 
-import javaproperties
-
 from barleybarrow import interface as face
 from barleybarrow.door import DoorSettings, Limit
+from brackenusher.capture import CaptureSettings
 from brackenusher.config import ConfigError
 
 
@@ -18,6 +17,7 @@
     """The features that are on; None for one that is off."""
 
     door: DoorSettings | None = None
+    capture: CaptureSettings | None = None
 
     @property
     def features(self) -> list[str]:
@@ -28,6 +28,8 @@
     """The file's entries; each is asked for once, and what nobody asked for is not known."""
 
     def __init__(self, path: str, text: str) -> None:
+        import javaproperties  # 50 ms and 3 MB, XML and TLS among them: only for who gives a file
+
         self.path, self.values = path, {}
         try:
             for element in javaproperties.parse(text):
@@ -116,7 +118,22 @@
     )
 
 
-FEATURES: dict[str, Callable[[Entries], Any]] = {"door": read_door}
+def path(text: str) -> str:
+    if not text or "\0" in text:
+        raise ValueError(f"must be a path, not {text!r}")
+    return text
+
+
+def read_capture(entries: Entries) -> CaptureSettings:
+    least = CaptureSettings()
+    return CaptureSettings(
+        folder=entries.take("capture.dir", path),
+        files=entries.take("capture.files", whole(1, 1000), least.files),
+        file_kb=entries.take("capture.file_kb", whole(16, 1_048_576), least.file_kb),
+    )
+
+
+FEATURES: dict[str, Callable[[Entries], Any]] = {"door": read_door, "capture": read_capture}
 
 
 def read_operator(path: str, text: str) -> Operator:
@@ -134,12 +151,12 @@
     return [f"door: the settings name no tenant {name}" for name in tenants if name not in settings.tenants]
 
 
-def load_operator(path: str | None) -> Operator:
+def load_operator(name: str | None) -> Operator:
     """Read the operators' file; without one every feature is off."""
-    if path is None:
+    if name is None:
         return Operator()
     try:
-        text = Path(path).read_text(encoding="utf-8")
+        text = Path(name).read_text(encoding="utf-8")
     except (OSError, ValueError) as error:
-        raise ConfigError(f"{path}: {error}") from error
-    return read_operator(path, text)
+        raise ConfigError(f"{name}: {error}") from error
+    return read_operator(name, text)
--- a/brackenusher/pool.py
+++ b/brackenusher/pool.py
@@ -63,7 +63,7 @@
             for name in [name for name in self.members if name not in named]:
                 self.part(self.members.pop(name))
         scope = face.ListScope.COMPLETE if listing.whole else face.ListScope.CHANGES
-        return face.ListChanged(scope, entries)
+        return face.ListChanged(scope, entries, listing.seq)
 
     def note(self, host: Host) -> face.Entry:
         """Bring one member up to date."""
--- a/brackenusher/transaction.py
+++ b/brackenusher/transaction.py
@@ -6,7 +6,7 @@
 
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Any, Protocol
@@ -51,6 +51,9 @@
     name: bytes
     message: Any
     reply: Callable[[Answer], None]
+    klass: int
+    tenant: int
+    arrived: float
     deadline: float
     guard: Entry | None = None
     over: bool = False  # answered, or nobody is there to be answered
@@ -83,6 +86,20 @@
     def probe(self, backend: str) -> None: ...
 
 
+class Observer(Protocol):
+    """What looks on. It changes nothing, and its faults are logged and cost nobody an answer."""
+
+    def arrived(self, transaction: Transaction) -> None: ...
+    def handled(self, now: float, event: face.Event, actions: Sequence[face.Action]) -> None:
+        """The module was told an event at a time and called for actions, which come next."""
+
+    def answered(self, transaction: Transaction, answer: Answer | None) -> None:
+        """The final answer was given; None where the client left without one."""
+
+    def turned_away(self, request: Any, verdict: str) -> None:
+        """A request that could be read was not taken; the verdict says by whom, what, and to what end."""
+
+
 class Transactions:
     """All transactions of the program, and the module that decides on them."""
 
@@ -90,6 +107,7 @@
         self, balancer: Balancer, clock: Callable[[], float], deadlines: Deadlines, carrier: Carrier
     ) -> None:
         self.balancer, self.clock, self.deadlines, self.carrier = balancer, clock, deadlines, carrier
+        self.observers: tuple[Observer, ...] = ()
         self.open: dict[int, Transaction] = {}
         self.names: set[bytes] = set()  # of what is open: no two may be known to pool members as one
         self.events: deque[face.Event] = deque()
@@ -129,9 +147,12 @@
         now = self.clock()
         self.taken += 1
         self.names.add(name)
-        transaction = Transaction(self.taken, name, message, reply, now + max(0.0, span - RESERVE))
+        deadline = now + max(0.0, span - RESERVE)
+        transaction = Transaction(self.taken, name, message, reply, klass, tenant, now, deadline)
         transaction.guard = self.deadlines.add(now + span, partial(self.overdue, transaction))
         self.open[transaction.id] = transaction
+        if self.observers:
+            self.tell("arrived", transaction)
         self.post(face.Arrived(transaction.id, klass, transaction.deadline, tenant, repeated))
         return transaction
 
@@ -139,6 +160,8 @@
         """The client has gone."""
         if not transaction.over:
             self.close(transaction)
+            if self.observers:
+                self.tell("answered", transaction, None)
             self.post(face.Left(transaction.id))
 
     def finished(self, attempt: Attempt, outcome: Outcome, served: Served | None = None) -> None:
@@ -161,11 +184,14 @@
         self.acting = True
         try:
             while self.events:
-                event = self.events.popleft()
+                event, now, actions = self.events.popleft(), self.clock(), None
                 try:
-                    actions = self.balancer.handle(self.clock(), event)
+                    actions = self.balancer.handle(now, event)
                 except Exception:
                     log.exception("the module failed on %s", type(event).__name__)
+                if self.observers:
+                    self.tell("handled", now, event, actions or ())
+                if actions is None:
                     self.give_up(event)
                 else:
                     self.perform(actions)
@@ -175,6 +201,14 @@
             for transaction in parting:
                 self.forget(transaction)
 
+    def tell(self, what: str, *news: Any) -> None:
+        """Let the observers know of something."""
+        for observer in self.observers:
+            try:
+                getattr(observer, what)(*news)
+            except Exception:
+                log.exception("an observer failed")
+
     def perform(self, actions: list[face.Action]) -> None:
         for action in actions:
             try:
@@ -221,6 +255,8 @@
         if transaction is None or transaction.over:
             return
         self.close(transaction)
+        if self.observers:
+            self.tell("answered", transaction, answer)
         transaction.reply(answer)
 
     def close(self, transaction: Transaction) -> None:
--- a/brackenusher/virtual_server.py
+++ b/brackenusher/virtual_server.py
@@ -70,6 +70,7 @@
     text: str
     headers: tuple[tuple[bytes, bytes], ...] = ()
     fatal: bool = False
+    verdict: str = ""  # where it was decided on: by whom, what, and to what end
 
 
 class Front:
@@ -106,14 +107,14 @@
         if self.methods[klass] == b"POST" and not ID.match(fields.get(b"idempotency-key", b"")):
             return Rejection(400, "Idempotency-Key is missing or cannot be passed on")
         owner, tenant = fields.get(b"req-owner"), 0
-        message.owner = owner
+        message.owner, message.deadline = owner, fields.get(b"req-deadline")
         if owner is not None and self.tenants:
             tenant = self.tenants.get(owner, -1)
             if tenant < 0:
                 return Rejection(400, "Req-Owner is unknown")
         span = self.deadlines[klass]
-        if b"req-deadline" in fields:
-            match = SPAN.match(fields[b"req-deadline"])
+        if message.deadline is not None:
+            match = SPAN.match(message.deadline)
             if match is None:
                 return Rejection(400, "Req-Deadline cannot be read")
             span = min(span, float(match[1]) / (1.0 if match[2] == b"m" else 1000.0))
@@ -123,11 +124,13 @@
         """Say why a request from an address is not let in; it reaches neither module nor pool then."""
         if self.door is None:
             return None
-        by_address = self.door.settings.by_address
-        wait = self.door.ask(address if by_address else name_of(request.message.owner), self.clock())
+        key = address if self.door.settings.by_address else name_of(request.message.owner)
+        request.message.charged = key, self.clock()
+        wait = self.door.ask(*request.message.charged)
         if not wait:
             return None
-        return Rejection(429, "over the limit", ((b"retry-after", seconds(wait)),))
+        headers = ((b"retry-after", seconds(wait)),)
+        return Rejection(429, "over the limit", headers, verdict=f"door {wait:.0f} refused")
 
 
 def name_of(owner: bytes | None) -> str:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -299,6 +299,7 @@
         agent=None,
         files=None,
         operator=None,
+        stderr=None,
     ):
         self.servers = servers
         hosts = [host(f"s{n}", server) for n, server in enumerate(servers)]
@@ -324,7 +325,7 @@
                 cwd=ROOT,
                 env={**os.environ, "GW_CONFIG": path, "GW_DISCOVERY": self.agent.address},
                 stdout=log,
-                stderr=log,
+                stderr=stderr or log,
             )
         if files:
             resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (files, files))
