Capture: a lighter hook that words a record once, when it is written

Lines: Observer.arrived, .handled and .answered were found by name for each event (Transactions.tell), and Capture worded a line's parts at each of them, four clients' words apart. Now tuples of bound methods, raw values until the line is written, and one look at the client's words together.

--- a/brackenusher/capture.py
+++ b/brackenusher/capture.py
@@ -9,10 +9,9 @@
 import os
 import re
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 from urllib.parse import quote
 
 import ujson
@@ -20,6 +19,7 @@
 from barleybarrow import brain
 from barleybarrow import interface as face
 from brackenusher import __version__
+from brackenusher.config import Config
 from brackenusher.flow import Message
 from brackenusher.outlet import Outlet, to_stderr, write_whole
 from brackenusher.transaction import Answer, Failed, Refused, Served, Transaction
@@ -31,6 +31,8 @@
 MOST_ON_A_LINE = 100
 LONGEST_TEXT = 64  # of what a client words
 PLAIN = re.compile(rb"[A-Za-z0-9_.+=@-]{1,64}\Z")
+WORD = rb"[A-Za-z0-9_.+=@][A-Za-z0-9_.+=@-]{0,63}"
+ALL_PLAIN = re.compile(rb"(?!list )%s %s k=%s %s\Z" % (WORD, WORD, WORD, WORD))
 KEY = re.compile(rb"[?&]k=([^&#]{0,65})")
 HEALTH = {face.State.LIVE: "ready", face.State.DRAINING: "draining", face.State.GONE: "gone"}
 OUTCOMES = {outcome: outcome.value for outcome in face.Outcome}
@@ -68,9 +70,13 @@
 def columns(name: bytes, klass: str, message: Message) -> str:
     """The request's part of its line."""
     key = KEY.search(message.target)
+    if key and message.owner and message.deadline:
+        words = b"%s %s k=%s %s" % (name, message.owner, key[1], message.deadline)
+        if ALL_PLAIN.match(words):  # as nearly all are; their form is looked at once
+            name, _, rest = words.decode().partition(" ")
+            return f"{name} {klass} {rest}"
     about = escape(key[1], "%/") if key else "-"
-    owner, span = escape(message.owner), escape(message.deadline)
-    return f"{escape(name)} {klass} {owner} k={about} {span}"
+    return f"{escape(name)} {klass} {escape(message.owner)} k={about} {escape(message.deadline)}"
 
 
 def charged(message: Message) -> str:
@@ -125,25 +131,55 @@
 
 
 class Record:
-    """A request's line as it comes about."""
+    """What has become of a request so far."""
+
+    __slots__ = (
+        "transaction",
+        "number",
+        "now",
+        "event",
+        "tries",
+        "out",
+        "final",
+        "by",
+        "left",
+        "closed",
+        "answer",
+    )
+
+    def __init__(self, transaction: Transaction, number: int, now: float, event: face.Arrived) -> None:
+        self.transaction, self.number, self.now, self.event = transaction, number, now, event
+        self.tries: list[Try] = []
+        self.out, self.final, self.by, self.left = 0, "", "", ""
+        self.closed, self.answer = False, ""
+
+    def decision(self) -> str:
+        """What was decided on it in the end."""
+        if self.final:
+            return self.final
+        if not self.tries:
+            return "hold -"
+        host = self.tries[-1].host
+        for attempt in self.tries:  # the one that served it, if one did
+            if attempt.end is not None and attempt.end.outcome is face.Outcome.SERVED:
+                host = attempt.host
+        return "forward " + host
+
+
+class Try:
+    """An attempt."""
 
-    __slots__ = ("columns", "notes", "tries", "ends", "out", "final", "closed", "answer")
+    __slots__ = ("host", "chosen", "number", "now", "end")
 
-    def __init__(self, columns: str, notes: str) -> None:
-        self.columns, self.notes = columns, notes
-        self.tries: list[str] = []  # host and number of the event on which it was chosen
-        self.ends: dict[int, str] = {}
-        self.out, self.final, self.closed, self.answer = 0, "", False, ""
+    def __init__(self, host: str, chosen: int) -> None:
+        self.host, self.chosen, self.number, self.now, self.end = host, chosen, 0, 0.0, None
 
     def words(self) -> str:
-        """The decision and the outcome."""
-        if self.final:
-            decision = self.final
-        else:  # the one that served it; else the last
-            host = next((self.tries[n] for n, end in self.ends.items() if ",served," in end), None)
-            host = host or (self.tries[-1] if self.tries else None)
-            decision = "forward " + host.partition(",")[0] if host else "hold -"
-        return f"{decision} {self.answer or 'open'}"
+        if self.end is None:
+            return f" try={self.host},{self.chosen}"
+        done = ",complete" if self.end.complete else ""
+        about = f"{self.chosen},{self.number},{self.now!r},{OUTCOMES[self.end.outcome]},{self.end.elapsed!r}"
+        return f" try={self.host},{about}{done}"
 
 
 class Capture:
@@ -153,18 +189,21 @@
         self,
         settings: CaptureSettings,
         outlet: Outlet,
-        conf: face.Settings,
-        worded: dict[str, Any],
-        seed: int,
+        transactions: Mapping[int, Transaction],
+        config: Config,
         began: float,
     ) -> None:
-        self.classes = [quote(c.name, safe="") for c in conf.classes]
+        self.transactions, self.classes = (
+            transactions,
+            [quote(c.name, safe="") for c in config.settings.classes],
+        )
         self.ring = Ring(settings) if settings.folder else None
         self.channel = outlet.channel(self.ring.write if self.ring else to_stderr, ROOM)
         self.most = settings.file_kb * 1024 if self.ring else 0
         self.base = {"capture": FORM, "version": __version__, "module": module_digest()}
-        self.tail = {"seed": f"{seed:x}", "began": repr(began), "settings": worded}
+        self.tail = {"seed": f"{config.seed:x}", "began": repr(began), "settings": config.worded}
         self.open: dict[int, Record] = {}
+        self.hosts: dict[str, str] = {}  # escaped, by name
         self.standing: dict[str, str] = {}  # the list as it stands: each host's line, less its number
         self.timers: deque[str] = deque(maxlen=MOST_WAITING)  # what is no request's waits for a line
         self.probes: deque[str] = deque(maxlen=MOST_WAITING)
@@ -212,17 +251,12 @@
 
     # observing
 
-    def arrived(self, transaction: Transaction) -> None:
-        if len(self.open) >= MOST_OPEN:
-            self.emit(self.open.pop(next(iter(self.open))))
-        message, klass = transaction.message, self.classes[transaction.klass]
-        self.open[transaction.id] = Record(columns(transaction.name, klass, message), charged(message))
-
     def answered(self, transaction: Transaction, answer: Answer | None) -> None:
         record = self.open.get(transaction.id)
         if record is not None:
             record.answer = ANSWERS[type(answer)]
-            self.settle(transaction.id, record)
+            if record.closed and not record.out:
+                self.settle(record)
 
     def turned_away(self, request: Request, verdict: str) -> None:
         self.event += 1
@@ -232,7 +266,6 @@
     def handled(self, now: float, event: face.Event, actions: Sequence[face.Action]) -> None:
         self.event += 1
         number, kind = self.event, type(event)
-        record = self.open.get(getattr(event, "request", -1))
         if kind is face.TimerDue:
             self.timers.append(f"{number},{now!r},{event.token}")
         elif kind is face.ListChanged:
@@ -241,67 +274,82 @@
             report = ",".join(f"{name}:{value!r}" for name, value in (event.report or {}).items())
             about = f"{number},{now!r},{quote(event.backend)},{OUTCOMES[event.outcome]},{event.elapsed!r}"
             self.probes.append(f"{about},{report}")
-        elif record is None:
-            pass
-        elif kind is face.Finished:
-            done = "" if not event.complete else ",complete"
-            record.out -= 1
-            record.ends[event.attempt] = f"{number},{now!r},{OUTCOMES[event.outcome]},{event.elapsed!r}{done}"
-            record.closed = record.closed or event.complete
         elif kind is face.Arrived:
-            about = f"{event.klass},{event.tenant},{event.repeated:d},{event.deadline!r}"
-            record.notes = f" at={number},{now!r} req={event.request},{about}{record.notes}"
-        elif kind is face.Left:
-            record.closed = True
-            record.notes += f" left={number},{now!r}"
+            self.arrived(number, now, event)
+        else:
+            self.changed(number, now, event, kind)
         for action in actions:
-            self.acted(number, action)
-        if record is not None:
-            self.settle(event.request, record)
-
-    def acted(self, number: int, action: face.Action) -> None:
-        """Note what the module decided on some request."""
-        kind = type(action)
-        if kind is face.Send:
-            record = self.open.get(action.request)
-            if record is not None:
-                record.tries.append(f"{quote(action.backend)},{number}")
-                record.out += 1
-        elif kind is face.Refuse or kind is face.Fail:
-            record = self.open.get(action.request)
-            if record is not None:
-                record.final = f"refuse {action.retry_after:.3f}" if kind is face.Refuse else "fail -"
-                record.notes += f" by={number}"
-                record.closed = True
+            kind = type(action)
+            if kind is face.Send:
+                record = self.open.get(action.request)
+                if record is not None:
+                    record.tries.append(Try(self.host(action.backend), number))
+                    record.out += 1
+            elif kind is face.Refuse or kind is face.Fail:
+                record = self.open.get(action.request)
+                if record is not None:
+                    record.final = f"refuse {action.retry_after:.3f}" if kind is face.Refuse else "fail -"
+                    record.by, record.closed = f" by={number}", True
+
+    def host(self, backend: str) -> str:
+        """A host's name as it stands on the list's lines."""
+        return self.hosts.get(backend) or quote(backend)
+
+    def arrived(self, number: int, now: float, event: face.Arrived) -> None:
+        if len(self.open) >= MOST_OPEN:
+            self.emit(self.open.pop(next(iter(self.open))))
+        transaction = self.transactions.get(event.request)
+        if transaction is not None:
+            self.open[event.request] = Record(transaction, number, now, event)
+
+    def changed(self, number: int, now: float, event: face.Finished | face.Left, kind: type) -> None:
+        """An attempt has ended, or the client has left."""
+        record = self.open.get(event.request)
+        if record is None:
+            return
+        if kind is face.Finished:
+            attempt = record.tries[event.attempt]
+            attempt.number, attempt.now, attempt.end = number, now, event
+            record.out -= 1
+            record.closed = record.closed or event.complete
+        else:
+            record.left, record.closed = f" left={number},{now!r}", True
+        if record.closed and record.answer and not record.out:
+            self.settle(record)
 
     def listed(self, number: int, now: float, event: face.ListChanged) -> None:
         """A line for each entry; one for a list without any."""
         scope, many = event.scope.value, len(event.entries)
         if event.scope is face.ListScope.COMPLETE:
             self.standing.clear()
+            self.hosts.clear()
         for place, entry in enumerate(event.entries, 1):
-            host = quote(entry.backend)
+            host = self.hosts[entry.backend] = quote(entry.backend)
             line = f"list {event.version} {host} {HEALTH[entry.state]}"
             line += f" entry={entry.started!r},{entry.cell},{entry.zone},{entry.kind}"
             if entry.state is face.State.GONE:
                 self.standing.pop(host, None)
+                self.hosts.pop(entry.backend)
             else:
                 self.standing[host] = line
             self.write(f"{line} at={number},{now!r} scope={scope} part={place}/{many}")
         if not event.entries:
             self.write(f"list {event.version} - - at={number},{now!r} scope={scope} part=0/0")
 
-    def settle(self, request: int, record: Record) -> None:
-        """Write a line once nothing more can come for it."""
-        if record.closed and record.answer and not record.out:
-            del self.open[request]
-            self.emit(record)
+    def settle(self, record: Record) -> None:
+        """Write a line, as nothing more can come for it."""
+        del self.open[record.event.request]
+        self.emit(record)
 
     def emit(self, record: Record) -> None:
         """Write a request's line, with what happened since the last one."""
-        line = f"{record.columns} {record.words()}{record.notes}"
-        for n, tried in enumerate(record.tries):
-            line += f" try={tried},{record.ends[n]}" if n in record.ends else f" try={tried}"
+        event, transaction = record.event, record.transaction
+        words = columns(transaction.name, self.classes[event.klass], transaction.message)
+        about = f"{event.request},{event.klass},{event.tenant},{event.repeated:d},{event.deadline!r}"
+        line = f"{words} {record.decision()} {record.answer or 'open'} at={record.number},{record.now!r}"
+        line += f" req={about}{charged(transaction.message)}{record.by}{record.left}"
+        for attempt in record.tries:
+            line += attempt.words()
         for name, waiting in (("timers", self.timers), ("probes", self.probes)):
             if waiting:
                 count = min(len(waiting), MOST_ON_A_LINE)
--- a/brackenusher/clients.py
+++ b/brackenusher/clients.py
@@ -212,11 +212,11 @@
         clients = self.clients
         if self.beyond:
             wait = clients.owner.balancer.conf.max_retry_after
-            clients.owner.tell("turned_away", request, f"room {wait:.0f} refused")
+            clients.owner.turn_away(request, f"room {wait:.0f} refused")
             return self.machine.answer(Refused(wait), True)
         rejection = clients.front.admit(request, self.address)
         if rejection is not None:
-            clients.owner.tell("turned_away", request, rejection.verdict)
+            clients.owner.turn_away(request, rejection.verdict)
             return self.machine.reject(rejection, clients.stopping)
         self.answer = None
         self.transaction = clients.owner.arrive(
@@ -229,7 +229,7 @@
             request.repeated,
         )
         if self.transaction is None:
-            clients.owner.tell("turned_away", request, "id open rejected")
+            clients.owner.turn_away(request, "id open rejected")
             return self.machine.reject(Rejection(409, "Req-Id is that of an open request"), True)
         while self.answer is None:
             full = self.machine.full
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -21,7 +21,7 @@
 from brackenusher.operator import Operator, doubts
 from brackenusher.outlet import Outlet
 from brackenusher.pool import Pool
-from brackenusher.transaction import Transactions
+from brackenusher.transaction import Observers, Transactions
 from brackenusher.upstream import Upstream
 from brackenusher.virtual_server import Front
 
@@ -69,12 +69,15 @@
         self.capture = None
         if operator.capture:
             try:
-                self.capture = Capture(
-                    operator.capture, self.outlet, config.settings, config.worded, config.seed, began
-                )
+                self.capture = Capture(operator.capture, self.outlet, self.transactions.open, config, began)
             except OSError as error:
                 raise ConfigError(f"capture.dir: {error}") from error
-        self.transactions.observers = tuple(filter(None, (self.capture,)))
+        looking = [each for each in (self.capture,) if each]
+        self.transactions.observers = Observers(
+            handled=tuple(each.handled for each in looking if hasattr(each, "handled")),
+            answered=tuple(each.answered for each in looking),
+            turned_away=tuple(each.turned_away for each in looking),
+        )
         self.outlet.take_log()
 
     def run(self) -> int:
--- a/brackenusher/transaction.py
+++ b/brackenusher/transaction.py
@@ -86,18 +86,16 @@
     def probe(self, backend: str) -> None: ...
 
 
-class Observer(Protocol):
-    """What looks on. It changes nothing, and its faults are logged and cost nobody an answer."""
-
-    def arrived(self, transaction: Transaction) -> None: ...
-    def handled(self, now: float, event: face.Event, actions: Sequence[face.Action]) -> None:
-        """The module was told an event at a time and called for actions, which come next."""
-
-    def answered(self, transaction: Transaction, answer: Answer | None) -> None:
-        """The final answer was given; None where the client left without one."""
+@dataclass(slots=True)
+class Observers:
+    """Who looks on. They change nothing, and their faults are logged and cost nobody an answer."""
 
-    def turned_away(self, request: Any, verdict: str) -> None:
-        """A request that could be read was not taken; the verdict says by whom, what, and to what end."""
+    # the module was told an event at a time and called for actions, which come next
+    handled: tuple[Callable[[float, face.Event, Sequence[face.Action]], None], ...] = ()
+    # the final answer is about to be given; None where the client left without one
+    answered: tuple[Callable[[Transaction, Answer | None], None], ...] = ()
+    # a request that could be read is not taken; the verdict says by whom, what, and to what end
+    turned_away: tuple[Callable[[Any, str], None], ...] = ()
 
 
 class Transactions:
@@ -107,7 +105,7 @@
         self, balancer: Balancer, clock: Callable[[], float], deadlines: Deadlines, carrier: Carrier
     ) -> None:
         self.balancer, self.clock, self.deadlines, self.carrier = balancer, clock, deadlines, carrier
-        self.observers: tuple[Observer, ...] = ()
+        self.observers = Observers()
         self.open: dict[int, Transaction] = {}
         self.names: set[bytes] = set()  # of what is open: no two may be known to pool members as one
         self.events: deque[face.Event] = deque()
@@ -151,17 +149,18 @@
         transaction = Transaction(self.taken, name, message, reply, klass, tenant, now, deadline)
         transaction.guard = self.deadlines.add(now + span, partial(self.overdue, transaction))
         self.open[transaction.id] = transaction
-        if self.observers:
-            self.tell("arrived", transaction)
         self.post(face.Arrived(transaction.id, klass, transaction.deadline, tenant, repeated))
         return transaction
 
+    def turn_away(self, request: Any, verdict: str) -> None:
+        """Note that a request that could be read is not taken."""
+        self.tell(self.observers.turned_away, request, verdict)
+
     def left(self, transaction: Transaction) -> None:
         """The client has gone."""
         if not transaction.over:
             self.close(transaction)
-            if self.observers:
-                self.tell("answered", transaction, None)
+            self.tell(self.observers.answered, transaction, None)
             self.post(face.Left(transaction.id))
 
     def finished(self, attempt: Attempt, outcome: Outcome, served: Served | None = None) -> None:
@@ -189,8 +188,8 @@
                     actions = self.balancer.handle(now, event)
                 except Exception:
                     log.exception("the module failed on %s", type(event).__name__)
-                if self.observers:
-                    self.tell("handled", now, event, actions or ())
+                if self.observers.handled:
+                    self.tell(self.observers.handled, now, event, actions or ())
                 if actions is None:
                     self.give_up(event)
                 else:
@@ -201,11 +200,11 @@
             for transaction in parting:
                 self.forget(transaction)
 
-    def tell(self, what: str, *news: Any) -> None:
-        """Let the observers know of something."""
-        for observer in self.observers:
+    def tell(self, observers: Sequence[Callable[..., None]], *news: Any) -> None:
+        """Let those who look on know of something."""
+        for observer in observers:
             try:
-                getattr(observer, what)(*news)
+                observer(*news)
             except Exception:
                 log.exception("an observer failed")
 
@@ -255,8 +254,8 @@
         if transaction is None or transaction.over:
             return
         self.close(transaction)
-        if self.observers:
-            self.tell("answered", transaction, answer)
+        if self.observers.answered:
+            self.tell(self.observers.answered, transaction, answer)
         transaction.reply(answer)
 
     def close(self, transaction: Transaction) -> None:
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -27,6 +27,7 @@
 from barleybarrow.interface import ListScope, Outcome, State
 from barleybarrow.settings import read_settings
 from brackenusher.capture import Capture, CaptureSettings, Ring
+from brackenusher.config import Config
 from brackenusher.deadlines import Deadlines
 from brackenusher.flow import Message
 from brackenusher.operator import read_operator
@@ -35,7 +36,7 @@
 from brackenusher.transaction import Refused, Served, Transaction
 from brackenusher.virtual_server import Request
 
-CONF = read_settings(SETTINGS)
+CONFIG = Config("n0", ("", 0), ("", 0), 255, 256, {}, read_settings(SETTINGS), SETTINGS)
 ON = "capture.enabled = true\n"
 
 
@@ -45,7 +46,8 @@
     def __init__(self, **settings):
         self.now, self.deadlines = 1000.0, Deadlines()
         self.outlet = Outlet(self.deadlines, lambda: self.now)
-        self.capture = Capture(CaptureSettings(**settings), self.outlet, CONF, SETTINGS, 255, 1000.0)
+        self.open = {}
+        self.capture = Capture(CaptureSettings(**settings), self.outlet, self.open, CONFIG, 1000.0)
 
     def tell(self, event, *actions):
         self.now += 0.1
@@ -54,7 +56,7 @@
     def arrive(self, number, name=b"id", message=None, backend="s0"):
         message = message or Message(b"GET", b"/board-read?k=m1", [], b"", b"kente-wars", b"1400m")
         transaction = Transaction(number, name, message, None, 0, 0, self.now, self.now + 1390.0)
-        self.capture.arrived(transaction)
+        self.open[number] = transaction
         self.tell(face.Arrived(number, 0, self.now + 1390.0), face.Send(number, backend))
         return transaction
 
@@ -162,12 +164,18 @@
     # guards against what waits for a reader, for an answer or for the next request growing without end
     reader, writer = os.pipe()
     monkeypatch.setattr("brackenusher.outlet.os.write", lambda fd, data, write=os.write: write(writer, data))
+    world, others = World(), World()  # what is held of a transaction is its owner's
+    for n in range(6000):
+        others.arrive(n)
+    world.capture.transactions = others.open
     tracemalloc.start()
     try:
-        world = World()
         for n in range(6000):
             world.tell(face.TimerDue(0))
-            world.arrive(n) if n % 2 else world.serve(n, name=b"%d" % n)
+            world.tell(face.Arrived(n, 0, world.now), face.Send(n, "s0"))
+            if not n % 2:
+                world.capture.answered(others.open[n], Served(None))
+                world.tell(face.Finished(n, 0, Outcome.SERVED, 20.5, True))
         assert tracemalloc.get_traced_memory()[1] < 1_000_000
         assert world.capture.dropped > 1000 and len(world.capture.open) <= 1000
     finally:
