Tokens: HMAC-signed rights to read and submit, answered with 401 or 403 and Adw-Auth

Asked for by the operators: only holders of the game apps may submit turns. The verdict is a pure unit (barleybarrow/tokens.py): form, MAC in constant time, expiry with skew, rights. Front.admit asks it before the door, so that a forged owner drains no tenant's bucket (tested over sockets: nine forged requests leave the bucket of five as it was). token issue prints one. A doubled Adw-Token ends the connection with 400, only where the feature is on: judge takes the set of such headers from Front.

--- /dev/null
+++ b/barleybarrow/tokens.py
@@ -0,0 +1,64 @@
+"""Tokens: who may read, and who may submit. Told the wall-clock time; it does no I/O.
+
+A token is ``<kid>.<holder>.<rights>.<expiry>.<mac>``; the MAC is HMAC-SHA256 in base64url, without padding,
+over the first four fields and the dots between them.
+"""
+
+import hashlib
+import hmac
+import re
+from base64 import urlsafe_b64encode
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+READ, SUBMIT = "read", "submit"
+MISSING, EXPIRED, FORGED, LACKING = "missing", "expired", "forged", "rights"
+KID = re.compile(r"[A-Za-z0-9_-]{1,64}\Z")
+HOLDER = re.compile(r"[!-\-/-~]{1,256}\Z")  # printable, and no dot
+RIGHTS = re.compile(rf"({READ}|{SUBMIT})(\+({READ}|{SUBMIT}))*\Z")
+SHAPE = re.compile(rb"([!-\-/-~]+)\.[!-\-/-~]+\.([!-\-/-~]+)\.([0-9]{1,15})\.([A-Za-z0-9_-]{43})\Z")
+
+
+class NoToken(ValueError):
+    """A token cannot be issued like this."""
+
+
+@dataclass(frozen=True)
+class TokenSettings:
+    """The keys that count, by their ids, and how far clocks may differ."""
+
+    keys: Mapping[str, bytes] = field(default_factory=dict, repr=False)
+    skew: float = 30.0
+
+
+def sign(key: bytes, fields: bytes) -> bytes:
+    return urlsafe_b64encode(hmac.digest(key, fields, hashlib.sha256)).rstrip(b"=")
+
+
+def issue(settings: TokenSettings, kid: str, holder: str, rights: str, expiry: int) -> str:
+    """Make a token that counts until a time in Unix seconds."""
+    if kid not in settings.keys:
+        raise NoToken(f"there is no key {kid!r}")
+    if not HOLDER.match(holder):
+        raise NoToken(f"the holder must be printable, without blank or dot, not {holder!r}")
+    if not RIGHTS.match(rights):
+        raise NoToken(f"the rights must be {READ}, {SUBMIT} or {READ}+{SUBMIT}, not {rights!r}")
+    if not 0 <= expiry < 10**15:
+        raise NoToken("the expiry is out of range")
+    fields = f"{kid}.{holder}.{rights}.{expiry}"
+    return f"{fields}.{sign(settings.keys[kid], fields.encode()).decode()}"
+
+
+def verdict(settings: TokenSettings, token: bytes | None, need: str, now: float) -> str:
+    """Why a token does not give the right that is needed at a time in Unix seconds; empty where it does."""
+    if not token:
+        return MISSING
+    shape = SHAPE.match(token)
+    key = settings.keys.get(shape[1].decode()) if shape else None
+    if key is None:
+        return FORGED
+    if not hmac.compare_digest(sign(key, token[: shape.start(4) - 1]), shape[4]):
+        return FORGED
+    if now > int(shape[3]) + settings.skew:
+        return EXPIRED
+    return "" if need.encode() in shape[2].split(b"+") else LACKING
--- a/brackenusher/cli.py
+++ b/brackenusher/cli.py
@@ -4,14 +4,16 @@
 import logging
 import os
 import sys
+import time
 from collections.abc import Sequence
 from functools import partial
 
 from barleybarrow.interface import SettingsError
+from barleybarrow.tokens import NoToken, issue
 from brackenusher import __version__
 from brackenusher.config import ConfigError, load, load_again
 from brackenusher.daemon import Daemon
-from brackenusher.operator import doubts, load_operator
+from brackenusher.operator import doubts, load_operator, load_tokens
 from brackenusher.replay import replay_capture
 
 LEVELS = ("debug", "info", "warning", "error")
@@ -46,6 +48,15 @@
     return replay_capture(options.file, load_operator(options.properties), sys.stdout)
 
 
+def issue_token(options: argparse.Namespace) -> int:
+    settings, expiry = load_tokens(options.properties), int(time.time()) + options.ttl
+    try:
+        print(issue(settings, options.kid, options.holder, options.rights, expiry))
+    except NoToken as error:
+        raise ConfigError(f"{options.properties}: {error}") from error
+    return 0
+
+
 def version(options: argparse.Namespace) -> int:
     print(f"brackenusher {__version__}")
     return 0
@@ -71,6 +82,15 @@
     command.add_argument("file", help="what capture wrote, or standard error held; - for standard input")
     command.add_argument("properties", help="the operators' file")
     command.set_defaults(call=replay)
+    command = commands.add_parser("token", help="work with tokens")
+    verbs = command.add_subparsers(dest="verb", required=True, metavar="VERB")
+    command = verbs.add_parser("issue", help="print a token")
+    command.add_argument("--kid", required=True, help="the id of the key that signs it")
+    command.add_argument("--holder", required=True)
+    command.add_argument("--rights", required=True, help="read, submit or read+submit")
+    command.add_argument("--ttl", required=True, type=int, help="seconds from now until it expires")
+    command.add_argument("properties", help="the operators' file, with the key")
+    command.set_defaults(call=issue_token)
     command = commands.add_parser("version", help="print the version")
     command.set_defaults(call=version)
     options = parser.parse_args(arguments)
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -52,7 +52,8 @@
         self.transactions = Transactions(balancer, clock, deadlines, self.upstream)
         self.upstream.owner = self.transactions
         most_kept = int(config.sockets * KEPT_PART)
-        front = Front(settings, Door(operator.door) if operator.door else None, clock)
+        door = Door(operator.door) if operator.door else None
+        front = Front(settings, door, operator.token, clock)
         self.clients = Clients(
             self.loop, front, self.transactions, self.pool, for_clients, most_kept, buffers
         )
--- a/brackenusher/operator.py
+++ b/brackenusher/operator.py
@@ -8,9 +8,12 @@
 
 from barleybarrow import interface as face
 from barleybarrow.door import DoorSettings, Limit
+from barleybarrow.tokens import KID, TokenSettings
 from brackenusher.capture import CaptureSettings
 from brackenusher.config import ConfigError
 
+LEAST_KEY = 16  # bytes; a shorter one is used, but named
+
 
 @dataclass(frozen=True)
 class Operator:
@@ -18,6 +21,7 @@
 
     door: DoorSettings | None = None
     capture: CaptureSettings | None = None
+    token: TokenSettings | None = None
 
     @property
     def features(self) -> list[str]:
@@ -133,7 +137,26 @@
     )
 
 
-FEATURES: dict[str, Callable[[Entries], Any]] = {"door": read_door, "capture": read_capture}
+def key(text: str) -> bytes:
+    """A key in hex; what is wrong with it is said without showing it."""
+    if not re.fullmatch(r"([0-9A-Fa-f]{2})+", text, re.ASCII):
+        raise ValueError("must be hexadecimal, two digits a byte")
+    return bytes.fromhex(text)
+
+
+def read_token(entries: Entries) -> TokenSettings:
+    keys = entries.family("token.key.", key)
+    for kid in keys:
+        if not KID.match(kid):
+            raise entries.error(f"token.key.{kid}", "must end in letters, digits, _ or -, 64 at most")
+    return TokenSettings(keys, entries.take("token.skew", whole(0, 86_400), TokenSettings().skew))
+
+
+FEATURES: dict[str, Callable[[Entries], Any]] = {
+    "door": read_door,
+    "capture": read_capture,
+    "token": read_token,
+}
 
 
 def read_operator(path: str, text: str) -> Operator:
@@ -142,21 +165,33 @@
     on = {name: entries.take(f"{name}.enabled", switch, False) for name in FEATURES}
     features = {name: read(entries) for name, read in FEATURES.items()}
     entries.done()
+    if on["token"] and not features["token"].keys:
+        raise entries.error("token.key.<kid>", "is missing: tokens need a key")
     return Operator(**{name: settings for name, settings in features.items() if on[name]})
 
 
 def doubts(operator: Operator, settings: face.Settings) -> list[str]:
     """What the file says that can have no effect: not wrong, as tenants come and go, but maybe a slip."""
     tenants = operator.door.tenants if operator.door and settings.tenants else ()
-    return [f"door: the settings name no tenant {name}" for name in tenants if name not in settings.tenants]
+    keys = operator.token.keys if operator.token else {}
+    found = [f"door: the settings name no tenant {name}" for name in tenants if name not in settings.tenants]
+    return found + [f"token: the key {kid} is short" for kid, key in keys.items() if len(key) < LEAST_KEY]
 
 
-def load_operator(name: str | None) -> Operator:
-    """Read the operators' file; without one every feature is off."""
-    if name is None:
-        return Operator()
+def read_text(name: str) -> str:
     try:
-        text = Path(name).read_text(encoding="utf-8")
+        return Path(name).read_text(encoding="utf-8")
     except (OSError, ValueError) as error:
         raise ConfigError(f"{name}: {error}") from error
-    return read_operator(name, text)
+
+
+def load_operator(name: str | None) -> Operator:
+    """Read the operators' file; without one every feature is off."""
+    return Operator() if name is None else read_operator(name, read_text(name))
+
+
+def load_tokens(name: str) -> TokenSettings:
+    """The file's settings of tokens, whether they are on or not: who issues tokens need not serve."""
+    text = read_text(name)
+    read_operator(name, text)
+    return read_token(Entries(name, text))
--- a/brackenusher/virtual_server.py
+++ b/brackenusher/virtual_server.py
@@ -2,14 +2,16 @@
 
 import math
 import re
+import time
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Sequence, Set
 from dataclasses import dataclass
 from urllib.parse import unquote
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from barleybarrow import interface as face
+from barleybarrow import tokens
 from barleybarrow.door import Door
 from barleybarrow.interface import Effect
 from brackenusher.flow import LONGEST_BODY, LONGEST_HEAD, Message, Spoilt
@@ -17,6 +19,7 @@
 
 MOST_AHEAD = 16  # requests that a client may send ahead of the answer it waits for
 READY = b"/health/ready"
+TOKEN = b"adw-token"
 ONCE = frozenset(  # headers that are read here or there: a second one could be read otherwise by the next
     (
         b"host",
@@ -36,6 +39,8 @@
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
+    403: b"Forbidden",
     404: b"Not Found",
     405: b"Method Not Allowed",
     408: b"Request Timeout",
@@ -77,9 +82,17 @@
     """What every connection's machine needs to know: the classes, the tenants by name, and whom to let in."""
 
     def __init__(
-        self, settings: face.Settings, door: Door | None = None, clock: Callable[[], float] = lambda: 0.0
+        self,
+        settings: face.Settings,
+        door: Door | None = None,
+        token_settings: tokens.TokenSettings | None = None,
+        clock: Callable[[], float] = lambda: 0.0,
+        wall: Callable[[], float] = time.time,
     ) -> None:
-        self.door, self.clock = door, clock
+        self.door, self.tokens, self.clock, self.wall = door, token_settings, clock, wall
+        self.guarded = door is not None or token_settings is not None
+        self.once = ONCE if token_settings is None else ONCE | {TOKEN}
+        self.needs = [tokens.READ if c.effect is Effect.SAFE else tokens.SUBMIT for c in settings.classes]
         self.classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
         self.methods = [b"GET" if c.effect is Effect.SAFE else b"POST" for c in settings.classes]
         self.deadlines = [c.deadline for c in settings.classes]
@@ -121,7 +134,29 @@
         return Request(fields[b"req-id"], klass, span, tenant, fields.get(b"req-retry") == b"1", message)
 
     def admit(self, request: Request, address: str) -> Rejection | None:
-        """Say why a request from an address is not let in; it reaches neither module nor pool then."""
+        """Say why a request from an address is not let in; it reaches neither module nor pool then.
+
+        Tokens come first: a forged owner must not drain a tenant's bucket.
+        """
+        if not self.guarded:
+            return None
+        return self.check_token(request) or self.check_door(request, address)
+
+    def check_token(self, request: Request) -> Rejection | None:
+        if self.tokens is None:
+            return None
+        token = next((value for name, value in request.message.headers if name == TOKEN), None)
+        why = tokens.verdict(self.tokens, token, self.needs[request.klass], self.wall())
+        if not why:
+            return None
+        headers = ((b"adw-auth", why.encode()),)
+        verdict = f"token {why} rejected"
+        if why in (tokens.MISSING, tokens.EXPIRED):
+            headers += ((b"www-authenticate", b"Adw-Token"),)
+            return Rejection(401, "a valid token is needed", headers, verdict=verdict)
+        return Rejection(403, "the token does not allow this", headers, verdict=verdict)
+
+    def check_door(self, request: Request, address: str) -> Rejection | None:
         if self.door is None:
             return None
         key = address if self.door.settings.by_address else name_of(request.message.owner)
@@ -143,11 +178,11 @@
     return b"%.3f" % (math.ceil(wait) / 1000.0)
 
 
-def judge(headers: Sequence[tuple[bytes, bytes]], version: str) -> Rejection | None:
+def judge(headers: Sequence[tuple[bytes, bytes]], version: str, once: Set[bytes]) -> Rejection | None:
     """Say what is wrong with a head, where the rest of the stream cannot be trusted after it."""
     seen: dict[bytes, bytes] = {}
     for name, value in headers:
-        if name in ONCE and name in seen:
+        if name in once and name in seen:
             return Rejection(400, f"{name.decode()} is there twice", fatal=True)
         seen[name] = value
     if version not in ("1.0", "1.1"):
@@ -225,7 +260,7 @@
 
     def on_headers_complete(self) -> None:
         self.in_body = True
-        rejection = judge(self.headers, self.parser.get_http_version())
+        rejection = judge(self.headers, self.parser.get_http_version(), self.front.once)
         if rejection is not None:
             self.spoilt(rejection)
 
--- /dev/null
+++ b/tests/test_tokens.py
@@ -0,0 +1,144 @@
+"""Tokens: the verdicts by themselves, the command that issues them, and the program's answers on sockets."""
+
+import time
+
+import pytest
+from helpers import Program, TurnServer, command, read_request, submit_request, write_config
+
+from barleybarrow.tokens import NoToken, TokenSettings, issue, sign, verdict
+from brackenusher.config import ConfigError
+from brackenusher.operator import load_operator, read_operator
+
+KEYS = TokenSettings({"k1": b"old" * 8, "k2": b"new" * 8}, 30.0)
+NOW = 1767225600
+
+
+def made(rights="read+submit", kid="k2", expiry=NOW, holder="p77"):
+    return issue(KEYS, kid, holder, rights, expiry).encode()
+
+
+def test_a_token_counts_until_its_expiry_and_the_skew_and_each_key_by_itself():
+    assert made().startswith(b"k2.p77.read+submit.1767225600.") and len(made().rpartition(b".")[2]) == 43
+    for token in (made(), made(kid="k1"), made("submit")):
+        assert verdict(KEYS, token, "submit", NOW + 30.0) == ""
+        assert verdict(KEYS, token, "submit", NOW + 30.5) == "expired"
+    assert verdict(TokenSettings({"k2": KEYS.keys["k2"]}), made(kid="k1"), "read", NOW) == "forged"
+    assert (
+        verdict(KEYS, made("read"), "submit", NOW) == verdict(KEYS, made("submit"), "read", NOW) == "rights"
+    )
+
+
+def test_whatever_is_changed_in_a_token_it_is_forged_and_no_shape_raises():
+    # guards against a field that the MAC does not cover, and against reading a field before the MAC has held
+    token = made(expiry=NOW - 100)
+    for place in range(len(token)):
+        changed = token[:place] + (b"A" if token[place : place + 1] != b"A" else b"B") + token[place + 1 :]
+        assert verdict(KEYS, changed, "read", NOW) == "forged"
+    fields = token.rpartition(b".")[0]
+    odd = [
+        token + b"=",
+        token + b".",
+        b"." + token,
+        token[:-1],
+        fields,
+        b"....",
+        b"x",
+        b"\xff" * 300,
+        b"k2..read.1.x",
+    ]
+    odd += [
+        fields + b"." + sign(b"", fields),
+        fields + b".\xc3\xa9" + b"x" * 41,
+        fields.replace(b"-", b"") + b"." * 9,
+    ]
+    odd.append(b"k2.p77.read.-5." + sign(KEYS.keys["k2"], b"k2.p77.read.-5"))
+    assert {verdict(KEYS, each, "read", NOW) for each in odd} == {"forged"}
+    assert verdict(KEYS, None, "read", NOW) == verdict(KEYS, b"", "read", NOW) == "missing"
+
+
+@pytest.mark.parametrize(
+    ("kid", "holder", "rights"),
+    [
+        ("k3", "p77", "read"),
+        ("k2", "p.77", "read"),
+        ("k2", "", "read"),
+        ("k2", "p", "write"),
+        ("k2", "p", "read+"),
+    ],
+)
+def test_what_could_not_be_read_back_is_not_issued(kid, holder, rights):
+    with pytest.raises(NoToken):
+        issue(KEYS, kid, holder, rights, NOW)
+
+
+def test_keys_have_no_default_and_are_never_shown():
+    on = "token.enabled = true\n"
+    bad = [
+        on,
+        on + "token.key.k2 = 1f2",
+        on + "token.key.a.b = 1f",
+        on + "token.key.k2 = 1f\ntoken.skew = -1",
+    ]
+    for text, named in zip(bad, ["token.key", "token.key.k2", "token.key.a.b", "token.skew"], strict=True):
+        with pytest.raises(ConfigError) as caught:
+            read_operator("f", text)
+        assert named in str(caught.value) and "1f2" not in str(caught.value)
+    operator = read_operator("f", on + "token.key.k2 = 6b6579\n")
+    assert operator.token.keys == {"k2": b"key"} and "key'" not in repr(operator)
+    assert load_operator("deploy/operator.properties").token is None
+
+
+def issued(properties, kid="k2", rights="read", ttl="3600"):
+    wanted = ["--kid", kid, "--holder", "p77", "--rights", rights, "--ttl", ttl]
+    return command("token", "issue", *wanted, str(properties))
+
+
+def test_tokens_are_issued_tampered_with_expired_and_their_key_dropped(tmp_path):
+    both = "token.enabled = true\ntoken.key.k1 = 6f6c64206f6c64206f6c64206f6c6420\n"
+    both += "token.key.k2 = 6e6577206e6577206e6577206e657720\n"
+    properties = tmp_path / "issuing.properties"
+    properties.write_text(both, encoding="utf-8")
+    tokens = {kid: issued(properties, kid, "read+submit").stdout.strip() for kid in ("k1", "k2")}
+    reads, old = issued(properties).stdout.strip(), issued(properties, ttl="-31").stdout.strip()
+    assert issued(properties, "k3").returncode == 2 and issued(properties, "k3").stderr.count("\n") == 1
+
+    def ask(program, token, request=read_request):
+        extra = "" if token is None else f"Adw-Token: {token}\r\n"
+        status, headers, _ = program.ask(request(time.monotonic_ns(), extra=extra))
+        return status, headers.get("adw-auth")
+
+    door = "door.enabled = true\ndoor.rate.kente-wars = 0.001\ndoor.burst.kente-wars = 5\n"
+    with Program(tmp_path, TurnServer(), operator=both + door + "capture.enabled = true\n") as program:
+        assert ask(program, tokens["k1"]) == ask(program, tokens["k2"]) == (200, None)
+        assert ask(program, reads) == ask(program, tokens["k2"], submit_request) == (200, None)
+        assert ask(program, None) == (401, "missing") and ask(program, old) == (401, "expired")
+        assert ask(program, reads, submit_request) == (403, "rights")
+        assert ask(program, tokens["k2"].replace("p77", "p78")) == (403, "forged")
+        for _ in range(9):  # a forged owner does not drain the bucket of the real one
+            assert ask(program, "x") == (403, "forged")
+        assert ask(program, f"{reads}\r\nAdw-Token: {reads}") == (400, None)
+        assert ask(program, reads) == (200, None) and ask(program, reads) == (429, None)
+        assert len(program.servers[0].requests) == 5 and program.ready()
+        program.process.terminate()
+        program.process.wait(20)
+        assert " token forged rejected " in program.log and " token missing rejected " in program.log
+        assert "p77." not in program.log and reads.rpartition(".")[2] not in program.log
+    with Program(tmp_path, TurnServer(), operator=both.replace("token.key.k1", "# ")) as program:
+        assert ask(program, tokens["k1"]) == (403, "forged") and ask(program, tokens["k2"]) == (200, None)
+
+
+def test_with_the_feature_off_tokens_are_headers_like_any_other(tmp_path):
+    twice = "Adw-Token: x\r\nAdw-Token: y\r\n"
+    with Program(tmp_path, TurnServer(), operator="token.key.k2 = 00\n") as program:
+        assert [program.ask(read_request(n, extra=extra))[0] for n, extra in enumerate(("", twice))] == [
+            200,
+            200,
+        ]
+        assert program.servers[0].requests[1][1]["adw-token"] == "y"
+
+
+def test_a_short_key_is_named_by_check_config(tmp_path):
+    properties = tmp_path / "operator.properties"
+    properties.write_text("token.enabled = true\ntoken.key.k2 = 00\n", encoding="utf-8")
+    done = command("check-config", "--operator", str(properties), GW_CONFIG=write_config(tmp_path))
+    assert done.returncode == 0 and "the key k2 is short" in done.stdout
