Figures: requests, refusals and latencies by class and tenant, as statsd or influx lines

Asked for by the operators: turn latency by realm shows a slow season. Figures looks on at answers and at what is turned away, samples what is in flight at the flush, and sends batches to standard error or a file through the outlet, or to a UDP port by a connected socket that never blocks. Seen: a refused datagram is told of at the next send only; that batch is counted then and the present one sent again, so that each loss counts once and none is added.

--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -17,6 +17,7 @@
 from brackenusher.config import Config, ConfigError
 from brackenusher.deadlines import Deadlines
 from brackenusher.discovery import Broken, read_listing
+from brackenusher.figures import Figures
 from brackenusher.loop import READ, Coroutine, Loop, clock
 from brackenusher.operator import Operator, doubts
 from brackenusher.outlet import Outlet
@@ -73,9 +74,19 @@
                 self.capture = Capture(operator.capture, self.outlet, self.transactions.open, config, began)
             except OSError as error:
                 raise ConfigError(f"capture.dir: {error}") from error
-        looking = [each for each in (self.capture,) if each]
+        self.figures = None
+        if operator.figures:
+            self.figures = Figures(
+                operator.figures,
+                self.outlet,
+                self.loop.deadlines,
+                clock,
+                self.transactions.open,
+                config.settings,
+            )
+        looking = [each for each in (self.capture, self.figures) if each]
         self.transactions.observers = Observers(
-            handled=tuple(each.handled for each in looking if hasattr(each, "handled")),
+            handled=(self.capture.handled,) if self.capture else (),
             answered=tuple(each.answered for each in looking),
             turned_away=tuple(each.turned_away for each in looking),
         )
@@ -104,6 +115,9 @@
         if self.capture:
             self.capture.close()
             log.info("capture: %d records, %d dropped", self.capture.serial, self.capture.dropped)
+        if self.figures:
+            self.figures.close()
+            log.info("figures: %d batches dropped", self.figures.sink.dropped)
         self.outlet.close()
         return 0
 
--- a/brackenusher/driver.py
+++ b/brackenusher/driver.py
@@ -23,6 +23,18 @@
     return sock, code == 0
 
 
+def open_datagrams(address: Address) -> socket.socket:
+    """A UDP socket that sends to one address and never waits."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
+    try:
+        sock.connect(address)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 def write(sock: socket.socket, data: bytes) -> bytes:
     """Write what the socket takes now; return the rest."""
     try:
--- /dev/null
+++ b/brackenusher/figures.py
@@ -0,0 +1,215 @@
+"""Figures: counters, gauges and timers of the transactions, in lines for a collector.
+
+Counters are summed until the flush, gauges sampled then, and each served request has a timer. Lines go out in
+batches, when one is full or at the flush; a batch that cannot go out at once is dropped and counted.
+"""
+
+import os
+import socket
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from barleybarrow import interface as face
+from brackenusher.config import Address
+from brackenusher.deadlines import Deadlines
+from brackenusher.driver import open_datagrams
+from brackenusher.outlet import Channel, Outlet, to_stderr, write_whole
+from brackenusher.transaction import Answer, Refused, Served, Transaction
+from brackenusher.virtual_server import Request
+
+ROOM = 96 * 1024  # bytes that wait to be written
+LONGEST_NAME = 64  # of a tag's value
+NO_TENANT = -1
+Tags = tuple[int, int]  # positions of class and tenant
+
+
+@dataclass(frozen=True)
+class FiguresSettings:
+    """What is sent where; the target is an address, a path, or None for standard error."""
+
+    influx: bool = False
+    target: Address | str | None = None
+    flush_ms: int = 1000
+    batch_bytes: int = 1400
+
+
+class Statsd:
+    """Lines as statsd reads them, with tags."""
+
+    @staticmethod
+    def tags(pairs: list[tuple[str, str]]) -> str:
+        strange = str.maketrans("|,:#@\n\r", "_______")
+        return ",".join(f"{name}:{value.translate(strange)[:LONGEST_NAME]}" for name, value in pairs)
+
+    @staticmethod
+    def line(name: str, value: int, kind: str, tags: str) -> str:
+        return f"{name}:{value}|{kind}|#{tags}\n" if tags else f"{name}:{value}|{kind}\n"
+
+
+class Influx:
+    """Lines as influx reads them; it tells the kinds apart by the names alone."""
+
+    @staticmethod
+    def tags(pairs: list[tuple[str, str]]) -> str:
+        strange = str.maketrans({"\\": "_", "\n": "_", "\r": "_", ",": "\\,", " ": "\\ ", "=": "\\="})
+        return "".join(f",{name}={value[:LONGEST_NAME].translate(strange)}" for name, value in pairs)
+
+    @staticmethod
+    def line(name: str, value: int, kind: str, tags: str) -> str:
+        return f"{name}{tags} value={value}\n"
+
+
+class Datagrams:
+    """A collector on a UDP port; nothing waits for it."""
+
+    def __init__(self, address: Address) -> None:
+        self.address, self.dropped = address, 0
+        self.sock: socket.socket | None = None
+
+    def put(self, batch: bytes) -> None:
+        try:
+            self.send(batch)
+        except ConnectionRefusedError:  # that is the answer to the batch before: there was nobody
+            self.dropped += 1
+            try:
+                self.send(batch)
+            except OSError:
+                self.dropped += 1
+        except OSError:
+            self.dropped += 1
+
+    def send(self, batch: bytes) -> None:
+        if self.sock is None:
+            self.sock = open_datagrams(self.address)
+        self.sock.send(batch)
+
+
+class Appended:
+    """A file that lines are appended to; whatever it is, opening and writing do not wait."""
+
+    def __init__(self, path: str) -> None:
+        self.path = path
+
+    def write(self, pieces: list[bytes]) -> int:
+        """Append batches; returns how many could not be. The file may be moved away in between."""
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_NONBLOCK | os.O_CLOEXEC
+        fd = os.open(self.path, flags, 0o640)
+        try:
+            return sum(not self.append(fd, piece) for piece in pieces)
+        finally:
+            os.close(fd)
+
+    @staticmethod
+    def append(fd: int, piece: bytes) -> bool:
+        end = os.fstat(fd).st_size
+        try:
+            write_whole(fd, piece)
+        except OSError:
+            if os.fstat(fd).st_size > end:  # no line is left cut
+                os.ftruncate(fd, end)
+            return False
+        return True
+
+
+class Figures:
+    """Looks on and counts."""
+
+    def __init__(
+        self,
+        settings: FiguresSettings,
+        outlet: Outlet,
+        deadlines: Deadlines,
+        clock: Callable[[], float],
+        transactions: Mapping[int, Transaction],
+        conf: face.Settings,
+    ) -> None:
+        self.settings, self.deadlines, self.clock = settings, deadlines, clock
+        self.transactions, self.conf = transactions, conf
+        self.form = Influx if settings.influx else Statsd
+        if isinstance(settings.target, tuple):
+            self.sink: Datagrams | Channel = Datagrams(settings.target)
+        else:
+            write = to_stderr if settings.target is None else Appended(settings.target).write
+            self.sink = outlet.channel(write, ROOM, piece=0)  # each batch by itself
+        self.requests: Counter[Tags] = Counter()
+        self.refused: Counter[Tags] = Counter()
+        self.seen: dict[Tags, str] = {}  # with their wording
+        self.timers: dict[Tags, tuple[str, str]] = {}  # a timer's line before and after its value
+        self.batch = bytearray()
+        self.due = clock() + settings.flush_ms
+        self.limit = deadlines.add(self.due, self.tick)
+
+    # observing
+
+    def answered(self, transaction: Transaction, answer: Answer | None) -> None:
+        key = transaction.klass, transaction.tenant if transaction.message.owner else NO_TENANT
+        self.requests[key] += 1
+        kind = type(answer)
+        if kind is Served:
+            before, after = self.timers.get(key) or self.timer(key)
+            self.add(f"{before}{self.clock() - transaction.arrived:.0f}{after}".encode())
+        elif kind is Refused:
+            self.refused[key] += 1
+
+    def turned_away(self, request: Request, verdict: str) -> None:
+        key = request.klass, request.tenant if request.message.owner else NO_TENANT
+        self.requests[key] += 1
+        if verdict.endswith(" refused"):
+            self.refused[key] += 1
+
+    # sending
+
+    def tags(self, key: Tags) -> str:
+        """The wording of tags; names come from the settings alone, so there are no more than they have."""
+        if key not in self.seen:
+            pairs = [("class", self.conf.classes[key[0]].name)]
+            if self.conf.tenants:
+                pairs.append(("tenant", self.conf.tenants[key[1]] if key[1] != NO_TENANT else "-"))
+            self.seen[key] = self.form.tags(pairs)
+        return self.seen[key]
+
+    def timer(self, key: Tags) -> tuple[str, str]:
+        before, _, after = self.form.line("latency_ms", "\0", "ms", self.tags(key)).partition("\0")
+        self.timers[key] = before, after
+        return before, after
+
+    def add(self, line: bytes) -> None:
+        if len(self.batch) + len(line) > self.settings.batch_bytes:
+            self.send()
+        self.batch += line
+
+    def send(self) -> None:
+        if self.batch:
+            self.sink.put(bytes(self.batch))
+            self.batch.clear()
+
+    def flush(self) -> None:
+        """Send the sums, the gauges and what is left of the timers."""
+        inflight = Counter(
+            (t.klass, t.tenant if t.message.owner else NO_TENANT)
+            for t in self.transactions.values()
+            if not t.over
+        )
+        for name, sums in (("requests", self.requests), ("refused", self.refused)):
+            for key, count in sums.items():
+                self.add(self.form.line(name, count, "c", self.tags(key)).encode())
+            sums.clear()
+        for key in inflight:
+            self.tags(key)
+        for key, tags in self.seen.items():
+            self.add(self.form.line("inflight", inflight[key], "g", tags).encode())
+        self.add(self.form.line("figures_dropped", self.sink.dropped, "g", "").encode())
+        self.send()
+
+    def tick(self) -> None:
+        """Flush, and again after the interval; a late one moves the later ones on."""
+        self.due += self.settings.flush_ms
+        if self.due <= self.clock():
+            self.due = self.clock() + self.settings.flush_ms
+        self.limit = self.deadlines.add(self.due, self.tick)
+        self.flush()
+
+    def close(self) -> None:
+        self.deadlines.remove(self.limit)
+        self.flush()
--- a/brackenusher/operator.py
+++ b/brackenusher/operator.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
+from ipaddress import ip_address
 from pathlib import Path
 from typing import Any
 
@@ -10,7 +11,8 @@
 from barleybarrow.door import DoorSettings, Limit
 from barleybarrow.tokens import KID, TokenSettings
 from brackenusher.capture import CaptureSettings
-from brackenusher.config import ConfigError
+from brackenusher.config import Address, ConfigError, read_address
+from brackenusher.figures import FiguresSettings
 
 LEAST_KEY = 16  # bytes; a shorter one is used, but named
 
@@ -22,6 +24,7 @@
     door: DoorSettings | None = None
     capture: CaptureSettings | None = None
     token: TokenSettings | None = None
+    figures: FiguresSettings | None = None
 
     @property
     def features(self) -> list[str]:
@@ -152,10 +155,34 @@
     return TokenSettings(keys, entries.take("token.skew", whole(0, 86_400), TokenSettings().skew))
 
 
+def target(text: str) -> Address | str | None:
+    """Where figures go: standard error (None), a file (its path), or a UDP port (its address)."""
+    form, _, rest = text.partition(":")
+    if text == "stderr":
+        return None
+    if form == "file" and rest:
+        return path(rest)
+    if form == "udp" and rest:
+        host, port = read_address(rest, "udp")  # a name would have to be looked up, and that could wait
+        return str(ip_address(host.removeprefix("[").removesuffix("]"))), whole(1, 65_535)(str(port))
+    raise ValueError(f"must be stderr, file:<path> or udp:<addr:port>, not {text!r}")
+
+
+def read_figures(entries: Entries) -> FiguresSettings:
+    least = FiguresSettings()
+    return FiguresSettings(
+        influx=entries.take("figures.format", choice("statsd", "influx"), "statsd") == "influx",
+        target=entries.take("figures.target", target, least.target),
+        flush_ms=entries.take("figures.flush_ms", whole(10, 3_600_000), least.flush_ms),
+        batch_bytes=entries.take("figures.batch_bytes", whole(256, 32_768), least.batch_bytes),
+    )
+
+
 FEATURES: dict[str, Callable[[Entries], Any]] = {
     "door": read_door,
     "capture": read_capture,
     "token": read_token,
+    "figures": read_figures,
 }
 
 
--- a/brackenusher/outlet.py
+++ b/brackenusher/outlet.py
@@ -19,7 +19,8 @@
 LAST_SPAN = 0.3  # seconds that the program's end waits for what is not written yet
 LOG_ROOM = 64 * 1024
 
-Write = Callable[[list[bytes]], None]  # whole lines in pieces; raises OSError where they cannot be written
+# takes whole lines in pieces; raises where none can be written, or returns how many could not
+Write = Callable[[list[bytes]], int | None]
 
 
 def write_whole(fd: int, data: bytes) -> None:
@@ -101,7 +102,7 @@
         while (item := self.queue.get()) is not None:
             channel, write, pieces, size, count = item
             try:
-                write(pieces)
+                channel.failed += write(pieces) or 0
             except Exception:  # whatever it was, the next batch has its own chance
                 channel.failed += count
             channel.done += size
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -69,7 +69,7 @@
     assert (door.address, door.tenants) == (Limit(2.5, 40), {"a": Limit(7.0, 400), "b": Limit(200.0, 9)})
     assert read_operator("f", text.replace("true", "false")) == load_operator(None) == Operator()
     shipped = load_operator(str(ROOT / "deploy/operator.properties"))
-    assert shipped.features == ["capture"]
+    assert shipped.features == ["capture", "figures"]
 
 
 def test_check_config_says_what_is_on_and_what_has_no_effect_and_ends_with_2_on_a_bad_file(tmp_path):
