Capture's ring overwrites the oldest file by age; a key at the door is cut where it counts

Seen on reading again: Ring.next went round by position, which is not by age after capture.files was raised; and a record's door pair held the whole owner where the settings name no tenants (name_of). Both have tests. Tests of a stuck writer no longer patch os.write.

--- a/brackenusher/capture.py
+++ b/brackenusher/capture.py
@@ -93,11 +93,10 @@
         folder = Path(settings.folder)
         folder.mkdir(parents=True, exist_ok=True)
         self.paths = [folder / f"capture-{n}.log" for n in range(settings.files)]
-        counts = [self.count(path) for path in self.paths]
-        self.file = max(counts) + 1  # counts the files ever begun, over restarts too
-        self.at = counts.index(min(counts))
+        self.ages = [self.count(path) for path in self.paths]
+        self.file = max(self.ages)  # counts the files ever begun, over restarts too
         self.fd = -1
-        self.open()
+        self.next()
 
     @staticmethod
     def count(path: Path) -> int:
@@ -108,16 +107,15 @@
         except (OSError, ValueError, KeyError, TypeError):
             return 0
 
-    def open(self) -> None:
-        self.fd = os.open(self.paths[self.at], os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o640)
-
     def next(self) -> None:
-        """Go on to the file that is the oldest now; called by the writer."""
+        """Go on to the file that is the oldest now; called by the writer, but for the first time."""
         if self.fd >= 0:
             os.close(self.fd)
             self.fd = -1
-        self.at = (self.at + 1) % len(self.paths)
-        self.open()
+        at = self.ages.index(min(self.ages))
+        self.file += 1
+        self.ages[at] = self.file
+        self.fd = os.open(self.paths[at], os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o640)
 
     def write(self, pieces: list[bytes]) -> None:
         """Write whole lines, or nothing of what could not be written whole."""
--- a/brackenusher/virtual_server.py
+++ b/brackenusher/virtual_server.py
@@ -12,7 +12,7 @@
 
 from barleybarrow import interface as face
 from barleybarrow import tokens
-from barleybarrow.door import Door
+from barleybarrow.door import LONGEST_KEY, Door
 from barleybarrow.interface import Effect
 from brackenusher.flow import LONGEST_BODY, LONGEST_HEAD, Message, Spoilt
 from brackenusher.transaction import Answer, Refused, Served
@@ -169,8 +169,8 @@
 
 
 def name_of(owner: bytes | None) -> str:
-    """A tenant's key at the door; requests that name none share one, of no tenant's name."""
-    return "" if owner is None else owner.decode("latin-1")
+    """A tenant's key at the door, as long as it counts; requests that name none share one of their own."""
+    return "" if owner is None else owner[:LONGEST_KEY].decode("latin-1")
 
 
 def seconds(wait: float) -> bytes:
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -1,6 +1,5 @@
 """Capture: the records, the outlet that writes them, and the replay, by themselves and over sockets."""
 
-import os
 import re
 import resource
 import signal
@@ -140,6 +139,9 @@
     again.close()
     changed = [n for n in range(3) if files[n].read_text(encoding="utf-8") != texts[n]]
     assert changed == [ages.index(min(ages))] and Ring.count(files[changed[0]]) == max(ages) + 1
+    wider = Ring(CaptureSettings(**(ring | {"files": 4})))  # what is new comes first, then the oldest again
+    wider.next()
+    assert [wider.ages.index(age) for age in (wider.file - 1, wider.file)] == [3, ages.index(sorted(ages)[1])]
 
 
 def test_a_file_that_cannot_grow_drops_whole_batches_and_counts_them(tmp_path):
@@ -162,8 +164,8 @@
 
 def test_memory_stays_under_1_mb_while_nothing_is_read_and_much_is_open(monkeypatch):
     # guards against what waits for a reader, for an answer or for the next request growing without end
-    reader, writer = os.pipe()
-    monkeypatch.setattr("brackenusher.outlet.os.write", lambda fd, data, write=os.write: write(writer, data))
+    stuck = threading.Event()
+    monkeypatch.setattr("brackenusher.capture.to_stderr", lambda pieces: stuck.wait(WAIT))
     world, others = World(), World()  # what is held of a transaction is its owner's
     for n in range(6000):
         others.arrive(n)
@@ -182,8 +184,8 @@
         tracemalloc.stop()
     began = time.monotonic()
     world.close()  # the writer is stuck, and is not waited for
-    assert time.monotonic() - began < WAIT
-    os.close(reader)
+    assert time.monotonic() - began < WAIT / 2
+    stuck.set()
 
 
 def test_capture_settings_are_checked():
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -1,5 +1,7 @@
 """Door limits: the buckets by themselves, the operators' file, and the program's answers on sockets."""
 
+import subprocess
+import sys
 import time
 from collections import Counter
 
@@ -9,6 +11,7 @@
 from barleybarrow.door import CLOSED_WAIT, Door, DoorSettings, Limit
 from brackenusher.config import ConfigError
 from brackenusher.operator import Operator, load_operator, read_operator
+from brackenusher.virtual_server import name_of
 
 
 def test_who_comes_back_after_the_wait_is_let_in_and_a_refusal_is_not_charged():
@@ -111,6 +114,17 @@
         assert program.ask(read_request(4, "/nowhere"))[0] == 404
 
 
-def test_without_the_file_nothing_is_limited(tmp_path):
+def test_without_the_file_nothing_is_limited_written_or_loaded(tmp_path):
+    # guards against a feature that shows where nobody asked for it, and against the cost of reading no file
     with Program(tmp_path, TurnServer()) as program, program.connect() as sock:
         assert {program.ask(read_request(n), sock)[0] for n in range(450)} == {200}
+        twice = "Adw-Token: x\r\nAdw-Token: y\r\n"
+        assert program.ask(read_request(451, extra=twice), sock)[0] == 200
+        assert program.log.count("\n") == 1
+    check = "import sys, brackenusher.cli; sys.exit('javaproperties' in sys.modules)"
+    assert subprocess.run([sys.executable, "-c", check], cwd=ROOT, check=False).returncode == 0
+
+
+def test_a_key_at_the_door_is_no_longer_than_it_counts():
+    # guards against records that grow with an owner's name where the settings name no tenants
+    assert name_of(b"x" * 300) == "x" * 64 and name_of(None) == ""
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -1,9 +1,9 @@
 """Figures: lines, batches and what is dropped, by themselves and toward collectors on real sockets."""
 
 import contextlib
-import os
 import re
 import socket
+import threading
 import tracemalloc
 
 import pytest
@@ -109,8 +109,8 @@
 
 def test_memory_stays_under_256_kb_while_nothing_is_read(monkeypatch):
     # guards against timers that pile up behind a reader who is stuck
-    reader, writer = os.pipe()
-    monkeypatch.setattr("brackenusher.outlet.os.write", lambda fd, data, write=os.write: write(writer, data))
+    stuck = threading.Event()
+    monkeypatch.setattr("brackenusher.figures.to_stderr", lambda pieces: stuck.wait(20.0))
     tracemalloc.start()
     try:
         world = World(batch_bytes=32_768)
@@ -120,7 +120,7 @@
         assert tracemalloc.get_traced_memory()[1] < 256_000 and world.figures.sink.dropped > 10
     finally:
         tracemalloc.stop()
-    os.close(reader)
+    stuck.set()
     world.outlet.close()
 
 
