--- a/barleybarrow/door.py
+++ b/barleybarrow/door.py
@@ -7,7 +7,7 @@
 
 CLOSED_WAIT = 60_000.0  # milliseconds named where the rate is 0: no wait would help, so one that is long
 LONGEST_KEY = 64  # names that differ only beyond this share a bucket, so that a table's size is bounded
-NEAR = 1e-9  # of a request: what rounding may take from a bucket that is just full enough
+NEAR = 1e-4  # of a request: what rounding may take from a bucket that is just full enough; it is owed then
 
 
 @dataclass(frozen=True)
