Move the daemon's modules into packages by concern; nothing but imports changes

Need: one flat folder of 22 modules has no room for further fronts, stores and a testbed. fronts/http1, records, membership, upstream, core, config and runtime now hold what belongs together; `config` became config/platform, `operator` config/operators, `upstream` upstream/connections.

--- a/brackenusher/cli.py
+++ b/brackenusher/cli.py
@@ -11,10 +11,10 @@
 from barleybarrow.interface import SettingsError
 from barleybarrow.tokens import NoToken, issue
 from brackenusher import __version__
-from brackenusher.config import ConfigError, load, load_again
+from brackenusher.config.operators import doubts, load_operator, load_tokens
+from brackenusher.config.platform import ConfigError, load, load_again
 from brackenusher.daemon import Daemon
-from brackenusher.operator import doubts, load_operator, load_tokens
-from brackenusher.replay import replay_capture
+from brackenusher.records.replay import replay_capture
 
 LEVELS = ("debug", "info", "warning", "error")
 
--- /dev/null
+++ b/brackenusher/config/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's file and the operators' file, checked."""
--- a/brackenusher/operator.py
+++ b/brackenusher/config/operators.py
@@ -10,9 +10,9 @@
 from barleybarrow import interface as face
 from barleybarrow.door import DoorSettings, Limit
 from barleybarrow.tokens import KID, TokenSettings
-from brackenusher.capture import CaptureSettings
-from brackenusher.config import Address, ConfigError, read_address
-from brackenusher.figures import FiguresSettings
+from brackenusher.config.platform import Address, ConfigError, read_address
+from brackenusher.records.capture import CaptureSettings
+from brackenusher.records.figures import FiguresSettings
 
 LEAST_KEY = 16  # bytes; a shorter one is used, but named
 
--- /dev/null
+++ b/brackenusher/core/__init__.py
@@ -0,0 +1,1 @@
+"""Transactions, deadlines, observers: no protocol, no socket."""
--- a/brackenusher/transaction.py
+++ b/brackenusher/core/transaction.py
@@ -14,7 +14,7 @@
 from barleybarrow import interface as face
 from barleybarrow.brain import Balancer
 from barleybarrow.interface import Outcome
-from brackenusher.deadlines import Deadlines, Entry
+from brackenusher.core.deadlines import Deadlines, Entry
 
 log = logging.getLogger(__name__)
 
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -10,21 +10,21 @@
 
 from barleybarrow.brain import Balancer
 from barleybarrow.door import Door
-from brackenusher.agent import Agent
-from brackenusher.buffers import Buffers
-from brackenusher.capture import Capture
-from brackenusher.clients import OVERFLOW, Clients
-from brackenusher.config import Config, ConfigError
-from brackenusher.deadlines import Deadlines
-from brackenusher.discovery import Broken, read_listing
-from brackenusher.figures import Figures
-from brackenusher.loop import READ, Coroutine, Loop, clock
-from brackenusher.operator import Operator, doubts
-from brackenusher.outlet import Outlet
-from brackenusher.pool import Pool
-from brackenusher.transaction import Observers, Transactions
-from brackenusher.upstream import Upstream
-from brackenusher.virtual_server import Front
+from brackenusher.config.operators import Operator, doubts
+from brackenusher.config.platform import Config, ConfigError
+from brackenusher.core.deadlines import Deadlines
+from brackenusher.core.transaction import Observers, Transactions
+from brackenusher.fronts.http1.clients import OVERFLOW, Clients
+from brackenusher.fronts.http1.virtual_server import Front
+from brackenusher.membership.agent import Agent
+from brackenusher.membership.discovery import Broken, read_listing
+from brackenusher.records.capture import Capture
+from brackenusher.records.figures import Figures
+from brackenusher.runtime.buffers import Buffers
+from brackenusher.runtime.loop import READ, Coroutine, Loop, clock
+from brackenusher.runtime.outlet import Outlet
+from brackenusher.upstream.connections import Upstream
+from brackenusher.upstream.pool import Pool
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/brackenusher/fronts/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 toward clients."""
--- a/brackenusher/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -4,13 +4,13 @@
 import socket
 from collections.abc import Generator
 
-from brackenusher.buffers import Buffers
-from brackenusher.config import Address
-from brackenusher.driver import SHORTAGE, write
-from brackenusher.loop import HANGUP, READ, WRITE, Coroutine, Loop, Task, clock
-from brackenusher.pool import Pool
-from brackenusher.transaction import Answer, Refused, Transaction, Transactions
-from brackenusher.virtual_server import Front, Rejection, Request, VirtualServer
+from brackenusher.config.platform import Address
+from brackenusher.core.transaction import Answer, Refused, Transaction, Transactions
+from brackenusher.fronts.http1.virtual_server import Front, Rejection, Request, VirtualServer
+from brackenusher.runtime.buffers import Buffers
+from brackenusher.runtime.driver import SHORTAGE, write
+from brackenusher.runtime.loop import HANGUP, READ, WRITE, Coroutine, Loop, Task, clock
+from brackenusher.upstream.pool import Pool
 
 log = logging.getLogger(__name__)
 
--- a/brackenusher/virtual_server.py
+++ b/brackenusher/fronts/http1/virtual_server.py
@@ -14,8 +14,8 @@
 from barleybarrow import tokens
 from barleybarrow.door import LONGEST_KEY, Door
 from barleybarrow.interface import Effect
-from brackenusher.flow import LONGEST_BODY, LONGEST_HEAD, Message, Spoilt
-from brackenusher.transaction import Answer, Refused, Served
+from brackenusher.core.transaction import Answer, Refused, Served
+from brackenusher.upstream.flow import LONGEST_BODY, LONGEST_HEAD, Message, Spoilt
 
 MOST_AHEAD = 16  # requests that a client may send ahead of the answer it waits for
 READY = b"/health/ready"
--- /dev/null
+++ b/brackenusher/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Where members come from."""
--- a/brackenusher/agent.py
+++ b/brackenusher/membership/agent.py
@@ -6,13 +6,13 @@
 from functools import partial
 
 from barleybarrow import interface as face
-from brackenusher.buffers import Buffers
-from brackenusher.config import Address
-from brackenusher.discovery import Broken, Discovery
-from brackenusher.driver import open_socket, write
-from brackenusher.loop import READ, WRITE, Coroutine, Loop, clock
-from brackenusher.pool import Pool
-from brackenusher.transaction import Transactions
+from brackenusher.config.platform import Address
+from brackenusher.core.transaction import Transactions
+from brackenusher.membership.discovery import Broken, Discovery
+from brackenusher.runtime.buffers import Buffers
+from brackenusher.runtime.driver import open_socket, write
+from brackenusher.runtime.loop import READ, WRITE, Coroutine, Loop, clock
+from brackenusher.upstream.pool import Pool
 
 log = logging.getLogger(__name__)
 
--- a/brackenusher/discovery.py
+++ b/brackenusher/membership/discovery.py
@@ -7,7 +7,7 @@
 import h11
 import ujson
 
-from brackenusher.config import Address, ConfigError, read_address
+from brackenusher.config.platform import Address, ConfigError, read_address
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/brackenusher/records/__init__.py
@@ -0,0 +1,1 @@
+"""What looks on and changes nothing: capture, its replay, figures."""
--- a/brackenusher/capture.py
+++ b/brackenusher/records/capture.py
@@ -19,11 +19,11 @@
 from barleybarrow import brain
 from barleybarrow import interface as face
 from brackenusher import __version__
-from brackenusher.config import Config
-from brackenusher.flow import Message
-from brackenusher.outlet import Outlet, to_stderr, write_whole
-from brackenusher.transaction import Answer, Failed, Refused, Served, Transaction
-from brackenusher.virtual_server import Request
+from brackenusher.config.platform import Config
+from brackenusher.core.transaction import Answer, Failed, Refused, Served, Transaction
+from brackenusher.fronts.http1.virtual_server import Request
+from brackenusher.runtime.outlet import Outlet, to_stderr, write_whole
+from brackenusher.upstream.flow import Message
 
 ROOM = 256 * 1024  # bytes that wait to be written
 MOST_OPEN = 1000  # requests whose line is not finished
--- a/brackenusher/figures.py
+++ b/brackenusher/records/figures.py
@@ -11,12 +11,12 @@
 from dataclasses import dataclass
 
 from barleybarrow import interface as face
-from brackenusher.config import Address
-from brackenusher.deadlines import Deadlines
-from brackenusher.driver import open_datagrams
-from brackenusher.outlet import Channel, Outlet, to_stderr, write_whole
-from brackenusher.transaction import Answer, Refused, Served, Transaction
-from brackenusher.virtual_server import Request
+from brackenusher.config.platform import Address
+from brackenusher.core.deadlines import Deadlines
+from brackenusher.core.transaction import Answer, Refused, Served, Transaction
+from brackenusher.fronts.http1.virtual_server import Request
+from brackenusher.runtime.driver import open_datagrams
+from brackenusher.runtime.outlet import Channel, Outlet, to_stderr, write_whole
 
 ROOM = 96 * 1024  # bytes that wait to be written
 LONGEST_NAME = 64  # of a tag's value
--- a/brackenusher/replay.py
+++ b/brackenusher/records/replay.py
@@ -20,9 +20,9 @@
 from barleybarrow.brain import Balancer
 from barleybarrow.door import Door, DoorSettings
 from barleybarrow.settings import read_settings
-from brackenusher.capture import FORM, HEAD, HEALTH, module_digest
-from brackenusher.config import ConfigError
-from brackenusher.operator import Operator
+from brackenusher.config.operators import Operator
+from brackenusher.config.platform import ConfigError
+from brackenusher.records.capture import FORM, HEAD, HEALTH, module_digest
 
 LINE = re.compile(
     r"(?P<words>list -?\d+ \S+ \S+|\S+ \S+ \S+ k=\S+ \S+ \S+ \S+ \S+)(?P<pairs>(?: [a-z]+=\S*)*) n=\d+$"
--- /dev/null
+++ b/brackenusher/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Loop, buffers, sockets and the way out for lines."""
--- a/brackenusher/driver.py
+++ b/brackenusher/runtime/driver.py
@@ -3,7 +3,7 @@
 import errno
 import socket
 
-from brackenusher.config import Address
+from brackenusher.config.platform import Address
 
 SHORTAGE = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
--- a/brackenusher/loop.py
+++ b/brackenusher/runtime/loop.py
@@ -11,7 +11,7 @@
 from collections import deque
 from collections.abc import Generator
 
-from brackenusher.deadlines import Deadlines
+from brackenusher.core.deadlines import Deadlines
 
 log = logging.getLogger(__name__)
 
--- a/brackenusher/outlet.py
+++ b/brackenusher/runtime/outlet.py
@@ -11,7 +11,7 @@
 import threading
 from collections.abc import Callable
 
-from brackenusher.deadlines import Deadlines
+from brackenusher.core.deadlines import Deadlines
 
 PIECE = 4096  # a pipe takes so much in one go or not at all: no line is cut, or mixed with somebody else's
 BATCH = 32 * 1024  # handed over at once
--- /dev/null
+++ b/brackenusher/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Toward pool members: the pool, connections, server-side flows."""
--- a/brackenusher/upstream.py
+++ b/brackenusher/upstream/connections.py
@@ -8,12 +8,12 @@
 from barleybarrow import interface as face
 from barleybarrow.interface import Outcome
 from barleybarrow.settings import REPORTS
-from brackenusher.buffers import Buffers
-from brackenusher.driver import SHORTAGE, open_socket, write
-from brackenusher.flow import Flow, Message, Reply
-from brackenusher.loop import READ, WRITE, Coroutine, Loop, clock
-from brackenusher.pool import Member, Pool
-from brackenusher.transaction import Attempt, Served, Transactions
+from brackenusher.core.transaction import Attempt, Served, Transactions
+from brackenusher.runtime.buffers import Buffers
+from brackenusher.runtime.driver import SHORTAGE, open_socket, write
+from brackenusher.runtime.loop import READ, WRITE, Coroutine, Loop, clock
+from brackenusher.upstream.flow import Flow, Message, Reply
+from brackenusher.upstream.pool import Member, Pool
 
 log = logging.getLogger(__name__)
 
--- a/brackenusher/flow.py
+++ b/brackenusher/upstream/flow.py
@@ -6,7 +6,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from barleybarrow.interface import Outcome
-from brackenusher.transaction import Served
+from brackenusher.core.transaction import Served
 
 LONGEST_BODY = 64 * 1024
 LONGEST_HEAD = 16 * 1024
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -25,15 +25,15 @@
 from barleybarrow import interface as face
 from barleybarrow.interface import ListScope, Outcome, State
 from barleybarrow.settings import read_settings
-from brackenusher.capture import Capture, CaptureSettings, Ring
-from brackenusher.config import Config
-from brackenusher.deadlines import Deadlines
-from brackenusher.flow import Message
-from brackenusher.operator import read_operator
-from brackenusher.outlet import Outlet
-from brackenusher.replay import LINE
-from brackenusher.transaction import Refused, Served, Transaction
-from brackenusher.virtual_server import Request
+from brackenusher.config.operators import read_operator
+from brackenusher.config.platform import Config
+from brackenusher.core.deadlines import Deadlines
+from brackenusher.core.transaction import Refused, Served, Transaction
+from brackenusher.fronts.http1.virtual_server import Request
+from brackenusher.records.capture import Capture, CaptureSettings, Ring
+from brackenusher.records.replay import LINE
+from brackenusher.runtime.outlet import Outlet
+from brackenusher.upstream.flow import Message
 
 CONFIG = Config("n0", ("", 0), ("", 0), 255, 256, {}, read_settings(SETTINGS), SETTINGS)
 ON = "capture.enabled = true\n"
@@ -165,7 +165,7 @@
 def test_memory_stays_under_1_mb_while_nothing_is_read_and_much_is_open(monkeypatch):
     # guards against what waits for a reader, for an answer or for the next request growing without end
     stuck = threading.Event()
-    monkeypatch.setattr("brackenusher.capture.to_stderr", lambda pieces: stuck.wait(WAIT))
+    monkeypatch.setattr("brackenusher.records.capture.to_stderr", lambda pieces: stuck.wait(WAIT))
     world, others = World(), World()  # what is held of a transaction is its owner's
     for n in range(6000):
         others.arrive(n)
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -10,14 +10,14 @@
 from helpers import SETTINGS, Program, TurnServer, read_request, submit_request, until
 
 from barleybarrow.settings import read_settings
-from brackenusher.config import ConfigError
-from brackenusher.deadlines import Deadlines
-from brackenusher.figures import Appended, Figures, FiguresSettings
-from brackenusher.flow import Message
-from brackenusher.operator import read_operator
-from brackenusher.outlet import Outlet
-from brackenusher.transaction import Refused, Served, Transaction
-from brackenusher.virtual_server import Request
+from brackenusher.config.operators import read_operator
+from brackenusher.config.platform import ConfigError
+from brackenusher.core.deadlines import Deadlines
+from brackenusher.core.transaction import Refused, Served, Transaction
+from brackenusher.fronts.http1.virtual_server import Request
+from brackenusher.records.figures import Appended, Figures, FiguresSettings
+from brackenusher.runtime.outlet import Outlet
+from brackenusher.upstream.flow import Message
 
 CONF = read_settings(
     SETTINGS | {"tenants": [{"name": name} for name in ("kente-wars", "harmattan", "a b,c=d|e\\")]}
@@ -110,7 +110,7 @@
 def test_memory_stays_under_256_kb_while_nothing_is_read(monkeypatch):
     # guards against timers that pile up behind a reader who is stuck
     stuck = threading.Event()
-    monkeypatch.setattr("brackenusher.figures.to_stderr", lambda pieces: stuck.wait(20.0))
+    monkeypatch.setattr("brackenusher.records.figures.to_stderr", lambda pieces: stuck.wait(20.0))
     tracemalloc.start()
     try:
         world = World(batch_bytes=32_768)
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -8,13 +8,13 @@
 
 from barleybarrow.interface import ListScope, Outcome, State
 from barleybarrow.settings import read_settings
-from brackenusher.buffers import Buffers
-from brackenusher.deadlines import Deadlines
-from brackenusher.discovery import Broken, Discovery, read_listing
-from brackenusher.flow import Content, Flow, Message
-from brackenusher.pool import Pool
-from brackenusher.transaction import Failed, Refused, Served
-from brackenusher.virtual_server import Front, Request, VirtualServer
+from brackenusher.core.deadlines import Deadlines
+from brackenusher.core.transaction import Failed, Refused, Served
+from brackenusher.fronts.http1.virtual_server import Front, Request, VirtualServer
+from brackenusher.membership.discovery import Broken, Discovery, read_listing
+from brackenusher.runtime.buffers import Buffers
+from brackenusher.upstream.flow import Content, Flow, Message
+from brackenusher.upstream.pool import Pool
 
 CONF = read_settings(SETTINGS)
 READ = Message(b"GET", b"/board-read?k=1", [(b"host", b"x"), (b"req-id", b"1"), (b"req-deadline", b"1400m")])
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -6,8 +6,8 @@
 from helpers import Program, TurnServer, command, read_request, submit_request, write_config
 
 from barleybarrow.tokens import NoToken, TokenSettings, issue, sign, verdict
-from brackenusher.config import ConfigError
-from brackenusher.operator import load_operator, read_operator
+from brackenusher.config.operators import load_operator, read_operator
+from brackenusher.config.platform import ConfigError
 
 KEYS = TokenSettings({"k1": b"old" * 8, "k2": b"new" * 8}, 30.0)
 NOW = 1767225600
--- a/tests/test_transaction.py
+++ b/tests/test_transaction.py
@@ -8,8 +8,8 @@
 from barleybarrow import interface as face
 from barleybarrow.brain import Balancer
 from barleybarrow.interface import ListScope, Outcome, State
-from brackenusher.deadlines import Deadlines
-from brackenusher.transaction import RESERVE, Failed, Refused, Served, Transactions
+from brackenusher.core.deadlines import Deadlines
+from brackenusher.core.transaction import RESERVE, Failed, Refused, Served, Transactions
 
 
 class Carrier:
