Dependencies point down only, held by a test that reads the imports

Since the move into packages runtime imported core and config, config imported records, upstream imported membership, and records imported a front. What both sides share now stands on the lower floor:

- runtime/timers.py: the protocol of what keeps time limits, for loop, outlet and drivers.
- Address: runtime/driver.py.
CaptureSettings, FiguresSettings: config/operators.py, which reads them.
- Host, Listing: upstream/listing.py, as every source of members brings them to the pool.
- Message, Content: core/message.py; Request: core/admission.py, as what looks on needs them of every front.

tests/test_layers.py parses the imports of all packages, knows that barleybarrow imports nothing of the daemon, no socket and no clock, that core knows no protocol, that fronts do not import each other, and that nothing imports testbed or benchmarks. It is shown nine breaches and must find each.

--- a/brackenusher/config/operators.py
+++ b/brackenusher/config/operators.py
@@ -10,13 +10,31 @@
 from barleybarrow import interface as face
 from barleybarrow.door import DoorSettings, Limit
 from barleybarrow.tokens import KID, TokenSettings
-from brackenusher.config.platform import Address, ConfigError, read_address
-from brackenusher.records.capture import CaptureSettings
-from brackenusher.records.figures import FiguresSettings
+from brackenusher.config.platform import ConfigError, read_address
+from brackenusher.runtime.driver import Address
 
 LEAST_KEY = 16  # bytes; a shorter one is used, but named
 
 
+@dataclass(frozen=True)
+class CaptureSettings:
+    """Where the records go: without a folder, to standard error."""
+
+    folder: str | None = None
+    files: int = 8
+    file_kb: int = 512
+
+
+@dataclass(frozen=True)
+class FiguresSettings:
+    """What is sent where; the target is an address, a path, or None for standard error."""
+
+    influx: bool = False
+    target: Address | str | None = None
+    flush_ms: int = 1000
+    batch_bytes: int = 1400
+
+
 @dataclass(frozen=True)
 class Operator:
     """The features that are on; None for one that is off."""
--- a/brackenusher/config/platform.py
+++ b/brackenusher/config/platform.py
@@ -9,8 +9,8 @@
 
 from barleybarrow import interface as face
 from barleybarrow.settings import read_settings
+from brackenusher.runtime.driver import Address
 
-Address = tuple[str, int]
 LEAST_SOCKETS = 64
 
 
--- a/brackenusher/core/deadlines.py
+++ b/brackenusher/core/deadlines.py
@@ -5,9 +5,9 @@
 
 from sortedcontainers import SortedList
 
-log = logging.getLogger(__name__)
+from brackenusher.runtime.timers import Entry
 
-Entry = tuple[float, int, Callable[[], None]]
+log = logging.getLogger(__name__)
 
 
 class Deadlines:
--- a/brackenusher/core/transaction.py
+++ b/brackenusher/core/transaction.py
@@ -14,7 +14,8 @@
 from barleybarrow import interface as face
 from barleybarrow.brain import Balancer
 from barleybarrow.interface import Outcome
-from brackenusher.core.deadlines import Deadlines, Entry
+from brackenusher.core.deadlines import Deadlines
+from brackenusher.runtime.timers import Entry
 
 log = logging.getLogger(__name__)
 
--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -4,11 +4,11 @@
 import socket
 from collections.abc import Generator
 
-from brackenusher.config.platform import Address
+from brackenusher.core.admission import Request
 from brackenusher.core.transaction import Answer, Refused, Transaction, Transactions
-from brackenusher.fronts.http1.virtual_server import Front, Rejection, Request, VirtualServer
+from brackenusher.fronts.http1.virtual_server import Front, Rejection, VirtualServer
 from brackenusher.runtime.buffers import Buffers
-from brackenusher.runtime.driver import SHORTAGE, write
+from brackenusher.runtime.driver import SHORTAGE, Address, write
 from brackenusher.runtime.loop import HANGUP, READ, WRITE, Coroutine, Loop, Task, clock
 from brackenusher.upstream.pool import Pool
 
--- a/brackenusher/fronts/http1/virtual_server.py
+++ b/brackenusher/fronts/http1/virtual_server.py
@@ -14,8 +14,10 @@
 from barleybarrow import tokens
 from barleybarrow.door import LONGEST_KEY, Door
 from barleybarrow.interface import Effect
+from brackenusher.core.admission import Request
+from brackenusher.core.message import LONGEST_BODY, Message
 from brackenusher.core.transaction import Answer, Refused, Served
-from brackenusher.upstream.flow import LONGEST_BODY, LONGEST_HEAD, Message, Spoilt
+from brackenusher.upstream.flow import LONGEST_HEAD, Spoilt
 
 MOST_AHEAD = 16  # requests that a client may send ahead of the answer it waits for
 READY = b"/health/ready"
@@ -55,18 +57,6 @@
 }
 
 
-@dataclass(slots=True)
-class Request:
-    """A request that may be taken."""
-
-    name: bytes
-    klass: int
-    span: float
-    tenant: int
-    repeated: bool
-    message: Message
-
-
 @dataclass(slots=True)
 class Rejection:
     """An answer that needs no decision; `fatal` where the rest of the stream cannot be read."""
--- a/brackenusher/membership/agent.py
+++ b/brackenusher/membership/agent.py
@@ -6,11 +6,10 @@
 from functools import partial
 
 from barleybarrow import interface as face
-from brackenusher.config.platform import Address
 from brackenusher.core.transaction import Transactions
 from brackenusher.membership.discovery import Broken, Discovery
 from brackenusher.runtime.buffers import Buffers
-from brackenusher.runtime.driver import open_socket, write
+from brackenusher.runtime.driver import Address, open_socket, write
 from brackenusher.runtime.loop import READ, WRITE, Coroutine, Loop, clock
 from brackenusher.upstream.pool import Pool
 
--- a/brackenusher/membership/discovery.py
+++ b/brackenusher/membership/discovery.py
@@ -1,13 +1,13 @@
 """Discovery's side: reads lists, and speaks to the agent as a state machine that is fed bytes."""
 
 import logging
-from dataclasses import dataclass
 from typing import Any
 
 import h11
 import ujson
 
-from brackenusher.config.platform import Address, ConfigError, read_address
+from brackenusher.config.platform import ConfigError, read_address
+from brackenusher.upstream.listing import Host, Listing
 
 log = logging.getLogger(__name__)
 
@@ -19,28 +19,6 @@
     """Discovery's answer cannot be used; the connection is of no further use."""
 
 
-@dataclass(slots=True)
-class Host:
-    """One entry of a list."""
-
-    name: str
-    address: Address
-    zone: str
-    kind: str
-    cell: int
-    health: str
-    born_ms: float
-
-
-@dataclass(slots=True)
-class Listing:
-    """A version of the list, or what changed since the one before."""
-
-    seq: int
-    whole: bool
-    hosts: list[Host]
-
-
 def read_host(entry: dict[str, Any]) -> Host:
     return Host(
         name=str(entry["host"]),
--- a/brackenusher/records/capture.py
+++ b/brackenusher/records/capture.py
@@ -10,7 +10,6 @@
 import re
 from collections import deque
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 from pathlib import Path
 from urllib.parse import quote
 
@@ -19,11 +18,12 @@
 from barleybarrow import brain
 from barleybarrow import interface as face
 from brackenusher import __version__
+from brackenusher.config.operators import CaptureSettings
 from brackenusher.config.platform import Config
+from brackenusher.core.admission import Request
+from brackenusher.core.message import Message
 from brackenusher.core.transaction import Answer, Failed, Refused, Served, Transaction
-from brackenusher.fronts.http1.virtual_server import Request
 from brackenusher.runtime.outlet import Outlet, to_stderr, write_whole
-from brackenusher.upstream.flow import Message
 
 ROOM = 256 * 1024  # bytes that wait to be written
 MOST_OPEN = 1000  # requests whose line is not finished
@@ -41,15 +41,6 @@
 FORM = 1  # of the lines; another form gets another number
 
 
-@dataclass(frozen=True)
-class CaptureSettings:
-    """Where the records go: without a folder, to standard error."""
-
-    folder: str | None = None
-    files: int = 8
-    file_kb: int = 512
-
-
 def escape(text: bytes | None, safe: str = "") -> str:
     """Words of a client that can neither end a line nor pass for another one, cut at 64 bytes; - for none."""
     if not text:
--- a/brackenusher/records/figures.py
+++ b/brackenusher/records/figures.py
@@ -8,14 +8,13 @@
 import socket
 from collections import Counter
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 
 from barleybarrow import interface as face
-from brackenusher.config.platform import Address
+from brackenusher.config.operators import FiguresSettings
+from brackenusher.core.admission import Request
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.core.transaction import Answer, Refused, Served, Transaction
-from brackenusher.fronts.http1.virtual_server import Request
-from brackenusher.runtime.driver import open_datagrams
+from brackenusher.runtime.driver import Address, open_datagrams
 from brackenusher.runtime.outlet import Channel, Outlet, to_stderr, write_whole
 
 ROOM = 96 * 1024  # bytes that wait to be written
@@ -24,16 +23,6 @@
 Tags = tuple[int, int]  # positions of class and tenant
 
 
-@dataclass(frozen=True)
-class FiguresSettings:
-    """What is sent where; the target is an address, a path, or None for standard error."""
-
-    influx: bool = False
-    target: Address | str | None = None
-    flush_ms: int = 1000
-    batch_bytes: int = 1400
-
-
 class Statsd:
     """Lines as statsd reads them, with tags."""
 
--- a/brackenusher/runtime/driver.py
+++ b/brackenusher/runtime/driver.py
@@ -3,8 +3,7 @@
 import errno
 import socket
 
-from brackenusher.config.platform import Address
-
+Address = tuple[str, int]  # an IP address or a host's name, and a port
 SHORTAGE = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
--- a/brackenusher/runtime/loop.py
+++ b/brackenusher/runtime/loop.py
@@ -11,7 +11,7 @@
 from collections import deque
 from collections.abc import Generator
 
-from brackenusher.core.deadlines import Deadlines
+from brackenusher.runtime.timers import Timers
 
 log = logging.getLogger(__name__)
 
@@ -54,7 +54,7 @@
 class Loop:
     """Runs the tasks and sweeps the deadlines, turn by turn."""
 
-    def __init__(self, deadlines: Deadlines) -> None:
+    def __init__(self, deadlines: Timers) -> None:
         self.epoll = select.epoll()
         self.deadlines = deadlines
         self.tasks: dict[int, Task] = {}
--- a/brackenusher/runtime/outlet.py
+++ b/brackenusher/runtime/outlet.py
@@ -11,7 +11,7 @@
 import threading
 from collections.abc import Callable
 
-from brackenusher.core.deadlines import Deadlines
+from brackenusher.runtime.timers import Timers
 
 PIECE = 4096  # a pipe takes so much in one go or not at all: no line is cut, or mixed with somebody else's
 BATCH = 32 * 1024  # handed over at once
@@ -84,7 +84,7 @@
 class Outlet:
     """Serves standard error and files with one daemon thread."""
 
-    def __init__(self, deadlines: Deadlines, clock: Callable[[], float]) -> None:
+    def __init__(self, deadlines: Timers, clock: Callable[[], float]) -> None:
         self.deadlines, self.clock = deadlines, clock
         self.queue: queue.SimpleQueue = queue.SimpleQueue()
         self.channels: list[Channel] = []
--- a/brackenusher/upstream/connections.py
+++ b/brackenusher/upstream/connections.py
@@ -8,11 +8,12 @@
 from barleybarrow import interface as face
 from barleybarrow.interface import Outcome
 from barleybarrow.settings import REPORTS
+from brackenusher.core.message import Message
 from brackenusher.core.transaction import Attempt, Served, Transactions
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import SHORTAGE, open_socket, write
 from brackenusher.runtime.loop import READ, WRITE, Coroutine, Loop, clock
-from brackenusher.upstream.flow import Flow, Message, Reply
+from brackenusher.upstream.flow import Flow, Reply
 from brackenusher.upstream.pool import Member, Pool
 
 log = logging.getLogger(__name__)
--- a/brackenusher/upstream/flow.py
+++ b/brackenusher/upstream/flow.py
@@ -1,14 +1,13 @@
 """The server-side flow on the wire: one attempt after another on a connection to a pool member."""
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from barleybarrow.interface import Outcome
+from brackenusher.core.message import LONGEST_BODY, Content, Message
 from brackenusher.core.transaction import Served
 
-LONGEST_BODY = 64 * 1024
 LONGEST_HEAD = 16 * 1024
 MOST_INTERIM = 16  # answers of the kind 1xx ahead of the final one
 HOP_BY_HOP = frozenset(
@@ -27,27 +26,6 @@
 )
 
 
-@dataclass(slots=True)
-class Message:
-    """A request as it is passed on; names of headers are in lower case."""
-
-    method: bytes
-    target: bytes
-    headers: Sequence[tuple[bytes, bytes]] = ()
-    body: bytes = b""
-    owner: bytes | None = None  # Req-Owner and Req-Deadline, as the client worded them
-    deadline: bytes | None = None
-    charged: tuple[str, float] | None = None  # to whose bucket at the door, and when
-
-
-@dataclass(slots=True)
-class Content:
-    """What a pool member answered."""
-
-    body: bytes
-    kind: bytes | None = None
-
-
 @dataclass(slots=True)
 class Reply:
     """What an attempt came to."""
--- a/brackenusher/upstream/pool.py
+++ b/brackenusher/upstream/pool.py
@@ -5,8 +5,8 @@
 from typing import Protocol
 
 from barleybarrow import interface as face
-from brackenusher.config.platform import Address
-from brackenusher.membership.discovery import Host, Listing
+from brackenusher.runtime.driver import Address
+from brackenusher.upstream.listing import Host, Listing
 
 STATES = {"ready": face.State.LIVE, "draining": face.State.DRAINING, "gone": face.State.GONE}
 
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -25,15 +25,15 @@
 from barleybarrow import interface as face
 from barleybarrow.interface import ListScope, Outcome, State
 from barleybarrow.settings import read_settings
-from brackenusher.config.operators import read_operator
+from brackenusher.config.operators import CaptureSettings, read_operator
 from brackenusher.config.platform import Config
+from brackenusher.core.admission import Request
 from brackenusher.core.deadlines import Deadlines
+from brackenusher.core.message import Message
 from brackenusher.core.transaction import Refused, Served, Transaction
-from brackenusher.fronts.http1.virtual_server import Request
-from brackenusher.records.capture import Capture, CaptureSettings, Ring
+from brackenusher.records.capture import Capture, Ring
 from brackenusher.records.replay import LINE
 from brackenusher.runtime.outlet import Outlet
-from brackenusher.upstream.flow import Message
 
 CONFIG = Config("n0", ("", 0), ("", 0), 255, 256, {}, read_settings(SETTINGS), SETTINGS)
 ON = "capture.enabled = true\n"
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -10,14 +10,14 @@
 from helpers import SETTINGS, Program, TurnServer, read_request, submit_request, until
 
 from barleybarrow.settings import read_settings
-from brackenusher.config.operators import read_operator
+from brackenusher.config.operators import FiguresSettings, read_operator
 from brackenusher.config.platform import ConfigError
+from brackenusher.core.admission import Request
 from brackenusher.core.deadlines import Deadlines
+from brackenusher.core.message import Message
 from brackenusher.core.transaction import Refused, Served, Transaction
-from brackenusher.fronts.http1.virtual_server import Request
-from brackenusher.records.figures import Appended, Figures, FiguresSettings
+from brackenusher.records.figures import Appended, Figures
 from brackenusher.runtime.outlet import Outlet
-from brackenusher.upstream.flow import Message
 
 CONF = read_settings(
     SETTINGS | {"tenants": [{"name": name} for name in ("kente-wars", "harmattan", "a b,c=d|e\\")]}
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,99 @@
+"""Imports point down only: read from the sources, be they at the top of a module or inside a function."""
+
+import ast
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+# the lowest first; what stands on top of all is cli and daemon, which start and put together
+FLOORS = ["runtime", "config", "core", "upstream", "membership", "records", "fronts"]
+TOPS = {"__main__", "cli", "daemon"}
+APART = {"testbed", "benchmarks"}  # may import anything, and nothing imports them
+DECISIONS_NEVER = {"socket", "select", "selectors", "ssl", "asyncio", "threading", "time", "datetime"}
+PROTOCOLS = {"socket", "select", "selectors", "ssl", "asyncio", "httptools", "h11", "h2", "grpc"}
+
+
+def imports(text: str, package: str) -> Iterator[str]:
+    """The dotted names that a module in a package imports, each as far as it may be a module."""
+    for node in ast.walk(ast.parse(text)):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            base = package.split(".")[: len(package.split(".")) - node.level + 1] if node.level else []
+            name = ".".join([*base, *([node.module] if node.module else [])])
+            yield from (f"{name}.{alias.name}" for alias in node.names)
+
+
+def breach(module: str, name: str) -> str:
+    """Why a module must not import a name; empty where it may."""
+    top, *parts = name.split(".")
+    own = module.split(".")
+    if top in APART and own[0] not in APART:
+        return f"{top} is never imported"
+    if own[0] == "barleybarrow":
+        if top == "brackenusher" or top in DECISIONS_NEVER:
+            return "decisions know neither the daemon nor sockets nor the time"
+    if own[0] != "brackenusher" or len(own) < 2 or own[1] in TOPS:
+        return ""
+    if own[1] == "core" and top in PROTOCOLS:
+        return "the core knows no protocol and no socket"
+    if top != "brackenusher" or parts in ([], ["__version__"]):
+        return ""
+    if parts[0] not in FLOORS or FLOORS.index(parts[0]) > FLOORS.index(own[1]):
+        return f"{own[1]} stands below {parts[0]}"
+    if own[1] == parts[0] == "fronts" and own[2:3] != parts[1:2]:
+        if (ROOT / "brackenusher" / "fronts" / parts[1]).is_dir():
+            return "fronts share the modules that stand beside them, not each other's"
+    return ""
+
+
+def breaches(module: str, text: str, package: str) -> list[str]:
+    found = ((name, breach(module, name)) for name in imports(text, package))
+    return [f"{module} imports {name}: {why}" for name, why in found if why]
+
+
+def test_no_module_imports_one_from_a_floor_above():
+    seen, found = set(), []
+    for folder in ("barleybarrow", "brackenusher", "testbed", "benchmarks"):
+        for path in sorted((ROOT / folder).rglob("*.py")):
+            parts = path.relative_to(ROOT).with_suffix("").parts
+            module = ".".join(parts).removesuffix(".__init__")
+            seen.add(".".join(module.split(".")[:2]))
+            found += breaches(module, path.read_text(encoding="utf-8"), ".".join(parts[:-1]))
+    assert not found, "\n".join(found)
+    assert {f"brackenusher.{floor}" for floor in FLOORS} <= seen  # a floor renamed is no longer looked at
+    assert "barleybarrow.brain" in seen
+
+
+@pytest.mark.parametrize(
+    ("module", "text"),
+    [
+        ("brackenusher.core.x", "from brackenusher.upstream.pool import Pool"),
+        ("brackenusher.core.x", "from brackenusher import daemon"),
+        ("brackenusher.core.x", "def f():\n    import socket"),
+        ("brackenusher.runtime.x", "import brackenusher.core.deadlines"),
+        ("brackenusher.records.x", "from ..fronts.http1 import clients"),
+        ("brackenusher.fronts.rpc.x", "from brackenusher.fronts.http1.clients import Clients"),
+        ("brackenusher.fronts.x", "import testbed"),
+        ("barleybarrow.x", "from time import monotonic"),
+        ("barleybarrow.x", "import brackenusher"),
+    ],
+)
+def test_the_checker_notices(module, text):
+    # guards against a checker that has gone blind: each of these is a breach
+    assert len(breaches(module, text, module.rpartition(".")[0])) == 1
+
+
+@pytest.mark.parametrize(
+    ("module", "text"),
+    [
+        ("brackenusher.fronts.http1.x", "from brackenusher.fronts.http import Front"),
+        ("brackenusher.fronts.http1.x", "from . import virtual_server"),
+        ("brackenusher.daemon", "from brackenusher.fronts.http1.clients import Clients"),
+        ("testbed.x", "import time\nfrom brackenusher.core import transaction"),
+    ],
+)
+def test_the_checker_lets_pass(module, text):
+    assert breaches(module, text, module.rpartition(".")[0]) == []
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -8,12 +8,14 @@
 
 from barleybarrow.interface import ListScope, Outcome, State
 from barleybarrow.settings import read_settings
+from brackenusher.core.admission import Request
 from brackenusher.core.deadlines import Deadlines
+from brackenusher.core.message import Content, Message
 from brackenusher.core.transaction import Failed, Refused, Served
-from brackenusher.fronts.http1.virtual_server import Front, Request, VirtualServer
+from brackenusher.fronts.http1.virtual_server import Front, VirtualServer
 from brackenusher.membership.discovery import Broken, Discovery, read_listing
 from brackenusher.runtime.buffers import Buffers
-from brackenusher.upstream.flow import Content, Flow, Message
+from brackenusher.upstream.flow import Flow
 from brackenusher.upstream.pool import Pool
 
 CONF = read_settings(SETTINGS)
