Admission is a step of its own between any front and the transactions

Tokens and the door sat in HTTP's Front, the share of descriptors and the open ids in the clients' driver: a second front would have had to do all of it again, and a request climbed up and down between them three times.

- core/admission.py: a front fills a Request (name, class, span, tenant, repeated, message, token, address, beyond its share) and calls Admission.admit, which gives back a Transaction or a Verdict (room, token, door, id).
No status stands there.
What looks on hears the same words in the same order as before.
- fronts/http.py: what HTTP means here in any version: path to class, methods, Req-* fields, keys, what must not be there twice, readiness; statuses, reasons, the wording of verdicts and final answers. http1/virtual_server.py is the wire alone.
The headers by name are made once a request, no longer twice.
- Fronts know Admission only (admit, left), no longer Transactions.

--- a/brackenusher/core/admission.py
+++ b/brackenusher/core/admission.py
@@ -1,17 +1,121 @@
-"""Admission: what stands between any front and the transactions."""
+"""Admission: the one step between any front and the transactions. It takes a request in, or says why not.
 
-from dataclasses import dataclass
+It knows no protocol: a front brings each request as a value and words the verdict in its own way. What is
+turned away here reaches neither the module nor a pool member.
+"""
 
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from barleybarrow import interface as face
+from barleybarrow import tokens
+from barleybarrow.door import LONGEST_KEY, Door
+from barleybarrow.interface import Effect
 from brackenusher.core.message import Message
+from brackenusher.core.transaction import Answer, Transaction, Transactions
 
 
 @dataclass(slots=True)
 class Request:
-    """A request that may be taken."""
+    """A request that may be taken, as every front brings it."""
 
-    name: bytes
-    klass: int
-    span: float
-    tenant: int
-    repeated: bool
+    name: bytes  # its id: no two that are open have the same
+    klass: int  # position of its class in the settings
+    span: float  # milliseconds that its client waits
+    tenant: int  # position in the settings, 0 where it names none
+    repeated: bool  # whether the client says that it asked before
     message: Message
+    token: bytes | None = field(default=None, repr=False)
+    address: str = ""  # the client's
+    beyond: bool = False  # on a connection beyond the proxy's share of descriptors, taken only to be refused
+
+
+class Bar(Enum):
+    """What turned a request away."""
+
+    ROOM = "room"  # the proxy's share of descriptors
+    TOKEN = "token"
+    DOOR = "door"  # the limit of its tenant or address
+    ID = "id"  # that of an open request
+
+
+@dataclass(slots=True)
+class Verdict:
+    """Why a request was not taken: for a fault of its own, or it may come again after some milliseconds."""
+
+    bar: Bar
+    why: str = ""  # its fault: `open`, or what `barleybarrow.tokens` says; empty where it has none
+    retry_after: float = 0.0
+
+    @property
+    def words(self) -> str:
+        """For those who look on: by what, how, and to what end."""
+        if self.why:
+            return f"{self.bar.value} {self.why} rejected"
+        return f"{self.bar.value} {self.retry_after:.0f} refused"
+
+
+class Admission:
+    """Lets requests in to the transactions: no token, no room or too many of them keep one out."""
+
+    def __init__(
+        self,
+        owner: Transactions,
+        settings: face.Settings,
+        door: Door | None = None,
+        token_settings: tokens.TokenSettings | None = None,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self.owner, self.door, self.tokens, self.wall = owner, door, token_settings, wall
+        self.needs = [tokens.READ if c.effect is Effect.SAFE else tokens.SUBMIT for c in settings.classes]
+        self.room_wait = settings.max_retry_after
+
+    def admit(self, request: Request, reply: Callable[[Answer], None]) -> Transaction | Verdict:
+        """Take a request, whose final answer `reply` gets once, maybe before this returns; or say why not."""
+        verdict = self.judge(request)
+        if verdict is None:
+            transaction = self.owner.arrive(
+                request.name,
+                request.klass,
+                request.span,
+                request.message,
+                reply,
+                request.tenant,
+                request.repeated,
+            )
+            if transaction is not None:
+                return transaction
+            verdict = Verdict(Bar.ID, "open")
+        self.owner.turn_away(request, verdict.words)
+        return verdict
+
+    def left(self, transaction: Transaction) -> None:
+        """The client of a request that was taken has gone."""
+        self.owner.left(transaction)
+
+    def judge(self, request: Request) -> Verdict | None:
+        """Say why a request is to be kept out, if it is.
+
+        Tokens come before the door: a forged owner must not drain a tenant's bucket.
+        """
+        if request.beyond:
+            return Verdict(Bar.ROOM, retry_after=self.room_wait)
+        if self.tokens is not None:
+            why = tokens.verdict(self.tokens, request.token, self.needs[request.klass], self.wall())
+            if why:
+                return Verdict(Bar.TOKEN, why)
+        if self.door is not None:
+            message = request.message
+            key = request.address if self.door.settings.by_address else name_of(message.owner)
+            message.charged = key, self.owner.clock()
+            wait = self.door.ask(*message.charged)
+            if wait:
+                return Verdict(Bar.DOOR, retry_after=wait)
+        return None
+
+
+def name_of(owner: bytes | None) -> str:
+    """A tenant's key at the door, as long as it counts; requests that name none share one of their own."""
+    return "" if owner is None else owner[:LONGEST_KEY].decode("latin-1")
--- a/brackenusher/core/transaction.py
+++ b/brackenusher/core/transaction.py
@@ -1,7 +1,8 @@
 """Owns every transaction: turns what happens into the module's events and carries out its actions.
 
-Nothing here knows of HTTP or sockets. A protocol brings a message that it alone can read and a way to reply;
-a carrier makes attempts, each of which comes back with one outcome. Each transaction gets one final answer.
+Nothing here knows a wire or a socket. Admission brings a message, which nobody looks into here, and a way to
+reply; a carrier makes attempts, each of which comes back with one outcome. Each transaction gets one final
+answer.
 """
 
 import logging
@@ -15,6 +16,7 @@
 from barleybarrow.brain import Balancer
 from barleybarrow.interface import Outcome
 from brackenusher.core.deadlines import Deadlines
+from brackenusher.core.message import Content, Message
 from brackenusher.runtime.timers import Entry
 
 log = logging.getLogger(__name__)
@@ -24,9 +26,9 @@
 
 @dataclass(slots=True)
 class Served:
-    """Final answer: what a pool member answered, in the protocol's own form."""
+    """Final answer: what a pool member answered."""
 
-    content: Any
+    content: Content
 
 
 @dataclass(slots=True)
@@ -50,7 +52,7 @@
 
     id: int
     name: bytes
-    message: Any
+    message: Message
     reply: Callable[[Answer], None]
     klass: int
     tenant: int
@@ -69,7 +71,7 @@
     transaction: Transaction
     number: int
     backend: str
-    message: Any
+    message: Message
     sent_at: float
     deadline: float
     ended: Callable[["Attempt", Outcome, Served | None], None]
@@ -132,7 +134,7 @@
         name: bytes,
         klass: int,
         span: float,
-        message: Any,
+        message: Message,
         reply: Callable[[Answer], None],
         tenant: int = 0,
         repeated: bool = False,
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -12,10 +12,11 @@
 from barleybarrow.door import Door
 from brackenusher.config.operators import Operator, doubts
 from brackenusher.config.platform import Config, ConfigError
+from brackenusher.core.admission import Admission
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.core.transaction import Observers, Transactions
+from brackenusher.fronts.http import Front
 from brackenusher.fronts.http1.clients import OVERFLOW, Clients
-from brackenusher.fronts.http1.virtual_server import Front
 from brackenusher.membership.agent import Agent
 from brackenusher.membership.discovery import Broken, read_listing
 from brackenusher.records.capture import Capture
@@ -54,10 +55,9 @@
         self.upstream.owner = self.transactions
         most_kept = int(config.sockets * KEPT_PART)
         door = Door(operator.door) if operator.door else None
-        front = Front(settings, door, operator.token, clock)
-        self.clients = Clients(
-            self.loop, front, self.transactions, self.pool, for_clients, most_kept, buffers
-        )
+        admission = Admission(self.transactions, settings, door, operator.token)
+        front = Front(settings, with_tokens=operator.token is not None)
+        self.clients = Clients(self.loop, front, admission, self.pool, for_clients, most_kept, buffers)
         self.agent = Agent(
             self.loop, config.discovery, self.pool, self.transactions, buffers, random.Random(config.seed)
         )
--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -4,9 +4,10 @@
 import socket
 from collections.abc import Generator
 
-from brackenusher.core.admission import Request
-from brackenusher.core.transaction import Answer, Refused, Transaction, Transactions
-from brackenusher.fronts.http1.virtual_server import Front, Rejection, VirtualServer
+from brackenusher.core.admission import Admission, Request, Verdict
+from brackenusher.core.transaction import Answer, Transaction
+from brackenusher.fronts.http import Front, Rejection, worded
+from brackenusher.fronts.http1.virtual_server import VirtualServer
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import SHORTAGE, Address, write
 from brackenusher.runtime.loop import HANGUP, READ, WRITE, Coroutine, Loop, Task, clock
@@ -31,14 +32,14 @@
         self,
         loop: Loop,
         front: Front,
-        owner: Transactions,
+        admission: Admission,
         pool: Pool,
         room: int,
         most_kept: int,
         buffers: Buffers,
     ) -> None:
-        self.loop, self.front, self.owner, self.pool, self.room = loop, front, owner, pool, room
-        self.most_kept = most_kept
+        self.loop, self.front, self.admission, self.pool = loop, front, admission, pool
+        self.room, self.most_kept = room, most_kept
         self.buffers = buffers
         self.links: set[ClientLink] = set()
         self.silent: dict[ClientLink, None] = {}  # between requests, none answered yet; the oldest first
@@ -179,7 +180,7 @@
             self.rest(None)
             self.clients.links.discard(self)
             if self.transaction is not None:
-                self.clients.owner.left(self.transaction)
+                self.clients.admission.left(self.transaction)
 
     def rest(self, between: bool | None) -> None:
         """Note that it stands between requests or that one comes in, None for neither; each has its time."""
@@ -210,27 +211,11 @@
     def serve(self, request: Request) -> Generator[int, int, bytes]:
         """Have a request answered; no bytes if the client left before."""
         clients = self.clients
-        if self.beyond:
-            wait = clients.owner.balancer.conf.max_retry_after
-            clients.owner.turn_away(request, f"room {wait:.0f} refused")
-            return self.machine.answer(Refused(wait), True)
-        rejection = clients.front.admit(request, self.address)
-        if rejection is not None:
-            clients.owner.turn_away(request, rejection.verdict)
-            return self.machine.reject(rejection, clients.stopping)
-        self.answer = None
-        self.transaction = clients.owner.arrive(
-            request.name,
-            request.klass,
-            request.span,
-            request.message,
-            self.reply,
-            request.tenant,
-            request.repeated,
-        )
-        if self.transaction is None:
-            clients.owner.turn_away(request, "id open rejected")
-            return self.machine.reject(Rejection(409, "Req-Id is that of an open request"), True)
+        request.address, request.beyond, self.answer = self.address, self.beyond, None
+        taken = clients.admission.admit(request, self.reply)
+        if isinstance(taken, Verdict):
+            return self.machine.reject(worded(taken), clients.stopping)
+        self.transaction = taken
         while self.answer is None:
             full = self.machine.full
             events = yield HANGUP if full else READ
--- a/brackenusher/fronts/http1/virtual_server.py
+++ b/brackenusher/fronts/http1/virtual_server.py
@@ -1,180 +1,22 @@
 """The virtual server: the clients' side of HTTP, one state machine for each connection."""
 
-import math
-import re
-import time
 from collections import deque
-from collections.abc import Callable, Sequence, Set
-from dataclasses import dataclass
-from urllib.parse import unquote
+from collections.abc import Callable, Sequence
+from typing import NoReturn
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
-from barleybarrow import interface as face
-from barleybarrow import tokens
-from barleybarrow.door import LONGEST_KEY, Door
-from barleybarrow.interface import Effect
 from brackenusher.core.admission import Request
 from brackenusher.core.message import LONGEST_BODY, Message
-from brackenusher.core.transaction import Answer, Refused, Served
+from brackenusher.core.transaction import Answer
+from brackenusher.fronts.http import REASONS, Fields, Front, Rejection, final
 from brackenusher.upstream.flow import LONGEST_HEAD, Spoilt
 
 MOST_AHEAD = 16  # requests that a client may send ahead of the answer it waits for
-READY = b"/health/ready"
-TOKEN = b"adw-token"
-ONCE = frozenset(  # headers that are read here or there: a second one could be read otherwise by the next
-    (
-        b"host",
-        b"content-length",
-        b"transfer-encoding",
-        b"idempotency-key",
-        b"req-id",
-        b"req-kind",
-        b"req-owner",
-        b"req-deadline",
-        b"req-retry",
-        b"req-extra",
-    )
-)
-ID = re.compile(rb"[!-~]{1,256}\Z")  # an id or a key that can be passed on
-SPAN = re.compile(rb"([0-9]{1,9}(?:\.[0-9]{1,9})?)([mu])\Z")
-REASONS = {
-    200: b"OK",
-    400: b"Bad Request",
-    401: b"Unauthorized",
-    403: b"Forbidden",
-    404: b"Not Found",
-    405: b"Method Not Allowed",
-    408: b"Request Timeout",
-    409: b"Conflict",
-    413: b"Content Too Large",
-    429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large",
-    501: b"Not Implemented",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    505: b"HTTP Version Not Supported",
-}
 
 
-@dataclass(slots=True)
-class Rejection:
-    """An answer that needs no decision; `fatal` where the rest of the stream cannot be read."""
-
-    status: int
-    text: str
-    headers: tuple[tuple[bytes, bytes], ...] = ()
-    fatal: bool = False
-    verdict: str = ""  # where it was decided on: by whom, what, and to what end
-
-
-class Front:
-    """What every connection's machine needs to know: the classes, the tenants by name, and whom to let in."""
-
-    def __init__(
-        self,
-        settings: face.Settings,
-        door: Door | None = None,
-        token_settings: tokens.TokenSettings | None = None,
-        clock: Callable[[], float] = lambda: 0.0,
-        wall: Callable[[], float] = time.time,
-    ) -> None:
-        self.door, self.tokens, self.clock, self.wall = door, token_settings, clock, wall
-        self.guarded = door is not None or token_settings is not None
-        self.once = ONCE if token_settings is None else ONCE | {TOKEN}
-        self.needs = [tokens.READ if c.effect is Effect.SAFE else tokens.SUBMIT for c in settings.classes]
-        self.classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
-        self.methods = [b"GET" if c.effect is Effect.SAFE else b"POST" for c in settings.classes]
-        self.deadlines = [c.deadline for c in settings.classes]
-        self.tenants = {name.encode(): i for i, name in enumerate(settings.tenants)}
-
-    def read(self, message: Message) -> Request | Rejection:
-        """Translate a whole request, or say what is wrong with it."""
-        path = message.target.partition(b"?")[0]
-        name = path[1:].partition(b"/")[0]
-        klass = self.classes.get(name)
-        if klass is None and b"%" in name:
-            klass = self.classes.get(unquote(name).encode())
-        if klass is None or path[:1] != b"/":
-            return Rejection(404, "no such class")
-        if message.method != self.methods[klass]:
-            return Rejection(405, "wrong method for the class", ((b"allow", self.methods[klass]),))
-        fields = dict(message.headers)  # none that counts is there twice
-        kind = fields.get(b"req-kind")
-        if kind is not None and self.classes.get(kind) != klass:
-            return Rejection(404 if kind not in self.classes else 400, "Req-Kind is not the path's class")
-        if not ID.match(fields.get(b"req-id", b"")):
-            return Rejection(400, "Req-Id is missing or cannot be passed on")
-        if self.methods[klass] == b"GET" and message.body:
-            return Rejection(400, "no body is expected")
-        if self.methods[klass] == b"POST" and not ID.match(fields.get(b"idempotency-key", b"")):
-            return Rejection(400, "Idempotency-Key is missing or cannot be passed on")
-        owner, tenant = fields.get(b"req-owner"), 0
-        message.owner, message.deadline = owner, fields.get(b"req-deadline")
-        if owner is not None and self.tenants:
-            tenant = self.tenants.get(owner, -1)
-            if tenant < 0:
-                return Rejection(400, "Req-Owner is unknown")
-        span = self.deadlines[klass]
-        if message.deadline is not None:
-            match = SPAN.match(message.deadline)
-            if match is None:
-                return Rejection(400, "Req-Deadline cannot be read")
-            span = min(span, float(match[1]) / (1.0 if match[2] == b"m" else 1000.0))
-        return Request(fields[b"req-id"], klass, span, tenant, fields.get(b"req-retry") == b"1", message)
-
-    def admit(self, request: Request, address: str) -> Rejection | None:
-        """Say why a request from an address is not let in; it reaches neither module nor pool then.
-
-        Tokens come first: a forged owner must not drain a tenant's bucket.
-        """
-        if not self.guarded:
-            return None
-        return self.check_token(request) or self.check_door(request, address)
-
-    def check_token(self, request: Request) -> Rejection | None:
-        if self.tokens is None:
-            return None
-        token = next((value for name, value in request.message.headers if name == TOKEN), None)
-        why = tokens.verdict(self.tokens, token, self.needs[request.klass], self.wall())
-        if not why:
-            return None
-        headers = ((b"adw-auth", why.encode()),)
-        verdict = f"token {why} rejected"
-        if why in (tokens.MISSING, tokens.EXPIRED):
-            headers += ((b"www-authenticate", b"Adw-Token"),)
-            return Rejection(401, "a valid token is needed", headers, verdict=verdict)
-        return Rejection(403, "the token does not allow this", headers, verdict=verdict)
-
-    def check_door(self, request: Request, address: str) -> Rejection | None:
-        if self.door is None:
-            return None
-        key = address if self.door.settings.by_address else name_of(request.message.owner)
-        request.message.charged = key, self.clock()
-        wait = self.door.ask(*request.message.charged)
-        if not wait:
-            return None
-        headers = ((b"retry-after", seconds(wait)),)
-        return Rejection(429, "over the limit", headers, verdict=f"door {wait:.0f} refused")
-
-
-def name_of(owner: bytes | None) -> str:
-    """A tenant's key at the door, as long as it counts; requests that name none share one of their own."""
-    return "" if owner is None else owner[:LONGEST_KEY].decode("latin-1")
-
-
-def seconds(wait: float) -> bytes:
-    """Milliseconds as decimal seconds, rounded up."""
-    return b"%.3f" % (math.ceil(wait) / 1000.0)
-
-
-def judge(headers: Sequence[tuple[bytes, bytes]], version: str, once: Set[bytes]) -> Rejection | None:
+def judge(seen: Fields, version: str) -> Rejection | None:
     """Say what is wrong with a head, where the rest of the stream cannot be trusted after it."""
-    seen: dict[bytes, bytes] = {}
-    for name, value in headers:
-        if name in once and name in seen:
-            return Rejection(400, f"{name.decode()} is there twice", fatal=True)
-        seen[name] = value
     if version not in ("1.0", "1.1"):
         return Rejection(505, "HTTP/1.1 is spoken here", fatal=True)
     if version == "1.1" and b"host" not in seen:
@@ -198,6 +40,7 @@
         self.items: deque[tuple[Request | Rejection, bool]] = deque()  # and whether the connection goes on
         self.coming = self.in_body = False  # a request has begun to come in; its head is whole
         self.target, self.headers, self.body, self.size = b"", [], bytearray(), 0
+        self.fields: Fields = {}  # the headers by name
         self.rejection: Rejection | None = None  # why the stream cannot be read any further
         self.goes_on = True  # whether the connection can, after what is being answered
         self.ended = self.last = False  # the client sends no more; this answer ends the connection
@@ -229,7 +72,7 @@
         if self.size > LONGEST_HEAD:
             self.spoilt(Rejection(431, "the head is too large", fatal=True))
 
-    def spoilt(self, rejection: Rejection) -> None:
+    def spoilt(self, rejection: Rejection) -> NoReturn:
         """Have the parser stop where it is."""
         self.rejection = rejection
         raise Spoilt
@@ -250,9 +93,13 @@
 
     def on_headers_complete(self) -> None:
         self.in_body = True
-        rejection = judge(self.headers, self.parser.get_http_version(), self.front.once)
+        fields = self.front.fields(self.headers)
+        if isinstance(fields, Rejection):
+            self.spoilt(fields)
+        rejection = judge(fields, self.parser.get_http_version())
         if rejection is not None:
             self.spoilt(rejection)
+        self.fields = fields
 
     def on_body(self, part: bytes) -> None:
         self.body += part
@@ -263,14 +110,7 @@
         self.coming = False
         goes_on = self.parser.should_keep_alive() and self.parser.get_http_version() == "1.1"
         message = Message(self.parser.get_method(), self.target, self.headers, bytes(self.body))
-        self.items.append((self.whole(message), goes_on))
-
-    def whole(self, message: Message) -> Request | Rejection:
-        if message.target.partition(b"?")[0] == READY:
-            if message.method != b"GET":
-                return Rejection(405, "GET only", ((b"allow", b"GET"),))
-            return Rejection(200, "ready") if self.ready() else Rejection(503, "not ready")
-        return self.front.read(message)
+        self.items.append((self.front.take(message, self.fields, self.ready), goes_on))
 
     # what the driver calls
 
@@ -301,13 +141,7 @@
 
     def answer(self, answer: Answer, last: bool) -> bytes:
         """The bytes of a final answer; `last` where the connection is to end after it."""
-        if isinstance(answer, Served):
-            kind = answer.content.kind or b"application/octet-stream"
-            return self.respond(200, answer.content.body, ((b"content-type", kind),), last)
-        if isinstance(answer, Refused):
-            wait = seconds(answer.retry_after)
-            return self.respond(503, b"refused\n", ((b"retry-after", wait),), last)
-        return self.respond(502, b"failed\n", (), last)
+        return self.respond(*final(answer), last)
 
     def reject(self, rejection: Rejection, last: bool) -> bytes:
         """The bytes of an answer that took no decision."""
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -11,7 +11,7 @@
 from barleybarrow.door import CLOSED_WAIT, Door, DoorSettings, Limit
 from brackenusher.config.operators import Operator, load_operator, read_operator
 from brackenusher.config.platform import ConfigError
-from brackenusher.fronts.http1.virtual_server import name_of
+from brackenusher.core.admission import name_of
 
 
 def test_who_comes_back_after_the_wait_is_let_in_and_a_refusal_is_not_charged():
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -12,7 +12,8 @@
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.core.message import Content, Message
 from brackenusher.core.transaction import Failed, Refused, Served
-from brackenusher.fronts.http1.virtual_server import Front, VirtualServer
+from brackenusher.fronts.http import Front
+from brackenusher.fronts.http1.virtual_server import VirtualServer
 from brackenusher.membership.discovery import Broken, Discovery, read_listing
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.upstream.flow import Flow
