Module: the scale of the estimates is pinned, idle backends are ranked, rests weigh answers

A back-off doubled with each failure and was halved only by answers that then did not come.

Change: a class's work is 1 on the mean of the answers, a server's latency absolute. The share of failures among answers, not their number, gives the length of a back-off. An answer to an attempt that had nothing beside it tells the best latency. The plain records moved to barleybarrow/state.py.

--- a/barleybarrow/brain.py
+++ b/barleybarrow/brain.py
@@ -1,22 +1,28 @@
-"""All decisions of the proxy; the types, events and actions are in interface.py.
+"""All decisions of the proxy; the types, events and actions are in interface.py, the records in state.py.
 
 1. A request goes to the fastest backend seen as idle: own attempts there under a learned threshold, which
    is the fleet's where proxies outnumber backends; what probes tell of others there counts against it.
 2. When none is idle it is held, by worth still to be earned per work, and refused when its time runs short.
 3. Whatever goes wrong at a backend leaves it alone for a while; what it leaves unanswered makes it slower.
 4. One table says what may be sent again or refused. A cold backend gets a paced share of a warm one's work.
+
+A latency is the product of a backend's usual latency and the work of a class, which is 1 on the mean of what
+is answered: without that only the product would be known, and either could drift without bound.
 """
 
 import random
 from collections import deque
+from collections.abc import Callable
 from heapq import heappop, heappush
 from math import exp, inf, log
+from typing import Any
 
 from barleybarrow import interface as face
-from barleybarrow.interface import Effect, Group, ListScope, Outcome, State
+from barleybarrow.interface import Action, Effect, Group, ListScope, Outcome, State
+from barleybarrow.state import Backend, Class, Gauge, Ranking, Request
 
 SMOOTH = 1 / 16  # weight of a new latency: some 16 answers tell a change from the spread of work
-COST_SMOOTH = 1 / 64  # a class's usual cost, and a kind's speed, change slowly and are shared by many
+COST_SMOOTH = 1 / 64  # a class's work, and a kind's speed, change slowly and are shared by many
 FAILED = 4.0  # a failure counts as an answer that took this multiple of the usual cost, or more
 TIE = 0.2  # costs this near to the best are a tie: less than the spread left after smoothing
 FAR = log(2.5)  # latency over this multiple of its best, or half of what the aim allows, cuts a threshold
@@ -30,10 +36,14 @@
 HOPE = 3.0  # usual latencies that must be left to the aim of a held request, half the aim at most
 BREAK, LONGEST = 4.0, 8.0  # aims that a backend whose process went is left alone; the longest back-off
 BREAKS = 3  # connections broken within an aim and no answer between tell that a process went; fewer do not
+WORSE, BETTER = 1 / 3, 1 / 4  # weight of a failure, and of an answer, in the share that fails of late
+REST = 2.0  # usual costs that a backend is left alone for each failure that it has to an answer
 CALM = 0.05  # a second takes this share off what a warm backend is known to serve, unless it serves more
 RETRY_SHARE, RETRY_DEPTH = 0.2, 10.0  # repeats per arrival, and how many can be saved up
+AHEAD = 16  # held repeats that are looked at in one go: there may be thousands
 COLD_SHARE = 0.5  # of the tip multiple: the other half is for class mix, guesses and chance
 SWEEP_TICKS = 4  # a sweep takes several batches, so that its cost stays small beside theirs
+SLICE = 24  # backends that one sweep tends, in turn: a large fleet must not cost more at a time than a small
 FRESH = 1 / 16  # of the tightest aim: a report of what is at a backend counts so long, many come and go after
 ASKED = 3  # probes sent at once for a held request: of three, one is mostly idle
 LOST = 1 / 8  # weight of an answer, twice for none, in the share of a class that a backend leaves unanswered
@@ -41,97 +51,72 @@
 PROVEN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))  # it never ran
 
 
-class Gauge:
-    """Smoothed log of latency / class cost, and the threshold that is learned from it."""
-
-    def __init__(self, mean=0.0, limit=1.0):
-        self.mean = self.best = mean
-        self.ratio, self.seen = exp(mean), 0  # exp(mean), and how many answers it stands on
-        self.limit, self.cut_at = limit, 0.0
-
-    def take(self, sample, weight):
-        self.seen += 1
-        self.mean += weight * (sample - self.mean)
-        self.ratio = exp(self.mean)
-
-
-class Backend(Gauge):
-    """What this proxy knows of one life of one backend."""
-
-    def __init__(self, entry, kind, far, share, classes, now):
-        super().__init__(kind.mean, START * share)
-        self.name, self.started, self.cell = entry.backend, entry.started, entry.cell
-        self.zone, self.kind, self.far, self.others = entry.zone, kind, far, 0
-        self.inflight, self.open = 0, False  # a connection is likely to be open
-        self.warm_from, self.lost = entry.started, [0.0] * classes  # share unanswered, by class
-        self.heard_at, self.asked = -inf, False  # when a probe told what others have there; one is out
-        self.busy_until = self.busy_for = 0.0  # back-off after failures
-        self.breaks, self.broke_at = 0, -inf  # connections broken in a row, and when the last one was
-        self.pace, self.paced_at = 0.0, now  # cold budget
-        self.served, self.cold = 0.0, 1.0  # work served lately; share warm
-
-
-class Request:
-    """A request that this proxy has taken, until it is answered and no attempt is out."""
-
-    def __init__(self, event, now):
-        self.id, self.klass, self.deadline, self.arrived = event.request, event.klass, event.deadline, now
-        self.attempts, self.out, self.repeated = [], 0, event.repeated
-        self.closed = self.held = self.may_run = False
-        self.bound, self.window_end = None, 0.0  # first backend that may have run it; end of its memory
-
-
-class Class:
-    """A request class with what was learned of it and those of it that are held."""
-
-    def __init__(self, conf):
-        self.conf, self.cost, self.count, self.asked, self.won = conf, conf.aim / 4, 0, 1.0, 1.0
-        self.log, self.patience = log(self.cost), conf.aim / 2
-        self.fresh, self.late = deque(), deque()
-        self.out, self.ready_at, self.above = 0, 0.0, [self]  # above: what ranks before it, and itself
-
-
 class Balancer:
     """The decisions of one proxy."""
 
-    def __init__(self, settings, seed, now):
+    def __init__(self, settings: face.Settings, seed: int, now: float) -> None:
         settings.check()
         self.conf, self.rng = settings, random.Random(seed)
-        self.classes = [Class(c) for c in settings.classes]
+        guesses = [log(c.aim / 4) for c in settings.classes]
+        self.level = sum(guesses) / len(guesses)  # log of the usual latency of usual work
+        self.classes = [
+            Class(c, guess - self.level, c.aim / 4) for c, guess in zip(settings.classes, guesses, strict=True)
+        ]
         self.aim = min(c.aim for c in settings.classes)
+        self.memory = 4 * max(c.aim for c in settings.classes)  # half of what was served counts so long
         self.sweep_every = max(SWEEP_TICKS * settings.tick, self.aim / 50)
         self.margin = 2 * self.sweep_every  # before a deadline, to be sure of a batch in time
-        self.backends, self.requests, self.live, self.kinds, self.sent_to = {}, {}, [], {}, {}
-        self.retry, self.agenda, self.entered, self.wake_at = deque(), [], 0, inf
+        self.backends: dict[str, Backend] = {}
+        self.live: list[Backend] = []  # the same, in no order: the last takes the place of one that goes
+        self.requests: dict[int, Request] = {}
+        self.kinds: dict[int, Gauge] = {}
+        self.sent_to: set[str] = set()
+        self.retry: deque[Request] = deque()
+        self.agenda: list[tuple[float, int, Request]] = []
+        self.ripe: list[tuple[float, int, Backend]] = []  # when a backend has to be placed anew
+        self.idle = Ranking(len(self.classes))
+        self.entered, self.wake_at, self.turn, self.answers = 0, inf, 0, 0
         self.budget, self.watch_at, self.watch_backoff = RETRY_DEPTH, inf, 0.0
         self.total, self.room, self.far, self.least = 0, 1.0, FAR, 1 / max(settings.proxies, 1)
-        self.fleet, self.many = Gauge(), False  # more proxies than backends: each sees little of one
+        self.fleet, self.many = Gauge(self.level), False  # more proxies than backends: each sees little of one
+        self.limits, self.each, self.warm_ones, self.served = 0.0, 0.0, 0, 0.0
         self.crossed, self.ask_at, self.pause = -inf, now, FRESH * self.aim / 4
-        self.light, self.rate, self.queues = self.aim / 4, 0.0, []
-        self.held, self.actions, self.now, self.swept, self.news = False, [], now, now, 0
-        self.handlers = {face.Arrived: self.arrived, face.Finished: self.finished, face.Left: self.left,
-                         face.TimerDue: self.timer, face.ListChanged: self.listed, face.Began: self.began,
-                         face.Probed: self.probed}
+        self.light = self.heavy = self.aim / 4
+        self.rate = 0.0
+        self.queues: list[tuple[Class, deque[Request]]] = []
+        self.actions: list[Action] = []
+        self.held, self.now, self.swept, self.news = False, now, now, 0
+        self.handlers: dict[type, Callable[[Any], None]] = {
+            face.Arrived: self.arrived, face.Finished: self.finished, face.Left: self.left,
+            face.TimerDue: self.timer, face.ListChanged: self.listed, face.Began: self.began,
+            face.Probed: self.probed}  # fmt: skip
         self.asks = settings.probing and "inflight" in settings.probe_reports
         self.share = 1 / self.least / START if self.asks else 1.0  # with what others have it is the fleet's
+        self.price()
         self.rank_queues()
 
-    def begin(self):  # ask for the list where it must be asked for
+    def begin(self) -> list[Action]:  # ask for the list where it must be asked for
         return [face.Watch()] if self.conf.must_ask else []
 
-    def handle(self, now, event):  # take one event, return the actions it calls for
+    def handle(self, now: float, event: face.Event) -> list[Action]:
+        """Take one event, return the actions it calls for."""
         handler = self.handlers.get(type(event))
         if handler is None:
             raise face.UnknownEvent(type(event).__name__)
         self.now, self.actions, self.news = now, [], self.news + 1
         span = now - self.swept
-        if span >= self.sweep_every and (4 * self.news >= len(self.live) or span > self.aim):
+        if span >= self.sweep_every and (4 * self.news >= min(len(self.live), SLICE) or span > self.aim):
             self.tend(span)
+        while self.ripe and self.ripe[0][0] <= now:
+            b = heappop(self.ripe)[2]
+            b.due = inf
+            if b.position >= 0:
+                self.place(b)
         handler(event)
         self.plan()
         return self.actions
 
-    def plan(self):
+    def plan(self) -> None:
         """Ask to be woken when the next thing falls due that no other event would bring."""
         while self.agenda and not self.agenda[0][2].held:
             heappop(self.agenda)
@@ -142,46 +127,112 @@
             self.wake_at = at
             self.actions.append(face.SetTimer(max(at, self.now), 0))
 
-    def listed(self, event):
+    def listed(self, event: face.ListChanged) -> None:
         if event.scope is ListScope.LOST:
             self.watch_backoff = min(max(2 * self.watch_backoff, self.aim), self.conf.ask_within / 4)
             self.watch_at = self.now + self.watch_backoff * (0.5 + self.rng.random())
             return
         self.watch_backoff = 0.0
-        before = self.backends
-        kept = {} if event.scope is ListScope.COMPLETE else dict(before)
+        parted: list[Backend] = []
+        if event.scope is ListScope.COMPLETE:
+            named = {entry.backend for entry in event.entries}
+            parted = [b for b in self.live if b.name not in named]
+            for b in parted:
+                self.part(b)
         for entry in event.entries:
-            old = before.get(entry.backend)
-            if entry.state is not State.LIVE:
-                kept.pop(entry.backend, None)
-            elif old is not None and old.started == entry.started:
-                kept[entry.backend] = old
-            else:  # a new life: what was in flight there and what was thought of it are void
-                kept[entry.backend] = self.newcomer(entry)
-        self.backends, self.live = kept, list(kept.values())
-        for b in before.values():
+            old = self.backends.get(entry.backend)
+            if old is not None and (entry.state is not State.LIVE or old.started != entry.started):
+                self.part(old)  # a new life: what was in flight there and what was thought of it are void
+                parted.append(old)
+            if entry.state is State.LIVE and (old is None or old.position < 0):
+                self.join(entry)
+        for b in parted:
             self.hang_up(b)
-        self.total, self.many = sum(b.inflight for b in self.live), self.conf.proxies > len(self.live) > 0
+        many, self.many = self.many, self.conf.proxies > len(self.live) > 0
         self.sweep_every = max(SWEEP_TICKS * self.conf.tick, self.aim / (8 if self.many else 50))
         self.add_up()
+        if many and not self.many:
+            for b in self.live:
+                self.place(b)
         self.dispatch()
 
-    def hang_up(self, b):
+    def part(self, b: Backend) -> None:
+        """Forget a backend that is left."""
+        self.idle.drop(b)
+        last = self.live.pop()
+        if last is not b:
+            self.live[b.position], last.position = last, b.position
+        b.position = -1
+        del self.backends[b.name]
+        self.total -= b.inflight
+        self.limits -= b.limit
+        self.warm_ones -= b.cold == 1
+        self.served -= b.served * 0.5 ** ((self.now - b.aged_at) / self.memory)
+
+    def join(self, entry: face.Entry) -> None:
+        """Take up a backend; of what its kind does, it is thought to do the same."""
+        far = self.conf.cross_zone_price if entry.zone != self.conf.zone else 0.0
+        kind = self.kinds.get(entry.kind)
+        if kind is None:
+            kind = self.kinds[entry.kind] = Gauge(self.level)
+        self.entered += 1
+        b = Backend(self.entered, entry, kind, far, START * self.least, len(self.classes), self.now)
+        b.position = len(self.live)
+        self.live.append(b)
+        self.backends[b.name] = b
+        self.limits += b.limit
+        self.warm_ones += 1
+        self.warm(b)
+        if self.conf.proxies > len(self.backends):  # one request may be worth minutes of budget here
+            b.pace = self.rng.random() * self.light  # and proxies must not save up in step
+        self.place(b)
+
+    def hang_up(self, b: Backend) -> None:
         """Close what is idle toward a backend that is left, where that is asked for."""
         if b.name in self.sent_to and b.name not in self.backends:
             self.actions.append(face.Disconnect(b.name))
             if not b.inflight:  # names come and go without end
-                del self.sent_to[b.name]
+                self.sent_to.discard(b.name)
 
-    def add_up(self):
+    def add_up(self) -> None:
         """The sum of the thresholds is the room for what is out; probes tell more than it can."""
-        limit = self.fleet.limit if self.many else sum(b.limit for b in self.live)
+        limit = self.fleet.limit if self.many else self.limits
         self.room = inf if self.asks else limit
         self.each = 0.0  # one threshold for every backend, where proxies outnumber them
         if self.many:
             self.each = max(1.0, limit if self.asks else limit / len(self.live))
 
-    def probed(self, event):
+    def place(self, b: Backend) -> None:
+        """Rank a backend among the idle ones, or not, as it stands now; at the latest when that changes."""
+        if self.many or self.asks:
+            return  # the threshold is the fleet's, or changes with reports: pick looks at each
+        if b.inflight and b.inflight + 1 > b.limit:
+            self.idle.drop(b)
+            return
+        if self.now < b.busy_until:
+            self.idle.drop(b)
+            self.await_turn(b, b.busy_until)
+            return
+        usual = b.usual if b.seen else b.kind.usual
+        values: list[float | None] = [
+            usual + (b.far + lost) * c.penalty for lost, c in zip(b.lost, self.classes, strict=True)
+        ]
+        if b.cold < 1:
+            rate = self.warm(b)
+            if b.inflight + 1 > max(1.0, b.limit * b.cold):
+                values = []
+            elif rate and (short := [c.cost - b.pace for c in self.classes if c.cost > b.pace]):
+                values = [v if b.pace >= c.cost else None for v, c in zip(values, self.classes, strict=True)]
+                self.await_turn(b, self.now + max(min(short) / rate, self.conf.tick))
+        self.idle.put(b, values)
+
+    def await_turn(self, b: Backend, at: float) -> None:
+        """Have a backend placed anew at a time, or before."""
+        if at < b.due:
+            b.due = at
+            heappush(self.ripe, (at, b.serial, b))
+
+    def probed(self, event: face.Probed) -> None:
         """Note what other proxies have at a backend; one that does not tell is left alone for a while."""
         b = self.backends.get(event.backend)
         if b is not None:
@@ -189,45 +240,47 @@
             b.others = max(0.0, (event.report or {}).get("inflight", 0.0) - b.inflight)
             if event.outcome is not Outcome.SERVED:
                 b.busy_until = self.now + self.aim / 4
+                self.place(b)
             self.dispatch()
 
-    def newcomer(self, entry):
-        far = self.conf.cross_zone_price if entry.zone != self.conf.zone else 0.0
-        kind = self.kinds.setdefault(entry.kind, Gauge())
-        new = Backend(entry, kind, far, self.least, len(self.classes), self.now)
-        self.warm(new)
-        if self.many:  # one request may be worth minutes of budget here: proxies must not save up in step
-            new.pace = self.rng.random() * self.light
-        return new
-
-    def warm(self, b):
+    def warm(self, b: Backend) -> float:
         """Guess low how warm it is and allow that share of what a warm one serves here: it may fall over.
 
         The rates of all proxies add up to the fleet's own, so none needs to know the others.
+        Returns the rate at which its budget fills, in milliseconds of work a millisecond.
         """
         conf, age, span = self.conf, self.now - b.warm_from, self.now - b.paced_at
-        b.cold, b.paced_at = 1.0, self.now
+        was, b.paced_at = b.cold, self.now
         if b.warm_from <= 0 or age >= conf.cold:
-            return
-        b.cold = conf.cold_from + (1 - conf.cold_from) * max(age, 0.0) / conf.cold
+            b.cold = 1.0
+        else:
+            b.cold = conf.cold_from + (1 - conf.cold_from) * max(age, 0.0) / conf.cold
+        self.warm_ones += (b.cold == 1) - (was == 1)
+        if b.cold == 1:
+            return 0.0
+        self.served, b.served = self.served - b.served, 0.0
         rate = self.rate * b.cold * conf.tip_multiple * COLD_SHARE
         rate = max(rate, self.light / (max(conf.tip_after, 1.0) * conf.proxies))  # one such a window from all
-        b.pace = min(b.pace + rate * span, max(rate * conf.tip_after / 4, self.light))
+        b.pace = min(b.pace + rate * span, max(rate * conf.tip_after / 4, self.heavy))
+        return rate
 
-    def arrived(self, event):
+    def arrived(self, event: face.Arrived) -> None:
         r = self.requests[event.request] = Request(event, self.now)
         self.ask_at = self.now
         self.classes[r.klass].asked += 1
         self.budget = min(self.budget + RETRY_SHARE, RETRY_DEPTH)
         self.hold(r)
 
-    def hold(self, r):
+    def hold(self, r: Request) -> None:
         if self.now >= r.deadline - self.margin:  # it may even come at its deadline
             self.end(r)
             return
         r.held, klass = True, self.classes[r.klass]
+        at = r.deadline - self.margin
         if r.attempts:
             self.retry.append(r)
+            if klass.conf.late_worth <= 0:
+                at = min(at, r.arrived + klass.conf.aim)
         elif r.repeated:  # a client's repeat has little of its aim left, if any
             klass.late.append(r)
         else:
@@ -235,11 +288,12 @@
         self.dispatch()
         if r.held:
             self.entered += 1
-            heappush(self.agenda, (r.deadline - self.margin, self.entered, r))
+            heappush(self.agenda, (at, self.entered, r))
 
-    def dispatch(self):
+    def dispatch(self) -> None:
         """Send held requests to idle backends: repeats first, then by worth per expected work."""
-        for r in [self.retry.popleft() for _ in range(len(self.retry))]:  # its window or aim may have passed
+        for _ in range(min(len(self.retry), AHEAD)):  # its window or aim may have passed
+            r = self.retry.popleft()
             if r.held and (self.lapsed(r) or not self.may_send(r)):
                 self.end(r)
             elif r.held and not self.send(r):
@@ -249,12 +303,12 @@
                 queue.popleft()
         self.held = any(c.fresh or c.late for c in self.classes)
 
-    def lapsed(self, r):
+    def lapsed(self, r: Request) -> bool:
         """Whether an answer is worth nothing any more."""
         conf = self.classes[r.klass].conf
         return conf.late_worth <= 0 and self.now >= r.arrived + conf.aim
 
-    def settle(self, r, klass, fresh):
+    def settle(self, r: Request, klass: Class, fresh: bool) -> bool:
         """Whether the first of a queue has left it: closed, sent, or its aim out of reach."""
         if r.held and fresh and self.now > r.arrived + klass.patience:
             if klass.conf.late_worth > 0:  # late worth is queued for behind the rest, no worth is let go
@@ -264,15 +318,15 @@
             return True
         return not r.held or self.send(r)
 
-    def send(self, r):
+    def send(self, r: Request) -> bool:
         """Send a request to the fastest idle backend, if there is one that it may go to."""
         b, klass = self.pick(r), self.classes[r.klass]
         r.held = b is None
         if b is None:
             return False
-        b.open = True
+        b.open, b.alone = True, not b.inflight
         if self.conf.hang_up_within > 0:
-            self.sent_to[b.name] = True
+            self.sent_to.add(b.name)
         if b.far * klass.conf.aim > TIE * klass.cost:
             self.crossed = self.now  # a crossing asks for room at home
         r.attempts.append((b, self.now))
@@ -282,47 +336,65 @@
         b.inflight += 1
         if b.cold < 1:
             b.pace -= klass.cost
+        self.place(b)
         self.pause = FRESH * self.aim / 4
         wait = max(r.arrived + klass.conf.aim - self.now, self.margin)  # later, an answer is worth less
         self.actions.append(face.Send(r.id, b.name, 0.0 if klass.conf.late_worth > 0 else wait))
         return True
 
-    def pick(self, r):
-        """Fastest idle first: one pass over the backends, near-ties at random."""
-        total = self.total
+    def pick(self, r: Request) -> Backend | None:
+        """Fastest idle first, near-ties at random."""
+        klass, total = self.classes[r.klass], self.total
         if self.many:  # a room of one or two must not be filled by what is worth less for its work
-            total = sum(c.out for c in self.classes[r.klass].above)
-        if total >= max(1.0, self.room) or self.now < self.classes[r.klass].ready_at:
+            total = sum(c.out for c in klass.above)
+        if total >= max(1.0, self.room) or self.now < klass.ready_at:
+            return None
+        if self.many or self.asks:
+            return self.look_round(r, klass)
+        order = self.idle.orders[r.klass]
+        if not order:
             return None
-        klass, now, each, fresh = self.classes[r.klass], self.now, self.each, self.now - FRESH * self.aim
+        if not r.attempts:
+            near = order.bisect_left((order[0][0] * (1 + TIE),)) or 1
+            return order[int(self.rng.random() * near)][2]
+        tried, found, most = [b for b, _ in r.attempts], [], inf
+        for value, _, b in order:
+            if value > most or len(found) >= AHEAD:
+                break
+            if b not in tried and (r.bound is None or self.same_group(b, r.bound, klass)):
+                found.append(b)
+                most = min(most, value * (1 + TIE))
+        return found[int(self.rng.random() * len(found))] if found else None
+
+    def look_round(self, r: Request, klass: Class) -> Backend | None:
+        """The same in one pass over the backends, where idleness hangs on the fleet or on what probes tell."""
+        now, each, fresh = self.now, self.each, self.now - FRESH * self.aim
         cost, aim, found, best = klass.cost, klass.conf.aim, [], inf
-        tried = [b for b, _ in r.attempts] if r.attempts else ()
+        work, tried = cost / exp(self.level), [b for b, _ in r.attempts]
         for b in self.live:
-            n, limit = b.inflight, each or b.limit * self.share
+            n, limit = float(b.inflight), each or b.limit * self.share
             if b.heard_at > fresh:
                 n += b.others
             if n and n + 1 > limit or now < b.busy_until:
                 continue
             if b.cold < 1:
                 self.warm(b)
-                if b.pace < cost or n + 1 > max(1.0, limit * b.cold):
+                if b.cold < 1 and (b.pace < cost or n + 1 > max(1.0, limit * b.cold)):
                     continue
-            if tried and (b in tried or r.bound is not None and not self.same_group(r, b, klass)):
+            if tried and (b in tried or r.bound is not None and not self.same_group(b, r.bound, klass)):
                 continue
-            value = cost * (b.ratio if b.seen else b.kind.ratio) + (b.far + b.lost[r.klass]) * aim
+            value = work * (b.usual if b.seen else b.kind.usual) + (b.far + b.lost[r.klass]) * aim
             if each and not b.open:
                 value *= OPENING
             found.append((value, b))
             if value < best:
                 best = value
-        if not found:
-            return None
         near = [b for value, b in found if value <= best * (1 + TIE)]
-        if self.asks:
+        if self.asks and near:
             near = self.heard(near, fresh)
         return near[int(self.rng.random() * len(near))] if near else None
 
-    def heard(self, near, fresh):
+    def heard(self, near: list[Backend], fresh: float) -> list[Backend]:
         """Those known to be idle; if none is, probe some: the request is held until they tell."""
         known = [b for b in near if b.heard_at > fresh]
         unknown = [b for b in near if not b.asked]
@@ -334,25 +406,25 @@
                 self.actions.append(face.Probe(b.name))
         return known
 
-    def same_group(self, r, b, klass):
-        group, first = klass.conf.group, r.bound
+    def same_group(self, b: Backend, first: Backend, klass: Class) -> bool:
+        group = klass.conf.group
         return group is Group.ALL or (b.zone == first.zone if group is Group.ZONE else b.cell == first.cell)
 
-    def may_send(self, r):
+    def may_send(self, r: Request) -> bool:
         """Whether another attempt can have no second effect: class x what may have run."""
         if len(r.attempts) >= self.conf.max_attempts or (r.out and not self.conf.parallel):
             return False
         keyed = self.classes[r.klass].conf.effect is Effect.KEYED
         return self.harmless(r) or keyed and self.now < r.window_end - self.conf.tick
 
-    def may_refuse(self, r):
+    def may_refuse(self, r: Request) -> bool:
         conf = self.classes[r.klass].conf
         return self.harmless(r) or conf.effect is Effect.KEYED and conf.group is Group.ALL
 
-    def harmless(self, r):
+    def harmless(self, r: Request) -> bool:
         return not r.may_run and not r.out or self.classes[r.klass].conf.effect is Effect.SAFE
 
-    def end(self, r):
+    def end(self, r: Request) -> None:
         """Give the final answer: a refusal where it is harmless, else a failure."""
         if self.may_refuse(r):
             conf = self.classes[r.klass].conf  # with no late worth left, coming back at once earns nothing
@@ -363,33 +435,43 @@
             self.actions.append(face.Fail(r.id))
         self.close(r)
 
-    def close(self, r):
+    def close(self, r: Request) -> None:
         r.closed, r.held = True, False
         if not r.out:
             self.requests.pop(r.id, None)
 
-    def left(self, event):
+    def left(self, event: face.Left) -> None:
         r = self.requests.get(event.request)
         if r is not None and not r.closed:
             if self.conf.cancelling and r.out:
                 self.actions.extend(face.Cancel(r.id, n) for n in range(len(r.attempts)))
             self.close(r)
 
-    def began(self, event):
+    def began(self, event: face.Began) -> None:
         if event.request in self.requests:
             self.close(self.requests[event.request])
 
-    def finished(self, event):
+    def finished(self, event: face.Finished) -> None:
         r = self.requests.get(event.request)
-        if r is None or not 0 <= event.attempt < len(r.attempts) or r.attempts[event.attempt][1] is None:
+        if r is None or not 0 <= event.attempt < len(r.attempts):
             return
         b, sent = r.attempts[event.attempt]
+        if sent is None:
+            return
         r.attempts[event.attempt] = (b, None)  # its one outcome has come
         klass, outcome, r.out = self.classes[r.klass], event.outcome, r.out - 1
         if outcome not in PROVEN and not r.may_run:
             r.may_run, r.bound, r.window_end = True, b, sent + klass.conf.window
-        self.learn(b, r.klass, outcome, event.elapsed)
-        if not b.inflight:
+        b.inflight -= 1
+        klass.out -= 1
+        self.total -= b.position >= 0
+        if self.many and self.room < 1 and len(klass.above) == len(self.classes):  # the last in rank
+            klass.ready_at = self.now + min(event.elapsed, klass.conf.aim) * (1 / self.room - 1)
+        if outcome is not Outcome.NOT_SENT and outcome is not Outcome.CANCELLED:
+            self.learn(b, klass, r.klass, outcome, event.elapsed)
+        if b.position >= 0:
+            self.place(b)
+        elif not b.inflight:
             self.hang_up(b)
         if event.complete:
             klass.won += outcome is Outcome.SERVED and self.now <= r.arrived + klass.conf.aim
@@ -404,29 +486,26 @@
                 self.end(r)
         self.dispatch()
 
-    def learn(self, b, k, outcome, elapsed):
+    def learn(self, b: Backend, klass: Class, k: int, outcome: Outcome, elapsed: float) -> None:
         """Take from an outcome what it tells of the backend."""
-        klass = self.classes[k]
-        b.inflight -= 1
-        klass.out -= 1
-        self.total -= self.backends.get(b.name) is b
-        if self.many and self.room < 1 and len(klass.above) == len(self.classes):  # the last in rank
-            klass.ready_at = self.now + min(elapsed, klass.conf.aim) * (1 / self.room - 1)
-        if outcome in (Outcome.NOT_SENT, Outcome.CANCELLED):
-            return
         if outcome is Outcome.SERVED:
-            b.busy_for /= 2  # one that fails now and then stays on probation
+            b.failing -= BETTER * b.failing
             b.breaks = 0
-            b.served += klass.cost
+            if b.position >= 0 and b.cold == 1:
+                b.served += klass.cost
+                self.served += klass.cost
             b.lost[k] -= LOST * b.lost[k]
-            sample = log(max(elapsed, self.conf.tick / 4))
-            gauge = self.fleet if self.many else b
-            if gauge.mean - gauge.best < self.far / 2 or klass.count < 1 / SMOOTH:  # crowding evens out
-                klass.count += 1
-                klass.log += max(COST_SMOOTH, 1 / klass.count) * (sample - gauge.mean - klass.log)
-                klass.cost = exp(klass.log)
+            sample = log(max(elapsed, self.conf.tick / 4)) - klass.log
+            self.answers += 1
+            if self.answers == 1:  # whatever was guessed before, all are thought to be like the first
+                self.level = sample
+                for gauge in (self.fleet, *self.kinds.values()):
+                    gauge.mean, gauge.usual = sample, exp(sample)
+            crowd = self.fleet if self.many else b
+            if crowd.mean - crowd.best < self.far / 2 or self.answers < 1 / SMOOTH:  # crowding evens out
+                self.weigh(klass, sample, self.fleet.mean if self.many else b.mean if b.seen else b.kind.mean)
         else:  # an error is no proof of speed, a time-out took at least the time waited
-            sample = log(max(elapsed, FAILED * klass.cost))
+            sample = log(max(elapsed, FAILED * klass.cost)) - klass.log
             self.leave(b, klass, outcome)
             if outcome is Outcome.FULL:
                 return
@@ -435,18 +514,32 @@
                 return  # a connection that broke tells nothing of latency
             if self.many:  # lost answers must not pass for crowding, nor a fleet that answers none for idle
                 if outcome is Outcome.TIMEOUT:
-                    self.fleet.take(log(FAILED), SMOOTH)
+                    self.fleet.take(self.level + log(FAILED), SMOOTH)
                     self.threshold(self.fleet, b, klass, outcome)
                 return
-        sample -= klass.log
         if not b.seen:
             b.mean = b.kind.mean
+        b.kind.take(sample, max(COST_SMOOTH, 1 / (b.kind.seen + 1)))
         b.take(sample, SMOOTH)
-        b.kind.take(sample, max(COST_SMOOTH, 1 / (b.kind.seen + 2)))
-        self.fleet.take(sample, max(SMOOTH, 1 / (self.fleet.seen + 2)))
+        self.fleet.take(sample, max(SMOOTH, 1 / (self.fleet.seen + 1)))
+        if outcome is Outcome.SERVED and b.alone and not b.inflight:  # nothing of ours was beside it
+            b.best += SMOOTH * max(0.0, sample - b.best)
         self.threshold(self.fleet if self.many else b, b, klass, outcome)
 
-    def threshold(self, g, b, klass, outcome):
+    def weigh(self, klass: Class, sample: float, mean: float) -> None:
+        """Take an answer into the usual latency and the work of its class.
+
+        Work is 1 on the mean of the answers: what one class is found to differ, all give back in part.
+        """
+        klass.count += 1
+        self.level += max(COST_SMOOTH, 1 / self.answers) * (sample - self.level)
+        klass.log += max(COST_SMOOTH, 1 / (klass.count + 1)) * (sample - mean)
+        centre = COST_SMOOTH * klass.log
+        for c in self.classes:
+            c.log -= centre
+        klass.cost = exp(klass.log + self.level)
+
+    def threshold(self, g: Gauge, b: Backend, klass: Class, outcome: Outcome) -> None:
         """Grow while latency stays near its best, cut when it leaves it."""
         g.best = min(g.best, g.mean) if g.seen > 1 / SMOOTH else g.mean
         crowding = g.mean - g.best
@@ -454,34 +547,42 @@
         filled = self.asks or self.total + 2 > self.room if self.many else b.inflight + 2 > b.limit
         if crowding < bound * NEAR and outcome is Outcome.SERVED:
             if filled and (self.held or self.now - self.crossed <= self.sweep_every):
-                g.limit += GROWTH * max(self.least, 1 / FEW) / (1.0 if self.many else max(g.limit, 1.0))
+                grown = GROWTH * max(self.least, 1 / FEW) / (1.0 if self.many else max(g.limit, 1.0))
+                self.limit(g, g.limit + grown)
         elif crowding > bound and self.now >= g.cut_at:
-            g.limit = max(1.0 if self.asks else self.least, g.limit * CUT)
+            self.limit(g, max(1.0 if self.asks else self.least, g.limit * CUT))
             g.cut_at = self.now + (1.0 if self.many else g.limit) * self.aim / 4
         if self.many:
             self.add_up()
 
-    def leave(self, b, klass, outcome):
-        """Leave a backend that failed alone for a while that doubles: it errs, is full, hangs or is gone."""
-        first = self.aim if self.many else klass.cost
+    def limit(self, g: Gauge, limit: float) -> None:
+        """Set a threshold; the room is their sum."""
+        if isinstance(g, Backend) and g.position >= 0:
+            self.limits += limit - g.limit
+        g.limit = limit
+
+    def leave(self, b: Backend, klass: Class, outcome: Outcome) -> None:
+        """Leave a backend that failed alone for a while, by failures to an answer: it errs, is full, hangs."""
         broke = outcome is Outcome.RESET or outcome is Outcome.CONNECT_FAILED and (b.open or b.breaks > 0)
+        gone = False
         if broke:
             b.breaks = b.breaks + 1 if self.now < b.broke_at + self.aim else 1
-            b.broke_at = self.now
-            if b.breaks >= BREAKS:
-                first = BREAK * self.aim
+            b.broke_at, gone = self.now, b.breaks >= BREAKS
+            if gone and b.position >= 0:
                 b.warm_from = self.now  # its process went: it may be back, and cold, before the list tells
-                b.cold = min(b.cold, self.conf.cold_from)
+                self.warm(b)
         elif outcome is not Outcome.TIMEOUT:
             b.breaks = 0
         b.open = b.open and outcome is not Outcome.CONNECT_FAILED
         if self.now >= b.busy_until:
-            b.busy_for = min(max(2 * b.busy_for, first), LONGEST * self.aim)
-            b.busy_until = self.now + b.busy_for * (0.5 + self.rng.random())
+            b.failing += WORSE * (1 - b.failing)
+            span = REST * (self.aim if self.many else klass.cost) * b.failing / (1 - b.failing)
+            span = min(max(span, BREAK * self.aim if gone else 0.0), LONGEST * self.aim)
+            b.busy_until = self.now + span * (0.5 + self.rng.random())
         if outcome in PROVEN and not broke:
-            b.limit = max(self.least, b.limit * CUT)
+            self.limit(b, max(self.least, b.limit * CUT))
 
-    def timer(self, event):
+    def timer(self, event: face.TimerDue) -> None:
         self.wake_at = inf
         if self.now >= self.watch_at:
             self.watch_at = inf
@@ -492,39 +593,52 @@
                 self.end(r)
         self.dispatch()
 
-    def tend(self, span):
+    def tend(self, span: float) -> None:
         """Note the warmth, age what was learned, and rank anew; called after enough events."""
         self.swept, self.news = self.now, 0
-        self.light = min(c.cost for c in self.classes)
-        keep, served, warm = 0.5 ** (span / (4 * max(c.conf.aim for c in self.classes))), 0.0, 0
-        age, forget = AGE * span / 1000, min(1.0, FORGET * span / 1000)
-        self.fleet.best += (self.fleet.mean - self.fleet.best) * age / 4  # a long overload is not usual
-        for b in self.live:
-            if b.seen:
-                b.best += (b.mean - b.best) * age
-                b.mean += (b.kind.mean - b.mean) * forget
-                b.ratio = exp(b.mean)
-                b.lost = [x * (1 - forget) for x in b.lost]
-            if b.cold < 1:
-                self.warm(b)
-            else:
-                warm += 1
-                served += b.served
-            b.served *= keep
-        rate = served * (1 - keep) / max(span, self.conf.tick) / warm if warm else 0.0
+        self.price()
+        self.fleet.best += (self.fleet.mean - self.fleet.best) * AGE * span / 4000  # long overload is not usual
+        self.served *= 0.5 ** (span / self.memory)
+        rate = self.served * log(2) / self.memory / self.warm_ones if self.warm_ones else 0.0
         self.rate = max(rate, self.rate * (1 - min(1.0, CALM * span / 1000)))  # idle ones could serve as much
+        for _ in range(min(len(self.live), SLICE)):
+            self.turn = self.turn + 1 if self.turn + 1 < len(self.live) else 0
+            b = self.live[self.turn]
+            self.age(b)
+            self.place(b)
         self.add_up()
         hope = log(min(c.conf.aim / c.cost for c in self.classes))
         self.far = max(NEAR, hope - log(4) if self.many else min(FAR, hope - log(2)))
         self.rank_queues()
 
-    def rank_queues(self):
+    def price(self) -> None:
+        """What the classes cost by what was learned."""
+        for c in self.classes:
+            c.cost, c.penalty = exp(c.log + self.level), c.conf.aim / exp(c.log)
+        self.light, self.heavy = min(c.cost for c in self.classes), max(c.cost for c in self.classes)
+
+    def age(self, b: Backend) -> None:
+        """Let what was learned of a backend fade with the time since it was last looked at."""
+        span, b.aged_at = self.now - b.aged_at, self.now
+        forget = min(1.0, FORGET * span / 1000)
+        if b.seen:
+            b.best += (b.mean - b.best) * min(1.0, AGE * span / 1000)
+            b.mean += (b.kind.mean - b.mean) * forget
+            b.usual = exp(b.mean)
+            b.lost = [x * (1 - forget) for x in b.lost]
+            b.failing -= b.failing * forget
+        b.served *= 0.5 ** (span / self.memory)
+        if b.cold < 1:
+            self.warm(b)
+
+    def rank_queues(self) -> None:
         """Order the queues by what one more answer adds to the goal, per expected work."""
         total = sum(c.asked * c.conf.worth for c in self.classes)
         worst = min(self.classes, key=lambda c: c.won / c.asked)
         gains, ranked = [], []
         for c in self.classes:
-            c.patience = c.conf.aim - min(HOPE * self.fleet.ratio * c.cost, c.conf.aim / 2)
+            usual = HOPE * c.cost * exp(self.fleet.mean - self.level)
+            c.patience = c.conf.aim - min(usual, c.conf.aim / 2)
             gain = self.conf.whole_weight * c.conf.worth / total
             gain = (gain + self.conf.worst_class_weight / c.asked * (c is worst)) / c.cost
             gains.append((gain, c))
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -249,7 +249,7 @@
 def test_a_backend_whose_connections_broke_counts_as_cold_until_it_is_known_to_be_warm(later):
     proxy = Proxy(("a",), proxies=1)
     proxy.warm_up(40)
-    proxy.brain.backends["a"].limit = 3.0
+    proxy.brain.limit(proxy.brain.backends["a"], 3.0)
     proxy.brain.add_up()
     all_out = [proxy.arrive(UNSAFE) for _ in range(3)]
     for r, outcome in zip(all_out, (Outcome.RESET, later, later), strict=True):
@@ -471,8 +471,9 @@
 def test_crowding_cuts_the_threshold_below_one_and_the_sum_caps_what_is_out():
     proxy = Proxy(("a", "b"), proxies=10)
     proxy.warm_up(40)
-    proxy.warm_up(60, latency={"a": 400.0, "b": 400.0})
-    assert all(b.limit < 1 for b in proxy.brain.live)
+    while proxy.brain.fleet.limit >= 1 and len(proxy.sent) < 100:
+        proxy.warm_up(1, latency={"a": 400.0, "b": 400.0})
+    assert proxy.brain.room < 1
     proxy.sweep(8)
     first, second = proxy.arrive(), proxy.arrive()
     assert proxy.backend(first) and proxy.backend(second) is None
