The type hints are checked: mypy finds nothing in barleybarrow and brackenusher

- Capture tells events and actions apart by isinstance, which mypy follows; what is set after the start (a task, the owner) is declared and no longer None; replay's names keep one type each; parameters of the machines have types.

--- a/barleybarrow/tokens.py
+++ b/barleybarrow/tokens.py
@@ -54,10 +54,10 @@
     if not token:
         return MISSING
     shape = SHAPE.match(token)
-    key = settings.keys.get(shape[1].decode()) if shape else None
-    if key is None:
+    if shape is None:
         return FORGED
-    if not hmac.compare_digest(sign(key, token[: shape.start(4) - 1]), shape[4]):
+    key = settings.keys.get(shape[1].decode())
+    if key is None or not hmac.compare_digest(sign(key, token[: shape.start(4) - 1]), shape[4]):
         return FORGED
     if now > int(shape[3]) + settings.skew:
         return EXPIRED
--- a/brackenusher/config/operators.py
+++ b/brackenusher/config/operators.py
@@ -55,7 +55,8 @@
     def __init__(self, path: str, text: str) -> None:
         import javaproperties  # 50 ms and 3 MB, XML and TLS among them: only for who gives a file
 
-        self.path, self.values = path, {}
+        self.path = path
+        self.values: dict[str, str] = {}
         try:
             for element in javaproperties.parse(text):
                 if isinstance(element, javaproperties.KeyValue):
--- a/brackenusher/core/deadlines.py
+++ b/brackenusher/core/deadlines.py
@@ -14,7 +14,7 @@
     """Calls each action once its time has come, in order of time; times are in milliseconds."""
 
     def __init__(self) -> None:
-        self.entries = SortedList()
+        self.entries: SortedList[Entry] = SortedList()
         self.serial = 0  # breaks ties, so that actions are never compared
 
     def add(self, when: float, action: Callable[[], None]) -> Entry:
--- a/brackenusher/core/transaction.py
+++ b/brackenusher/core/transaction.py
@@ -74,7 +74,7 @@
     message: Message
     sent_at: float
     deadline: float
-    ended: Callable[["Attempt", Outcome, Served | None], None]
+    ended: Callable[[Any, Outcome, Served | None], None]  # the first is the attempt
     outcome: Outcome | None = None
     carriage: Any = None  # the carrier's own
 
@@ -114,7 +114,7 @@
         self.events: deque[face.Event] = deque()
         self.parting: list[Transaction] = []
         self.acting, self.taken, self.unanswered = False, 0, 0
-        self.performers: dict[type, Callable[[Any], None]] = {
+        self.performers: dict[type, Callable[[Any], object]] = {
             face.Send: self.send,
             face.Refuse: lambda a: self.answer(a.request, Refused(a.retry_after)),
             face.Fail: lambda a: self.answer(a.request, Failed()),
@@ -270,7 +270,8 @@
         """Drop what is over; later while acting, as the module may still name what it thinks is open."""
         if self.acting:
             self.parting.append(transaction)
-        elif transaction.over and not transaction.out and self.open.pop(transaction.id, None):
+        elif transaction.over and not transaction.out and transaction.id in self.open:
+            del self.open[transaction.id]
             self.names.discard(transaction.name)
 
     def overdue(self, transaction: Transaction) -> None:
--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -11,6 +11,7 @@
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import SHORTAGE, Address, write
 from brackenusher.runtime.loop import HANGUP, READ, WRITE, Coroutine, Loop, Task, clock
+from brackenusher.runtime.timers import Entry
 from brackenusher.upstream.pool import Pool
 
 log = logging.getLogger(__name__)
@@ -47,7 +48,7 @@
         self.partial: dict[ClientLink, None] = {}  # with a request that is not whole; the oldest first
         self.spent: dict[ClientLink, None] = {}  # with their last answer written, the rest is read away
         self.stopping, self.warned_at = False, -WARN_AGAIN
-        self.task: Task | None = None
+        self.task: Task  # the listener's
 
     def listen(self, address: Address) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
@@ -130,7 +131,7 @@
         self.machine = VirtualServer(clients.front, lambda: clients.pool.held)
         self.transaction: Transaction | None = None
         self.answer: Answer | None = None
-        self.limit = None
+        self.limit: Entry | None = None
         self.late = False
         self.opened_at, self.resting, self.since = clock(), False, 0.0
         self.stands: dict[ClientLink, None] | None = None  # where it is counted just now
--- a/brackenusher/fronts/http1/virtual_server.py
+++ b/brackenusher/fronts/http1/virtual_server.py
@@ -39,13 +39,14 @@
         self.parser = HttpRequestParser(self)
         self.items: deque[tuple[Request | Rejection, bool]] = deque()  # and whether the connection goes on
         self.coming = self.in_body = False  # a request has begun to come in; its head is whole
-        self.target, self.headers, self.body, self.size = b"", [], bytearray(), 0
+        self.target, self.body, self.size = b"", bytearray(), 0
+        self.headers: list[tuple[bytes, bytes]] = []
         self.fields: Fields = {}  # the headers by name
         self.rejection: Rejection | None = None  # why the stream cannot be read any further
         self.goes_on = True  # whether the connection can, after what is being answered
         self.ended = self.last = False  # the client sends no more; this answer ends the connection
 
-    def receive(self, data) -> None:
+    def receive(self, data: bytes | memoryview) -> None:
         """Take bytes, b"" at the end of the stream."""
         if self.ended or self.rejection is not None:
             return
--- a/brackenusher/membership/agent.py
+++ b/brackenusher/membership/agent.py
@@ -10,7 +10,8 @@
 from brackenusher.membership.discovery import Broken, Discovery
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import Address, open_socket, write
-from brackenusher.runtime.loop import READ, WRITE, Coroutine, Loop, clock
+from brackenusher.runtime.loop import READ, WRITE, Coroutine, Loop, Task, clock
+from brackenusher.runtime.timers import Entry
 from brackenusher.upstream.pool import Pool
 
 log = logging.getLogger(__name__)
@@ -35,8 +36,11 @@
         self.loop, self.address, self.pool, self.owner, self.buffers = loop, address, pool, owner, buffers
         self.rng = rng
         self.seq: int | None = None
-        self.back_off, self.task, self.limit, self.retry = BACK_OFF, None, None, None
+        self.back_off = BACK_OFF
+        self.limit: Entry | None = None
+        self.retry: Entry | None = None
         self.machine: Discovery | None = None  # that of the connection which counts
+        self.task: Task  # and its coroutine
 
     def move(self, address: Address) -> None:
         """Leave this agent for another at once; that one is asked for the whole list."""
--- a/brackenusher/membership/discovery.py
+++ b/brackenusher/membership/discovery.py
@@ -71,12 +71,12 @@
         call = h11.Request(method="GET", target=target, headers=[("Host", self.authority)])
         return self.machine.send(call) + self.machine.send(h11.EndOfMessage())
 
-    def receive(self, data) -> tuple[list[Listing], bytes]:
+    def receive(self, data: bytes | memoryview) -> tuple[list[Listing], bytes]:
         """Take bytes, b"" at the end of the stream; return the lists they hold and what to send in turn."""
         listings: list[Listing] = []
         reply = b""
         try:
-            self.machine.receive_data(data)
+            self.machine.receive_data(bytes(data))
             while True:
                 event = self.machine.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
--- a/brackenusher/records/capture.py
+++ b/brackenusher/records/capture.py
@@ -64,8 +64,8 @@
     if key and message.owner and message.deadline:
         words = b"%s %s k=%s %s" % (name, message.owner, key[1], message.deadline)
         if ALL_PLAIN.match(words):  # as nearly all are; their form is looked at once
-            name, _, rest = words.decode().partition(" ")
-            return f"{name} {klass} {rest}"
+            plain, _, rest = words.decode().partition(" ")
+            return f"{plain} {klass} {rest}"
     about = escape(key[1], "%/") if key else "-"
     return f"{escape(name)} {klass} {escape(message.owner)} k={about} {escape(message.deadline)}"
 
@@ -81,7 +81,7 @@
     """The files of a folder, written one after the other; the oldest is overwritten first."""
 
     def __init__(self, settings: CaptureSettings) -> None:
-        folder = Path(settings.folder)
+        folder = Path(settings.folder or ".")
         folder.mkdir(parents=True, exist_ok=True)
         self.paths = [folder / f"capture-{n}.log" for n in range(settings.files)]
         self.ages = [self.count(path) for path in self.paths]
@@ -161,7 +161,8 @@
     __slots__ = ("host", "chosen", "number", "now", "end")
 
     def __init__(self, host: str, chosen: int) -> None:
-        self.host, self.chosen, self.number, self.now, self.end = host, chosen, 0, 0.0, None
+        self.host, self.chosen, self.number, self.now = host, chosen, 0, 0.0
+        self.end: face.Finished | None = None
 
     def words(self) -> str:
         if self.end is None:
@@ -220,14 +221,14 @@
 
     def write(self, line: str) -> None:
         """Write a record, on the next file if this one has no space for it."""
-        data = f"{line} n={self.serial + 1}\n".encode()
-        head = self.head() if self.ring and len(data) > self.space else b""
+        data, ring = f"{line} n={self.serial + 1}\n".encode(), self.ring
+        head = self.head() if ring and len(data) > self.space else b""
         self.serial += 1
-        if head:
+        if ring and head:
             if not self.channel.fits(len(head) + len(data)):
                 self.left_out += 1
                 return
-            self.channel.flush(self.ring.next)
+            self.channel.flush(ring.next)
             self.file += 1
             self.space = self.most - self.put(head)
         self.space -= self.put(data)
@@ -254,31 +255,35 @@
 
     def handled(self, now: float, event: face.Event, actions: Sequence[face.Action]) -> None:
         self.event += 1
-        number, kind = self.event, type(event)
-        if kind is face.TimerDue:
+        number = self.event
+        if isinstance(event, face.TimerDue):
             self.timers.append(f"{number},{now!r},{event.token}")
-        elif kind is face.ListChanged:
+        elif isinstance(event, face.ListChanged):
             self.listed(number, now, event)
-        elif kind is face.Probed:
+        elif isinstance(event, face.Probed):
             report = ",".join(f"{name}:{value!r}" for name, value in (event.report or {}).items())
             about = f"{number},{now!r},{quote(event.backend)},{OUTCOMES[event.outcome]},{event.elapsed!r}"
             self.probes.append(f"{about},{report}")
-        elif kind is face.Arrived:
+        elif isinstance(event, face.Arrived):
             self.arrived(number, now, event)
-        else:
-            self.changed(number, now, event, kind)
+        elif isinstance(event, (face.Finished, face.Left)):
+            self.changed(number, now, event)
         for action in actions:
-            kind = type(action)
-            if kind is face.Send:
+            if isinstance(action, face.Send):
                 record = self.open.get(action.request)
                 if record is not None:
                     record.tries.append(Try(self.host(action.backend), number))
                     record.out += 1
-            elif kind is face.Refuse or kind is face.Fail:
-                record = self.open.get(action.request)
-                if record is not None:
-                    record.final = f"refuse {action.retry_after:.3f}" if kind is face.Refuse else "fail -"
-                    record.by, record.closed = f" by={number}", True
+            elif isinstance(action, face.Refuse):
+                self.given_up(action.request, f"refuse {action.retry_after:.3f}", number)
+            elif isinstance(action, face.Fail):
+                self.given_up(action.request, "fail -", number)
+
+    def given_up(self, request: int, decision: str, number: int) -> None:
+        """The module refused a request or failed it."""
+        record = self.open.get(request)
+        if record is not None:
+            record.final, record.by, record.closed = decision, f" by={number}", True
 
     def host(self, backend: str) -> str:
         """A host's name as it stands on the list's lines."""
@@ -291,12 +296,12 @@
         if transaction is not None:
             self.open[event.request] = Record(transaction, number, now, event)
 
-    def changed(self, number: int, now: float, event: face.Finished | face.Left, kind: type) -> None:
+    def changed(self, number: int, now: float, event: face.Finished | face.Left) -> None:
         """An attempt has ended, or the client has left."""
         record = self.open.get(event.request)
         if record is None:
             return
-        if kind is face.Finished:
+        if isinstance(event, face.Finished):
             attempt = record.tries[event.attempt]
             attempt.number, attempt.now, attempt.end = number, now, event
             record.out -= 1
--- a/brackenusher/records/figures.py
+++ b/brackenusher/records/figures.py
@@ -12,10 +12,10 @@
 from barleybarrow import interface as face
 from brackenusher.config.operators import FiguresSettings
 from brackenusher.core.admission import Request
-from brackenusher.core.deadlines import Deadlines
 from brackenusher.core.transaction import Answer, Refused, Served, Transaction
 from brackenusher.runtime.driver import Address, open_datagrams
 from brackenusher.runtime.outlet import Channel, Outlet, to_stderr, write_whole
+from brackenusher.runtime.timers import Timers
 
 ROOM = 96 * 1024  # bytes that wait to be written
 LONGEST_NAME = 64  # of a tag's value
@@ -32,7 +32,7 @@
         return ",".join(f"{name}:{value.translate(strange)[:LONGEST_NAME]}" for name, value in pairs)
 
     @staticmethod
-    def line(name: str, value: int, kind: str, tags: str) -> str:
+    def line(name: str, value: int | str, kind: str, tags: str) -> str:
         return f"{name}:{value}|{kind}|#{tags}\n" if tags else f"{name}:{value}|{kind}\n"
 
 
@@ -45,7 +45,7 @@
         return "".join(f",{name}={value[:LONGEST_NAME].translate(strange)}" for name, value in pairs)
 
     @staticmethod
-    def line(name: str, value: int, kind: str, tags: str) -> str:
+    def line(name: str, value: int | str, kind: str, tags: str) -> str:
         return f"{name}{tags} value={value}\n"
 
 
@@ -108,7 +108,7 @@
         self,
         settings: FiguresSettings,
         outlet: Outlet,
-        deadlines: Deadlines,
+        deadlines: Timers,
         clock: Callable[[], float],
         transactions: Mapping[int, Transaction],
         conf: face.Settings,
--- a/brackenusher/records/replay.py
+++ b/brackenusher/records/replay.py
@@ -78,7 +78,8 @@
     Files of a ring may follow each other in any order: of the heads of one start the earliest counts.
     """
     runs: dict[tuple[str, str], Run] = {}
-    run, opening, others = None, False, 0
+    run: Run | None = None
+    opening, others = False, 0
     for place, text in enumerate(lines, 1):
         text = text.rstrip("\n")
         if text.startswith(HEAD + "{"):
@@ -90,7 +91,7 @@
             if opening:
                 run.head, run.standing = head, []
         elif STANDING.match(text):
-            if opening:
+            if opening and run is not None:
                 words = text.split()
                 run.standing.append(read_entry(words, words[4].removeprefix("entry=").split(",")))
         elif run is not None and (match := LINE.match(text)):
@@ -131,8 +132,8 @@
                 self.lay_out_request(line)
             for value in ";".join(line.pairs.get("timers", [])).split(";"):
                 if value:
-                    number, now, token = value.split(",")
-                    self.events[int(number)] = (float(now), face.TimerDue(int(token)))
+                    which, now, token = value.split(",")
+                    self.events[int(which)] = (float(now), face.TimerDue(int(token)))
             for value in ";".join(line.pairs.get("probes", [])).split(";"):
                 if value:
                     self.lay_out_probe(*value.split(",", 5))
@@ -162,10 +163,10 @@
         if "at" not in line.pairs:
             return  # it was dropped before the module heard of it
         number, now = line.one("at")
-        request, klass, tenant, repeated, deadline = line.one("req")
-        request = int(request)
-        event = face.Arrived(request, int(klass), float(deadline), int(tenant), repeated == "1")
-        self.events[int(number)] = (float(now), partial(self.arrive, line, event))
+        name, klass, tenant, repeated, deadline = line.one("req")
+        request = int(name)
+        arrived = face.Arrived(request, int(klass), float(deadline), int(tenant), repeated == "1")
+        self.events[int(number)] = (float(now), partial(self.arrive, line, arrived))
         last = int(number)
         for n, value in enumerate(line.pairs.get("try", [])):
             host, chosen, *end = value.split(",")
@@ -270,7 +271,9 @@
     def let_go(self, number: int, now: float, request: int) -> None:
         """End what goes on here though it was over then."""
         out, self.out[request] = self.out[request], []
-        events = [face.Finished(request, n, face.Outcome.CANCELLED, 0.0, True) for n, _ in out]
+        events: list[face.Event] = [
+            face.Finished(request, n, face.Outcome.CANCELLED, 0.0, True) for n, _ in out
+        ]
         if not out and request not in self.over:
             events = [face.Left(request)]
         self.over.add(request)
@@ -302,8 +305,8 @@
                 request = int(line.one("req")[0])
                 made = self.made[request]
                 if made != line.decisions:
-                    words = [", ".join(decisions) or "hold -" for decisions in (line.decisions, made)]
-                    yield line, *words, self.mark(self.apart.get(request, number), self.parted)
+                    before, now = (", ".join(decisions) or "hold -" for decisions in (line.decisions, made))
+                    yield line, before, now, self.mark(self.apart.get(request, number), self.parted)
 
     def moments(self) -> int:
         """How many requests were decided on alike, but at another moment."""
--- a/brackenusher/runtime/buffers.py
+++ b/brackenusher/runtime/buffers.py
@@ -1,6 +1,7 @@
 """Receive buffers of one size, used again from a pool."""
 
 import socket
+from collections.abc import Callable
 
 SIZE = 16 * 1024
 KEPT = 32  # more than this are never lent at once, as each is given back before the next is asked for
@@ -20,7 +21,7 @@
         if len(self.free) < KEPT:
             self.free.append(buffer)
 
-    def receive(self, sock: socket.socket, sink) -> int:
+    def receive(self, sock: socket.socket, sink: Callable[[memoryview], object]) -> int:
         """Read once from a socket into a lent buffer, hand the bytes to `sink`, return their number.
 
         `sink` must have copied what it needs when it returns. At the end of the stream it gets b"".
--- a/brackenusher/runtime/loop.py
+++ b/brackenusher/runtime/loop.py
@@ -10,6 +10,7 @@
 import time
 from collections import deque
 from collections.abc import Generator
+from inspect import GEN_RUNNING, getgeneratorstate
 
 from brackenusher.runtime.timers import Timers
 
@@ -44,7 +45,7 @@
 
     def stop(self) -> None:
         """End the coroutine where it waits; one that runs at this moment ends where it waits next."""
-        if self.coroutine.gi_running:
+        if getgeneratorstate(self.coroutine) is GEN_RUNNING:
             self.stopped = True
         elif not self.ended:
             self.coroutine.close()
@@ -77,7 +78,7 @@
 
     def resume(self, task: Task, events: int | None) -> None:
         try:
-            mask = task.coroutine.send(events)
+            mask = next(task.coroutine) if events is None else task.coroutine.send(events)
         except StopIteration:
             self.end(task)
         except Exception:  # a fault costs the connection on which it showed, and no other
--- a/brackenusher/runtime/outlet.py
+++ b/brackenusher/runtime/outlet.py
@@ -11,7 +11,7 @@
 import threading
 from collections.abc import Callable
 
-from brackenusher.runtime.timers import Timers
+from brackenusher.runtime.timers import Entry, Timers
 
 PIECE = 4096  # a pipe takes so much in one go or not at all: no line is cut, or mixed with somebody else's
 BATCH = 32 * 1024  # handed over at once
@@ -41,7 +41,8 @@
     def __init__(self, outlet: "Outlet", write: Write, room: int, piece: int = PIECE) -> None:
         self.outlet, self.write, self.room, self.piece = outlet, write, room, piece
         self.pieces: list[bytearray] = []
-        self.size, self.count, self.limit = 0, 0, None
+        self.size, self.count = 0, 0
+        self.limit: Entry | None = None
         self.taken = self.refused = 0  # bytes, and items for which there was no room: the loop's thread
         self.done = self.failed = 0  # bytes, and items that could not be written: the writer's
 
--- a/brackenusher/upstream/connections.py
+++ b/brackenusher/upstream/connections.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import Callable, Generator
 from dataclasses import dataclass
+from typing import Any
 
 from barleybarrow import interface as face
 from barleybarrow.interface import Outcome
@@ -13,8 +14,9 @@
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import SHORTAGE, open_socket, write
 from brackenusher.runtime.loop import READ, WRITE, Coroutine, Loop, clock
+from brackenusher.runtime.timers import Entry
 from brackenusher.upstream.flow import Flow, Reply
-from brackenusher.upstream.pool import Member, Pool
+from brackenusher.upstream.pool import Connection, Member, Pool
 
 log = logging.getLogger(__name__)
 
@@ -31,13 +33,13 @@
         self.connect_time = settings.connect_timeout or CONNECT_TIME
         self.idle_time = settings.conn_idle * IDLE_SHARE if settings.conn_idle else float("inf")
         self.links: set[ServerLink] = set()
-        self.owner: Transactions | None = None
+        self.owner: Transactions  # set by who makes the transactions, which need this first
         self.watch = lambda: None
 
     def start(self, attempt: "Attempt | Probe") -> None:
         """Send an attempt on an idle connection, or on a new one."""
         member = self.pool.members[attempt.backend]
-        link = self.pool.lend(member)
+        link: Connection | Outcome | None = self.pool.lend(member)
         if link is None:
             link = self.connect(member)
         if isinstance(link, Outcome):
@@ -86,7 +88,7 @@
     message: Message
     sent_at: float
     deadline: float
-    ended: Callable[["Probe", Outcome, Served | None], None]
+    ended: Callable[[Any, Outcome, Served | None], None]  # as an attempt's
     carriage: "ServerLink | None" = None
 
 
@@ -109,7 +111,10 @@
     def __init__(self, upstream: Upstream, member: Member, sock: socket.socket, connected: bool) -> None:
         self.upstream, self.member, self.sock = upstream, member, sock
         self.attempt: Attempt | Probe | None = None
-        self.limit = self.expiry = self.idle_limit = self.stall = None
+        self.limit: Entry | None = None
+        self.expiry: Entry | None = None
+        self.idle_limit: Entry | None = None
+        self.stall: Entry | None = None
         self.written = False
         self.flow = Flow(f"{member.address[0]}:{member.address[1]}".encode())
         self.reply: Reply | None = None
@@ -152,6 +157,7 @@
             self.done(Outcome.CONNECT_FAILED)  # it was queued on the connect past the drain limit
             return False
         attempt, self.reply = self.attempt, None
+        assert attempt is not None
         rest = self.flow.request(attempt.message, attempt.deadline - clock())
         try:
             while rest:
@@ -195,6 +201,7 @@
         It is offered before the outcome is told, as the module may send the next attempt on hearing of it.
         """
         deadlines, attempt, self.attempt = self.upstream.loop.deadlines, self.attempt, None
+        assert attempt is not None  # it is told of once, and then gone from here
         deadlines.remove(self.expiry)
         deadlines.remove(self.stall)
         self.stall = None
--- a/brackenusher/upstream/flow.py
+++ b/brackenusher/upstream/flow.py
@@ -55,7 +55,8 @@
     def begin(self) -> None:
         """Get ready for a head."""
         self.in_body, self.framed, self.closing, self.to_the_end = False, False, False, False
-        self.declined, self.kind, self.body, self.size = False, None, bytearray(), 0
+        self.declined, self.body, self.size = False, bytearray(), 0
+        self.kind: bytes | None = None
 
     def request(self, message: Message, wait: float) -> bytes:
         """The bytes of a request; `wait` tells the server how many milliseconds it has."""
@@ -72,7 +73,7 @@
             lines.append(b"content-length: %d" % len(message.body))
         return b"\r\n".join(lines) + b"\r\n\r\n" + message.body
 
-    def receive(self, data) -> Reply | None:
+    def receive(self, data: bytes | memoryview) -> Reply | None:
         """Take bytes, b"" at the end of the stream; return what the attempt came to once that is known."""
         if not data:
             self.usable = False
--- a/brackenusher/upstream/pool.py
+++ b/brackenusher/upstream/pool.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 from barleybarrow import interface as face
 from brackenusher.runtime.driver import Address
@@ -16,6 +16,7 @@
 
     member: "Member"
 
+    def carry(self, attempt: Any) -> None: ...
     def close(self) -> None: ...
     def healthy(self) -> bool: ...
 
