A move that offers an upgrade reaches its turn server; absolute form is taken

A POST with Connection: Upgrade and a body came to the turn server without its body and was answered 200: the parser ends such a message at its head, and what came behind it got no answer. The head is now read again by a parser that has not seen the offer (RFC 9110 7.8: it is ignored), and the rest of the stream with it. CONNECT gets 405 and ends the connection. A target in absolute form is passed on in origin form, its authority in the place of Host (RFC 9112 3.2.2); userinfo, https, an empty host, a fragment (passed on before) get 400.

--- a/brackenusher/fronts/http1/virtual_server.py
+++ b/brackenusher/fronts/http1/virtual_server.py
@@ -35,6 +35,7 @@
     )
 )
 ID = re.compile(rb"[!-~]{1,256}\Z")  # an id or a key that can be passed on
+AUTHORITY = re.compile(rb"(?:\[[0-9A-Fa-f:.]+\]|[-A-Za-z0-9._~!$&'()*+,;=%]+)(?::[0-9]*)?\Z")  # no userinfo
 SPAN = re.compile(rb"([0-9]{1,9}(?:\.[0-9]{1,9})?)([mu])\Z")
 REASONS = {
     200: b"OK",
@@ -199,6 +200,26 @@
     return None
 
 
+def origin_form(
+    target: bytes, headers: list[tuple[bytes, bytes]]
+) -> tuple[bytes, list[tuple[bytes, bytes]]] | Rejection:
+    """Put a target in absolute form into origin form; its authority takes the place of Host (RFC 9112 3.2.2).
+
+    Other forms are for proxies of another kind, and a fragment is never sent (RFC 9112 3.2).
+    """
+    if b"#" in target:
+        return Rejection(400, "a target has no fragment")
+    if target[:1] == b"/":
+        return target, headers
+    scheme, _, rest = target.partition(b"://")
+    authority = re.split(rb"[/?]", rest, maxsplit=1)[0]
+    if scheme.lower() != b"http" or not AUTHORITY.match(authority):
+        return Rejection(400, "the target's form is not served here")
+    path = rest[len(authority) :]
+    others = [(name, value) for name, value in headers if name != b"host"]
+    return path if path[:1] == b"/" else b"/" + path, [(b"host", authority), *others]
+
+
 class VirtualServer:
     """One client connection; it is fed bytes and knows no socket."""
 
@@ -221,15 +242,32 @@
             if self.coming:
                 self.reject_stream(Rejection(400, "the stream ends inside a request", fatal=True))
             return
+        size = len(data)
         try:
-            self.parser.feed_data(data)
+            while data:
+                data = self.feed(data)
             if self.coming and not self.in_body:
-                self.count(len(data))
-        except HttpParserUpgrade:  # the request counts, what comes after it is in no known language
-            self.rejection = Rejection(400, "no other protocol is spoken here", fatal=True)
+                self.count(size)
         except (HttpParserError, Spoilt) as error:
             self.reject_stream(self.rejection or Rejection(400, str(error), fatal=True))
 
+    def feed(self, data: bytes | memoryview) -> bytes | memoryview:
+        """Hand bytes to the parser, and return those that it left.
+
+        It ends a message at its head where that offers to go on in another protocol. Nobody speaks one
+        here, so the offer is ignored (RFC 9110 7.8) and the body read, by a parser that has not seen it.
+        """
+        try:
+            self.parser.feed_data(data)
+            return b""
+        except HttpParserUpgrade as upgrade:
+            version = self.parser.get_http_version().encode()
+            lines = [b"%s %s HTTP/%s" % (self.parser.get_method(), self.target, version)]
+            lines += [b"%s: %s" % header for header in self.headers if header[0] != b"upgrade"]
+            self.parser = HttpRequestParser(self)
+            self.parser.feed_data(b"\r\n".join(lines) + b"\r\n\r\n")
+            return data[upgrade.args[0] :]
+
     def reject_stream(self, rejection: Rejection) -> None:
         self.rejection, self.coming = rejection, False
         self.items.append((rejection, False))
@@ -261,6 +299,9 @@
     def on_headers_complete(self) -> None:
         self.in_body = True
         rejection = judge(self.headers, self.parser.get_http_version(), self.front.once)
+        if self.parser.get_method() == b"CONNECT":  # what comes after it may be in any language
+            allow = ((b"allow", b"GET, POST"),)
+            rejection = Rejection(405, "no tunnels are made here", allow, fatal=True)
         if rejection is not None:
             self.spoilt(rejection)
 
@@ -270,12 +311,18 @@
             self.spoilt(Rejection(413, "the body is too large", fatal=True))
 
     def on_message_complete(self) -> None:
+        if self.parser.should_upgrade():
+            return  # it is not: see feed
         self.coming = False
         goes_on = self.parser.should_keep_alive() and self.parser.get_http_version() == "1.1"
-        message = Message(self.parser.get_method(), self.target, self.headers, bytes(self.body))
-        self.items.append((self.whole(message), goes_on))
-
-    def whole(self, message: Message) -> Request | Rejection:
+        self.items.append((self.whole(), goes_on))
+
+    def whole(self) -> Request | Rejection:
+        """What a request that has come whole is to be answered with, or that it may be taken."""
+        read = origin_form(self.target, self.headers)
+        if isinstance(read, Rejection):
+            return read
+        message = Message(self.parser.get_method(), *read, bytes(self.body))
         if message.target.partition(b"?")[0] == READY:
             if message.method != b"GET":
                 return Rejection(405, "GET only", ((b"allow", b"GET"),))
