--- a/brackenusher/fronts/http.py
+++ b/brackenusher/fronts/http.py
@@ -152,7 +152,10 @@
     """Status, body and headers of a final answer."""
     if isinstance(answer, Served):
         kind = answer.content.kind or b"application/octet-stream"
-        return 200, answer.content.body, ((b"content-type", kind),)
+        headers: Headers = ((b"content-type", kind),)
+        if answer.content.coding:
+            headers += ((b"content-encoding", answer.content.coding),)
+        return 200, answer.content.body, headers
     if isinstance(answer, Refused):
         return 503, b"refused\n", ((b"retry-after", seconds(answer.retry_after)),)
     return 502, b"failed\n", ()
--- a/brackenusher/fronts/http1/virtual_server.py
+++ b/brackenusher/fronts/http1/virtual_server.py
@@ -1,7 +1,9 @@
 """The virtual server: the clients' side of HTTP, one state machine for each connection."""
 
+import re
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Sequence, Set
+from dataclasses import replace
 from typing import NoReturn
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
@@ -10,9 +12,19 @@
 from brackenusher.core.message import LONGEST_BODY, Message
 from brackenusher.core.transaction import Answer
 from brackenusher.fronts.http import REASONS, Fields, Front, Rejection, final
-from brackenusher.upstream.flow import LONGEST_HEAD, Spoilt
+from brackenusher.upstream.flow import LONGEST_HEAD, LONGEST_STREAM, SLACK, Spoilt
 
 MOST_AHEAD = 16  # requests that a client may send ahead of the answer it waits for
+AUTHORITY = re.compile(rb"(?:\[[0-9A-Fa-f:.]+\]|[-A-Za-z0-9._~!$&'()*+,;=%]+)(?::[0-9]*)?\Z")  # no userinfo
+USUAL = frozenset((b"keep-alive", b"close"))  # options of Connection that name no header
+
+
+def nominated(headers: Sequence[tuple[bytes, bytes]], seen: Fields) -> Set[bytes]:
+    """Names of headers that concern this hop alone, as Connection says (RFC 9110 7.6.1)."""
+    if len(seen) == len(headers) and seen.get(b"connection", b"close").lower() in USUAL:
+        return frozenset()
+    values = [value for name, value in headers if name == b"connection"]
+    return {option.strip(b" \t").lower() for value in values for option in value.split(b",")}
 
 
 def judge(seen: Fields, version: str) -> Rejection | None:
@@ -21,6 +33,8 @@
         return Rejection(505, "HTTP/1.1 is spoken here", fatal=True)
     if version == "1.1" and b"host" not in seen:
         return Rejection(400, "Host is missing", fatal=True)
+    if seen.get(b"host") and not AUTHORITY.match(seen[b"host"]):
+        return Rejection(400, "Host cannot be read", fatal=True)
     if b"transfer-encoding" in seen:
         if b"content-length" in seen:  # which of them counts? another request may hide in the body
             return Rejection(400, "Content-Length and Transfer-Encoding exclude each other", fatal=True)
@@ -31,6 +45,26 @@
     return None
 
 
+def origin_form(
+    target: bytes, headers: list[tuple[bytes, bytes]]
+) -> tuple[bytes, list[tuple[bytes, bytes]]] | Rejection:
+    """Put a target in absolute form into origin form; its authority takes the place of Host (RFC 9112 3.2.2).
+
+    Other forms are for proxies of another kind, and a fragment is never sent (RFC 9112 3.2).
+    """
+    if b"#" in target:
+        return Rejection(400, "a target has no fragment")
+    if target[:1] == b"/":
+        return target, headers
+    scheme, _, rest = target.partition(b"://")
+    authority = re.split(rb"[/?]", rest, maxsplit=1)[0]
+    if scheme.lower() != b"http" or not AUTHORITY.match(authority):
+        return Rejection(400, "the target's form is not served here")
+    path = rest[len(authority) :]
+    others = [(name, value) for name, value in headers if name != b"host"]
+    return path if path[:1] == b"/" else b"/" + path, [(b"host", authority), *others]
+
+
 class VirtualServer:
     """One client connection; it is fed bytes and knows no socket."""
 
@@ -42,37 +76,63 @@
         self.target, self.body, self.size = b"", bytearray(), 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.fields: Fields = {}  # the headers by name
+        self.method, self.version = b"", ""
+        self.begun, self.come = 0, 0  # requests that began to come in; bytes of the one that comes in
         self.rejection: Rejection | None = None  # why the stream cannot be read any further
         self.goes_on = True  # whether the connection can, after what is being answered
         self.ended = self.last = False  # the client sends no more; this answer ends the connection
 
     def receive(self, data: bytes | memoryview) -> None:
         """Take bytes, b"" at the end of the stream."""
-        if self.ended or self.rejection is not None:
-            return
-        self.ended = not data
-        if self.ended:
+        if not data:
+            self.ended = True  # to be known also where the stream cannot be read any further
             if self.coming:
                 self.reject_stream(Rejection(400, "the stream ends inside a request", fatal=True))
+        if self.ended or self.rejection is not None:
             return
+        before, size = self.begun + (not self.coming), len(data)
         try:
-            self.parser.feed_data(data)
-            if self.coming and not self.in_body:
-                self.count(len(data))
-        except HttpParserUpgrade:  # the request counts, what comes after it is in no known language
-            self.rejection = Rejection(400, "no other protocol is spoken here", fatal=True)
+            while data:
+                data = self.feed(data)
+            if self.coming:  # where others came before it, how much is its own is not known
+                self.weigh(size if self.begun <= before else 0)
         except (HttpParserError, Spoilt) as error:
             self.reject_stream(self.rejection or Rejection(400, str(error), fatal=True))
 
+    def feed(self, data: bytes | memoryview) -> bytes | memoryview:
+        """Hand bytes to the parser, and return those that it left.
+
+        It ends a message at its head where that offers to go on in another protocol. Nobody speaks one
+        here, so the offer is ignored (RFC 9110 7.8) and the body read, by a parser that has not seen it.
+        """
+        try:
+            self.parser.feed_data(data)
+            return b""
+        except HttpParserUpgrade as upgrade:
+            lines = [b"%s %s HTTP/%s" % (self.method, self.target, self.version.encode())]
+            lines += [b"%s: %s" % header for header in self.headers if header[0] != b"upgrade"]
+            self.parser = HttpRequestParser(self)
+            self.parser.feed_data(b"\r\n".join(lines) + b"\r\n\r\n")
+            return data[upgrade.args[0] :]
+
     def reject_stream(self, rejection: Rejection) -> None:
         self.rejection, self.coming = rejection, False
         self.items.append((rejection, False))
 
     def count(self, size: int) -> None:
+        """Count what the parser told of a head; it tells of a header once that is whole."""
         self.size += size
         if self.size > LONGEST_HEAD:
             self.spoilt(Rejection(431, "the head is too large", fatal=True))
 
+    def weigh(self, size: int) -> None:
+        """Count bytes as they come, lest what the parser does not tell of yet grows without bound."""
+        self.come += size
+        if not self.in_body and self.come > LONGEST_HEAD + SLACK:
+            self.spoilt(Rejection(431, "the head is too large", fatal=True))
+        if self.come > LONGEST_STREAM:
+            self.spoilt(Rejection(413, "the body's framing is too large", fatal=True))
+
     def spoilt(self, rejection: Rejection) -> NoReturn:
         """Have the parser stop where it is."""
         self.rejection = rejection
@@ -83,23 +143,33 @@
     def on_message_begin(self) -> None:
         self.coming, self.in_body = True, False
         self.target, self.headers, self.body, self.size = b"", [], bytearray(), 0
+        self.begun, self.come = self.begun + 1, 0
 
     def on_url(self, part: bytes) -> None:
         self.target += part
+        self.count(len(part))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.in_body:  # else a trailer, which nobody needs
-            self.headers.append((name.lower(), value.strip()))
-        self.count(len(name) + len(value))
+            self.headers.append((name.lower(), value.strip(b" \t")))
+        self.count(len(name) + len(value) + 4)  # with its colon, a space and the line's end
 
     def on_headers_complete(self) -> None:
         self.in_body = True
+        self.method, self.version = self.parser.get_method(), self.parser.get_http_version()
         fields = self.front.fields(self.headers)
         if isinstance(fields, Rejection):
             self.spoilt(fields)
-        rejection = judge(fields, self.parser.get_http_version())
+        rejection = judge(fields, self.version)
+        if self.method == b"CONNECT":  # what comes after it may be in any language
+            allow = ((b"allow", b"GET, POST"),)
+            rejection = Rejection(405, "no tunnels are made here", allow, fatal=True)
         if rejection is not None:
             self.spoilt(rejection)
+        if names := nominated(self.headers, fields):
+            if not self.front.once.isdisjoint(names):
+                self.spoilt(Rejection(400, "Connection names a header of more than one hop", fatal=True))
+            self.headers = [header for header in self.headers if header[0] not in names]
         self.fields = fields
 
     def on_body(self, part: bytes) -> None:
@@ -108,10 +178,22 @@
             self.spoilt(Rejection(413, "the body is too large", fatal=True))
 
     def on_message_complete(self) -> None:
+        if self.parser.should_upgrade():
+            return  # it is not: see feed
         self.coming = False
-        goes_on = self.parser.should_keep_alive() and self.parser.get_http_version() == "1.1"
-        message = Message(self.parser.get_method(), self.target, self.headers, bytes(self.body))
-        self.items.append((self.front.take(message, self.fields, self.ready), goes_on))
+        goes_on = self.parser.should_keep_alive() and self.version == "1.1"
+        item = self.whole()
+        if self.method == b"HEAD" and isinstance(item, Rejection):
+            item = replace(item, text="")  # the client would take a body for the next answer
+        self.items.append((item, goes_on))
+
+    def whole(self) -> Request | Rejection:
+        """What a request that has come whole is to be answered with, or that it may be taken."""
+        read = origin_form(self.target, self.headers)
+        if isinstance(read, Rejection):
+            return read
+        message = Message(self.method, *read, bytes(self.body))
+        return self.front.take(message, self.fields, self.ready)
 
     # what the driver calls
 
@@ -135,9 +217,12 @@
 
     def go_on(self) -> bytes:
         """What to send to a client that waits for leave to send its body."""
-        if not self.coming or not self.in_body or (b"expect", b"100-continue") not in self.headers:
+        if not self.coming or not self.in_body or self.version != "1.1":
+            return b""
+        waits = [header for header in self.headers if header[0] == b"expect"]
+        self.headers = [header for header in self.headers if header[0] != b"expect"]
+        if all(value.lower() != b"100-continue" for _, value in waits):
             return b""
-        self.headers.remove((b"expect", b"100-continue"))
         return b"HTTP/1.1 100 Continue\r\n\r\n"
 
     def answer(self, answer: Answer, last: bool) -> bytes:
@@ -146,7 +231,7 @@
 
     def reject(self, rejection: Rejection, last: bool) -> bytes:
         """The bytes of an answer that took no decision."""
-        body = rejection.text.encode() + b"\n"
+        body = rejection.text.encode() + b"\n" if rejection.text else b""
         return self.respond(rejection.status, body, rejection.headers, last or rejection.fatal)
 
     def respond(self, status: int, body: bytes, headers: Sequence[tuple[bytes, bytes]], last: bool) -> bytes:
