Stop by a plan: serve on after SIGTERM to a margin before the kill, all answered

barleybarrow/farewell.py plans the end: when the kill may come, by when all is answered, what time is left to a request, when the last call is. Connections go on until the last call; answers end them only then; the listener takes in all that waits before it closes. A trace of client connections showed a second cause: once clients found none of their connections free (they can open no others from 0.2 to 0.4 s on) nothing came any more for the remaining 1.2 s.

--- a/brackenusher/config/platform.py
+++ b/brackenusher/config/platform.py
@@ -26,6 +26,7 @@
     listen: Address
     discovery: Address
     seed: int
+    cores: float  # the part of a core that the program may use
     sockets: int
     known: dict[str, Any]
     settings: face.Settings
@@ -76,6 +77,9 @@
     sockets = int(conf.get("limits", {}).get("sockets", 1024))
     if sockets < LEAST_SOCKETS:
         raise ConfigError(f"limits: {sockets} sockets are too few, {LEAST_SOCKETS} are needed")
+    cores = float(conf.get("limits", {}).get("cores", 1.0))
+    if not cores > 0:
+        raise ConfigError(f"limits: {cores} cores are too few")
     known = conf.get("known") or {}
     if not isinstance(known, dict):
         raise ConfigError("known: an object expected")
@@ -84,6 +88,7 @@
         listen=read_address(environ.get("GW_LISTEN") or conf.get("listen"), "listen"),
         discovery=read_address(environ.get("GW_DISCOVERY") or conf.get("discovery"), "discovery"),
         seed=int(str(conf.get("seed", "0")), 16),
+        cores=cores,
         sockets=sockets,
         known=known,
         settings=settings,
--- a/brackenusher/core/transaction.py
+++ b/brackenusher/core/transaction.py
@@ -270,6 +270,15 @@
         elif transaction.over and not transaction.out and self.open.pop(transaction.id, None):
             self.names.discard(transaction.name)
 
+    def answer_all(self) -> int:
+        """The program ends: answer what is open still as failed, and say how much that was."""
+        late = [transaction for transaction in self.open.values() if not transaction.over]
+        for transaction in late:
+            self.unanswered += 1
+            self.answer(transaction.id, Failed())
+            self.post(face.Left(transaction.id))
+        return len(late)
+
     def overdue(self, transaction: Transaction) -> None:
         """The last guard: the client's deadline is here and nobody has answered."""
         if not transaction.over:
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -7,13 +7,16 @@
 import socket
 import time
 from collections.abc import Callable
+from functools import partial
+from types import FrameType
 
 from barleybarrow.brain import Balancer
 from barleybarrow.door import Door
+from barleybarrow.farewell import Farewell, Phase
 from brackenusher.config.operators import Operator, doubts
 from brackenusher.config.platform import Config, ConfigError
 from brackenusher.core.deadlines import Deadlines
-from brackenusher.core.transaction import Observers, Transactions
+from brackenusher.core.transaction import RESERVE, Observers, Transactions
 from brackenusher.fronts.http1.clients import OVERFLOW, Clients
 from brackenusher.fronts.http1.virtual_server import Front
 from brackenusher.membership.agent import Agent
@@ -31,9 +34,7 @@
 SPARE_SOCKETS = 24  # listener, epoll, discovery, standard streams, and some to refuse with
 CLIENT_PART = 0.625  # of the other descriptors: a held request has a client connection and no flow
 KEPT_PART = 0.2  # of all, between requests: clients hold a third at most, and some ask once and stay
-FAREWELL = 450.0  # milliseconds after SIGTERM in which clients still come
-GRACE = 700.0  # what comes in later than this after SIGTERM is not waited for
-CHECK = 10.0  # how often it is looked whether all is answered
+CHECK = 10.0  # milliseconds: how often it is looked, once the program is to stop, what is to be done
 
 
 class Daemon:
@@ -41,6 +42,8 @@
 
     def __init__(self, config: Config, load: Callable[[], Config], operator: Operator) -> None:
         self.load = load  # reads the configuration anew
+        self.told_at: float | None = None  # when the first signal to stop came
+        self.farewell: Farewell | None = None
         settings = config.settings
         deadlines, buffers = Deadlines(), Buffers()
         self.config, self.operator, self.loop = config, operator, Loop(deadlines)
@@ -110,7 +113,11 @@
         log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
         self.loop.run()
         log.info(
-            "ended: %d taken, %d stood unanswered", self.transactions.taken, self.transactions.unanswered
+            "ended: %d taken, %d stood unanswered, %d refused at the end, %d connections left",
+            self.transactions.taken,
+            self.transactions.unanswered,
+            self.clients.turned_away,
+            len(self.clients.links),
         )
         if self.capture:
             self.capture.close()
@@ -129,10 +136,15 @@
         signal.set_wakeup_fd(theirs.fileno())
         self.waker = theirs
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, lambda *_: None)
+            signal.signal(number, self.note)
         signal.signal(signal.SIGPIPE, signal.SIG_IGN)
         self.loop.spawn(self.listen_to_signals(ours), ours)
 
+    def note(self, number: int, _frame: FrameType | None) -> None:
+        """Note when the program was first told to stop: the loop may take it up a turn later."""
+        if number != signal.SIGHUP and self.told_at is None:
+            self.told_at = clock()
+
     def listen_to_signals(self, sock: socket.socket) -> Coroutine:
         while True:
             yield READ
@@ -142,10 +154,8 @@
                 continue
             if signal.SIGHUP in numbers:
                 self.reload()
-            if not self.clients.stopping and any(number != signal.SIGHUP for number in numbers):
-                log.info("stopping")
-                self.clients.stopping = True
-                self.later(FAREWELL, self.close_the_door)
+            if any(number != signal.SIGHUP for number in numbers):
+                self.stop()
 
     def reload(self) -> None:
         """Take up what the configuration's file says now; one that cannot be used changes nothing."""
@@ -161,20 +171,49 @@
         if config.discovery != self.agent.address:
             self.agent.move(config.discovery)
 
-    def close_the_door(self) -> None:
-        """Take no new connections; end those that stand between requests."""
-        self.clients.stop_accepting()
+    def stop(self) -> None:
+        """Serve on as long as the deployment allows, then end with all answered; asked again, go on so."""
+        if self.farewell is not None:
+            log.info("stopping already")
+            return
         longest = max(c.deadline for c in self.config.settings.classes)
-        self.last_call = clock() + GRACE - FAREWELL + longest
-        self.leave_when_done()
+        least = self.transactions.balancer.margin + RESERVE  # the module refuses at once what has less
+        plan = Farewell(self.told_at or clock(), longest, self.config.cores, least)
+        self.farewell = self.clients.farewell = plan
+        log.info(
+            "stopping: killed in %.0f ms at the soonest, all is to be answered in %.0f ms",
+            plan.limit - plan.told_at,
+            plan.answered_by - plan.told_at,
+        )
+        self.later(CHECK, partial(self.attend, plan, clock() + CHECK))
 
-    def leave_when_done(self) -> None:
-        """End once no client is left; connections that fell idle meanwhile are closed."""
-        if not self.clients.links or clock() >= self.last_call:
+    def attend(self, plan: Farewell, due: float) -> None:
+        """Do what the plan of the end says."""
+        now, before = clock(), plan.phase
+        phase = plan.step(now, now - due, len(self.clients.links), self.clients.shut)
+        if phase != before:
+            log.info(
+                "%s %.0f ms after the signal: %d taken, %d in hand, %d connections, stalled %.0f ms at most",
+                phase.name.lower().replace("_", " "),
+                now - plan.told_at,
+                self.transactions.taken,
+                len(self.transactions.open),
+                len(self.clients.links),
+                plan.stall,
+            )
+        if phase is Phase.ENDED:
             self.loop.running = False
             return
-        self.clients.close_idle()
-        self.later(CHECK, self.leave_when_done)
+        if phase >= Phase.LAST_CALL:
+            self.clients.stopping = True
+            self.clients.close_idle()
+        if phase is Phase.CLOSING:
+            given_up = self.transactions.answer_all()
+            if given_up:
+                log.error("%d transactions stood unanswered at the end", given_up)
+            self.clients.hurry()
+            self.clients.stop_accepting()
+        self.later(CHECK, partial(self.attend, plan, clock() + CHECK))
 
     def later(self, span: float, action: Callable[[], None]) -> None:
         self.loop.deadlines.add(clock() + span, action)
--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -2,10 +2,13 @@
 
 import logging
 import socket
+import struct
+from array import array
 from collections.abc import Generator
 
+from barleybarrow.farewell import Farewell
 from brackenusher.config.platform import Address
-from brackenusher.core.transaction import Answer, Refused, Transaction, Transactions
+from brackenusher.core.transaction import Answer, Refused, Served, Transaction, Transactions
 from brackenusher.fronts.http1.virtual_server import Front, Rejection, Request, VirtualServer
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import SHORTAGE, write
@@ -21,9 +24,27 @@
 PARTIAL_TIME = 200.0  # where there is no room left, a request is waited for no longer than this
 ANSWER_TIME = 10_000.0  # an answer must be taken by the client in this time
 LINGER = 500.0  # so long the rest of a stream that ends is read away, so that the answer is not reset
+FIRST_TIME = 20.0  # a connection this young is not closed at the end: its first request is on its way
+ATTACH_FILTER = 26  # the socket option SO_ATTACH_FILTER, which the standard library does not name
+DROP_ALL = 0x06  # a socket filter's instruction BPF_RET: with 0, nothing of a packet is let in
 WARN_AGAIN = 1000.0  # a shortage is logged no more often
 
 
+def keep_out(sock: socket.socket) -> None:
+    """Have the kernel drop what comes to a listener from now on, where it can.
+
+    Whoever connects between the last accept and the close would have his request reset unread. So he gets
+    no answer, and his kernel tries again after a second, by when somebody else may listen there. A filter on
+    the listener does not touch the connections that were let in before. A shorter queue, by listen(2), would
+    still let one in.
+    """
+    program = array("B", struct.pack("HBBI", DROP_ALL, 0, 0, 0))
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, ATTACH_FILTER, struct.pack("HP", 1, program.buffer_info()[0]))
+    except OSError as error:  # not every kernel has filters; the gap is some microseconds then
+        log.info("the listener takes no filter: %s", error)
+
+
 class Clients:
     """Accepts client connections and keeps count of them."""
 
@@ -45,7 +66,10 @@
         self.kept: dict[ClientLink, None] = {}  # between requests; the one that was used last stands last
         self.partial: dict[ClientLink, None] = {}  # with a request that is not whole; the oldest first
         self.spent: dict[ClientLink, None] = {}  # with their last answer written, the rest is read away
-        self.stopping, self.warned_at = False, -WARN_AGAIN
+        self.farewell: Farewell | None = None  # once the program is to stop: the plan of its end
+        self.stopping = self.shut = False  # each answer ends its connection; the door is closed
+        self.turned_away = 0  # requests refused because the end was near
+        self.warned_at = -WARN_AGAIN
         self.task: Task | None = None
 
     def listen(self, address: Address) -> None:
@@ -108,25 +132,41 @@
         return link is not None
 
     def stop_accepting(self) -> None:
-        """Take in what waits, then close the listener and the connections between requests."""
-        if not self.task.ended:
-            self.take_in(self.task.sock)
-            self.task.stop()
-        self.close_idle()
+        """Let nobody in any more, and close the listener once all are taken in who had been let in.
+
+        Where there is no room for them just now, the listener stays for another call.
+        """
+        if self.shut or self.task is None:
+            return
+        keep_out(self.task.sock)
+        before = -1
+        while before != len(self.links):
+            before = len(self.links)
+            if not self.take_in(self.task.sock):
+                return
+        self.shut = True
+        self.task.stop()
 
     def close_idle(self) -> None:
         """Close the connections between requests."""
+        young = clock() - FIRST_TIME
         for link in [*self.silent, *self.kept]:
-            if link.unheard():
+            if (link.place is self.kept or link.opened_at < young) and link.unheard():
                 link.task.stop()
 
+    def hurry(self) -> None:
+        """Answer those who are still sending their request; it has not been taken."""
+        young = clock() - FIRST_TIME
+        for link in [link for link in self.partial if link.since < young]:
+            link.too_late()
+
 
 class ClientLink:
     """A client's connection."""
 
     def __init__(self, clients: Clients, sock: socket.socket, address: str) -> None:
         self.clients, self.sock, self.address = clients, sock, address
-        self.machine = VirtualServer(clients.front, lambda: clients.pool.held)
+        self.machine = VirtualServer(clients.front, lambda: clients.pool.held and clients.farewell is None)
         self.transaction: Transaction | None = None
         self.answer: Answer | None = None
         self.limit = None
@@ -169,7 +209,7 @@
                 if isinstance(item, Request):
                     data = yield from self.serve(item)
                 else:
-                    data = machine.reject(item, self.clients.stopping)
+                    data = machine.reject(item, self.closing)
                 if not data or not (yield from self.write(data)):
                     return
             yield from self.linger()
@@ -202,7 +242,7 @@
         self.stands, self.since = where, clock()
         if where is not None:
             where[self] = None
-        if where is self.clients.kept and len(where) > self.clients.most_kept:
+        if where is self.clients.kept and len(where) > self.clients.most_kept and not self.stays:
             oldest = next(iter(where))
             if oldest.unheard():
                 oldest.task.stop()
@@ -214,15 +254,22 @@
             wait = clients.owner.balancer.conf.max_retry_after
             clients.owner.turn_away(request, f"room {wait:.0f} refused")
             return self.machine.answer(Refused(wait), True)
+        span, arrived_at = request.span, clock()
+        if clients.farewell is not None:
+            in_hand = len(clients.owner.open)
+            span = clients.farewell.cut(arrived_at, span, in_hand)
+            crowded = clients.farewell.crowded(arrived_at, len(clients.kept), in_hand)
+            if crowded or not span and request.span:
+                return self.refuse_at_the_end(request, clients.farewell)
         rejection = clients.front.admit(request, self.address)
         if rejection is not None:
             clients.owner.turn_away(request, rejection.verdict)
-            return self.machine.reject(rejection, clients.stopping)
+            return self.machine.reject(rejection, self.closing)
         self.answer = None
         self.transaction = clients.owner.arrive(
             request.name,
             request.klass,
-            request.span,
+            span,
             request.message,
             self.reply,
             request.tenant,
@@ -241,7 +288,22 @@
                 if self.machine.ended:
                     return b""
         self.transaction, self.place = None, clients.kept
-        return self.machine.answer(self.answer, clients.stopping)
+        if clients.farewell is not None and isinstance(self.answer, Served):
+            clients.farewell.answered(clock() - arrived_at)
+        return self.machine.answer(self.answer, self.closing)
+
+    def refuse_at_the_end(self, request: Request, plan: Farewell) -> bytes:
+        """What no time is left for is not taken."""
+        owner = self.clients.owner
+        self.clients.turned_away += 1
+        wait = plan.come_back(clock(), owner.balancer.conf.max_retry_after)
+        owner.turn_away(request, f"end {wait:.0f} refused")
+        return self.machine.answer(Refused(wait), self.closing)
+
+    @property
+    def closing(self) -> bool:
+        """Whether an answer is to end the connection: not while what was sent ahead waits for its own."""
+        return self.clients.stopping and self.machine.between
 
     def reply(self, answer: Answer) -> None:
         self.answer = answer
@@ -289,5 +351,11 @@
             self.limit = deadlines.add(clock() + span, self.too_late)
 
     def too_late(self) -> None:
-        self.late, self.limit = True, None
-        self.task.wake()
+        self.late, self.limit = not (self.resting and self.stays), None
+        if self.late:
+            self.task.wake()
+
+    @property
+    def stays(self) -> bool:
+        """Whether it is kept however long it rests: once the program stops, clients can open no other."""
+        return self.clients.farewell is not None and self.place is self.clients.kept
