--- a/brackenusher/core/admission.py
+++ b/brackenusher/core/admission.py
@@ -12,9 +12,10 @@
 from barleybarrow import interface as face
 from barleybarrow import tokens
 from barleybarrow.door import LONGEST_KEY, Door
+from barleybarrow.farewell import Farewell
 from barleybarrow.interface import Effect
 from brackenusher.core.message import Message
-from brackenusher.core.transaction import Answer, Transaction, Transactions
+from brackenusher.core.transaction import Answer, Served, Transaction, Transactions
 
 
 @dataclass(slots=True)
@@ -30,12 +31,14 @@
     token: bytes | None = field(default=None, repr=False)
     address: str = ""  # the client's
     beyond: bool = False  # on a connection beyond the proxy's share of descriptors, taken only to be refused
+    free: int | None = None  # connections between requests, where clients need one for each request
 
 
 class Bar(Enum):
     """What turned a request away."""
 
     ROOM = "room"  # the proxy's share of descriptors
+    END = "end"  # the program stops, and too little time is left
     TOKEN = "token"
     DOOR = "door"  # the limit of its tenant or address
     ID = "id"  # that of an open request
@@ -70,7 +73,9 @@
     ) -> None:
         self.owner, self.door, self.tokens, self.wall = owner, door, token_settings, wall
         self.needs = [tokens.READ if c.effect is Effect.SAFE else tokens.SUBMIT for c in settings.classes]
-        self.room_wait = settings.max_retry_after
+        self.most_wait = settings.max_retry_after
+        self.farewell: Farewell | None = None  # once the program is to stop: the plan of its end
+        self.at_the_end = 0  # requests refused because the end was near
 
     def admit(self, request: Request, reply: Callable[[Answer], None]) -> Transaction | Verdict:
         """Take a request, whose final answer `reply` gets once, maybe before this returns; or say why not."""
@@ -91,6 +96,11 @@
         self.owner.turn_away(request, verdict.words)
         return verdict
 
+    def answered(self, transaction: Transaction, answer: Answer) -> None:
+        """A front has the final answer of a request that was taken; at the end it counts how long it took."""
+        if self.farewell is not None and isinstance(answer, Served):
+            self.farewell.answered(self.owner.clock() - transaction.arrived)
+
     def left(self, transaction: Transaction) -> None:
         """The client of a request that was taken has gone."""
         self.owner.left(transaction)
@@ -101,7 +111,11 @@
         Tokens come before the door: a forged owner must not drain a tenant's bucket.
         """
         if request.beyond:
-            return Verdict(Bar.ROOM, retry_after=self.room_wait)
+            return Verdict(Bar.ROOM, retry_after=self.most_wait)
+        if self.farewell is not None and not self.fits(request, self.farewell):
+            self.at_the_end += 1
+            wait = self.farewell.come_back(self.owner.clock(), self.most_wait)
+            return Verdict(Bar.END, retry_after=wait)
         if self.tokens is not None:
             why = tokens.verdict(self.tokens, request.token, self.needs[request.klass], self.wall())
             if why:
@@ -115,6 +129,17 @@
                 return Verdict(Bar.DOOR, retry_after=wait)
         return None
 
+    def fits(self, request: Request, plan: Farewell) -> bool:
+        """Whether a request can still be taken, with its time cut to what is left."""
+        now, in_hand = self.owner.clock(), len(self.owner.open)
+        span = plan.cut(now, request.span, in_hand)
+        if request.span and not span:
+            return False
+        if request.free is not None and plan.crowded(now, request.free, in_hand):
+            return False
+        request.span = span
+        return True
+
 
 def name_of(owner: bytes | None) -> str:
     """A tenant's key at the door, as long as it counts; requests that name none share one of their own."""
--- a/brackenusher/fronts/http.py
+++ b/brackenusher/fronts/http.py
@@ -145,7 +145,8 @@
     headers = ((b"retry-after", seconds(verdict.retry_after)),)
     if verdict.bar is Bar.DOOR:
         return Rejection(429, "over the limit", headers)
-    return Rejection(503, "refused", headers, fatal=True)  # the connection's descriptor is needed
+    # at the end of the program the connection may serve on, else its descriptor is needed
+    return Rejection(503, "refused", headers, fatal=verdict.bar is Bar.ROOM)
 
 
 def final(answer: Answer) -> tuple[int, bytes, Headers]:
