--- /dev/null
+++ b/testbed/policies/__init__.py
@@ -0,0 +1,50 @@
+"""Policies that take the module's place, by name."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from barleybarrow import interface as face
+from barleybarrow.brain import Balancer
+
+
+class View(Protocol):
+    """The servers' true state, now, as no proxy in service could know it."""
+
+    def alive(self, server: str) -> bool:
+        """Whether its process runs and answers, and this proxy reaches it."""
+
+    def free(self, server: str) -> int:
+        """Slots in which a request would be worked on at once."""
+
+    def ahead(self, server: str) -> float:
+        """Milliseconds of a standard core yet to be done there, on what is in work and what waits."""
+
+    def speed(self, server: str) -> float:
+        """Standard cores' worth of work that it does now: cores, speed, warmth, crowding and faults."""
+
+    def one_core(self, server: str) -> float:
+        """The speed at which a single request is worked on there, now, with one more request held."""
+
+    def warmth(self, server: str) -> float:
+        """Share of its full capacity that a start has brought so far, 0 to 1."""
+
+
+class Policy(Protocol):
+    """What a proxy asks; `barleybarrow.brain.Balancer` is one."""
+
+    def begin(self) -> list[face.Action]:
+        """Actions before the first event."""
+
+    def handle(self, now: float, event: face.Event) -> list[face.Action]:
+        """Take one event at a time in milliseconds; return the actions that it calls for."""
+
+
+Make = Callable[[face.Settings, int, float, View | None], Policy]
+
+
+def module(settings: face.Settings, seed: int, now: float, view: View | None = None) -> Policy:
+    """The module that ships."""
+    return Balancer(settings, seed, now)
+
+
+POLICIES: dict[str, Make] = {"module": module}
