Rival policies behind the module's interface, with one set of rules and six choices

Uniform random, round robin, least in flight, peak EWMA of two, Prequal's hot-cold rule and one that sees the true state share one base: list, repeats, budget, holding, refusing, back-off and the pace of cold servers. Only the choice differs.

--- a/testbed/policies/__init__.py
+++ b/testbed/policies/__init__.py
@@ -1,45 +1,11 @@
-"""Policies that take the module's place, by name."""
-
-from collections.abc import Callable
-from typing import Protocol
+"""Policies that take the module's place behind its own interface, by name."""
 
 from barleybarrow import interface as face
 from barleybarrow.brain import Balancer
+from testbed.policies.rivals import AllKnowing, LeastInFlight, PeakEwma, Prequal, RoundRobin, UniformRandom
+from testbed.policies.view import Make, Policy, View
 
-
-class View(Protocol):
-    """The servers' true state, now, as no proxy in service could know it."""
-
-    def alive(self, server: str) -> bool:
-        """Whether its process runs and answers, and this proxy reaches it."""
-
-    def free(self, server: str) -> int:
-        """Slots in which a request would be worked on at once."""
-
-    def ahead(self, server: str) -> float:
-        """Milliseconds of a standard core yet to be done there, on what is in work and what waits."""
-
-    def speed(self, server: str) -> float:
-        """Standard cores' worth of work that it does now: cores, speed, warmth, crowding and faults."""
-
-    def one_core(self, server: str) -> float:
-        """The speed at which a single request is worked on there, now, with one more request held."""
-
-    def warmth(self, server: str) -> float:
-        """Share of its full capacity that a start has brought so far, 0 to 1."""
-
-
-class Policy(Protocol):
-    """What a proxy asks; `barleybarrow.brain.Balancer` is one."""
-
-    def begin(self) -> list[face.Action]:
-        """Actions before the first event."""
-
-    def handle(self, now: float, event: face.Event) -> list[face.Action]:
-        """Take one event at a time in milliseconds; return the actions that it calls for."""
-
-
-Make = Callable[[face.Settings, int, float, View | None], Policy]
+__all__ = ["BOUND", "PROBING", "POLICIES", "Make", "Policy", "View"]
 
 
 def module(settings: face.Settings, seed: int, now: float, view: View | None = None) -> Policy:
@@ -47,4 +13,14 @@
     return Balancer(settings, seed, now)
 
 
-POLICIES: dict[str, Make] = {"module": module}
+POLICIES: dict[str, Make] = {
+    "module": module,
+    "random": UniformRandom,
+    "round_robin": RoundRobin,
+    "least": LeastInFlight,
+    "peak_ewma": PeakEwma,
+    "prequal": Prequal,
+    "all_knowing": AllKnowing,
+}
+BOUND = "all_knowing"  # no rival, but what a choice can reach
+PROBING = frozenset({"prequal"})  # cannot work without probes that tell of a server's load
