Testbed: a world in virtual time for the code that ships, with faults and an oracle

Each proxy is the daemon's own transactions, module, deadlines and pool on links in virtual time, before a model of servers and discovery.

--- /dev/null
+++ b/testbed/world.py
@@ -0,0 +1,1097 @@
+"""A run in virtual time: clients, proxies, servers and discovery in one discrete-event loop.
+
+Time is in integer microseconds. Events of one instant come in the order in which they were asked for, by a
+serial number, so that nothing hangs on hashes; a request of a client comes before them. The same scenario,
+seed and policy give the same run to the byte, which `Result.digest` tells.
+"""
+
+import resource
+import time
+from array import array
+from collections.abc import Callable, Iterator
+from hashlib import blake2b
+from heapq import heappop, heappush
+from typing import Any
+
+import numpy as np
+
+from barleybarrow import interface as face
+from barleybarrow.interface import Outcome
+from brackenusher.core.transaction import Answer, Refused, Served, Transaction
+from brackenusher.membership.discovery import Host as Listed
+from testbed import faults
+from testbed import scenario as config
+from testbed.model import server as model
+from testbed.model.arrivals import Arrivals, Asked, attempt_noise, spread
+from testbed.model.discovery import Agent, Registry
+from testbed.model.network import Network, stream, uniforms
+from testbed.oracle import LOOK, SWEEP, Oracle
+from testbed.proxy import LOCAL_START, RECORD, UNIX_START, Carry, Link, Proxy
+from testbed.results import MANY, QUANTILES, Acted, Result, Series, Tally, encode, histogram
+
+SECOND = 1_000_000  # microseconds
+NEVER = 1 << 62
+MOST_BREACHES = 100  # kept of one run; the rest is counted
+FRONT_NOTICE = 2 * SECOND  # until the front knows that a proxy has died
+LOST_WATCH = SECOND  # after which a call to a discovery that is silent has failed
+WATCH = 5_000  # microseconds that such a call takes otherwise
+CHUNK = 1 << 20  # bytes of the trace that are digested at once
+OUTCOMES = {
+    model.SERVED: Outcome.SERVED,
+    model.ERROR: Outcome.ERROR,
+    model.DECLINED: Outcome.FULL,
+}
+CLIENT, ARRIVED, DONE, ANSWER, FAULT = 32, 33, 34, 35, 36  # records of the digest's trace beside the module's
+IN_AIM, LATE, REFUSED, FAILED, LEFT = range(5)
+
+
+class Place:
+    """Where a server runs; processes come and go there."""
+
+    __slots__ = ("index", "zone", "kind", "cell", "address", "host", "late", "lost", "resets")
+
+    def __init__(self, index: int, zone: int, kind: int, cell: int) -> None:
+        self.index, self.zone, self.kind, self.cell = index, zone, kind, cell
+        self.address = (f"10.{index >> 16}.{index >> 8 & 255}.{index & 255}", 9000)
+        self.host: Host
+        self.late: list[float] = []  # sizes of the faults that act on what it answers
+        self.lost: list[float] = []
+        self.resets: list[float] = []
+
+
+class Host:
+    """A server under one id, over all lives of its process."""
+
+    __slots__ = (
+        "name",
+        "place",
+        "zone",
+        "cell",
+        "server",
+        "life",
+        "links",
+        "wake",
+        "health",
+        "listed_at",
+        "told_born_at",
+        "plain",
+        "slows",
+        "hangs",
+        "errors",
+        "leaves",
+    )
+
+    def __init__(self, name: str, place: Place, server: model.Server) -> None:
+        self.name, self.place, self.server = name, place, server
+        self.zone, self.cell = place.zone, place.cell
+        self.life = 0
+        self.links: dict[Link, None] = {}
+        self.wake: int | None = None  # when the loop next looks at its server
+        self.health = "ready"  # as discovery knows it
+        self.listed_at = self.told_born_at = 0  # the versions that told of this life, and when it began
+        self.plain = True  # nothing has ever been told of it but the first list
+        self.slows: list[float] = []
+        self.errors: list[float] = []
+        self.hangs = 0
+        self.leaves = 0  # drains that were begun: the process ends with the last one
+
+    def group(self, how: str) -> int:
+        """The group of servers that drop each other's repeats."""
+        return -1 if how == "all" else self.zone if how == "zone" else self.cell
+
+    def idle(self, now: int) -> bool:
+        """Whether it would work on one more request at once and at full speed."""
+        server, place = self.server, self.place
+        return (
+            server.up
+            and len(server.working) < server.spec.cores
+            and self.health == "ready"
+            and not (server.hung or server.draining or server.quick_errors or now < server.cold_until)
+            and server.slow == 1.0
+            and not (place.late or place.lost or place.resets)
+            and server.connections < server.spec.connections
+        )
+
+
+class Op:
+    """What a client wants done, over all its tries."""
+
+    __slots__ = (
+        "asked",
+        "sent",
+        "due",
+        "klass",
+        "tenant",
+        "key",
+        "operation",
+        "tries",
+        "worth",
+        "attempts",
+        "effects_seen",
+    )
+
+    def __init__(self, asked: Asked, due: int, operation: model.Operation | None, worth: float) -> None:
+        self.asked, self.sent, self.due = asked, asked.sent, due
+        self.klass, self.tenant, self.key = asked.klass, asked.tenant, asked.key
+        self.operation, self.worth = operation, worth
+        self.tries, self.attempts, self.effects_seen = 0, 0, 1
+
+
+class Try:
+    """One request of a client, under an id of its own, at one proxy."""
+
+    __slots__ = (
+        "op",
+        "number",
+        "number_of_op",
+        "name",
+        "proxy",
+        "sent",
+        "due",
+        "transaction",
+        "carries",
+        "out",
+        "held_since",
+        "answers",
+        "refused",
+        "excused",
+        "reported",
+        "over",
+    )
+
+    def __init__(self, op: Op, number: int, proxy: Proxy, sent: int, due: int, now: int) -> None:
+        self.op, self.number, self.number_of_op, self.proxy = op, number, op.tries, proxy
+        self.name = b"%d" % number
+        self.sent, self.due = sent, due
+        self.transaction: Transaction | None = None
+        self.carries: list[Carry] = []
+        self.out, self.held_since, self.answers = 0, now, 0
+        self.refused = self.excused = self.reported = False
+        self.over = False  # the client has an answer, or has gone
+
+    def reply(self, answer: Answer) -> None:
+        """The proxy's final answer."""
+        self.proxy.world.answered(self, answer)
+
+
+class Sight:
+    """The servers' true state as one proxy may be shown it; a `testbed.policies.View`."""
+
+    def __init__(self, world: "World", proxy: Proxy) -> None:
+        self.world, self.proxy = world, proxy
+
+    def host(self, server: str) -> Host | None:
+        """The process that listens where this proxy would send."""
+        named = self.world.names.get(server)
+        return named if named is not None and named.place.host is named else None
+
+    def alive(self, server: str) -> bool:
+        host = self.host(server)
+        return host is not None and host.server.serving() and not self.world.cut(self.proxy, host)
+
+    def free(self, server: str) -> int:
+        host = self.host(server)
+        return host.server.free() if host is not None else 0
+
+    def ahead(self, server: str) -> float:
+        host = self.host(server)
+        if host is None:
+            return 0.0
+        host.server.advance_to(self.world.now)
+        return host.server.ahead() / 1000.0
+
+    def speed(self, server: str) -> float:
+        host = self.host(server)
+        if host is None:
+            return 0.0
+        now, spec = self.world.now, host.server.spec
+        return host.server.capacity(now) * spec.efficiency(host.server.held())
+
+    def one_core(self, server: str) -> float:
+        host = self.host(server)
+        return host.server.one_core(self.world.now) if host is not None else 0.0
+
+    def warmth(self, server: str) -> float:
+        host = self.host(server)
+        return host.server.warm(self.world.now) if host is not None else 0.0
+
+
+class World:
+    """Everything of one run."""
+
+    def __init__(
+        self, scenario: config.Scenario, seed: int, policy: str = "module", most_breaches: int = MOST_BREACHES
+    ) -> None:
+        self.scenario, self.seed, self.policy = scenario, seed, policy
+        self.now = 0
+        self.heap: list[tuple[int, int, Callable[[Any], None], Any]] = []
+        self.serial = self.events = self.number = self.open_ops = 0
+        self.trace = bytearray()
+        self.hash = blake2b(digest_size=16)
+        self.network = Network(scenario.network, seed)
+        self.oracle = Oracle(scenario, seed, most_breaches)
+        self.again: Callable[[], float] = uniforms(stream(seed, "again")).__next__
+        self.chance: Callable[[], float] = uniforms(stream(seed, "servers")).__next__
+        self.notice: Callable[[], float] = uniforms(stream(seed, "discovery")).__next__
+        self.noise: Callable[[], float] = normals(stream(seed, "noise")).__next__
+        self.fleet = stream(seed, "fleet")
+        self.occurrences = faults.plan(scenario, seed)
+        self.arrivals = iter(Arrivals(scenario, seed, faults.swells(scenario, self.occurrences)))
+        self.end = int(scenario.seconds * SECOND)
+        self.silent = 0
+        self.stale: list[float] = []
+        self.wholes = 0
+        self.cuts: dict[int, dict[int, int]] = {}  # by proxy: servers that it cannot reach, and how often cut
+        self.attempts = self.repeats = self.probes = self.ran_twice = 0
+        self.useful = 0.0
+        self.quotas = [Quota(t.quota * scenario.capacity()) for t in scenario.tenants]
+        self.tallies = [
+            [Tally(klass=c.name, tenant=t) for t in [x.name for x in scenario.tenants] or [""]]
+            for c in scenario.classes
+        ]
+        self.latencies = [array("q") for _ in scenario.classes]
+        self.aims = [int(c.aim * 1000.0) for c in scenario.classes]
+        self.deadlines = [int(c.deadline * 1000.0) for c in scenario.classes]
+        self.windows = [int(c.window * 1000.0) if c.effect == "keyed" else 0 for c in scenario.classes]
+        self.safe = [c.effect == "safe" for c in scenario.classes]
+        self.groups = [c.group for c in scenario.classes]
+        self.spreads = [c.attempt_noise for c in scenario.classes]
+        self.series = Series()
+        self.seconds_of = SecondBySecond(scenario)
+        self.registry = Registry()
+        self.away: dict[str, list[tuple[int, str]]] = {}
+        self.names: dict[str, Host] = {}
+        self.indices: dict[str, int] = {}
+        self.addresses: dict[tuple[str, int], Host] = {}
+        self.all_hosts: list[Host] = []
+        self.places = [
+            Place(i, i % len(scenario.zones), kind, i // scenario.cell_size)
+            for i, kind in enumerate(scenario.kind_of())
+        ]
+        for place in self.places:
+            self.settle_in(place, f"s{place.index:05d}", cold=False)
+        clocks = stream(seed, "clocks").random((scenario.proxies, 2)) * 2.0 - 1.0
+        self.clocks = [
+            (
+                LOCAL_START + scenario.clocks.offset_ms * a,
+                (1.0 + scenario.clocks.drift_ppm * b / 1e6) / 1000.0,
+            )
+            for a, b in clocks.tolist()
+        ]
+        first = self.registry.whole()
+        self.agents = [
+            Agent(self.registry, scenario.discovery, self.notice(), first.seq)
+            for _ in range(scenario.proxies)
+        ]
+        self.proxies: list[Proxy] = []
+        self.down_since: dict[int, int] = {}
+        for number in range(scenario.proxies):
+            self.proxies.append(Proxy(self, number, 0, config.settings(scenario, number), policy, first))
+        for occurrence in self.occurrences:
+            step = int(occurrence.fault.stagger_ms * 1000.0)
+            for i, target in enumerate(occurrence.targets()):
+                self.at(occurrence.at + i * step, self.fault, (occurrence, target, True))
+                self.at(occurrence.until + i * step, self.fault, (occurrence, target, False))
+        self.at(SECOND, self.second, None)
+        self.at(LOOK, self.look, None)
+        self.at(SWEEP, self.sweep, None)
+
+    # The loop
+
+    def at(self, when: int, call: Callable[[Any], None], what: Any) -> None:
+        """Have something called at a time."""
+        self.serial += 1
+        heappush(self.heap, (when, self.serial, call, what))
+
+    def run(self, until: float | None = None) -> None:
+        """Go on to the end, or stop before whatever happens at a time (milliseconds) or after it."""
+        stop = NEVER if until is None else int(round(until * 1000.0))
+        heap, arrivals, events = self.heap, self.arrivals, 0
+        asked = next(arrivals, None)
+        coming = asked.at if asked is not None else NEVER
+        while True:
+            if heap and heap[0][0] < coming:
+                if heap[0][0] >= stop or coming == NEVER and not self.open_ops and heap[0][0] > self.end:
+                    break
+                when, _, call, what = heappop(heap)
+                self.now = when
+                events += 1
+                call(what)
+            elif asked is not None and coming < stop:
+                self.now = coming
+                events += 1
+                self.ask(asked)
+                asked = next(arrivals, None)
+                coming = asked.at if asked is not None else NEVER
+            else:
+                break
+            if len(self.trace) > CHUNK:
+                self.hash.update(self.trace)
+                self.trace.clear()
+        self.events += events
+        if stop == NEVER:
+            self.settle()
+
+    def settle(self) -> None:
+        """After the last answer: what servers still hold runs to its end, for what it might do twice."""
+        for late in self.oracle.sweep(NEVER):
+            self.finish(late.op, late, FAILED, self.now)
+        for host in self.all_hosts:
+            for job in host.server.settle():
+                self.look_at_effect(job)
+
+    # Clients
+
+    def ask(self, asked: Asked) -> None:
+        """A client's request reaches the front of the proxies."""
+        klass = asked.klass
+        worth = self.scenario.classes[klass].worth
+        if self.quotas and not self.quotas[asked.tenant].take(asked.sent):
+            worth *= self.scenario.rules.over_quota_worth
+        operation = None if self.safe[klass] else model.Operation()
+        op = Op(asked, asked.sent + self.deadlines[klass], operation, worth)
+        self.open_ops += 1
+        tally = self.tallies[klass][asked.tenant]
+        tally.asked += 1
+        tally.worth_asked += worth
+        self.seconds_of.asked(asked.sent, klass, worth)
+        self.knock(op, asked.proxy, asked.sent)
+
+    def knock(self, op: Op, number: int, sent: int) -> None:
+        """A try of a client is at the front, which deals it to a proxy."""
+        proxy = self.front(number)
+        if proxy is None:
+            op.tries += 1
+            self.trace += RECORD.pack(self.now, number, CLIENT, 0, op.tries, 0.0)
+            self.retry(op, None, FAILED, self.now + self.network.to_client(), 0.0)
+            return
+        self.number += 1
+        due = min(op.due, sent + int(op.asked.wait * self.deadlines[op.klass]))
+        t = Try(op, self.number, proxy, sent, due, self.now)
+        op.tries += 1
+        if op.asked.leaves < 1.0:
+            self.at(max(self.now, sent + int(op.asked.leaves * (due - sent))), self.leave, t)
+        self.trace += RECORD.pack(self.now, proxy.number, ARRIVED, t.number, op.klass, float(due))
+        proxy.take(t)
+
+    def front(self, number: int) -> Proxy | None:
+        """The proxy that a connection is dealt to; None where it finds no process there."""
+        proxies = self.proxies
+        proxy = proxies[number]
+        if proxy.takes:
+            return proxy
+        if self.now < self.down_since.get(number, 0) + FRONT_NOTICE:
+            return None
+        for i in range(1, len(proxies)):
+            other = proxies[(number + i) % len(proxies)]
+            if other.takes:
+                return other
+        return None
+
+    def leave(self, t: Try) -> None:
+        """An impatient client closes its connection."""
+        if t.over:
+            return
+        self.oracle.gone(t)
+        self.trace += RECORD.pack(self.now, t.proxy.number, CLIENT, t.number, 1, 0.0)
+        self.finish(t.op, t, LEFT, self.now)
+        t.proxy.left(t)
+
+    def answered(self, t: Try, answer: Answer) -> None:
+        """A proxy has given its final answer."""
+        now = self.now
+        self.oracle.answered(now, t, answer)
+        kind = 0 if isinstance(answer, Served) else 1 if isinstance(answer, Refused) else 2
+        self.trace += RECORD.pack(now, t.proxy.number, ANSWER, t.number, kind, 0.0)
+        if t.over:
+            return
+        got = now + self.network.to_client()
+        if got > t.due:  # the client has closed its connection at its deadline
+            kind = 2
+        if kind == 0:
+            carry = answer.content  # type: ignore[union-attr]
+            self.useful += carry.job.work if carry.job is not None else 0.0
+            self.latencies[t.op.klass].append(got - t.op.sent)
+            self.finish(t.op, t, IN_AIM if got - t.op.sent <= self.aims[t.op.klass] else LATE, got)
+        elif kind == 1:
+            t.over = True
+            after = answer.retry_after if t.op.asked.honours else 0.0  # type: ignore[union-attr]
+            self.retry(t.op, t, REFUSED, got, after)
+        else:
+            t.over = True
+            self.retry(t.op, t, FAILED, got, 0.0)
+
+    def retry(self, op: Op, t: Try | None, how: int, got: int, after: float) -> None:
+        """A client has no answer: it tries again, where that is allowed and there is time, or gives up."""
+        conf, klass = self.scenario.clients, op.klass
+        wait = conf.backoff_ms * (0.5 + self.again())
+        if conf.backoff == "exp":
+            wait *= 2.0 ** (op.tries - 1)
+        sent = got + int(max(wait, after) * 1000.0)
+        may = op.tries <= conf.retries and sent < op.due
+        if may and t is not None and how == FAILED and not self.safe[klass]:
+            # it may have run: only a key saves it, and only if no attempt can come after the window
+            c = self.scenario.classes[klass]
+            last = sent + int(op.asked.wait * self.deadlines[klass])
+            may = c.effect == "keyed" and c.group == "all" and last < op.sent + self.windows[klass]
+        if may:
+            self.at(sent + self.network.to_client(), self.try_again, (op, sent))
+        else:
+            self.finish(op, t, how, got)
+
+    def try_again(self, what: tuple[Op, int]) -> None:
+        op, sent = what
+        self.knock(op, int(self.again() * len(self.proxies)), sent)
+
+    def finish(self, op: Op, t: Try | None, how: int, got: int) -> None:
+        """What came of an operation."""
+        if t is not None:
+            t.over = True
+        self.open_ops -= 1
+        tally = self.tallies[op.klass][op.tenant]
+        if how == IN_AIM:
+            tally.in_aim += 1
+            tally.worth_in_aim += op.worth
+        elif how == LATE:
+            tally.late += 1
+        elif how == REFUSED:
+            tally.refused += 1
+        elif how == FAILED:
+            tally.failed += 1
+        else:
+            tally.left += 1
+        self.seconds_of.finished(op.sent, op.klass, how, op.worth)
+
+    # Attempts
+
+    def count_attempt(self, t: Try) -> None:
+        self.attempts += 1
+        self.repeats += len(t.carries) > 1
+        self.seconds_of.attempt(self.now)
+
+    def cut(self, proxy: Proxy, host: Host) -> bool:
+        """Whether a partition lies between a proxy and a server."""
+        cuts = self.cuts
+        return bool(cuts) and host.place.index in cuts.get(proxy.number, ())
+
+    def reach(self, carry: Carry) -> None:
+        """A request, whole, is at the server."""
+        link, now = carry.link, self.now
+        host = link.host
+        assert host is not None  # it was written to
+        server = host.server
+        if link.life != host.life or not server.up or host.place.host is not host:
+            return  # that process is gone, and its connections with it
+        place = host.place
+        if not link.fresh and server.spec.idle and now - link.idle_from >= server.spec.idle:
+            self.at(now + self.network.delay(host.zone, carry.proxy.zone), carry.proxy.reset, link)
+            return
+        if place.resets and self.chance() < max(place.resets):
+            self.at(now + self.network.delay(host.zone, carry.proxy.zone), carry.proxy.reset, link)
+            if self.chance() < 0.5:
+                return  # it broke before the server had read it
+        op = carry.t.op
+        klass = op.klass
+        work = op.asked.work
+        if op.attempts and self.spreads[klass]:
+            work *= attempt_noise(self.spreads[klass], self.noise()) / op.asked.noise
+        op.attempts += 1
+        if link.fresh:
+            work += self.scenario.kinds[place.kind].handshake_ms * 1000.0
+        carry.job = job = model.Job(
+            carry,
+            work,
+            op.key,
+            op.operation,
+            self.windows[klass],
+            host.group(self.groups[klass]),
+            carry.started,
+            carry.t.due,
+        )
+        if server.cold_until:
+            self.oracle.reached(now, carry, host, work)
+        if not server.arrive(now, job):
+            if not server.up:
+                self.crash_host(host)  # pushed over: it stays down
+                return
+            self.over(host, job)
+        self.mind(host)
+
+    def mind(self, host: Host) -> None:
+        """See to it that the loop looks at a server when it next has something to say."""
+        due = host.server.due
+        if due is not None and (host.wake is None or due < host.wake):
+            host.wake = due
+            self.at(due, self.due, host)
+
+    def due(self, host: Host) -> None:
+        if self.now != host.wake:
+            return  # looked at earlier, and asked for again
+        host.wake = None
+        for job in host.server.advance(self.now):
+            self.over(host, job)
+        self.mind(host)
+
+    def over(self, host: Host, job: model.Job) -> None:
+        """A server is done with a request: its answer sets out."""
+        carry, now, place = job.ticket, self.now, host.place
+        if job.operation is not None:
+            self.look_at_effect(job)
+        self.trace += RECORD.pack(
+            now, carry.proxy.number, DONE, carry.t.number, place.index, float(job.outcome)
+        )
+        if carry.over or carry.link.closed or self.cut(carry.proxy, host):
+            return
+        if place.lost and self.chance() < max(place.lost):
+            return
+        delay = self.network.delay(host.zone, carry.proxy.zone)
+        if place.late:
+            delay += int(max(place.late) * 1000.0)
+        self.at(now + delay, carry.proxy.answer, carry)
+
+    def look_at_effect(self, job: model.Job) -> None:
+        """Let the oracle see what really ran."""
+        carry, operation = job.ticket, job.operation
+        if operation is not None:
+            if operation.effects > 1 and carry.t.op.effects_seen == 1:
+                self.ran_twice += 1
+            self.oracle.ran(self.now, carry)
+
+    def outcome_of(self, carry: Carry) -> Outcome:
+        return OUTCOMES[carry.job.outcome]  # type: ignore[union-attr]
+
+    def given_up(self, carry: Carry) -> None:
+        """A proxy has closed the connection under an attempt."""
+        host = carry.link.host
+        if host is not None and host.server.spec.cancel != "none":
+            self.at(self.now + self.network.delay(carry.proxy.zone, host.zone), self.cancelled, carry)
+
+    def cancelled(self, carry: Carry) -> None:
+        host, job = carry.link.host, carry.job
+        if job is not None and host is not None and carry.link.life == host.life:
+            host.server.cancel(self.now, job)
+            self.mind(host)
+
+    def probe(self, proxy: Proxy, backend: str) -> None:
+        """A probe sets out on a connection of its own."""
+        self.probes += 1
+        limit = int(self.scenario.rules.probe_timeout * 1000.0)
+        member = proxy.pool.members.get(backend)
+        host = self.addresses.get(member.address) if member is not None else None
+        if host is None or self.cut(proxy, host) or host.server.hung:
+            self.at(self.now + limit, self.probe_back, (proxy, host, backend, Outcome.TIMEOUT, self.now))
+            return
+        there = self.network.delay(proxy.zone, host.zone)
+        self.at(self.now + there, self.probe_there, (proxy, host, backend, Outcome.SERVED, self.now))
+
+    def probe_there(self, what: tuple[Proxy, Host, str, Outcome, int]) -> None:
+        proxy, host, backend, outcome, sent = what
+        if not host.server.up:
+            outcome = Outcome.CONNECT_FAILED
+        elif host.server.draining or host.server.quick_errors:
+            outcome = Outcome.ERROR
+        else:
+            host.server.charge(self.now, self.scenario.rules.probe_work_ms * 1000.0)
+            self.mind(host)
+        back = self.now + self.network.delay(host.zone, proxy.zone)
+        self.at(back, self.probe_back, (proxy, host, backend, outcome, sent))
+
+    def probe_back(self, what: tuple[Proxy, Host | None, str, Outcome, int]) -> None:
+        proxy, host, backend, outcome, sent = what
+        report = None
+        if outcome is Outcome.SERVED and host is not None and self.scenario.rules.probe_reports:
+            server = host.server
+            held, waits = server.held(), len(server.waiting or ())
+            figures = {
+                "inflight": float(held),
+                "queue": float(waits),
+                "util": min(1.0, len(server.working) / server.spec.cores),
+                "latency": 0.0,
+                "rate": 0.0,
+                "errors": 0.0,
+            }
+            report = {str(name): figures[name] for name in self.scenario.rules.probe_reports}
+        proxy.probed(face.Probed(backend, outcome, (self.now - sent) / 1000.0, report))
+
+    # Servers and discovery
+
+    def settle_in(self, place: Place, name: str, cold: bool) -> Host:
+        """A new process under a new id at a place."""
+        kind, rules = self.scenario.kinds[place.kind], self.scenario.rules
+        sigma = spread(kind.speed_cv)
+        speed = kind.speed * float(np.exp(sigma * self.fleet.standard_normal() - sigma**2 / 2.0))
+        keys, net = self.scenario.keys, self.scenario.network
+        spec = model.Spec(
+            cores=kind.cores,
+            speed=speed,
+            slots=max(1, round(kind.slots_per_core * kind.cores)),
+            queue=round(kind.queue_per_core * kind.cores),
+            thrash=kind.thrash,
+            thrash_at=kind.thrash_at,
+            cold_from=kind.cold_from,
+            cold=int(kind.cold_ms * 1000.0),
+            warm_by_work=kind.warm_by == "work",
+            error_rate=kind.error_rate,
+            cancel="all" if kind.cancel_stops else "none",
+            connections=max(1, round(kind.connections_per_core * kind.cores)),
+            full_tax=kind.connection_tax,
+            idle=int(net.idle_ms * 1000.0),
+            affinity_gain=keys.affinity_gain,
+            affinity=int(keys.affinity_ms * 1000.0),
+            affinity_keys=round(keys.affinity_keys_per_core * kind.cores) if keys.affinity_gain else 0,
+            tip_multiple=rules.tip_multiple,
+            tip_after=int(rules.tip_after * 1000.0),
+            usual_work=max(c.work_ms for c in self.scenario.classes) * 1000.0,
+        )
+        host = Host(name, place, model.Server(spec, self.chance, self.now, cold))
+        place.host = self.addresses[place.address] = host
+        self.names[name] = host
+        self.indices[name] = len(self.indices)
+        self.all_hosts.append(host)
+        if cold:
+            host.plain, host.listed_at, host.told_born_at = False, NEVER, NEVER
+            self.at(self.now + self.delay_of_news(), self.news_of_start, (host, host.life))
+        else:
+            self.registry.note(self.now, self.listed(host, "ready"))
+        return host
+
+    def delay_of_news(self) -> int:
+        return int(self.scenario.discovery.add_ms * 1000.0 * (0.5 + self.notice()))
+
+    def listed(self, host: Host, health: str) -> Listed:
+        """A host as discovery words it."""
+        born = 0.0
+        if host.server.born and self.scenario.discovery.born_known:
+            born = UNIX_START + host.server.born / 1000.0
+        place = host.place
+        zone, kind = self.scenario.zones[place.zone], self.scenario.kinds[place.kind].name
+        return Listed(host.name, place.address, zone, kind, place.cell, health, born)
+
+    def publish(self, host: Host, health: str) -> None:
+        """Discovery takes up what has become of a host, and will tell it."""
+        seq = self.registry.note(self.now, self.listed(host, health))
+        host.health, host.plain = health, False
+        self.away.setdefault(host.name, []).append((seq, health))
+        if health == "ready":
+            host.listed_at = seq
+            host.told_born_at = seq if self.scenario.discovery.born_known else NEVER
+        for number, agent in enumerate(self.agents):
+            self.will_tell(number, agent)
+
+    def will_tell(self, number: int, agent: Agent) -> None:
+        if agent.due is None and agent.watched and not self.silent:
+            agent.due = agent.next(self.now)
+            self.at(agent.due, self.deliver, number)
+
+    def deliver(self, number: int) -> None:
+        """It is time for one agent to tell what has changed."""
+        agent, proxy = self.agents[number], self.proxies[number]
+        agent.due = None
+        if self.silent or not agent.watched or not proxy.alive:
+            return  # told when it is back
+        if self.scenario.discovery.loss and self.notice() < self.scenario.discovery.loss:
+            agent.lost = True
+            self.will_tell(number, agent)
+            return
+        seq = self.registry.seq
+        if self.stale:
+            seq = self.registry.seq_at(self.now - int(max(self.stale) * 1000.0))
+        listing = agent.tell(seq, self.wholes > 0)
+        if listing is not None:
+            proxy.enter()
+            proxy.tell(listing)
+            proxy.rest()
+        if agent.known < self.registry.seq:
+            self.will_tell(number, agent)
+
+    def watch(self, proxy: Proxy) -> None:
+        """A module asks for the list; its call fails while discovery is silent."""
+        if self.scenario.discovery.mode == "ask":
+            wait = LOST_WATCH if self.silent else WATCH
+            self.at(self.now + wait, self.watched, (proxy, not self.silent))
+
+    def watched(self, what: tuple[Proxy, bool]) -> None:
+        proxy, good = what
+        if not proxy.alive:
+            return
+        proxy.enter()
+        agent = self.agents[proxy.number]
+        if good and not self.silent:
+            agent.watched = True
+            seq = max(agent.known, self.registry.seq)
+            listing = self.registry.since(agent.known, seq)
+            agent.known = seq
+            proxy.tell(listing)
+        else:
+            proxy.transactions.post(face.ListChanged(face.ListScope.LOST, []))
+        proxy.rest()
+
+    def news_of_start(self, what: tuple[Host, int]) -> None:
+        host, life = what
+        if host.life == life and host.server.up and host.place.host is host:
+            self.publish(host, "ready")
+
+    def news_of_end(self, what: tuple[Host, int]) -> None:
+        host, life = what
+        if host.life == life and not host.server.up and host.health != "gone":
+            self.publish(host, "gone")
+
+    def crash_host(self, host: Host, gone_after: float | None = None) -> None:
+        """A process ends: its connections are reset, and discovery finds out after a while."""
+        for job in host.server.crash(self.now):
+            job.ticket.job = job
+        links, host.links = list(host.links), {}
+        for link in links:
+            if link.carry is None and link.up:
+                if link in link.member.idle:
+                    link.member.idle.remove(link)
+                link.close()
+            elif not self.cut(link.proxy, host):
+                self.at(self.now + self.network.delay(host.zone, link.proxy.zone), link.proxy.reset, link)
+        host.wake = None
+        after = self.scenario.discovery.gone_ms if gone_after is None else gone_after
+        self.at(self.now + int(after * 1000.0), self.news_of_end, (host, host.life))
+
+    def start_host(self, host: Host) -> None:
+        """The process is back under its id, cold and without memory."""
+        host.life += 1
+        host.server.start(self.now)
+        host.slows, host.errors, host.hangs = [], [], 0
+        host.listed_at = host.told_born_at = NEVER
+        host.plain = False
+        self.oracle.started_anew(host)
+        self.at(self.now + self.delay_of_news(), self.news_of_start, (host, host.life))
+
+    def end_of_drain(self, what: tuple[Host, int, int, int | None]) -> None:
+        """A process that drains ends; where it is replaced, a new one follows."""
+        host, life, leaves, gap = what
+        if host.life != life or not host.server.up or host.leaves != leaves:
+            return
+        self.crash_host(host, gone_after=0.0)
+        if gap is not None:
+            self.at(self.now + gap, self.take_over, host)
+
+    def take_over(self, old: Host) -> None:
+        place = old.place
+        if place.host is old and not old.server.up:
+            generation = sum(1 for h in self.all_hosts if h.place is place)
+            self.settle_in(place, f"s{place.index:05d}.{generation}", cold=True)
+
+    def stops_taking(self, what: tuple[Host, int, int]) -> None:
+        host, life, leaves = what
+        if host.life == life and host.leaves == leaves:
+            host.server.draining = True
+
+    def begin_drain(self, host: Host, gap: int | None) -> None:
+        if not host.server.up or host.health != "ready":
+            return
+        host.leaves += 1
+        self.publish(host, "draining")
+        notice = int(self.scenario.discovery.drain_notice_ms * 1000.0)
+        self.at(self.now + notice // 2, self.stops_taking, (host, host.life, host.leaves))
+        self.at(self.now + notice, self.end_of_drain, (host, host.life, host.leaves, gap))
+
+    # Faults: a `faults.Stage`
+
+    def fault(self, what: tuple[faults.Occurrence, int, bool]) -> None:
+        occurrence, target, on = what
+        kind = sorted(config.FaultKind.__args__).index(occurrence.fault.kind)  # type: ignore[attr-defined]
+        self.trace += RECORD.pack(self.now, kind, FAULT, target, on, occurrence.fault.size)
+        faults.act(self, occurrence, target, on)
+
+    def slow(self, server: int, factor: float, on: bool) -> None:
+        host = self.places[server].host
+        if change(host.slows, factor, on):
+            product = 1.0
+            for each in host.slows:
+                product *= each
+            host.server.slow_down(self.now, product)
+            self.mind(host)
+
+    def hang(self, server: int, on: bool) -> None:
+        host = self.places[server].host
+        if on:
+            if host.server.up:
+                host.hangs += 1
+                host.server.hang(self.now)
+        elif host.hangs:
+            host.hangs -= 1
+            if not host.hangs:
+                for job in host.server.resume(self.now):
+                    self.over(host, job)
+                if not host.server.up:
+                    self.crash_host(host)
+                self.mind(host)
+
+    def quick_errors(self, server: int, share: float, on: bool) -> None:
+        host = self.places[server].host
+        if change(host.errors, share, on):
+            host.server.quick_errors = max(host.errors, default=0.0)
+
+    def crash(self, server: int) -> None:
+        host = self.places[server].host
+        if host.server.up:
+            self.crash_host(host)
+
+    def restart(self, server: int) -> None:
+        host = self.places[server].host
+        if not host.server.up:
+            self.start_host(host)
+
+    def drain(self, server: int) -> None:
+        self.begin_drain(self.places[server].host, None)
+
+    def undrain(self, server: int) -> None:
+        host = self.places[server].host
+        if not host.server.up:
+            self.start_host(host)
+        elif host.health == "draining":
+            host.leaves += 1
+            host.server.draining = False
+            self.publish(host, "ready")
+
+    def replace(self, server: int, gap: int) -> None:
+        self.begin_drain(self.places[server].host, gap)
+
+    def partition(self, proxy: int, server: int, on: bool) -> None:
+        cuts = self.cuts.setdefault(proxy, {})
+        if on:
+            cuts[server] = cuts.get(server, 0) + 1
+            return
+        cuts[server] = cuts.get(server, 1) - 1
+        if cuts[server] <= 0:
+            del cuts[server]
+            host = self.places[server].host
+            for link in [x for x in host.links if x.proxy.number == proxy]:
+                self.at(self.now + self.network.delay(host.zone, link.proxy.zone), link.proxy.reset, link)
+
+    def discovery(self, kind: str, size: float, on: bool) -> None:
+        if kind == "discovery_stale":
+            change(self.stale, size, on)
+        elif kind == "discovery_whole":
+            self.wholes += 1 if on else -1
+        else:
+            self.silent += 1 if on else -1
+            if on and self.scenario.discovery.mode == "ask":
+                for number, agent in enumerate(self.agents):
+                    proxy = self.proxies[number]
+                    if agent.watched and proxy.alive:
+                        agent.watched = False
+                        self.at(self.now + LOST_WATCH, self.watched, (proxy, False))
+        for number, agent in enumerate(self.agents):
+            if agent.known < self.registry.seq:
+                self.will_tell(number, agent)
+
+    def answers(self, server: int, kind: str, size: float, on: bool) -> None:
+        place = self.places[server]
+        sizes = {"late_answers": place.late, "lost_answers": place.lost, "resets": place.resets}
+        change(sizes[kind], size, on)
+
+    def stop_proxy(self, proxy: int, at_once: bool) -> None:
+        one = self.proxies[proxy]
+        if one.alive and not one.stopping:
+            self.down_since[proxy] = self.now
+            if at_once:
+                self.end_proxy(one)
+            else:
+                one.stop()
+
+    def end_proxy(self, proxy: Proxy) -> None:
+        """Its process ends; the clients that it holds see their connections break."""
+        if not proxy.alive:
+            return
+        proxy.die()
+        for t in [t for t in self.oracle.open if t.proxy is proxy]:
+            self.oracle.gone(t)
+            if not t.over:
+                t.over = True
+                self.retry(t.op, t, FAILED, self.now + self.network.to_client(), 0.0)
+
+    def start_proxy(self, proxy: int) -> None:
+        old = self.proxies[proxy]
+        if not old.stopping and old.alive:
+            return
+        self.end_proxy(old)
+        agent = self.agents[proxy]
+        agent.watched = self.scenario.discovery.mode == "push"
+        listing = self.registry.whole(agent.known)  # as it was last held, which may be old
+        settings = config.settings(self.scenario, proxy)
+        self.proxies[proxy] = Proxy(self, proxy, old.life + 1, settings, self.policy, listing)
+        if agent.known < self.registry.seq:
+            self.will_tell(proxy, agent)
+
+    def sight(self, proxy: Proxy) -> Sight:
+        return Sight(self, proxy)
+
+    # Looking on
+
+    def look(self, _: None) -> None:
+        self.oracle.look(self.now, self.proxies, [place.host for place in self.places])
+        self.at(self.now + LOOK, self.look, None)
+
+    def sweep(self, _: None) -> None:
+        for t in self.oracle.sweep(self.now):
+            if not t.over:
+                self.finish(t.op, t, FAILED, self.now)
+        self.at(self.now + SWEEP, self.sweep, None)
+
+    def second(self, _: None) -> None:
+        held = sum(1 for t in self.oracle.open if not t.out)
+        counts = [float(place.host.server.held()) for place in self.places]
+        self.seconds_of.sample(held, counts, [place.host.name for place in self.places])
+        self.at(self.now + SECOND, self.second, None)
+
+    def result(self, wall: float = 0.0) -> Result:
+        """What the run has come to so far."""
+        self.hash.update(self.trace)
+        self.trace.clear()
+        latencies = {}
+        for conf, spans in zip(self.scenario.classes, self.latencies, strict=True):
+            filled = histogram()
+            values, counts = np.unique(np.frombuffer(spans, dtype=np.int64), return_counts=True)
+            for value, count in zip(values.tolist(), counts.tolist(), strict=True):
+                filled.record_value(value, count)
+            latencies[conf.name] = encode(filled)
+        done = sum(host.server.tally.work for host in self.all_hosts) / 1000.0
+        return Result(
+            scenario=self.scenario.name,
+            policy=self.policy,
+            seed=self.seed,
+            seconds=self.now / SECOND,
+            tallies=[tally for of_class in self.tallies for tally in of_class],
+            latencies=latencies,
+            attempts=self.attempts,
+            repeats=self.repeats,
+            probes=self.probes,
+            work_done=done,
+            work_wasted=max(0.0, done - self.useful / 1000.0),
+            ran_twice=self.ran_twice,
+            series=self.seconds_of.series,
+            acted=[
+                Acted(kind=o.fault.kind, at=o.at / 1000.0, until=o.until / 1000.0, text=o.text())
+                for o in self.occurrences
+                if o.at <= self.now
+            ],
+            breaches=sorted(self.oracle.breaches, key=lambda b: b.at),
+            breaches_dropped=self.oracle.dropped,
+            digest=self.hash.hexdigest(),
+        )
+
+
+def change(sizes: list[float], size: float, on: bool) -> bool:
+    """Add a size to those that act, or take it away; whether there was anything to change."""
+    if on:
+        sizes.append(size)
+    elif size in sizes:
+        sizes.remove(size)
+    else:
+        return False
+    return True
+
+
+def normals(source: np.random.Generator) -> Iterator[float]:
+    """Standard normal numbers without end."""
+    while True:
+        yield from source.standard_normal(1024).tolist()
+
+
+class Quota:
+    """A tenant's share: what it asks beyond, over a second, is worth little."""
+
+    __slots__ = ("rate", "level", "at")
+
+    def __init__(self, rate: float) -> None:
+        self.rate, self.level, self.at = (
+            rate / SECOND,
+            rate,
+            0,
+        )  # requests a second; a second's worth saved up
+
+    def take(self, at: int) -> bool:
+        full = self.rate * SECOND
+        self.level = min(full, self.level + self.rate * max(0, at - self.at))
+        self.at = max(self.at, at)
+        if self.level < 1.0:
+            return False
+        self.level -= 1.0
+        return True
+
+
+class SecondBySecond:
+    """Fills the series of a result."""
+
+    def __init__(self, scenario: config.Scenario) -> None:
+        self.series = Series(
+            asked={c.name: [] for c in scenario.classes}, in_aim={c.name: [] for c in scenario.classes}
+        )
+        s = self.series
+        self.names = [c.name for c in scenario.classes]
+        self.ints = [*s.asked.values(), *s.in_aim.values(), s.refused, s.failed, s.attempts]
+        self.asked_of = [s.asked[name] for name in self.names]
+        self.in_aim_of = [s.in_aim[name] for name in self.names]
+        self.length = 0
+
+    def grow(self, second: int) -> None:
+        while self.length <= second:
+            self.length += 1
+            for line in self.ints:
+                line.append(0)
+            self.series.worth_asked.append(0.0)
+            self.series.worth_in_aim.append(0.0)
+
+    def asked(self, at: int, klass: int, worth: float) -> None:
+        second = at // SECOND
+        if second >= self.length:
+            self.grow(second)
+        self.asked_of[klass][second] += 1
+        self.series.worth_asked[second] += worth
+
+    def finished(self, at: int, klass: int, how: int, worth: float) -> None:
+        second = at // SECOND
+        if how == IN_AIM:
+            self.in_aim_of[klass][second] += 1
+            self.series.worth_in_aim[second] += worth
+        elif how == REFUSED:
+            self.series.refused[second] += 1
+        elif how == FAILED:
+            self.series.failed[second] += 1
+
+    def attempt(self, at: int) -> None:
+        second = at // SECOND
+        if second >= self.length:
+            self.grow(second)
+        self.series.attempts[second] += 1
+
+    def sample(self, held: int, counts: list[float], names: list[str]) -> None:
+        """Take down what is held by the proxies and by each server at the end of a second."""
+        s = self.series
+        s.held.append(float(held))
+        if len(counts) > MANY:
+            values = np.quantile(np.array(counts), QUANTILES).tolist()
+            for q, value in zip(QUANTILES, values, strict=True):
+                s.in_flight.setdefault(f"q{q:g}", []).append(value)
+            return
+        for name, value in zip(names, counts, strict=True):
+            line = s.in_flight.setdefault(name.partition(".")[0], [])
+            line.append(value)
+
+
+def run(
+    scenario: config.Scenario,
+    seed: int,
+    policy: str = "module",
+    until: float | None = None,
+    most_breaches: int = MOST_BREACHES,
+) -> Result:
+    """Play a scenario from a seed; `until` (milliseconds) stops just before what happens then.
+
+    Raises KeyError where there is no policy of that name.
+    """
+    began = time.perf_counter()
+    world = World(scenario, seed, policy, most_breaches)
+    world.run(until)
+    result = world.result()
+    result.cost.wall_s = time.perf_counter() - began
+    result.cost.events = world.events
+    result.cost.memory_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0
+    return result
