--- a/barleybarrow/brain.py
+++ b/barleybarrow/brain.py
@@ -6,20 +6,19 @@
 3. Whatever goes wrong at a backend leaves it alone for a while; what it leaves unanswered makes it slower.
 4. One table says what may be sent again or refused. A cold backend gets a paced share of a warm one's work.
 
-A latency is the product of a backend's usual latency and the work of a class, which is 1 on the mean of what
-is answered: without that only the product would be known, and either could drift without bound.
+A latency is a backend's usual one times the work of a class, which is 1 on the mean of what is answered: as
+only their product is seen, either could drift without bound otherwise.
 """
 
 import random
 from collections import deque
 from collections.abc import Callable
-from heapq import heappop, heappush
 from math import exp, inf, log
 from typing import Any
 
 from barleybarrow import interface as face
 from barleybarrow.interface import Action, Effect, Group, ListScope, Outcome, State
-from barleybarrow.state import Backend, Class, Gauge, Ranking, Request
+from barleybarrow.state import Agenda, Backend, Class, Fleet, Gauge, Ranking, Request
 
 SMOOTH = 1 / 16  # weight of a new latency: some 16 answers tell a change from the spread of work
 COST_SMOOTH = 1 / 64  # a class's work, and a kind's speed, change slowly and are shared by many
@@ -37,6 +36,8 @@
 BREAK, LONGEST = 4.0, 8.0  # aims that a backend whose process went is left alone; the longest back-off
 BREAKS = 3  # connections broken within an aim and no answer between tell that a process went; fewer do not
 WORSE, BETTER = 1 / 3, 1 / 4  # weight of a failure, and of an answer, in the share that fails of late
+STUCK = 6.0  # usual latencies after which an attempt that a later one overtook is given up on
+SOUND = 2.0  # aims for which an answer shows that a backend serves its class
 REST = 2.0  # usual costs that a backend is left alone for each failure that it has to an answer
 CALM = 0.05  # a second takes this share off what a warm backend is known to serve, unless it serves more
 RETRY_SHARE, RETRY_DEPTH = 0.2, 10.0  # repeats per arrival, and how many can be saved up
@@ -57,34 +58,24 @@
     def __init__(self, settings: face.Settings, seed: int, now: float) -> None:
         settings.check()
         self.conf, self.rng = settings, random.Random(seed)
-        guesses = [log(c.aim / 4) for c in settings.classes]
-        self.level = sum(guesses) / len(guesses)  # log of the usual latency of usual work
-        self.classes = [
-            Class(c, guess - self.level, c.aim / 4) for c, guess in zip(settings.classes, guesses, strict=True)
-        ]
+        self.level = sum(log(c.aim / 4) for c in settings.classes) / len(settings.classes)  # usual latency
+        self.classes = [Class(c, log(c.aim / 4) - self.level, c.aim / 4) for c in settings.classes]
         self.aim = min(c.aim for c in settings.classes)
         self.memory = 4 * max(c.aim for c in settings.classes)  # half of what was served counts so long
         self.sweep_every = max(SWEEP_TICKS * settings.tick, self.aim / 50)
         self.margin = 2 * self.sweep_every  # before a deadline, to be sure of a batch in time
-        self.backends: dict[str, Backend] = {}
-        self.live: list[Backend] = []  # the same, in no order: the last takes the place of one that goes
-        self.requests: dict[int, Request] = {}
-        self.kinds: dict[int, Gauge] = {}
-        self.sent_to: set[str] = set()
-        self.retry: deque[Request] = deque()
-        self.agenda: list[tuple[float, int, Request]] = []
-        self.ripe: list[tuple[float, int, Backend]] = []  # when a backend has to be placed anew
-        self.idle = Ranking(len(self.classes))
+        self.pool, self.idle = Fleet(), Ranking(len(self.classes))
+        self.backends, self.live = self.pool.named, self.pool.live
+        self.requests, self.kinds, self.sent_to = dict[int, Request](), dict[int, Gauge](), set[str]()
+        self.retry, self.agenda = deque[Request](), Agenda[Request]()
+        self.ripe = Agenda[Backend]()  # when a backend has to be placed anew
         self.entered, self.wake_at, self.turn, self.answers = 0, inf, 0, 0
         self.budget, self.watch_at, self.watch_backoff = RETRY_DEPTH, inf, 0.0
-        self.total, self.room, self.far, self.least = 0, 1.0, FAR, 1 / max(settings.proxies, 1)
-        self.fleet, self.many = Gauge(self.level), False  # more proxies than backends: each sees little of one
-        self.limits, self.each, self.warm_ones, self.served = 0.0, 0.0, 0, 0.0
-        self.crossed, self.ask_at, self.pause = -inf, now, FRESH * self.aim / 4
-        self.light = self.heavy = self.aim / 4
-        self.rate = 0.0
-        self.queues: list[tuple[Class, deque[Request]]] = []
-        self.actions: list[Action] = []
+        self.room, self.far, self.least = 1.0, FAR, 1 / max(settings.proxies, 1)
+        self.fleet, self.many, self.each = Gauge(self.level), False, 0.0  # more proxies than backends: one
+        self.crossed, self.ask_at, self.pause = -inf, now, FRESH * self.aim / 4  # threshold for each of them
+        self.light, self.heavy, self.rate = self.aim / 4, self.aim / 4, 0.0
+        self.queues, self.actions = list[tuple[Class, deque[Request]]](), list[Action]()
         self.held, self.now, self.swept, self.news = False, now, now, 0
         self.handlers: dict[type, Callable[[Any], None]] = {
             face.Arrived: self.arrived, face.Finished: self.finished, face.Left: self.left,
@@ -107,8 +98,7 @@
         span = now - self.swept
         if span >= self.sweep_every and (4 * self.news >= min(len(self.live), SLICE) or span > self.aim):
             self.tend(span)
-        while self.ripe and self.ripe[0][0] <= now:
-            b = heappop(self.ripe)[2]
+        for b in self.ripe.due(now):
             b.due = inf
             if b.position >= 0:
                 self.place(b)
@@ -118,9 +108,7 @@
 
     def plan(self) -> None:
         """Ask to be woken when the next thing falls due that no other event would bring."""
-        while self.agenda and not self.agenda[0][2].held:
-            heappop(self.agenda)
-        at = min(self.watch_at, self.agenda[0][0] if self.agenda else inf)
+        at = min(self.watch_at, self.agenda.next(lambda r: r.held))
         if self.held or self.retry:
             at = min(at, self.now + self.sweep_every)
         if at < self.wake_at:
@@ -133,20 +121,17 @@
             self.watch_at = self.now + self.watch_backoff * (0.5 + self.rng.random())
             return
         self.watch_backoff = 0.0
-        parted: list[Backend] = []
+        before = list[Backend]()
         if event.scope is ListScope.COMPLETE:
             named = {entry.backend for entry in event.entries}
-            parted = [b for b in self.live if b.name not in named]
-            for b in parted:
-                self.part(b)
+            before = [self.part(b) for b in self.live[:] if b.name not in named]
         for entry in event.entries:
             old = self.backends.get(entry.backend)
             if old is not None and (entry.state is not State.LIVE or old.started != entry.started):
-                self.part(old)  # a new life: what was in flight there and what was thought of it are void
-                parted.append(old)
-            if entry.state is State.LIVE and (old is None or old.position < 0):
+                before.append(self.part(old))  # a new life: what is in flight and was thought of it are void
+            if entry.state is State.LIVE and entry.backend not in self.backends:
                 self.join(entry)
-        for b in parted:
+        for b in before:
             self.hang_up(b)
         many, self.many = self.many, self.conf.proxies > len(self.live) > 0
         self.sweep_every = max(SWEEP_TICKS * self.conf.tick, self.aim / (8 if self.many else 50))
@@ -156,67 +141,52 @@
                 self.place(b)
         self.dispatch()
 
-    def part(self, b: Backend) -> None:
-        """Forget a backend that is left."""
-        self.idle.drop(b)
-        last = self.live.pop()
-        if last is not b:
-            self.live[b.position], last.position = last, b.position
-        b.position = -1
-        del self.backends[b.name]
-        self.total -= b.inflight
-        self.limits -= b.limit
-        self.warm_ones -= b.cold == 1
-        self.served -= b.served * 0.5 ** ((self.now - b.aged_at) / self.memory)
-
     def join(self, entry: face.Entry) -> None:
         """Take up a backend; of what its kind does, it is thought to do the same."""
         far = self.conf.cross_zone_price if entry.zone != self.conf.zone else 0.0
-        kind = self.kinds.get(entry.kind)
-        if kind is None:
-            kind = self.kinds[entry.kind] = Gauge(self.level)
+        kind = self.kinds.setdefault(entry.kind, Gauge(self.level))
         self.entered += 1
         b = Backend(self.entered, entry, kind, far, START * self.least, len(self.classes), self.now)
-        b.position = len(self.live)
-        self.live.append(b)
-        self.backends[b.name] = b
-        self.limits += b.limit
-        self.warm_ones += 1
+        self.pool.add(b)
         self.warm(b)
         if self.conf.proxies > len(self.backends):  # one request may be worth minutes of budget here
             b.pace = self.rng.random() * self.light  # and proxies must not save up in step
         self.place(b)
 
+    def part(self, b: Backend) -> Backend:
+        self.idle.drop(b)
+        self.pool.remove(b, b.served * 0.5 ** ((self.now - b.aged_at) / self.memory))
+        return b
+
     def hang_up(self, b: Backend) -> None:
         """Close what is idle toward a backend that is left, where that is asked for."""
         if b.name in self.sent_to and b.name not in self.backends:
             self.actions.append(face.Disconnect(b.name))
-            if not b.inflight:  # names come and go without end
+            if not b.inflight + b.stuck:  # names come and go without end
                 self.sent_to.discard(b.name)
 
     def add_up(self) -> None:
         """The sum of the thresholds is the room for what is out; probes tell more than it can."""
-        limit = self.fleet.limit if self.many else self.limits
+        limit = self.fleet.limit if self.many else self.pool.limits
         self.room = inf if self.asks else limit
-        self.each = 0.0  # one threshold for every backend, where proxies outnumber them
-        if self.many:
-            self.each = max(1.0, limit if self.asks else limit / len(self.live))
+        self.each = max(1.0, limit if self.asks else limit / len(self.live)) if self.many else 0.0
 
     def place(self, b: Backend) -> None:
         """Rank a backend among the idle ones, or not, as it stands now; at the latest when that changes."""
         if self.many or self.asks:
             return  # the threshold is the fleet's, or changes with reports: pick looks at each
-        if b.inflight and b.inflight + 1 > b.limit:
-            self.idle.drop(b)
-            return
-        if self.now < b.busy_until:
+        full = b.inflight and b.inflight + 1 > b.limit
+        if full or self.now < b.busy_until:
             self.idle.drop(b)
-            self.await_turn(b, b.busy_until)
-            return
+            return None if full else self.await_turn(b, b.busy_until)
         usual = b.usual if b.seen else b.kind.usual
         values: list[float | None] = [
             usual + (b.far + lost) * c.penalty for lost, c in zip(b.lost, self.classes, strict=True)
         ]
+        if b.resting:
+            values = [None if at > self.now else v for at, v in zip(b.rests, values, strict=True)]
+            b.resting = None in values
+            self.await_turn(b, min((at for at in b.rests if at > self.now), default=inf))
         if b.cold < 1:
             rate = self.warm(b)
             if b.inflight + 1 > max(1.0, b.limit * b.cold):
@@ -230,12 +200,11 @@
         """Have a backend placed anew at a time, or before."""
         if at < b.due:
             b.due = at
-            heappush(self.ripe, (at, b.serial, b))
+            self.ripe.add(at, b)
 
     def probed(self, event: face.Probed) -> None:
         """Note what other proxies have at a backend; one that does not tell is left alone for a while."""
-        b = self.backends.get(event.backend)
-        if b is not None:
+        if b := self.backends.get(event.backend):
             b.asked, b.heard_at = False, self.now
             b.others = max(0.0, (event.report or {}).get("inflight", 0.0) - b.inflight)
             if event.outcome is not Outcome.SERVED:
@@ -250,15 +219,11 @@
         Returns the rate at which its budget fills, in milliseconds of work a millisecond.
         """
         conf, age, span = self.conf, self.now - b.warm_from, self.now - b.paced_at
-        was, b.paced_at = b.cold, self.now
+        b.paced_at = self.now
         if b.warm_from <= 0 or age >= conf.cold:
-            b.cold = 1.0
-        else:
-            b.cold = conf.cold_from + (1 - conf.cold_from) * max(age, 0.0) / conf.cold
-        self.warm_ones += (b.cold == 1) - (was == 1)
-        if b.cold == 1:
+            self.pool.set_cold(b, 1.0)
             return 0.0
-        self.served, b.served = self.served - b.served, 0.0
+        self.pool.set_cold(b, conf.cold_from + (1 - conf.cold_from) * max(age, 0.0) / conf.cold)
         rate = self.rate * b.cold * conf.tip_multiple * COLD_SHARE
         rate = max(rate, self.light / (max(conf.tip_after, 1.0) * conf.proxies))  # one such a window from all
         b.pace = min(b.pace + rate * span, max(rate * conf.tip_after / 4, self.heavy))
@@ -276,19 +241,12 @@
             self.end(r)
             return
         r.held, klass = True, self.classes[r.klass]
-        at = r.deadline - self.margin
-        if r.attempts:
-            self.retry.append(r)
-            if klass.conf.late_worth <= 0:
-                at = min(at, r.arrived + klass.conf.aim)
-        elif r.repeated:  # a client's repeat has little of its aim left, if any
-            klass.late.append(r)
-        else:
-            klass.fresh.append(r)
+        late = r.repeated and not r.attempts  # a client's repeat has little of its aim left, if any
+        (self.retry if r.attempts else klass.late if late else klass.fresh).append(r)
         self.dispatch()
         if r.held:
-            self.entered += 1
-            heappush(self.agenda, (at, self.entered, r))
+            lapses = r.attempts and klass.conf.late_worth <= 0
+            self.agenda.add(min(r.deadline - self.margin, r.arrived + klass.conf.aim if lapses else inf), r)
 
     def dispatch(self) -> None:
         """Send held requests to idle backends: repeats first, then by worth per expected work."""
@@ -304,17 +262,13 @@
         self.held = any(c.fresh or c.late for c in self.classes)
 
     def lapsed(self, r: Request) -> bool:
-        """Whether an answer is worth nothing any more."""
-        conf = self.classes[r.klass].conf
+        conf = self.classes[r.klass].conf  # whether an answer is worth nothing any more
         return conf.late_worth <= 0 and self.now >= r.arrived + conf.aim
 
     def settle(self, r: Request, klass: Class, fresh: bool) -> bool:
         """Whether the first of a queue has left it: closed, sent, or its aim out of reach."""
         if r.held and fresh and self.now > r.arrived + klass.patience:
-            if klass.conf.late_worth > 0:  # late worth is queued for behind the rest, no worth is let go
-                klass.late.append(r)
-            else:
-                self.end(r)
+            (klass.late.append if klass.conf.late_worth > 0 else self.end)(r)  # behind the rest, or let go
             return True
         return not r.held or self.send(r)
 
@@ -324,16 +278,16 @@
         r.held = b is None
         if b is None:
             return False
-        b.open, b.alone = True, not b.inflight
+        b.open = True
         if self.conf.hang_up_within > 0:
             self.sent_to.add(b.name)
         if b.far * klass.conf.aim > TIE * klass.cost:
             self.crossed = self.now  # a crossing asks for room at home
+        b.sent(r.id, len(r.attempts), self.now)
         r.attempts.append((b, self.now))
         r.out += 1
-        self.total += 1
+        self.pool.total += 1
         klass.out += 1
-        b.inflight += 1
         if b.cold < 1:
             b.pace -= klass.cost
         self.place(b)
@@ -344,7 +298,7 @@
 
     def pick(self, r: Request) -> Backend | None:
         """Fastest idle first, near-ties at random."""
-        klass, total = self.classes[r.klass], self.total
+        klass, total = self.classes[r.klass], self.pool.total
         if self.many:  # a room of one or two must not be filled by what is worth less for its work
             total = sum(c.out for c in klass.above)
         if total >= max(1.0, self.room) or self.now < klass.ready_at:
@@ -357,7 +311,7 @@
         if not r.attempts:
             near = order.bisect_left((order[0][0] * (1 + TIE),)) or 1
             return order[int(self.rng.random() * near)][2]
-        tried, found, most = [b for b, _ in r.attempts], [], inf
+        tried, found, most = [b for b, _ in r.attempts], list[Backend](), inf
         for value, _, b in order:
             if value > most or len(found) >= AHEAD:
                 break
@@ -367,31 +321,22 @@
         return found[int(self.rng.random() * len(found))] if found else None
 
     def look_round(self, r: Request, klass: Class) -> Backend | None:
-        """The same in one pass over the backends, where idleness hangs on the fleet or on what probes tell."""
-        now, each, fresh = self.now, self.each, self.now - FRESH * self.aim
-        cost, aim, found, best = klass.cost, klass.conf.aim, [], inf
-        work, tried = cost / exp(self.level), [b for b, _ in r.attempts]
+        """The same in one pass over all, where idleness hangs on the fleet or on what probes tell."""
+        now, each, fresh, tried = self.now, self.each, self.now - FRESH * self.aim, [b for b, _ in r.attempts]
+        found = list[tuple[float, Backend]]()
         for b in self.live:
-            n, limit = float(b.inflight), each or b.limit * self.share
-            if b.heard_at > fresh:
-                n += b.others
-            if n and n + 1 > limit or now < b.busy_until:
+            limit, n = each or b.limit * self.share, b.inflight + (b.others if b.heard_at > fresh else 0.0)
+            if n and n + 1 > limit or now < b.busy_until or now < b.rests[r.klass]:
+                continue
+            if b.cold < 1 and self.warm(b) and (b.pace < klass.cost or n + 1 > max(1.0, limit * b.cold)):
                 continue
-            if b.cold < 1:
-                self.warm(b)
-                if b.cold < 1 and (b.pace < cost or n + 1 > max(1.0, limit * b.cold)):
-                    continue
             if tried and (b in tried or r.bound is not None and not self.same_group(b, r.bound, klass)):
                 continue
-            value = work * (b.usual if b.seen else b.kind.usual) + (b.far + b.lost[r.klass]) * aim
-            if each and not b.open:
-                value *= OPENING
-            found.append((value, b))
-            if value < best:
-                best = value
+            value = (b.usual if b.seen else b.kind.usual) + (b.far + b.lost[r.klass]) * klass.penalty
+            found.append((value * (OPENING if each and not b.open else 1.0), b))
+        best = min((value for value, _ in found), default=inf)
         near = [b for value, b in found if value <= best * (1 + TIE)]
-        if self.asks and near:
-            near = self.heard(near, fresh)
+        near = self.heard(near, fresh) if self.asks and near else near
         return near[int(self.rng.random() * len(near))] if near else None
 
     def heard(self, near: list[Backend], fresh: float) -> list[Backend]:
@@ -440,16 +385,20 @@
         if not r.out:
             self.requests.pop(r.id, None)
 
+    def cancel(self, r: Request) -> None:
+        """Wait no longer for what is out: it holds a connection, and nobody is there to be answered."""
+        if self.conf.cancelling:
+            outs = (n for n, (_, sent) in enumerate(r.attempts) if sent is not None)
+            self.actions += [face.Cancel(r.id, n) for n in outs]
+
     def left(self, event: face.Left) -> None:
-        r = self.requests.get(event.request)
-        if r is not None and not r.closed:
-            if self.conf.cancelling and r.out:
-                self.actions.extend(face.Cancel(r.id, n) for n in range(len(r.attempts)))
+        if (r := self.requests.get(event.request)) and not r.closed:
+            self.cancel(r)
             self.close(r)
 
     def began(self, event: face.Began) -> None:
-        if event.request in self.requests:
-            self.close(self.requests[event.request])
+        if r := self.requests.get(event.request):
+            self.close(r)
 
     def finished(self, event: face.Finished) -> None:
         r = self.requests.get(event.request)
@@ -462,19 +411,22 @@
         klass, outcome, r.out = self.classes[r.klass], event.outcome, r.out - 1
         if outcome not in PROVEN and not r.may_run:
             r.may_run, r.bound, r.window_end = True, b, sent + klass.conf.window
-        b.inflight -= 1
+        counted = b.ended(r.id, event.attempt)
+        self.pool.total -= counted and b.position >= 0
         klass.out -= 1
-        self.total -= b.position >= 0
         if self.many and self.room < 1 and len(klass.above) == len(self.classes):  # the last in rank
             klass.ready_at = self.now + min(event.elapsed, klass.conf.aim) * (1 / self.room - 1)
-        if outcome is not Outcome.NOT_SENT and outcome is not Outcome.CANCELLED:
-            self.learn(b, klass, r.klass, outcome, event.elapsed)
+        if outcome is Outcome.SERVED or counted and outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED):
+            self.learn(b, klass, r.klass, outcome, event.elapsed)  # of what got stuck it has learned
+        if outcome is Outcome.SERVED and b.waiting:
+            self.overtaken(b, sent)
         if b.position >= 0:
             self.place(b)
-        elif not b.inflight:
+        elif not b.inflight + b.stuck:
             self.hang_up(b)
         if event.complete:
             klass.won += outcome is Outcome.SERVED and self.now <= r.arrived + klass.conf.aim
+            self.cancel(r)
         if event.complete or r.closed:
             self.close(r)
         elif not r.held and not r.out:
@@ -486,27 +438,33 @@
                 self.end(r)
         self.dispatch()
 
+    def overtaken(self, b: Backend, sent: float) -> None:
+        """What later attempts have overtaken by far is no work in hand: nothing more will come of it."""
+        late = STUCK * b.usual * self.heavy / exp(self.level)
+        for request, _ in b.overtake(min(sent, self.now - late)):
+            k = self.requests[request].klass
+            b.lost[k] += 2 * LOST * (1 - b.lost[k])
+            self.pool.total -= b.position >= 0
+
     def learn(self, b: Backend, klass: Class, k: int, outcome: Outcome, elapsed: float) -> None:
         """Take from an outcome what it tells of the backend."""
         if outcome is Outcome.SERVED:
-            b.failing -= BETTER * b.failing
-            b.breaks = 0
-            if b.position >= 0 and b.cold == 1:
-                b.served += klass.cost
-                self.served += klass.cost
+            for i in (k, -1):
+                b.failing[i] -= BETTER * b.failing[i]
+            b.answered_at[k], b.breaks = self.now, 0
+            self.pool.serve(b, klass.cost)
             b.lost[k] -= LOST * b.lost[k]
             sample = log(max(elapsed, self.conf.tick / 4)) - klass.log
             self.answers += 1
-            if self.answers == 1:  # whatever was guessed before, all are thought to be like the first
-                self.level = sample
+            if self.answers == 1:  # whatever was guessed, all are thought to be like the first
                 for gauge in (self.fleet, *self.kinds.values()):
-                    gauge.mean, gauge.usual = sample, exp(sample)
+                    gauge.shift(sample - gauge.mean)
             crowd = self.fleet if self.many else b
             if crowd.mean - crowd.best < self.far / 2 or self.answers < 1 / SMOOTH:  # crowding evens out
                 self.weigh(klass, sample, self.fleet.mean if self.many else b.mean if b.seen else b.kind.mean)
         else:  # an error is no proof of speed, a time-out took at least the time waited
             sample = log(max(elapsed, FAILED * klass.cost)) - klass.log
-            self.leave(b, klass, outcome)
+            self.leave(b, klass, k, outcome)
             if outcome is Outcome.FULL:
                 return
             b.lost[k] += 2 * LOST * (1 - b.lost[k])
@@ -519,7 +477,11 @@
                 return
         if not b.seen:
             b.mean = b.kind.mean
+        before = b.kind.mean
         b.kind.take(sample, max(COST_SMOOTH, 1 / (b.kind.seen + 1)))
+        if b.kind.seen < 1 / COST_SMOOTH:  # the first ones were measured by what was hardly known then
+            for other in self.live:
+                other.shift((b.kind.mean - before) * (other.seen > 0 and other.kind is b.kind))
         b.take(sample, SMOOTH)
         self.fleet.take(sample, max(SMOOTH, 1 / (self.fleet.seen + 1)))
         if outcome is Outcome.SERVED and b.alone and not b.inflight:  # nothing of ours was beside it
@@ -527,14 +489,11 @@
         self.threshold(self.fleet if self.many else b, b, klass, outcome)
 
     def weigh(self, klass: Class, sample: float, mean: float) -> None:
-        """Take an answer into the usual latency and the work of its class.
-
-        Work is 1 on the mean of the answers: what one class is found to differ, all give back in part.
-        """
+        """Take an answer into the usual latency and the work of its class, which is 1 on the mean of all."""
         klass.count += 1
         self.level += max(COST_SMOOTH, 1 / self.answers) * (sample - self.level)
         klass.log += max(COST_SMOOTH, 1 / (klass.count + 1)) * (sample - mean)
-        centre = COST_SMOOTH * klass.log
+        centre = COST_SMOOTH * klass.log  # what one class is found to differ, all give back in part
         for c in self.classes:
             c.log -= centre
         klass.cost = exp(klass.log + self.level)
@@ -544,27 +503,24 @@
         g.best = min(g.best, g.mean) if g.seen > 1 / SMOOTH else g.mean
         crowding = g.mean - g.best
         bound = self.far / (1 + b.far * klass.conf.aim / klass.cost)  # a crossing has to find real room
-        filled = self.asks or self.total + 2 > self.room if self.many else b.inflight + 2 > b.limit
+        filled = self.asks or self.pool.total + 2 > self.room if self.many else b.inflight + 2 > b.limit
         if crowding < bound * NEAR and outcome is Outcome.SERVED:
             if filled and (self.held or self.now - self.crossed <= self.sweep_every):
                 grown = GROWTH * max(self.least, 1 / FEW) / (1.0 if self.many else max(g.limit, 1.0))
-                self.limit(g, g.limit + grown)
+                self.pool.set_limit(g, g.limit + grown)
         elif crowding > bound and self.now >= g.cut_at:
-            self.limit(g, max(1.0 if self.asks else self.least, g.limit * CUT))
+            self.pool.set_limit(g, max(1.0 if self.asks else self.least, g.limit * CUT))
             g.cut_at = self.now + (1.0 if self.many else g.limit) * self.aim / 4
         if self.many:
             self.add_up()
 
-    def limit(self, g: Gauge, limit: float) -> None:
-        """Set a threshold; the room is their sum."""
-        if isinstance(g, Backend) and g.position >= 0:
-            self.limits += limit - g.limit
-        g.limit = limit
+    def leave(self, b: Backend, klass: Class, k: int, outcome: Outcome) -> None:
+        """Leave a backend that failed alone for a while, by its failures to an answer.
 
-    def leave(self, b: Backend, klass: Class, outcome: Outcome) -> None:
-        """Leave a backend that failed alone for a while, by failures to an answer: it errs, is full, hangs."""
-        broke = outcome is Outcome.RESET or outcome is Outcome.CONNECT_FAILED and (b.open or b.breaks > 0)
-        gone = False
+        It errs, is full, hangs or is gone; while it answers other classes well, only this one rests.
+        """
+        broke, gone = outcome is Outcome.RESET, False
+        broke = broke or outcome is Outcome.CONNECT_FAILED and (b.open or b.breaks > 0)
         if broke:
             b.breaks = b.breaks + 1 if self.now < b.broke_at + self.aim else 1
             b.broke_at, gone = self.now, b.breaks >= BREAKS
@@ -574,21 +530,30 @@
         elif outcome is not Outcome.TIMEOUT:
             b.breaks = 0
         b.open = b.open and outcome is not Outcome.CONNECT_FAILED
-        if self.now >= b.busy_until:
-            b.failing += WORSE * (1 - b.failing)
-            span = REST * (self.aim if self.many else klass.cost) * b.failing / (1 - b.failing)
+        if self.now >= max(b.busy_until, b.rests[k]):
+            share = b.failing[-1 if broke else k] = WORSE + (1 - WORSE) * b.failing[-1 if broke else k]
+            span = REST * (self.aim if self.many else klass.cost) * share / (1 - share)
             span = min(max(span, BREAK * self.aim if gone else 0.0), LONGEST * self.aim)
-            b.busy_until = self.now + span * (0.5 + self.rng.random())
-        if outcome in PROVEN and not broke:
-            self.limit(b, max(self.least, b.limit * CUT))
+            until = self.now + span * (0.5 + self.rng.random())
+            if broke or not self.sound(b, k):
+                b.busy_until = until
+            else:
+                b.rests[k], b.resting = until, True
+        if outcome in PROVEN and not broke and not self.sound(b, k):
+            self.pool.set_limit(b, max(self.least, b.limit * CUT))
+
+    def sound(self, b: Backend, k: int) -> bool:
+        """Whether a backend answers other classes than one: the fault lies with that class."""
+        since, least = self.now - SOUND * self.aim, b.failing[k] / 2
+        shares = enumerate(zip(b.answered_at, b.failing, strict=False))
+        return any(at > since and share < least and j != k for j, (at, share) in shares)
 
     def timer(self, event: face.TimerDue) -> None:
         self.wake_at = inf
         if self.now >= self.watch_at:
             self.watch_at = inf
             self.actions.append(face.Watch())
-        while self.agenda and self.agenda[0][0] <= self.now:
-            r = heappop(self.agenda)[2]
+        for r in self.agenda.due(self.now):
             if r.held:
                 self.end(r)
         self.dispatch()
@@ -597,14 +562,17 @@
         """Note the warmth, age what was learned, and rank anew; called after enough events."""
         self.swept, self.news = self.now, 0
         self.price()
-        self.fleet.best += (self.fleet.mean - self.fleet.best) * AGE * span / 4000  # long overload is not usual
-        self.served *= 0.5 ** (span / self.memory)
-        rate = self.served * log(2) / self.memory / self.warm_ones if self.warm_ones else 0.0
+        self.fleet.best += (self.fleet.mean - self.fleet.best) * AGE * span / 4000  # no overload is usual
+        self.pool.served *= 0.5 ** (span / self.memory)
+        rate = self.pool.served * log(2) / self.memory / max(self.pool.warm, 1)
         self.rate = max(rate, self.rate * (1 - min(1.0, CALM * span / 1000)))  # idle ones could serve as much
         for _ in range(min(len(self.live), SLICE)):
             self.turn = self.turn + 1 if self.turn + 1 < len(self.live) else 0
             b = self.live[self.turn]
-            self.age(b)
+            span, b.aged_at = self.now - b.aged_at, self.now
+            b.fade(min(1.0, AGE * span / 1000), min(1.0, FORGET * span / 1000), 0.5 ** (span / self.memory))
+            if b.cold < 1:
+                self.warm(b)
             self.place(b)
         self.add_up()
         hope = log(min(c.conf.aim / c.cost for c in self.classes))
@@ -617,32 +585,17 @@
             c.cost, c.penalty = exp(c.log + self.level), c.conf.aim / exp(c.log)
         self.light, self.heavy = min(c.cost for c in self.classes), max(c.cost for c in self.classes)
 
-    def age(self, b: Backend) -> None:
-        """Let what was learned of a backend fade with the time since it was last looked at."""
-        span, b.aged_at = self.now - b.aged_at, self.now
-        forget = min(1.0, FORGET * span / 1000)
-        if b.seen:
-            b.best += (b.mean - b.best) * min(1.0, AGE * span / 1000)
-            b.mean += (b.kind.mean - b.mean) * forget
-            b.usual = exp(b.mean)
-            b.lost = [x * (1 - forget) for x in b.lost]
-            b.failing -= b.failing * forget
-        b.served *= 0.5 ** (span / self.memory)
-        if b.cold < 1:
-            self.warm(b)
-
     def rank_queues(self) -> None:
         """Order the queues by what one more answer adds to the goal, per expected work."""
         total = sum(c.asked * c.conf.worth for c in self.classes)
         worst = min(self.classes, key=lambda c: c.won / c.asked)
-        gains, ranked = [], []
+        ranked = list[tuple[float, Class, deque[Request]]]()
         for c in self.classes:
             usual = HOPE * c.cost * exp(self.fleet.mean - self.level)
             c.patience = c.conf.aim - min(usual, c.conf.aim / 2)
             gain = self.conf.whole_weight * c.conf.worth / total
-            gain = (gain + self.conf.worst_class_weight / c.asked * (c is worst)) / c.cost
-            gains.append((gain, c))
-            ranked += [(gain, c, c.fresh), (gain * c.conf.late_worth, c, c.late)]
-        for gain, c in gains:
-            c.above = [other for more, other in gains if more >= gain]
+            c.gain = (gain + self.conf.worst_class_weight / c.asked * (c is worst)) / c.cost
+            ranked += [(c.gain, c, c.fresh), (c.gain * c.conf.late_worth, c, c.late)]
+        for c in self.classes:
+            c.above = [other for other in self.classes if other.gain >= c.gain]
         self.queues = [(c, queue) for _, c, queue in sorted(ranked, key=lambda entry: -entry[0])]
--- a/barleybarrow/state.py
+++ b/barleybarrow/state.py
@@ -1,13 +1,17 @@
-"""What the decision module keeps in mind: plain records, and the ranking of idle backends. Nothing here decides."""
+"""What the decision module keeps in mind: plain records, and a ranking. Nothing here decides."""
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Iterator, Sequence
+from heapq import heappop, heappush
 from math import exp, inf
+from typing import Generic, TypeVar
 
 from sortedcontainers import SortedList
 
 from barleybarrow.interface import Arrived, Entry, RequestClass
 
+Item = TypeVar("Item")
+
 
 class Gauge:
     """Smoothed log of the latency of usual work, in log milliseconds, and the threshold learned from it."""
@@ -22,6 +26,11 @@
         self.mean += weight * (sample - self.mean)
         self.usual = exp(self.mean)
 
+    def shift(self, by: float) -> None:
+        """Move all that was learned by a difference."""
+        self.mean, self.best = self.mean + by, self.best + by
+        self.usual = exp(self.mean)
+
 
 class Backend(Gauge):
     """What this proxy knows of one life of one backend; clock times and spans are in milliseconds."""
@@ -33,16 +42,104 @@
         self.serial = serial  # tells lives apart, and orders those of one value
         self.name, self.started, self.cell, self.zone = entry.backend, entry.started, entry.cell, entry.zone
         self.kind, self.far, self.others = kind, far, 0.0
-        self.inflight, self.open, self.alone = 0, False, False  # a connection is likely; one attempt at a time
+        self.inflight, self.open, self.alone = 0, False, False  # likely connected; nothing beside it
+        self.waiting: dict[tuple[int, int], float] = {}  # in flight, oldest first: when sent
+        self.stuck = 0  # attempts out that later ones overtook by far: no longer counted in flight
         self.warm_from, self.lost = entry.started, [0.0] * classes  # share unanswered, by class
         self.heard_at, self.asked = -inf, False  # when a probe told what others have there; one is out
-        self.busy_until, self.failing = 0.0, 0.0  # back-off after failures; their share of late
+        self.busy_until, self.rests = 0.0, [0.0] * classes  # back-off after failures: from all, from a class
+        self.resting = False  # some class may rest
+        self.failing = [0.0] * (classes + 1)  # share that fails of late, by class; last, breaks
+        self.answered_at = [-inf] * classes
         self.breaks, self.broke_at = 0, -inf  # connections broken in a row, and when the last one was
         self.pace, self.paced_at = 0.0, now  # cold budget
         self.served, self.cold, self.aged_at = 0.0, 1.0, now  # work served lately; share warm
         self.position, self.due = -1, inf  # in the list of those live, -1 for gone; when it is placed anew
         self.ranks: Sequence[float | None] = ()  # its values in the ranking, by class
 
+    def fade(self, best: float, forget: float, keep: float) -> None:
+        """Move what was learned these shares of the way to what is usual; keep a share of what was served."""
+        if self.seen:
+            self.best += (self.mean - self.best) * best
+            self.mean += (self.kind.mean - self.mean) * forget
+            self.usual = exp(self.mean)
+            self.lost = [x * (1 - forget) for x in self.lost]
+            self.failing = [x * (1 - forget) for x in self.failing]
+        self.served *= keep
+
+    def sent(self, request: int, attempt: int, now: float) -> None:
+        """Note an attempt that has gone there."""
+        self.alone = not self.inflight
+        self.inflight += 1
+        self.waiting[request, attempt] = now
+
+    def ended(self, request: int, attempt: int) -> bool:
+        """Note the end of an attempt; whether it was in flight until now."""
+        counted = self.waiting.pop((request, attempt), None) is not None
+        self.inflight -= counted
+        self.stuck -= not counted
+        return counted
+
+    def overtake(self, since: float) -> list[tuple[int, int]]:
+        """Count what was sent before that time as stuck, and return it."""
+        found = []
+        for key, at in self.waiting.items():
+            if at >= since:
+                break
+            found.append(key)
+        for key in found:
+            del self.waiting[key]
+        self.inflight -= len(found)
+        self.stuck += len(found)
+        return found
+
+
+class Fleet:
+    """The backends on the list, and sums over them that take no pass over all of them."""
+
+    def __init__(self) -> None:
+        self.named: dict[str, Backend] = {}
+        self.live: list[Backend] = []  # in no order: the last takes the place of one that goes
+        self.total, self.limits, self.served, self.warm = 0, 0.0, 0.0, 0
+
+    def add(self, b: Backend) -> None:
+        b.position = len(self.live)
+        self.live.append(b)
+        self.named[b.name] = b
+        self.limits += b.limit
+        self.warm += 1
+
+    def remove(self, b: Backend, served: float) -> None:
+        """Take one out; `served` is what of the sum is still its own."""
+        last = self.live.pop()
+        if last is not b:
+            self.live[b.position], last.position = last, b.position
+        b.position = -1
+        del self.named[b.name]
+        self.total -= b.inflight
+        self.limits -= b.limit
+        self.warm -= b.cold == 1
+        self.served -= served
+
+    def set_limit(self, gauge: Gauge, limit: float) -> None:
+        """Set a threshold; that of one that is not on the list belongs to no sum."""
+        if isinstance(gauge, Backend) and gauge.position >= 0:
+            self.limits += limit - gauge.limit
+        gauge.limit = limit
+
+    def set_cold(self, b: Backend, share: float) -> None:
+        """Set what share of it is warm; what a cold one serves does not count."""
+        self.warm += (share == 1) - (b.cold == 1)
+        b.cold = share
+        if share < 1:
+            self.served, b.served = self.served - b.served, 0.0
+
+    def serve(self, b: Backend, work: float) -> None:
+        """Note work that was served."""
+        if b.position >= 0 and b.cold == 1:
+            b.served += work
+            self.served += work
+
 
 class Request:
     """A request that this proxy has taken, until it is answered and no attempt is out."""
@@ -61,7 +158,7 @@
 
     def __init__(self, conf: RequestClass, log: float, cost: float) -> None:
         self.conf, self.log, self.cost = conf, log, cost  # log of its work, in usual works; its usual latency
-        self.count, self.asked, self.won = 0, 1.0, 1.0
+        self.count, self.asked, self.won, self.gain = 0, 1.0, 1.0, 0.0
         self.patience, self.penalty = conf.aim / 2, 0.0  # penalty: what an answer lost weighs in a ranking
         self.fresh: deque[Request] = deque()
         self.late: deque[Request] = deque()
@@ -69,6 +166,29 @@
         self.above: list[Class] = [self]  # what ranks before it, and itself
 
 
+class Agenda(Generic[Item]):
+    """Items by the time at which they fall due, then in the order in which they came."""
+
+    def __init__(self) -> None:
+        self.heap: list[tuple[float, int, Item]] = []
+        self.serial = 0
+
+    def add(self, at: float, item: Item) -> None:
+        self.serial += 1
+        heappush(self.heap, (at, self.serial, item))
+
+    def due(self, now: float) -> Iterator[Item]:
+        """Take out what has fallen due, one after the other."""
+        while self.heap and self.heap[0][0] <= now:
+            yield heappop(self.heap)[2]
+
+    def next(self, counts: Callable[[Item], bool]) -> float:
+        """When the next item that counts falls due; what stands before it is forgotten."""
+        while self.heap and not counts(self.heap[0][2]):
+            heappop(self.heap)
+        return self.heap[0][0] if self.heap else inf
+
+
 class Ranking:
     """Idle backends by value, least first, with an order of its own for each class."""
 
--- a/brackenusher/records/capture.py
+++ b/brackenusher/records/capture.py
@@ -15,7 +15,7 @@
 
 import ujson
 
-from barleybarrow import brain
+from barleybarrow import brain, state
 from barleybarrow import interface as face
 from brackenusher import __version__
 from brackenusher.config.operators import CaptureSettings
@@ -55,7 +55,8 @@
 
 def module_digest() -> str:
     """Tells one text of the module from another."""
-    return hashlib.sha256(Path(brain.__file__).read_bytes()).hexdigest()[:16]
+    texts = [Path(part.__file__).read_bytes() for part in (brain, state)]
+    return hashlib.sha256(b"".join(texts)).hexdigest()[:16]
 
 
 def columns(name: bytes, klass: str, message: Message) -> str:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -249,7 +249,7 @@
 def test_a_backend_whose_connections_broke_counts_as_cold_until_it_is_known_to_be_warm(later):
     proxy = Proxy(("a",), proxies=1)
     proxy.warm_up(40)
-    proxy.brain.limit(proxy.brain.backends["a"], 3.0)
+    proxy.brain.pool.set_limit(proxy.brain.backends["a"], 3.0)
     proxy.brain.add_up()
     all_out = [proxy.arrive(UNSAFE) for _ in range(3)]
     for r, outcome in zip(all_out, (Outcome.RESET, later, later), strict=True):
