--- a/brackenusher/records/capture.py
+++ b/brackenusher/records/capture.py
@@ -55,7 +55,7 @@
 
 def module_digest() -> str:
     """Tells one text of the module from another."""
-    texts = [Path(part.__file__).read_bytes() for part in (brain, state)]
+    texts = [Path(str(part.__file__)).read_bytes() for part in (brain, state)]
     return hashlib.sha256(b"".join(texts)).hexdigest()[:16]
 
 
