--- a/brackenusher/membership/discovery.py
+++ b/brackenusher/membership/discovery.py
@@ -1,13 +1,13 @@
 """Discovery's side: reads lists, and speaks to the agent as a state machine that is fed bytes."""
 
 import logging
-from dataclasses import dataclass
 from typing import Any
 
 import h11
 import ujson
 
-from brackenusher.config.platform import Address, ConfigError, read_address
+from brackenusher.config.platform import ConfigError, read_address
+from brackenusher.upstream.listing import Host, Listing
 
 log = logging.getLogger(__name__)
 
@@ -19,28 +19,6 @@
     """Discovery's answer cannot be used; the connection is of no further use."""
 
 
-@dataclass(slots=True)
-class Host:
-    """One entry of a list."""
-
-    name: str
-    address: Address
-    zone: str
-    kind: str
-    cell: int
-    health: str
-    born_ms: float
-
-
-@dataclass(slots=True)
-class Listing:
-    """A version of the list, or what changed since the one before."""
-
-    seq: int
-    whole: bool
-    hosts: list[Host]
-
-
 def read_host(entry: dict[str, Any]) -> Host:
     return Host(
         name=str(entry["host"]),
@@ -93,12 +71,12 @@
         call = h11.Request(method="GET", target=target, headers=[("Host", self.authority)])
         return self.machine.send(call) + self.machine.send(h11.EndOfMessage())
 
-    def receive(self, data) -> tuple[list[Listing], bytes]:
+    def receive(self, data: bytes | memoryview) -> tuple[list[Listing], bytes]:
         """Take bytes, b"" at the end of the stream; return the lists they hold and what to send in turn."""
         listings: list[Listing] = []
         reply = b""
         try:
-            self.machine.receive_data(data)
+            self.machine.receive_data(bytes(data))
             while True:
                 event = self.machine.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
--- a/brackenusher/records/figures.py
+++ b/brackenusher/records/figures.py
@@ -8,15 +8,14 @@
 import socket
 from collections import Counter
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 
 from barleybarrow import interface as face
-from brackenusher.config.platform import Address
-from brackenusher.core.deadlines import Deadlines
+from brackenusher.config.operators import FiguresSettings
+from brackenusher.core.admission import Request
 from brackenusher.core.transaction import Answer, Refused, Served, Transaction
-from brackenusher.fronts.http1.virtual_server import Request
-from brackenusher.runtime.driver import open_datagrams
+from brackenusher.runtime.driver import Address, open_datagrams
 from brackenusher.runtime.outlet import Channel, Outlet, to_stderr, write_whole
+from brackenusher.runtime.timers import Timers
 
 ROOM = 96 * 1024  # bytes that wait to be written
 LONGEST_NAME = 64  # of a tag's value
@@ -24,16 +23,6 @@
 Tags = tuple[int, int]  # positions of class and tenant
 
 
-@dataclass(frozen=True)
-class FiguresSettings:
-    """What is sent where; the target is an address, a path, or None for standard error."""
-
-    influx: bool = False
-    target: Address | str | None = None
-    flush_ms: int = 1000
-    batch_bytes: int = 1400
-
-
 class Statsd:
     """Lines as statsd reads them, with tags."""
 
@@ -43,7 +32,7 @@
         return ",".join(f"{name}:{value.translate(strange)[:LONGEST_NAME]}" for name, value in pairs)
 
     @staticmethod
-    def line(name: str, value: int, kind: str, tags: str) -> str:
+    def line(name: str, value: int | str, kind: str, tags: str) -> str:
         return f"{name}:{value}|{kind}|#{tags}\n" if tags else f"{name}:{value}|{kind}\n"
 
 
@@ -56,7 +45,7 @@
         return "".join(f",{name}={value[:LONGEST_NAME].translate(strange)}" for name, value in pairs)
 
     @staticmethod
-    def line(name: str, value: int, kind: str, tags: str) -> str:
+    def line(name: str, value: int | str, kind: str, tags: str) -> str:
         return f"{name}{tags} value={value}\n"
 
 
@@ -119,7 +108,7 @@
         self,
         settings: FiguresSettings,
         outlet: Outlet,
-        deadlines: Deadlines,
+        deadlines: Timers,
         clock: Callable[[], float],
         transactions: Mapping[int, Transaction],
         conf: face.Settings,
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -10,9 +10,12 @@
 
 from barleybarrow.interface import Outcome
 from barleybarrow.settings import read_settings
+from brackenusher.core.admission import Request
+from brackenusher.core.message import Content, Message
 from brackenusher.core.transaction import Served
-from brackenusher.fronts.http1.virtual_server import Front, Request, VirtualServer
-from brackenusher.upstream.flow import Content, Flow, Message
+from brackenusher.fronts.http import Front
+from brackenusher.fronts.http1.virtual_server import VirtualServer
+from brackenusher.upstream.flow import Flow
 
 FRONT = Front(read_settings(SETTINGS))
 POST = b"POST /turn-submit?k=m HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nIdempotency-Key: k\r\n"
