--- a/brackenusher/core/message.py
+++ b/brackenusher/core/message.py
@@ -24,5 +24,5 @@
     """What a pool member answered."""
 
     body: bytes
-    kind: bytes | None = None  # Content-Type
-    coding: bytes | None = None  # Content-Encoding; the body is passed on as it is
+    kind: bytes | None = None  # of its media, and how that is coded: as Content-Type and Content-Encoding say
+    coding: bytes | None = None
