--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -15,10 +15,11 @@
 from barleybarrow.farewell import Farewell, Phase
 from brackenusher.config.operators import Operator, doubts
 from brackenusher.config.platform import Config, ConfigError
+from brackenusher.core.admission import Admission
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.core.transaction import RESERVE, Observers, Transactions
+from brackenusher.fronts.http import Front
 from brackenusher.fronts.http1.clients import OVERFLOW, Clients
-from brackenusher.fronts.http1.virtual_server import Front
 from brackenusher.membership.agent import Agent
 from brackenusher.membership.discovery import Broken, read_listing
 from brackenusher.records.capture import Capture
@@ -57,10 +58,9 @@
         self.upstream.owner = self.transactions
         most_kept = int(config.sockets * KEPT_PART)
         door = Door(operator.door) if operator.door else None
-        front = Front(settings, door, operator.token, clock)
-        self.clients = Clients(
-            self.loop, front, self.transactions, self.pool, for_clients, most_kept, buffers
-        )
+        self.admission = Admission(self.transactions, settings, door, operator.token)
+        front = Front(settings, with_tokens=operator.token is not None)
+        self.clients = Clients(self.loop, front, self.admission, self.pool, for_clients, most_kept, buffers)
         self.agent = Agent(
             self.loop, config.discovery, self.pool, self.transactions, buffers, random.Random(config.seed)
         )
@@ -116,7 +116,7 @@
             "ended: %d taken, %d stood unanswered, %d refused at the end, %d connections left",
             self.transactions.taken,
             self.transactions.unanswered,
-            self.clients.turned_away,
+            self.admission.at_the_end,
             len(self.clients.links),
         )
         if self.capture:
@@ -180,7 +180,7 @@
         longest, alone = max(c.deadline for c in settings.classes), settings.proxies <= 1
         least = self.transactions.balancer.margin + RESERVE  # the module refuses at once what has less
         plan = Farewell(self.told_at or clock(), longest, self.config.cores, least, alone)
-        self.farewell = self.clients.farewell = plan
+        self.farewell = self.admission.farewell = plan
         log.info(
             "stopping: killed in %.0f ms at the soonest, all is to be answered in %.0f ms",
             plan.limit - plan.told_at,
--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -6,13 +6,14 @@
 from array import array
 from collections.abc import Generator
 
-from barleybarrow.farewell import Farewell
-from brackenusher.config.platform import Address
-from brackenusher.core.transaction import Answer, Refused, Served, Transaction, Transactions
-from brackenusher.fronts.http1.virtual_server import Front, Rejection, Request, VirtualServer
+from brackenusher.core.admission import Admission, Request, Verdict
+from brackenusher.core.transaction import Answer, Transaction
+from brackenusher.fronts.http import Front, Rejection, worded
+from brackenusher.fronts.http1.virtual_server import VirtualServer
 from brackenusher.runtime.buffers import Buffers
-from brackenusher.runtime.driver import SHORTAGE, write
+from brackenusher.runtime.driver import SHORTAGE, Address, write
 from brackenusher.runtime.loop import HANGUP, READ, WRITE, Coroutine, Loop, Task, clock
+from brackenusher.runtime.timers import Entry
 from brackenusher.upstream.pool import Pool
 
 log = logging.getLogger(__name__)
@@ -52,25 +53,27 @@
         self,
         loop: Loop,
         front: Front,
-        owner: Transactions,
+        admission: Admission,
         pool: Pool,
         room: int,
         most_kept: int,
         buffers: Buffers,
     ) -> None:
-        self.loop, self.front, self.owner, self.pool, self.room = loop, front, owner, pool, room
-        self.most_kept = most_kept
+        self.loop, self.front, self.admission, self.pool = loop, front, admission, pool
+        self.room, self.most_kept = room, most_kept
         self.buffers = buffers
         self.links: set[ClientLink] = set()
         self.silent: dict[ClientLink, None] = {}  # between requests, none answered yet; the oldest first
         self.kept: dict[ClientLink, None] = {}  # between requests; the one that was used last stands last
         self.partial: dict[ClientLink, None] = {}  # with a request that is not whole; the oldest first
         self.spent: dict[ClientLink, None] = {}  # with their last answer written, the rest is read away
-        self.farewell: Farewell | None = None  # once the program is to stop: the plan of its end
         self.stopping = self.shut = False  # each answer ends its connection; the door is closed
-        self.turned_away = 0  # requests refused because the end was near
         self.warned_at = -WARN_AGAIN
-        self.task: Task | None = None
+        self.task: Task  # the listener's
+
+    def ready(self) -> bool:
+        """Whether clients that may choose are to come here."""
+        return self.pool.held and self.admission.farewell is None
 
     def listen(self, address: Address) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
@@ -136,7 +139,7 @@
 
         Where there is no room for them just now, the listener stays for another call.
         """
-        if self.shut or self.task is None:
+        if self.shut:
             return
         keep_out(self.task.sock)
         before = -1
@@ -166,10 +169,10 @@
 
     def __init__(self, clients: Clients, sock: socket.socket, address: str) -> None:
         self.clients, self.sock, self.address = clients, sock, address
-        self.machine = VirtualServer(clients.front, lambda: clients.pool.held and clients.farewell is None)
+        self.machine = VirtualServer(clients.front, clients.ready)
         self.transaction: Transaction | None = None
         self.answer: Answer | None = None
-        self.limit = None
+        self.limit: Entry | None = None
         self.late = False
         self.opened_at, self.resting, self.since = clock(), False, 0.0
         self.stands: dict[ClientLink, None] | None = None  # where it is counted just now
@@ -219,7 +222,7 @@
             self.rest(None)
             self.clients.links.discard(self)
             if self.transaction is not None:
-                self.clients.owner.left(self.transaction)
+                self.clients.admission.left(self.transaction)
 
     def rest(self, between: bool | None) -> None:
         """Note that it stands between requests or that one comes in, None for neither; each has its time."""
@@ -250,35 +253,13 @@
     def serve(self, request: Request) -> Generator[int, int, bytes]:
         """Have a request answered; no bytes if the client left before."""
         clients = self.clients
-        if self.beyond:
-            wait = clients.owner.balancer.conf.max_retry_after
-            clients.owner.turn_away(request, f"room {wait:.0f} refused")
-            return self.machine.answer(Refused(wait), True)
-        span, arrived_at = request.span, clock()
-        if clients.farewell is not None:
-            in_hand = len(clients.owner.open)
-            span = clients.farewell.cut(arrived_at, span, in_hand)
-            crowded = self.place is clients.kept  # a first request shows that new connections come still
-            crowded = crowded and clients.farewell.crowded(arrived_at, len(clients.kept), in_hand)
-            if crowded or not span and request.span:
-                return self.refuse_at_the_end(request, clients.farewell)
-        rejection = clients.front.admit(request, self.address)
-        if rejection is not None:
-            clients.owner.turn_away(request, rejection.verdict)
-            return self.machine.reject(rejection, self.closing)
-        self.answer = None
-        self.transaction = clients.owner.arrive(
-            request.name,
-            request.klass,
-            span,
-            request.message,
-            self.reply,
-            request.tenant,
-            request.repeated,
-        )
-        if self.transaction is None:
-            clients.owner.turn_away(request, "id open rejected")
-            return self.machine.reject(Rejection(409, "Req-Id is that of an open request"), True)
+        request.address, request.beyond, self.answer = self.address, self.beyond, None
+        fresh = self.place is clients.silent  # a first request shows that new connections come still
+        request.free = None if fresh else len(clients.kept)
+        taken = clients.admission.admit(request, self.reply)
+        if isinstance(taken, Verdict):
+            return self.machine.reject(worded(taken), self.closing)
+        self.transaction = taken
         while self.answer is None:
             full = self.machine.full
             events = yield HANGUP if full else READ
@@ -289,18 +270,9 @@
                 if self.machine.ended:
                     return b""
         self.transaction, self.place = None, clients.kept
-        if clients.farewell is not None and isinstance(self.answer, Served):
-            clients.farewell.answered(clock() - arrived_at)
+        clients.admission.answered(taken, self.answer)
         return self.machine.answer(self.answer, self.closing)
 
-    def refuse_at_the_end(self, request: Request, plan: Farewell) -> bytes:
-        """What no time is left for is not taken."""
-        owner = self.clients.owner
-        self.clients.turned_away += 1
-        wait = plan.come_back(clock(), owner.balancer.conf.max_retry_after)
-        owner.turn_away(request, f"end {wait:.0f} refused")
-        return self.machine.answer(Refused(wait), self.closing)
-
     @property
     def closing(self) -> bool:
         """Whether an answer is to end the connection: not while what was sent ahead waits for its own."""
@@ -359,4 +331,4 @@
     @property
     def stays(self) -> bool:
         """Whether it is kept however long it rests: once the program stops, clients can open no other."""
-        return self.clients.farewell is not None and self.place is self.clients.kept
+        return self.clients.admission.farewell is not None and self.place is self.clients.kept
--- a/brackenusher/runtime/loop.py
+++ b/brackenusher/runtime/loop.py
@@ -10,8 +10,9 @@
 import time
 from collections import deque
 from collections.abc import Generator
+from inspect import GEN_RUNNING, getgeneratorstate
 
-from brackenusher.core.deadlines import Deadlines
+from brackenusher.runtime.timers import Timers
 
 log = logging.getLogger(__name__)
 
@@ -44,7 +45,7 @@
 
     def stop(self) -> None:
         """End the coroutine where it waits; one that runs at this moment ends where it waits next."""
-        if self.coroutine.gi_running:
+        if getgeneratorstate(self.coroutine) is GEN_RUNNING:
             self.stopped = True
         elif not self.ended:
             self.coroutine.close()
@@ -54,7 +55,7 @@
 class Loop:
     """Runs the tasks and sweeps the deadlines, turn by turn."""
 
-    def __init__(self, deadlines: Deadlines) -> None:
+    def __init__(self, deadlines: Timers) -> None:
         self.epoll = select.epoll()
         self.deadlines = deadlines
         self.tasks: dict[int, Task] = {}
@@ -77,7 +78,7 @@
 
     def resume(self, task: Task, events: int | None) -> None:
         try:
-            mask = task.coroutine.send(events)
+            mask = next(task.coroutine) if events is None else task.coroutine.send(events)
         except StopIteration:
             self.end(task)
         except Exception:  # a fault costs the connection on which it showed, and no other
