--- a/brackenusher/core/admission.py
+++ b/brackenusher/core/admission.py
@@ -31,7 +31,7 @@
     token: bytes | None = field(default=None, repr=False)
     address: str = ""  # the client's
     beyond: bool = False  # on a connection beyond the proxy's share of descriptors, taken only to be refused
-    free: int | None = None  # connections between requests, where clients need one for each request
+    free: int | None = None  # connections between requests, where clients need one each and may open no other
 
 
 class Bar(Enum):
--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -254,7 +254,8 @@
         """Have a request answered; no bytes if the client left before."""
         clients = self.clients
         request.address, request.beyond, self.answer = self.address, self.beyond, None
-        request.free = len(clients.kept)
+        fresh = self.place is clients.silent  # a first request shows that new connections come still
+        request.free = None if fresh else len(clients.kept)
         taken = clients.admission.admit(request, self.reply)
         if isinstance(taken, Verdict):
             return self.machine.reject(worded(taken), self.closing)
