--- a/testbed/chance.py
+++ b/testbed/chance.py
@@ -152,7 +152,7 @@
         "worth": draw.within(0.5, 8.0),
         "late_worth": draw.pick((0.0, 0.0, 0.3)),
         "effect": effect,
-        "group": draw.pick(("all", "all", "zone", "cell")),
+        "group": draw.pick(("all", "all", "zone", "cell")) if effect == "keyed" else "all",
         "window": round(deadline * draw.within(1.0, 4.0), 1) if effect == "keyed" else 0.0,
     }
 
--- a/testbed/oracle.py
+++ b/testbed/oracle.py
@@ -203,7 +203,7 @@
         p = self.pressed.get(host)
         if p is None:
             p = self.pressed[host] = Pressed()
-        informed = carry.proxy.told.when(host.listed_at) <= now
+        informed = carry.proxy.told.when(host.told_born_at) <= now
         p.arrivals.append((now, work, informed))
         p.total += work
         p.informed += work * informed
--- a/testbed/world.py
+++ b/testbed/world.py
@@ -5,10 +5,12 @@
 seed and policy give the same run to the byte, which `Result.digest` tells.
 """
 
+import gc
 import resource
 import time
 from array import array
 from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from hashlib import blake2b
 from heapq import heappop, heappush
 from typing import Any
@@ -35,6 +37,7 @@
 FRONT_NOTICE = 2 * SECOND  # until the front knows that a proxy has died
 LOST_WATCH = SECOND  # after which a call to a discovery that is silent has failed
 WATCH = 5_000  # microseconds that such a call takes otherwise
+COLLECT = (50_000, 20, 50)  # a run leaves little that is cyclic: some thousand requests between collections
 CHUNK = 1 << 20  # bytes of the trace that are digested at once
 OUTCOMES = {
     model.SERVED: Outcome.SERVED,
@@ -79,6 +82,7 @@
         "hangs",
         "errors",
         "leaves",
+        "careful_until",
     )
 
     def __init__(self, name: str, place: Place, server: model.Server) -> None:
@@ -94,19 +98,24 @@
         self.errors: list[float] = []
         self.hangs = 0
         self.leaves = 0  # drains that were begun: the process ends with the last one
+        self.careful_until = 0  # until when proxies must take it for cold, whatever it is
 
     def group(self, how: str) -> int:
         """The group of servers that drop each other's repeats."""
         return -1 if how == "all" else self.zone if how == "zone" else self.cell
 
     def idle(self, now: int) -> bool:
-        """Whether it has nothing to do, and would work on a request at once and at full speed."""
+        """Whether it has nothing to do, and would work on a request at once and at full speed.
+
+        One that started lately is not idle before the rules' time is over: it may only be used with care.
+        """
         server, place = self.server, self.place
         return (
             server.up
             and not server.working
             and self.health == "ready"
-            and not (server.hung or server.draining or server.quick_errors or now < server.cold_until)
+            and not (server.hung or server.draining or server.quick_errors)
+            and now >= self.careful_until
             and server.slow == 1.0
             and not (place.late or place.lost or place.resets)
             and server.connections < server.spec.connections
@@ -238,6 +247,7 @@
         self.occurrences = faults.plan(scenario, seed)
         self.arrivals = iter(Arrivals(scenario, seed, faults.swells(scenario, self.occurrences)))
         self.end = int(scenario.seconds * SECOND)
+        self.longest_cold = int(max(k.cold_ms for k in scenario.kinds) * 1000.0)
         self.silent = 0
         self.stale: list[float] = []
         self.wholes = 0
@@ -650,6 +660,7 @@
         self.all_hosts.append(host)
         if cold:
             host.plain, host.listed_at, host.told_born_at = False, NEVER, NEVER
+            host.careful_until = self.now + self.longest_cold
             self.at(self.now + self.delay_of_news(), self.news_of_start, (host, host.life))
         else:
             self.registry.note(self.now, self.listed(host, "ready"))
@@ -759,6 +770,7 @@
         host.slows, host.errors, host.hangs = [], [], 0
         host.listed_at = host.told_born_at = NEVER
         host.plain = False
+        host.careful_until = self.now + self.longest_cold
         self.oracle.started_anew(host)
         self.at(self.now + self.delay_of_news(), self.news_of_start, (host, host.life))
 
@@ -978,6 +990,20 @@
         )
 
 
+@contextmanager
+def few_collections() -> Iterator[None]:
+    """Leave the garbage collector little to do: what the set-up has made stays for the whole run."""
+    thresholds = gc.get_threshold()
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECT)
+    try:
+        yield
+    finally:
+        gc.set_threshold(*thresholds)
+        gc.unfreeze()
+
+
 def change(sizes: list[float], size: float, on: bool) -> bool:
     """Add a size to those that act, or take it away; whether there was anything to change."""
     if on:
@@ -1089,7 +1115,8 @@
     """
     began = time.perf_counter()
     world = World(scenario, seed, policy, most_breaches)
-    world.run(until)
+    with few_collections():
+        world.run(until)
     result = world.result()
     result.cost.wall_s = time.perf_counter() - began
     result.cost.events = world.events
