--- a/brackenusher/core/transaction.py
+++ b/brackenusher/core/transaction.py
@@ -1,7 +1,8 @@
 """Owns every transaction: turns what happens into the module's events and carries out its actions.
 
-Nothing here knows of HTTP or sockets. A protocol brings a message that it alone can read and a way to reply;
-a carrier makes attempts, each of which comes back with one outcome. Each transaction gets one final answer.
+Nothing here knows a wire or a socket. Admission brings a message, which nobody looks into here, and a way to
+reply; a carrier makes attempts, each of which comes back with one outcome. Each transaction gets one final
+answer.
 """
 
 import logging
@@ -14,7 +15,9 @@
 from barleybarrow import interface as face
 from barleybarrow.brain import Balancer
 from barleybarrow.interface import Outcome
-from brackenusher.core.deadlines import Deadlines, Entry
+from brackenusher.core.deadlines import Deadlines
+from brackenusher.core.message import Content, Message
+from brackenusher.runtime.timers import Entry
 
 log = logging.getLogger(__name__)
 
@@ -23,9 +26,9 @@
 
 @dataclass(slots=True)
 class Served:
-    """Final answer: what a pool member answered, in the protocol's own form."""
+    """Final answer: what a pool member answered."""
 
-    content: Any
+    content: Content
 
 
 @dataclass(slots=True)
@@ -49,7 +52,7 @@
 
     id: int
     name: bytes
-    message: Any
+    message: Message
     reply: Callable[[Answer], None]
     klass: int
     tenant: int
@@ -68,10 +71,10 @@
     transaction: Transaction
     number: int
     backend: str
-    message: Any
+    message: Message
     sent_at: float
     deadline: float
-    ended: Callable[["Attempt", Outcome, Served | None], None]
+    ended: Callable[[Any, Outcome, Served | None], None]  # the first is the attempt
     outcome: Outcome | None = None
     carriage: Any = None  # the carrier's own
 
@@ -111,7 +114,7 @@
         self.events: deque[face.Event] = deque()
         self.parting: list[Transaction] = []
         self.acting, self.taken, self.unanswered = False, 0, 0
-        self.performers: dict[type, Callable[[Any], None]] = {
+        self.performers: dict[type, Callable[[Any], object]] = {
             face.Send: self.send,
             face.Refuse: lambda a: self.answer(a.request, Refused(a.retry_after)),
             face.Fail: lambda a: self.answer(a.request, Failed()),
@@ -131,7 +134,7 @@
         name: bytes,
         klass: int,
         span: float,
-        message: Any,
+        message: Message,
         reply: Callable[[Answer], None],
         tenant: int = 0,
         repeated: bool = False,
@@ -267,7 +270,8 @@
         """Drop what is over; later while acting, as the module may still name what it thinks is open."""
         if self.acting:
             self.parting.append(transaction)
-        elif transaction.over and not transaction.out and self.open.pop(transaction.id, None):
+        elif transaction.over and not transaction.out and transaction.id in self.open:
+            del self.open[transaction.id]
             self.names.discard(transaction.name)
 
     def overdue(self, transaction: Transaction) -> None:
--- a/brackenusher/upstream/flow.py
+++ b/brackenusher/upstream/flow.py
@@ -1,14 +1,13 @@
 """The server-side flow on the wire: one attempt after another on a connection to a pool member."""
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from barleybarrow.interface import Outcome
+from brackenusher.core.message import LONGEST_BODY, Content, Message
 from brackenusher.core.transaction import Served
 
-LONGEST_BODY = 64 * 1024
 LONGEST_HEAD = 16 * 1024
 MOST_INTERIM = 16  # answers of the kind 1xx ahead of the final one
 HOP_BY_HOP = frozenset(
@@ -27,27 +26,6 @@
 )
 
 
-@dataclass(slots=True)
-class Message:
-    """A request as it is passed on; names of headers are in lower case."""
-
-    method: bytes
-    target: bytes
-    headers: Sequence[tuple[bytes, bytes]] = ()
-    body: bytes = b""
-    owner: bytes | None = None  # Req-Owner and Req-Deadline, as the client worded them
-    deadline: bytes | None = None
-    charged: tuple[str, float] | None = None  # to whose bucket at the door, and when
-
-
-@dataclass(slots=True)
-class Content:
-    """What a pool member answered."""
-
-    body: bytes
-    kind: bytes | None = None
-
-
 @dataclass(slots=True)
 class Reply:
     """What an attempt came to."""
@@ -77,7 +55,8 @@
     def begin(self) -> None:
         """Get ready for a head."""
         self.in_body, self.framed, self.closing, self.to_the_end = False, False, False, False
-        self.declined, self.kind, self.body, self.size = False, None, bytearray(), 0
+        self.declined, self.body, self.size = False, bytearray(), 0
+        self.kind: bytes | None = None
 
     def request(self, message: Message, wait: float) -> bytes:
         """The bytes of a request; `wait` tells the server how many milliseconds it has."""
@@ -94,7 +73,7 @@
             lines.append(b"content-length: %d" % len(message.body))
         return b"\r\n".join(lines) + b"\r\n\r\n" + message.body
 
-    def receive(self, data) -> Reply | None:
+    def receive(self, data: bytes | memoryview) -> Reply | None:
         """Take bytes, b"" at the end of the stream; return what the attempt came to once that is known."""
         if not data:
             self.usable = False
--- a/testbed/model/discovery.py
+++ b/testbed/model/discovery.py
@@ -3,7 +3,7 @@
 from bisect import bisect_right
 from dataclasses import dataclass
 
-from brackenusher.membership.discovery import Host, Listing
+from brackenusher.upstream.listing import Host, Listing
 from testbed import scenario as config
 
 
--- a/testbed/world.py
+++ b/testbed/world.py
@@ -20,7 +20,7 @@
 from barleybarrow import interface as face
 from barleybarrow.interface import Outcome
 from brackenusher.core.transaction import Answer, Refused, Served, Transaction
-from brackenusher.membership.discovery import Host as Listed
+from brackenusher.upstream.listing import Host as Listed
 from testbed import faults
 from testbed import scenario as config
 from testbed.model import server as model
@@ -28,7 +28,7 @@
 from testbed.model.discovery import Agent, Registry
 from testbed.model.network import Network, stream, uniforms
 from testbed.oracle import LOOK, SWEEP, Oracle
-from testbed.proxy import LOCAL_START, RECORD, UNIX_START, Carry, Link, Proxy
+from testbed.proxy import LOCAL_START, RECORD, UNIX_START, Carry, Link, Made, Proxy
 from testbed.results import MANY, QUANTILES, Acted, Result, Series, Tally, encode, histogram
 
 SECOND = 1_000_000  # microseconds
@@ -421,13 +421,14 @@
         if got > t.due:  # the client has closed its connection at its deadline
             kind = 2
         if kind == 0:
-            carry = answer.content  # type: ignore[union-attr]
-            self.useful += carry.job.work if carry.job is not None else 0.0
+            made = answer.content if isinstance(answer, Served) else None
+            if isinstance(made, Made) and made.carry.job is not None:
+                self.useful += made.carry.job.work
             self.latencies[t.op.klass].append(got - t.op.sent)
             self.finish(t.op, t, IN_AIM if got - t.op.sent <= self.aims[t.op.klass] else LATE, got)
         elif kind == 1:
             t.over = True
-            after = answer.retry_after if t.op.asked.honours else 0.0  # type: ignore[union-attr]
+            after = answer.retry_after if isinstance(answer, Refused) and t.op.asked.honours else 0.0
             self.retry(t.op, t, REFUSED, got, after)
         else:
             t.over = True
@@ -755,7 +756,7 @@
             job.ticket.job = job
         links, host.links = list(host.links), {}
         for link in links:
-            if link.carry is None and link.up:
+            if link.load is None and link.up:
                 if link in link.member.idle:
                     link.member.idle.remove(link)
                 link.close()
