--- a/testbed/policies/base.py
+++ b/testbed/policies/base.py
@@ -6,6 +6,7 @@
 
 import random
 from collections import deque
+from heapq import heappop, heappush
 from math import inf
 
 from barleybarrow import interface as face
@@ -18,6 +19,7 @@
 LONGEST = 8.0  # aims that a failing server is left alone at most
 COLD_SHARE = 0.5  # of the tip multiple that is used: the rest is for chance
 SWEEP_TICKS = 4  # between two looks at what is held
+CUT = 0.5  # of what is in flight is the limit where a server is full; grows by one a round (Chiu, Jain 1989)
 DRAWS = 8  # random draws for each server wanted, before all are looked at
 PROVEN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))  # it never ran
 
@@ -26,12 +28,13 @@
     """What a rival knows of one life of one server."""
 
     __slots__ = (
-        "cell", "failing", "inflight", "out_until", "pace", "paced_at", "place", "name", "started", "zone"
+        "cell", "failing", "inflight", "limit", "out_until", "pace", "paced_at", "place", "name", "started", "zone"
     )  # fmt: skip
 
     def __init__(self, entry: face.Entry, now: float) -> None:
         self.name, self.started, self.zone, self.cell = entry.backend, entry.started, entry.zone, entry.cell
         self.inflight, self.place = 0, 0  # own requests there; index in `live`
+        self.limit = inf  # own requests at once, where it has ever been full
         self.failing, self.out_until = 0.0, -inf  # length of the last back-off, and its end
         self.pace, self.paced_at = 0.0, now  # milliseconds of work that may be sent to a cold one
 
@@ -67,6 +70,8 @@
         self.requests: dict[int, Request] = {}
         self.again: deque[Request] = deque()  # repeats, which go first
         self.queues: list[deque[Request]] = [deque() for _ in settings.classes]
+        self.agenda: list[tuple[float, int, Request]] = []  # when what is held has to be given up
+        self.holds = 0
         self.budget, self.wake_at = RETRY_DEPTH, inf
         self.watch_at, self.watch_pause = inf, 0.0
         self.warm_rate, self.warm_work, self.warm_since = (
@@ -102,7 +107,7 @@
 
     def fits(self, server: Server, r: Request) -> bool:
         """Whether the rules let a request go to a server now."""
-        if self.now < server.out_until or any(server is tried for tried, _ in r.attempts):
+        if self.now < server.out_until or server.inflight + 1 > server.limit or any(server is tried for tried, _ in r.attempts):
             return False
         if r.bound is not None and not self.one_group(r.bound, server, self.conf.classes[r.klass].group):
             return False
@@ -208,32 +213,30 @@
         if self.now >= r.deadline - self.margin:
             self.end(r)
             return
+        conf, give_up = self.conf.classes[r.klass], r.deadline - self.margin
+        if conf.late_worth <= 0:  # a first attempt needs time to come to something, a repeat takes the rest
+            hope = 0.0 if r.attempts else min(HOPE * self.usual[r.klass], conf.aim / 2)
+            give_up = min(give_up, r.arrived + conf.aim - hope)
         r.held = True
+        self.holds += 1
+        heappush(self.agenda, (give_up, self.holds, r))
         (self.again if r.attempts else self.queues[r.klass]).append(r)
 
     def dispatch(self) -> None:
         """Send what is held as far as servers fit: repeats first, then what is worth most for its work."""
+        while self.agenda and (self.agenda[0][0] <= self.now or not self.agenda[0][2].held):
+            r = heappop(self.agenda)[2]
+            if r.held:
+                self.end(r)
         ranked = sorted(range(len(self.queues)), key=lambda k: -self.conf.classes[k].worth / self.usual[k])
         for queue in (self.again, *(self.queues[k] for k in ranked)):
-            for _ in range(len(queue)):
-                if not self.settle(queue[0]):
-                    break
+            while queue and self.settle(queue[0]):
                 queue.popleft()
 
     def settle(self, r: Request) -> bool:
-        """Whether a held request has left its queue: answered, sent, or its time too short."""
+        """Whether the first of a queue has left it: given up, or sent now."""
         if not r.held:
             return True
-        conf = self.conf.classes[r.klass]
-        short = r.deadline - self.margin
-        if (
-            conf.late_worth <= 0
-        ):  # a first attempt needs time to come to something, a repeat takes what is left
-            hope = 0.0 if r.attempts else min(HOPE * self.usual[r.klass], conf.aim / 2)
-            short = min(short, r.arrived + conf.aim - hope)
-        if self.now >= short:
-            self.end(r)
-            return True
         server = self.choose(r)
         if server is not None:
             self.send(r, server)
@@ -268,7 +271,7 @@
         if event.complete or r.closed:
             self.close(r)
         elif not r.held and not r.out:
-            price = 0.0 if outcome in PROVEN else 1.0
+            price = 1.0
             lapsed = conf.late_worth <= 0 and self.now >= r.arrived + conf.aim
             if self.budget >= price and not lapsed and self.may_send(r):
                 self.budget -= price
@@ -284,9 +287,16 @@
         self.ended(server, outcome, elapsed)
         if outcome is Outcome.SERVED:
             server.failing /= 2
+            if server.inflight + 2 > server.limit:
+                server.limit += 1 / server.limit
             self.usual[klass] += SMOOTH * (max(elapsed, self.conf.tick / 4) - self.usual[klass])
             if server.started <= 0 or self.now >= server.started + self.conf.cold:
                 self.warm_work += self.usual[klass]
+            return
+        if outcome is Outcome.FULL or outcome is Outcome.TIMEOUT:
+            server.limit = max(1.0, CUT * min(server.limit, server.inflight + 1.0))
+        if outcome is Outcome.FULL:  # it works: room comes as soon as it has answered one
+            server.out_until = max(server.out_until, self.now + self.usual[klass] * self.rng.random())
         elif self.now >= server.out_until:
             server.failing = min(max(2 * server.failing, self.usual[klass]), LONGEST * self.aim)
             server.out_until = self.now + server.failing * (0.5 + self.rng.random())
--- a/testbed/policies/rivals.py
+++ b/testbed/policies/rivals.py
@@ -232,7 +232,7 @@
 
 
 class AllKnowing(Rival):
-    """Sees the true state: sends where a request is done first, holds it while no slot is free anywhere.
+    """Sees the true state: sends to the fastest idle core, holds a request while no core is idle.
 
     The upper bound of what a choice can do. Not optimal: it knows neither a request's work nor what comes
     next, and the proxies do not confer. The rule is that of the fastest idle server (M. N. Katehakis, A Note
@@ -240,20 +240,46 @@
     """
 
     MOST = 64  # servers looked at for a request; where there are more, a random so many are
+    SOUND = 0.1  # share of errors up to which a server is used: a repeat costs more than a short wait
+    LOOK = 0.5  # ticks between two looks while a request is held: others free cores unseen
+    WAY = 3.0  # milliseconds for which an own request may be under way, and not yet be seen there
+
+    def __init__(self, settings: face.Settings, seed: int, now: float, view: View | None = None) -> None:
+        super().__init__(settings, seed, now, view)
+        self.sweep = self.LOOK * settings.tick
+        self.under_way: dict[Server, list[float]] = {}  # when what may be under way was sent
+
+    def send(self, r: Request, server: Server) -> None:
+        super().send(r, server)
+        self.under_way[server] = [t for t in self.under_way.get(server, []) if t > self.now - self.WAY]
+        self.under_way[server].append(self.now)
+
+    def parted(self, server: Server) -> None:
+        self.under_way.pop(server, None)
+
+    def idle(self, view: View, server: Server) -> bool:
+        """Whether a core is idle there and none of this proxy's requests is on its way to it."""
+        cores = view.idle(server.name)
+        if cores and server in self.under_way:
+            cores -= sum(t > self.now - self.WAY for t in self.under_way[server])
+        return cores > 0
 
     def choose(self, r: Request) -> Server | None:
-        view, work = self.view, self.usual[r.klass]
+        view = self.view
         if view is None:
             raise ValueError("the upper bound needs a view of the servers")
         few = self.live if len(self.live) <= self.MOST else self.some(self.MOST, r)
-        best, least = None, inf
+        best, most = None, 0.0
         for server in few:
-            if not self.fits(server, r) or not view.alive(server.name) or view.free(server.name) < 1:
+            name = server.name
+            if not self.idle(view, server) or not view.alive(name) or view.fails(name) > self.SOUND:
+                continue
+            if not self.fits(server, r):
                 continue
-            pace = view.one_core(server.name)
-            if pace > 0 and work / pace < least:
-                best, least = server, work / pace
+            pace = view.one_core(name)
+            if pace > most:
+                best, most = server, pace
         return best
 
     def allowed(self, server: Server) -> float:
-        return inf  # a slot is free and its speed is known: it cannot be pushed over
+        return inf  # it only sends to an idle core: nothing can be pushed over
--- a/testbed/policies/view.py
+++ b/testbed/policies/view.py
@@ -12,6 +12,12 @@
     def alive(self, server: str) -> bool:
         """Whether its process runs and answers, and this proxy reaches it."""
 
+    def idle(self, server: str) -> int:
+        """Cores that have nothing to do: one request more each would be worked on at full speed."""
+
+    def fails(self, server: str) -> float:
+        """Share of requests that it answers with an error at once, 0 to 1."""
+
     def free(self, server: str) -> int:
         """Slots in which a request would be worked on at once."""
 
--- a/testbed/world.py
+++ b/testbed/world.py
@@ -189,6 +189,16 @@
         host = self.host(server)
         return host is not None and host.server.serving() and not self.world.cut(self.proxy, host)
 
+    def idle(self, server: str) -> int:
+        host = self.host(server)
+        if host is None or not host.server.serving():
+            return 0
+        return max(0, host.server.spec.cores - host.server.held())
+
+    def fails(self, server: str) -> float:
+        host = self.host(server)
+        return host.server.quick_errors if host is not None else 0.0
+
     def free(self, server: str) -> int:
         host = self.host(server)
         return host.server.free() if host is not None else 0
