--- a/testbed/policies/base.py
+++ b/testbed/policies/base.py
@@ -19,7 +19,9 @@
 LONGEST = 8.0  # aims that a failing server is left alone at most
 COLD_SHARE = 0.5  # of the tip multiple that is used: the rest is for chance
 SWEEP_TICKS = 4  # between two looks at what is held
-CUT = 0.5  # of what is in flight is the limit where a server is full; grows by one a round (Chiu, Jain 1989)
+# Of what is in flight, the limit where a server was full or silent; it grows by one a round: D.-M. Chiu and
+# R. Jain, Analysis of the Increase and Decrease Algorithms, Computer Networks and ISDN Systems 17, 1989.
+CUT = 0.5
 DRAWS = 8  # random draws for each server wanted, before all are looked at
 PROVEN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))  # it never ran
 
@@ -28,7 +30,8 @@
     """What a rival knows of one life of one server."""
 
     __slots__ = (
-        "cell", "failing", "inflight", "limit", "out_until", "pace", "paced_at", "place", "name", "started", "zone"
+        "cell", "failing", "inflight", "limit", "out_until", "pace", "paced_at", "place", "name", "started",
+        "zone",
     )  # fmt: skip
 
     def __init__(self, entry: face.Entry, now: float) -> None:
@@ -107,7 +110,9 @@
 
     def fits(self, server: Server, r: Request) -> bool:
         """Whether the rules let a request go to a server now."""
-        if self.now < server.out_until or server.inflight + 1 > server.limit or any(server is tried for tried, _ in r.attempts):
+        if self.now < server.out_until or server.inflight + 1 > server.limit:
+            return False
+        if any(server is tried for tried, _ in r.attempts):
             return False
         if r.bound is not None and not self.one_group(r.bound, server, self.conf.classes[r.klass].group):
             return False
@@ -271,10 +276,9 @@
         if event.complete or r.closed:
             self.close(r)
         elif not r.held and not r.out:
-            price = 1.0
             lapsed = conf.late_worth <= 0 and self.now >= r.arrived + conf.aim
-            if self.budget >= price and not lapsed and self.may_send(r):
-                self.budget -= price
+            if self.budget >= 1 and not lapsed and self.may_send(r):
+                self.budget -= 1
                 self.hold(r)
             else:
                 self.end(r)
