--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -4,12 +4,14 @@
 import socket
 from collections.abc import Generator
 
-from brackenusher.config.platform import Address
-from brackenusher.core.transaction import Answer, Refused, Transaction, Transactions
-from brackenusher.fronts.http1.virtual_server import Front, Rejection, Request, VirtualServer
+from brackenusher.core.admission import Admission, Request, Verdict
+from brackenusher.core.transaction import Answer, Transaction
+from brackenusher.fronts.http import Front, Rejection, worded
+from brackenusher.fronts.http1.virtual_server import VirtualServer
 from brackenusher.runtime.buffers import Buffers
-from brackenusher.runtime.driver import SHORTAGE, write
+from brackenusher.runtime.driver import SHORTAGE, Address, write
 from brackenusher.runtime.loop import HANGUP, READ, WRITE, Coroutine, Loop, Task, clock
+from brackenusher.runtime.timers import Entry
 from brackenusher.upstream.pool import Pool
 
 log = logging.getLogger(__name__)
@@ -31,14 +33,14 @@
         self,
         loop: Loop,
         front: Front,
-        owner: Transactions,
+        admission: Admission,
         pool: Pool,
         room: int,
         most_kept: int,
         buffers: Buffers,
     ) -> None:
-        self.loop, self.front, self.owner, self.pool, self.room = loop, front, owner, pool, room
-        self.most_kept = most_kept
+        self.loop, self.front, self.admission, self.pool = loop, front, admission, pool
+        self.room, self.most_kept = room, most_kept
         self.buffers = buffers
         self.links: set[ClientLink] = set()
         self.silent: dict[ClientLink, None] = {}  # between requests, none answered yet; the oldest first
@@ -46,7 +48,7 @@
         self.partial: dict[ClientLink, None] = {}  # with a request that is not whole; the oldest first
         self.spent: dict[ClientLink, None] = {}  # with their last answer written, the rest is read away
         self.stopping, self.warned_at = False, -WARN_AGAIN
-        self.task: Task | None = None
+        self.task: Task  # the listener's
 
     def listen(self, address: Address) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
@@ -129,7 +131,7 @@
         self.machine = VirtualServer(clients.front, lambda: clients.pool.held)
         self.transaction: Transaction | None = None
         self.answer: Answer | None = None
-        self.limit = None
+        self.limit: Entry | None = None
         self.late = False
         self.opened_at, self.resting, self.since = clock(), False, 0.0
         self.stands: dict[ClientLink, None] | None = None  # where it is counted just now
@@ -179,7 +181,7 @@
             self.rest(None)
             self.clients.links.discard(self)
             if self.transaction is not None:
-                self.clients.owner.left(self.transaction)
+                self.clients.admission.left(self.transaction)
 
     def rest(self, between: bool | None) -> None:
         """Note that it stands between requests or that one comes in, None for neither; each has its time."""
@@ -210,27 +212,11 @@
     def serve(self, request: Request) -> Generator[int, int, bytes]:
         """Have a request answered; no bytes if the client left before."""
         clients = self.clients
-        if self.beyond:
-            wait = clients.owner.balancer.conf.max_retry_after
-            clients.owner.turn_away(request, f"room {wait:.0f} refused")
-            return self.machine.answer(Refused(wait), True)
-        rejection = clients.front.admit(request, self.address)
-        if rejection is not None:
-            clients.owner.turn_away(request, rejection.verdict)
-            return self.machine.reject(rejection, clients.stopping)
-        self.answer = None
-        self.transaction = clients.owner.arrive(
-            request.name,
-            request.klass,
-            request.span,
-            request.message,
-            self.reply,
-            request.tenant,
-            request.repeated,
-        )
-        if self.transaction is None:
-            clients.owner.turn_away(request, "id open rejected")
-            return self.machine.reject(Rejection(409, "Req-Id is that of an open request"), True)
+        request.address, request.beyond, self.answer = self.address, self.beyond, None
+        taken = clients.admission.admit(request, self.reply)
+        if isinstance(taken, Verdict):
+            return self.machine.reject(worded(taken), clients.stopping)
+        self.transaction = taken
         while self.answer is None:
             full = self.machine.full
             events = yield HANGUP if full else READ
--- a/brackenusher/upstream/pool.py
+++ b/brackenusher/upstream/pool.py
@@ -2,11 +2,11 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 from barleybarrow import interface as face
-from brackenusher.config.platform import Address
-from brackenusher.membership.discovery import Host, Listing
+from brackenusher.runtime.driver import Address
+from brackenusher.upstream.listing import Host, Listing
 
 STATES = {"ready": face.State.LIVE, "draining": face.State.DRAINING, "gone": face.State.GONE}
 
@@ -16,6 +16,7 @@
 
     member: "Member"
 
+    def carry(self, attempt: Any) -> None: ...
     def close(self) -> None: ...
     def healthy(self) -> bool: ...
 
--- a/testbed/proxy.py
+++ b/testbed/proxy.py
@@ -13,9 +13,11 @@
 from barleybarrow import interface as face
 from barleybarrow.interface import Outcome
 from barleybarrow.settings import read_settings
-from brackenusher.core.deadlines import Deadlines, Entry
+from brackenusher.core.deadlines import Deadlines
+from brackenusher.core.message import Content, Message
 from brackenusher.core.transaction import Attempt, Observers, Served, Transactions
-from brackenusher.membership.discovery import Listing
+from brackenusher.runtime.timers import Entry
+from brackenusher.upstream.listing import Listing
 from brackenusher.upstream.pool import Member, Pool
 from testbed.model.server import Job
 from testbed.oracle import Told
@@ -63,7 +65,7 @@
         "member",
         "host",
         "life",
-        "carry",
+        "load",
         "up",
         "closed",
         "idle_until",
@@ -75,7 +77,7 @@
     def __init__(self, proxy: "Proxy", member: Member, host: "Host | None") -> None:
         self.proxy, self.member, self.host = proxy, member, host
         self.life = host.life if host is not None else 0
-        self.carry: Carry | None = None
+        self.load: Carry | None = None
         self.up, self.closed, self.fresh = False, False, True
         self.idle_until, self.idle_from = 0.0, 0
         self.limit: Entry | None = None
@@ -86,6 +88,10 @@
             self.closed = True
             self.proxy.forget(self)
 
+    def carry(self, load: "Carry") -> None:
+        """Take on an attempt."""
+        self.load = load
+
     def healthy(self) -> bool:
         return not self.closed
 
@@ -93,7 +99,7 @@
         """A deadline's action: the connect took too long."""
         self.limit = None
         if not self.up and not self.closed:
-            carry = self.carry
+            carry = self.load
             self.close()
             if carry is not None:
                 self.proxy.failed(carry)
@@ -141,12 +147,32 @@
 
     def give_up(self) -> None:
         """Close the connection under an attempt; the server hears of it one way later."""
-        self.link.carry = None
+        self.link.load = None
         self.link.close()
         if self.written:
             self.proxy.world.given_up(self)
 
 
+class Wanted(Message):
+    """A client's request, as the daemon passes it on unread."""
+
+    __slots__ = ("t",)
+
+    def __init__(self, t: "Try") -> None:
+        super().__init__(b"GET", b"/")
+        self.t = t
+
+
+class Made(Content):
+    """What a server made for one attempt; it knows for which."""
+
+    __slots__ = ("carry",)
+
+    def __init__(self, carry: Carry) -> None:
+        super().__init__(b"")
+        self.carry = carry
+
+
 class Proxy:
     """One life of one proxy, with its own clock. It is the daemon's carrier as well."""
 
@@ -226,7 +252,9 @@
         conf = self.world.scenario
         span = (t.due - t.sent) / 1000.0
         repeated = t.number_of_op > 0 and conf.clients.marks_retry
-        t.transaction = self.transactions.arrive(t.name, t.op.klass, span, t, t.reply, t.op.tenant, repeated)
+        t.transaction = self.transactions.arrive(
+            t.name, t.op.klass, span, Wanted(t), t.reply, t.op.tenant, repeated
+        )
         self.rest()
 
     def left(self, t: "Try") -> None:
@@ -247,12 +275,15 @@
 
     def start(self, attempt: Attempt) -> None:
         """Send an attempt on an idle connection, or on a new one."""
-        world, t = self.world, attempt.transaction.message
+        world, wanted = self.world, attempt.transaction.message
+        assert isinstance(wanted, Wanted)  # only `take` brings requests
+        t = wanted.t
         member = self.pool.members[attempt.backend]
         lent = self.pool.lend(member)
         link = lent if isinstance(lent, Link) else self.connect(member)
         carry = Carry(self, attempt, t, world.names.get(attempt.backend), link, world.now)
-        attempt.carriage = link.carry = carry
+        attempt.carriage = carry
+        link.carry(carry)
         t.carries.append(carry)
         t.out += 1
         world.count_attempt(t)
@@ -287,8 +318,8 @@
         link.up = True
         self.deadlines.remove(link.limit)
         link.limit = None
-        if link.carry is not None:
-            self.write(link.carry)
+        if link.load is not None:
+            self.write(link.load)
         self.rest()
 
     def refused(self, link: Link) -> None:
@@ -296,7 +327,7 @@
         if not self.alive or link.closed:
             return
         self.enter()
-        carry = link.carry
+        carry = link.load
         link.close()
         if carry is not None:
             self.failed(carry)
@@ -308,7 +339,7 @@
         link = carry.link
         if not self.pool.may_begin(link.member):
             carry.end(Outcome.CONNECT_FAILED)
-            link.carry = None
+            link.load = None
             link.close()
             return
         carry.written = True
@@ -326,12 +357,12 @@
         link, outcome = carry.link, self.world.outcome_of(carry)
         if outcome is not Outcome.SERVED:
             self.failed(carry)
-        link.carry = None
+        link.load = None
         if not link.closed and self.pool.give_back(link):
             self.keep(link)
         else:
             link.close()
-        carry.end(outcome, Served(carry) if outcome is Outcome.SERVED else None)
+        carry.end(outcome, Served(Made(carry)) if outcome is Outcome.SERVED else None)
         self.rest()
 
     def keep(self, link: Link) -> None:
@@ -349,7 +380,7 @@
         idle = self.idle
         while idle and (idle[0][0] <= self.now or idle[0][1].closed):
             until, link = idle.popleft()
-            if link.carry is None and not link.closed and link.idle_until <= until:
+            if link.load is None and not link.closed and link.idle_until <= until:
                 if link in link.member.idle:
                     link.member.idle.remove(link)
                 link.close()
@@ -361,8 +392,8 @@
         if not self.alive or link.closed:
             return
         self.enter()
-        carry = link.carry
-        link.carry = None
+        carry = link.load
+        link.load = None
         if link in link.member.idle:
             link.member.idle.remove(link)
         link.close()
@@ -473,7 +504,7 @@
         """Its process ends; the kernel closes its connections."""
         self.alive = self.takes = False
         for link in list(self.links):
-            carry, link.carry = link.carry, None
+            carry, link.load = link.load, None
             if carry is not None:
                 carry.over = True
                 if carry.written:
