--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -15,7 +15,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))  # run as a file, from anywhere
 
 from testbed import results, scenario
-from testbed.cli import play_shown
+from testbed.cli import play_shown, read
 from testbed.experiments import FIGURES, Difference, Job, difference, find, known, seeds
 from testbed.policies import BOUND, POLICIES
 from testbed.results import Result
@@ -46,7 +46,7 @@
     top.add_argument("--seeds", help="A..B or A,B,C (1..10; quick: 1..3)")
     top.add_argument("--cores", type=int, default=None, help="processes at once (all cores)")
     top.add_argument("--json", metavar="OUT", help="keep the results in a file")
-    top.add_argument("--from", dest="kept", metavar="FILE", help="read results in place of playing")
+    top.add_argument("--from", dest="kept", action="append", metavar="FILE", help="read, do not play")
     top.add_argument("--write", metavar="PAGE", help="put the tables between the markers of a page")
     return top
 
@@ -54,7 +54,7 @@
 def measure(args: argparse.Namespace) -> int:
     policies = list(dict.fromkeys(["module", *map(known, args.policies.split(","))]))
     if args.kept:
-        found = results.read(args.kept)
+        found = [r for path in args.kept for r in read(path)]
     else:
         names = args.scenario or (QUICK if args.quick else [path.stem for path in scenario.built_in()])
         wanted = seeds(args.seeds or ("1..3" if args.quick else "1..10"))
--- a/testbed/experiments.py
+++ b/testbed/experiments.py
@@ -130,7 +130,7 @@
         yield from map(numbered, jobs)
         return
     # Spawned: a forked child would inherit whatever threads and locks the caller has.
-    with multiprocessing.get_context("spawn").Pool(min(cores, len(jobs)), maxtasksperchild=8) as pool:
+    with multiprocessing.get_context("spawn").Pool(min(cores, len(jobs)), maxtasksperchild=32) as pool:
         yield from pool.imap_unordered(numbered, jobs)
 
 
