The world on sockets: fleet, load, runs with real daemons, and brackenusher demo

The testbed knew virtual time only, and a fresh machine had nothing to run: serve ends with exit code 2 there. testbed/sockets puts the model's servers and discovery's agents behind real listeners (a process of its own), an open-loop load beside them, and a daemon a proxy between; an oracle at both ends, CPU, memory and descriptors of each daemon sampled.

--- a/brackenusher/cli.py
+++ b/brackenusher/cli.py
@@ -57,6 +57,18 @@
     return 0
 
 
+def demo(options: argparse.Namespace) -> int:
+    try:
+        from testbed.sockets.demo import main as play
+    except ImportError as error:
+        print(
+            f"brackenusher: demo needs the extra testbed: pip install 'brackenusher[testbed]' ({error})",
+            file=sys.stderr,
+        )
+        return 2
+    return play(options)
+
+
 def version(options: argparse.Namespace) -> int:
     print(f"brackenusher {__version__}")
     return 0
@@ -91,6 +103,13 @@
     command.add_argument("--ttl", required=True, type=int, help="seconds from now until it expires")
     command.add_argument("properties", help="the operators' file, with the key")
     command.set_defaults(call=issue_token)
+    command = commands.add_parser(
+        "demo", help="play the main job on this machine: emulated servers and clients"
+    )
+    command.add_argument("--seconds", type=float, metavar="N", help="of load, 20 where left out")
+    command.add_argument("--report", metavar="FILE", help="where to write the report")
+    command.add_argument("--scenario", metavar="NAME", help="one of the testbed's scenarios, or a file")
+    command.set_defaults(call=demo)
     command = commands.add_parser("version", help="print the version")
     command.set_defaults(call=version)
     options = parser.parse_args(arguments)
--- a/testbed/cli.py
+++ b/testbed/cli.py
@@ -19,6 +19,7 @@
 from testbed.reference import table
 from testbed.results import Result
 from testbed.scenario import ScenarioError
+from testbed.sockets import commands as sockets
 
 BREACHES = 20  # printed in full of one run; the rest is counted
 UNUSABLE, BROKEN = 2, 1  # exit codes: cannot be played; a promise was broken
@@ -96,6 +97,8 @@
     storm_.add_argument("--policy", default="module")
     several(storm_, "1..100")
 
+    sockets.register(commands)
+
     command("list", list_, "scenarios and policies")
     command("settings", settings, "the settings of a scenario, with defaults and ranges, as a table")
     return top
--- a/testbed/relay/commands.py
+++ b/testbed/relay/commands.py
@@ -61,12 +61,12 @@
     command.add_argument("--seconds", type=float, help="end after so long; else on Ctrl-C")
     command.add_argument("--journal", metavar="FILE", help="write what was done, to be played again")
     command.add_argument("--replay", metavar="FILE", help="do what this journal says, not the rules")
-    command.set_defaults(call=relay)
+    command.set_defaults(command=relay)
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
     parser = argparse.ArgumentParser(prog="python -m testbed.relay")
-    register(parser.add_subparsers(dest="command", required=True))
+    register(parser.add_subparsers(required=True))
     options = parser.parse_args(arguments)
-    code: int = options.call(options)
+    code: int = options.command(options)
     return code
--- a/testbed/results.py
+++ b/testbed/results.py
@@ -68,6 +68,33 @@
     memory_mb: float = 0.0  # the process's greatest resident size
 
 
+class Process(Struct, kw_only=True):
+    """One daemon of a run on sockets, over all its lives, sampled from outside."""
+
+    proxy: int
+    cpu_s: float = 0.0
+    cpu_worst: float = 0.0  # of a core, in the busiest second
+    memory_mb: float = 0.0  # the greatest resident size
+    descriptors: int = 0  # the most held at once
+    lives: int = 1
+    ended: str = ""  # how the last life ended, where not in good order
+
+
+class Live(Struct, kw_only=True):
+    """What only a run on sockets has."""
+
+    processes: list[Process] = field(default_factory=list)
+    by_tenant: dict[str, str] = field(default_factory=dict)  # histograms by "class/tenant", as `latencies`
+    lateness: str = ""  # histogram of how much later than intended requests were written
+    behind: list[str] = field(default_factory=list)  # seconds in which the load or the fleet fell behind
+    load_cpu: float = 0.0  # of a core, mean
+    fleet_cpu: float = 0.0
+    resent: int = 0  # requests written anew as the proxy had closed the connection meanwhile
+    rude: int = 0  # rude connections, and those that were neither answered nor closed in time
+    rude_left: int = 0
+    excused: int = 0  # requests that a killed proxy held: nothing is held against it
+
+
 class Result(Struct, kw_only=True):
     """One run. Works and worths are sums over the whole run."""
 
@@ -89,6 +116,7 @@
     breaches_dropped: int = 0  # beyond the bound of the list
     digest: str = ""  # over the sequence of all actions and outcomes
     cost: Cost = field(default_factory=Cost)
+    live: Live | None = None
 
     def total(self, name: str, klass: str | None = None, tenant: str | None = None) -> float:
         """Sum of one field of the tallies, of one class or tenant where given."""
--- a/testbed/scenario.py
+++ b/testbed/scenario.py
@@ -194,6 +194,34 @@
     try_share: tuple[Share, Share] = (0.8, 1.0)  # of the class's deadline that a try waits
 
 
+SocketFaultKind = Literal[
+    "spoilt",  # a share `size` of answers cannot be read, or does not fit its length; the request has run
+    "surplus",  # a share `size` of answers brings more than belongs to it, or 1xx ahead of it
+    "endless_head",  # a share `size` of answers is a head that goes on until the connection is closed
+    "closes_on_write",  # a share `size` of requests finds its connection closed as it is written
+    "full_backlog",  # servers accept no connection, and their queue for it is full
+    "silence",  # servers and proxies no longer hear of each other; nothing is reset until it is over
+]
+
+
+class SocketFault(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Something that goes wrong only where there are sockets; virtual time passes over it."""
+
+    kind: SocketFaultKind
+    at: Span = 0.0
+    lasts: Span = 5000.0
+    part: Share = 0.1  # of the servers, one at least, drawn from the seed
+    servers: list[Count] = []  # these, by number, in place of a drawing
+    size: Share = 1.0
+
+
+class Sockets(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """What counts only in a run on sockets; virtual time passes over it."""
+
+    faults: list[SocketFault] = []
+    rude: Span = 0.0  # connections a second of clients that break the protocol
+
+
 class Clocks(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Each proxy's own clock against the world's."""
 
@@ -224,6 +252,7 @@
     faults: list[Fault] = []
     clients: Clients = Clients()
     clocks: Clocks = Clocks()
+    sockets: Sockets = Sockets()
 
     def __post_init__(self) -> None:
         for what, parts in (("kinds", self.kinds), ("classes", self.classes), ("tenants", self.tenants)):
@@ -239,6 +268,9 @@
             raise ValueError("`clients.try_share` is the wrong way round")
         if [at for at, _ in self.load.steps] != sorted(at for at, _ in self.load.steps):
             raise ValueError("`load.steps` are not in the order of time")
+        for i, wrong in enumerate(self.sockets.faults):
+            if wrong.servers and max(wrong.servers) >= self.servers:
+                raise ValueError(f"`sockets.faults[{i}].servers` names a server that is not there")
         for i, f in enumerate(self.faults):
             here = f"`faults[{i}]"
             if f.servers and max(f.servers) >= self.servers:
