The daemon's log carries an event name and fields; log.format = text, logfmt or json

What happens was told in words only, which programs cannot read. Each line now has one event name and named fields; as text, the default, it is worded as before and nothing is imported for it. logfmt and JSON are structlog's, an extra named log; without it the start ends with one line and exit code 2.

--- a/brackenusher/cli.py
+++ b/brackenusher/cli.py
@@ -15,15 +15,18 @@
 from brackenusher.config.platform import ConfigError, load, load_again
 from brackenusher.daemon import Daemon
 from brackenusher.records.replay import replay_capture
+from brackenusher.runtime.log import TEXT, NoFormat, take_form
 
 LEVELS = ("debug", "info", "warning", "error")
 
 
 def serve(options: argparse.Namespace) -> int:
     config, operator = load(os.environ), load_operator(options.operator)
-    logging.basicConfig(
-        level=options.log_level.upper(), format="%(asctime)s %(levelname)s %(name)s: %(message)s"
-    )
+    logging.basicConfig(level=options.log_level.upper(), format=TEXT)
+    try:
+        take_form(operator.log_format)
+    except NoFormat as error:
+        raise ConfigError(f"{options.operator}: log.format: {error}") from error
     try:
         return Daemon(config, partial(load_again, os.environ), operator).run()
     except OSError as error:
--- a/brackenusher/config/operators.py
+++ b/brackenusher/config/operators.py
@@ -12,6 +12,7 @@
 from barleybarrow.tokens import KID, TokenSettings
 from brackenusher.config.platform import ConfigError, read_address
 from brackenusher.runtime.driver import Address
+from brackenusher.runtime.log import FORMATS
 
 LEAST_KEY = 16  # bytes; a shorter one is used, but named
 
@@ -43,10 +44,11 @@
     capture: CaptureSettings | None = None
     token: TokenSettings | None = None
     figures: FiguresSettings | None = None
+    log_format: str = "text"
 
     @property
     def features(self) -> list[str]:
-        return [name for name, settings in vars(self).items() if settings is not None]
+        return [name for name in FEATURES if getattr(self, name) is not None]
 
 
 class Entries:
@@ -210,10 +212,12 @@
     entries = Entries(path, text)
     on = {name: entries.take(f"{name}.enabled", switch, False) for name in FEATURES}
     features = {name: read(entries) for name, read in FEATURES.items()}
+    log_format = entries.take("log.format", choice(*FORMATS), "text")
     entries.done()
     if on["token"] and not features["token"].keys:
         raise entries.error("token.key.<kid>", "is missing: tokens need a key")
-    return Operator(**{name: settings for name, settings in features.items() if on[name]})
+    chosen = {name: settings for name, settings in features.items() if on[name]}
+    return Operator(**chosen, log_format=log_format)
 
 
 def doubts(operator: Operator, settings: face.Settings) -> list[str]:
--- a/brackenusher/core/deadlines.py
+++ b/brackenusher/core/deadlines.py
@@ -5,6 +5,7 @@
 
 from sortedcontainers import SortedList
 
+from brackenusher.runtime.log import fault
 from brackenusher.runtime.timers import Entry
 
 log = logging.getLogger(__name__)
@@ -41,4 +42,4 @@
             try:
                 action()
             except Exception:  # one action's fault must not keep the others from being called
-                log.exception("a deadline's action failed")
+                fault(log, "deadline_failed", "a deadline's action failed")
--- a/brackenusher/core/transaction.py
+++ b/brackenusher/core/transaction.py
@@ -17,6 +17,7 @@
 from barleybarrow.interface import Outcome
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.core.message import Content, Message
+from brackenusher.runtime.log import fault, say
 from brackenusher.runtime.timers import Entry
 
 log = logging.getLogger(__name__)
@@ -190,7 +191,7 @@
                 try:
                     actions = self.balancer.handle(now, event)
                 except Exception:
-                    log.exception("the module failed on %s", type(event).__name__)
+                    fault(log, "module_failed", "the module failed on %(told)s", told=type(event).__name__)
                 if self.observers.handled:
                     self.tell(self.observers.handled, now, event, actions or ())
                 if actions is None:
@@ -209,14 +210,16 @@
             try:
                 observer(*news)
             except Exception:
-                log.exception("an observer failed")
+                fault(log, "observer_failed", "an observer failed")
 
     def perform(self, actions: list[face.Action]) -> None:
         for action in actions:
             try:
                 self.performers[type(action)](action)
             except Exception:
-                log.exception("%s could not be carried out", type(action).__name__)
+                fault(
+                    log, "action_failed", "%(action)s could not be carried out", action=type(action).__name__
+                )
                 self.give_up(action)
 
     def give_up(self, item: Any) -> None:
@@ -239,7 +242,7 @@
         try:
             self.carrier.start(attempt)
         except Exception:
-            log.exception("an attempt could not be started")
+            fault(log, "attempt_failed", "an attempt could not be started")
             self.finished(attempt, Outcome.NOT_SENT)
 
     def cancel(self, action: face.Cancel) -> None:
@@ -278,6 +281,12 @@
         """The last guard: the client's deadline is here and nobody has answered."""
         if not transaction.over:
             self.unanswered += 1
-            log.error("transaction %d stood unanswered at its deadline", transaction.id)
+            say(
+                log,
+                logging.ERROR,
+                "unanswered",
+                "transaction %(request)d stood unanswered at its deadline",
+                request=transaction.id,
+            )
             self.answer(transaction.id, Failed())
             self.post(face.Left(transaction.id))
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -22,6 +22,7 @@
 from brackenusher.records.capture import Capture
 from brackenusher.records.figures import Figures
 from brackenusher.runtime.buffers import Buffers
+from brackenusher.runtime.log import say
 from brackenusher.runtime.loop import READ, Coroutine, Loop, clock
 from brackenusher.runtime.outlet import Outlet
 from brackenusher.upstream.connections import Upstream
@@ -100,24 +101,52 @@
             try:
                 self.transactions.post(self.pool.take(read_listing(self.config.known)))
             except Broken as error:
-                log.warning("the known list is left aside: %s", error)
+                say(
+                    log,
+                    logging.WARNING,
+                    "known_list_unusable",
+                    "the known list is left aside: %(why)s",
+                    why=error,
+                )
         self.clients.listen(self.config.listen)
         self.agent.connect()
         gc.collect()
         gc.freeze()  # what is here stays: later collections need not look at it
         for doubt in doubts(self.operator, self.config.settings):
-            log.warning("operators' file: %s", doubt)
-        log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
+            say(log, logging.WARNING, "operators_file_doubt", "operators' file: %(what)s", what=doubt)
+        host, port = self.config.listen
+        say(
+            log,
+            logging.INFO,
+            "serving",
+            "%(name)s serves on %(host)s:%(port)d",
+            name=self.config.name,
+            host=host,
+            port=port,
+        )
         self.loop.run()
-        log.info(
-            "ended: %d taken, %d stood unanswered", self.transactions.taken, self.transactions.unanswered
+        say(
+            log,
+            logging.INFO,
+            "ended",
+            "ended: %(taken)d taken, %(unanswered)d stood unanswered",
+            taken=self.transactions.taken,
+            unanswered=self.transactions.unanswered,
         )
         if self.capture:
             self.capture.close()
-            log.info("capture: %d records, %d dropped", self.capture.serial, self.capture.dropped)
+            say(
+                log,
+                logging.INFO,
+                "capture_ended",
+                "capture: %(records)d records, %(dropped)d dropped",
+                records=self.capture.serial,
+                dropped=self.capture.dropped,
+            )
         if self.figures:
             self.figures.close()
-            log.info("figures: %d batches dropped", self.figures.sink.dropped)
+            dropped = self.figures.sink.dropped
+            say(log, logging.INFO, "figures_ended", "figures: %(dropped)d batches dropped", dropped=dropped)
         self.outlet.close()
         return 0
 
@@ -143,7 +172,7 @@
             if signal.SIGHUP in numbers:
                 self.reload()
             if not self.clients.stopping and any(number != signal.SIGHUP for number in numbers):
-                log.info("stopping")
+                say(log, logging.INFO, "stopping", "stopping")
                 self.clients.stopping = True
                 self.later(FAREWELL, self.close_the_door)
 
@@ -152,12 +181,19 @@
         try:
             config = self.load()
         except ConfigError as error:
-            log.error("reload: left as it was: %s", error)
+            say(log, logging.ERROR, "reload_unusable", "reload: left as it was: %(why)s", why=error)
             return
         for name in ("listen", "sockets", "settings"):
             if getattr(config, name) != getattr(self.config, name):
-                log.warning("reload: %s counts from the next start on", name)
-        log.info("reload: discovery is at %s:%d", *config.discovery)
+                say(
+                    log,
+                    logging.WARNING,
+                    "reload_waits",
+                    "reload: %(entry)s counts from the next start on",
+                    entry=name,
+                )
+        host, port = config.discovery
+        say(log, logging.INFO, "reloaded", "reload: discovery is at %(host)s:%(port)d", host=host, port=port)
         if config.discovery != self.agent.address:
             self.agent.move(config.discovery)
 
--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -10,6 +10,7 @@
 from brackenusher.fronts.http1.virtual_server import VirtualServer
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import SHORTAGE, Address, write
+from brackenusher.runtime.log import say
 from brackenusher.runtime.loop import HANGUP, READ, WRITE, Coroutine, Loop, Task, clock
 from brackenusher.runtime.timers import Entry
 from brackenusher.upstream.pool import Pool
@@ -84,7 +85,7 @@
                     raise
                 if clock() >= self.warned_at + WARN_AGAIN:
                     self.warned_at = clock()
-                    log.warning("accept: %s", error)
+                    say(log, logging.WARNING, "accept_failed", "accept: %(why)s", why=error)
                 return self.spare()
             if len(self.links) >= self.room:
                 self.spare()  # only now: there may have been nobody to make room for
--- a/brackenusher/membership/agent.py
+++ b/brackenusher/membership/agent.py
@@ -10,6 +10,7 @@
 from brackenusher.membership.discovery import Broken, Discovery
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import Address, open_socket, write
+from brackenusher.runtime.log import say
 from brackenusher.runtime.loop import READ, WRITE, Coroutine, Loop, Task, clock
 from brackenusher.runtime.timers import Entry
 from brackenusher.upstream.pool import Pool
@@ -103,7 +104,7 @@
 
     def again(self, why: str) -> None:
         """Try again after a while that doubles."""
-        log.warning("discovery: %s", why)
+        say(log, logging.WARNING, "discovery_lost", "discovery: %(why)s", why=why)
         if self.owner.balancer.conf.must_ask:
             self.owner.post(face.ListChanged(face.ListScope.LOST, []))
         wait = self.back_off * (0.5 + self.rng.random())
--- a/brackenusher/membership/discovery.py
+++ b/brackenusher/membership/discovery.py
@@ -7,6 +7,7 @@
 import ujson
 
 from brackenusher.config.platform import ConfigError, read_address
+from brackenusher.runtime.log import say
 from brackenusher.upstream.listing import Host, Listing
 
 log = logging.getLogger(__name__)
@@ -44,7 +45,9 @@
         try:
             listing.hosts.append(read_host(entry))
         except (KeyError, TypeError, ValueError, ConfigError) as error:
-            log.warning("discovery: an entry was left out: %r", error)
+            say(
+                log, logging.WARNING, "entry_left_out", "discovery: an entry was left out: %(why)r", why=error
+            )
     return listing
 
 
--- a/brackenusher/runtime/loop.py
+++ b/brackenusher/runtime/loop.py
@@ -12,6 +12,7 @@
 from collections.abc import Generator
 from inspect import GEN_RUNNING, getgeneratorstate
 
+from brackenusher.runtime.log import fault
 from brackenusher.runtime.timers import Timers
 
 log = logging.getLogger(__name__)
@@ -82,7 +83,7 @@
         except StopIteration:
             self.end(task)
         except Exception:  # a fault costs the connection on which it showed, and no other
-            log.exception("a coroutine failed")
+            fault(log, "coroutine_failed", "a coroutine failed")
             self.end(task)
         else:
             if task.stopped:
--- a/brackenusher/upstream/connections.py
+++ b/brackenusher/upstream/connections.py
@@ -13,6 +13,7 @@
 from brackenusher.core.transaction import Attempt, Served, Transactions
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import SHORTAGE, open_socket, write
+from brackenusher.runtime.log import say
 from brackenusher.runtime.loop import READ, WRITE, Coroutine, Loop, clock
 from brackenusher.runtime.timers import Entry
 from brackenusher.upstream.flow import Flow, Reply
@@ -101,7 +102,13 @@
             try:
                 report[REPORTS[name]] = float(value)
             except ValueError:
-                log.warning("a report's %s cannot be read", name)
+                say(
+                    log,
+                    logging.WARNING,
+                    "report_unreadable",
+                    "a report's %(field)s cannot be read",
+                    field=name,
+                )
     return report
 
 
--- a/testbed/sockets/demo.py
+++ b/testbed/sockets/demo.py
@@ -51,7 +51,7 @@
         with shown(scenario) as show:
             result = play(scenario, 1, watch=show)
         print_account(result)
-        path = write(result_page(result), options.report)
+        path = write(report.page([result]), options.report)
     except (ScenarioError, RunError, OSError) as error:
         print(f"brackenusher demo: {error}", file=sys.stderr)
         return UNUSABLE
@@ -62,10 +62,6 @@
     return BROKEN if result.breaches else 0
 
 
-def result_page(result: "report.Result") -> str:
-    return report.page([result])
-
-
 def write(text: str, path: str | None) -> str:
     """Write the report; without a path into a file of its own among the temporary ones."""
     if path is None:
--- a/testbed/sockets/fleet.py
+++ b/testbed/sockets/fleet.py
@@ -20,7 +20,7 @@
 from typing import Any, cast
 
 from barleybarrow.interface import Outcome
-from brackenusher.membership.discovery import Host as Listed
+from brackenusher.upstream.listing import Host as Listed
 from testbed import faults
 from testbed import scenario as config
 from testbed.model import server as model
--- a/testbed/world.py
+++ b/testbed/world.py
@@ -18,7 +18,7 @@
 from barleybarrow import interface as face
 from barleybarrow.interface import Outcome
 from brackenusher.core.transaction import Answer, Refused, Served, Transaction
-from brackenusher.membership.discovery import Host as Listed
+from brackenusher.upstream.listing import Host as Listed
 from testbed import faults
 from testbed import scenario as config
 from testbed.model import server as model
