--- a/testbed/oracle.py
+++ b/testbed/oracle.py
@@ -121,8 +121,8 @@
         if now > t.due + self.slack and not t.excused:
             self.of("in_time", now, t, f"answered {(now - t.due) / 1000.0:.1f} ms after its deadline")
         if isinstance(answer, Served):
-            carry = answer.content
-            if getattr(carry, "t", None) is not t:
+            carry = getattr(answer.content, "carry", None)  # what else could it be but a server's
+            if carry is None or carry.t is not t:
                 self.of("one_answer", now, t, "served with what was made for another request")
         elif isinstance(answer, Refused):
             self.refused(now, t)
@@ -203,7 +203,7 @@
         p = self.pressed.get(host)
         if p is None:
             p = self.pressed[host] = Pressed()
-        informed = carry.proxy.told.when(host.listed_at) <= now
+        informed = carry.proxy.told.when(host.told_born_at) <= now
         p.arrivals.append((now, work, informed))
         p.total += work
         p.informed += work * informed
--- a/testbed/world.py
+++ b/testbed/world.py
@@ -5,10 +5,12 @@
 seed and policy give the same run to the byte, which `Result.digest` tells.
 """
 
+import gc
 import resource
 import time
 from array import array
 from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from hashlib import blake2b
 from heapq import heappop, heappush
 from typing import Any
@@ -26,7 +28,7 @@
 from testbed.model.discovery import Agent, Registry
 from testbed.model.network import Network, stream, uniforms
 from testbed.oracle import LOOK, SWEEP, Oracle
-from testbed.proxy import LOCAL_START, RECORD, UNIX_START, Carry, Link, Proxy
+from testbed.proxy import LOCAL_START, RECORD, UNIX_START, Carry, Link, Made, Proxy
 from testbed.results import MANY, QUANTILES, Acted, Result, Series, Tally, encode, histogram
 
 SECOND = 1_000_000  # microseconds
@@ -35,6 +37,7 @@
 FRONT_NOTICE = 2 * SECOND  # until the front knows that a proxy has died
 LOST_WATCH = SECOND  # after which a call to a discovery that is silent has failed
 WATCH = 5_000  # microseconds that such a call takes otherwise
+COLLECT = (50_000, 20, 50)  # a run leaves little that is cyclic: some thousand requests between collections
 CHUNK = 1 << 20  # bytes of the trace that are digested at once
 OUTCOMES = {
     model.SERVED: Outcome.SERVED,
@@ -79,6 +82,7 @@
         "hangs",
         "errors",
         "leaves",
+        "careful_until",
     )
 
     def __init__(self, name: str, place: Place, server: model.Server) -> None:
@@ -94,19 +98,24 @@
         self.errors: list[float] = []
         self.hangs = 0
         self.leaves = 0  # drains that were begun: the process ends with the last one
+        self.careful_until = 0  # until when proxies must take it for cold, whatever it is
 
     def group(self, how: str) -> int:
         """The group of servers that drop each other's repeats."""
         return -1 if how == "all" else self.zone if how == "zone" else self.cell
 
     def idle(self, now: int) -> bool:
-        """Whether it has nothing to do, and would work on a request at once and at full speed."""
+        """Whether it has nothing to do, and would work on a request at once and at full speed.
+
+        One that started lately is not idle before the rules' time is over: it may only be used with care.
+        """
         server, place = self.server, self.place
         return (
             server.up
             and not server.working
             and self.health == "ready"
-            and not (server.hung or server.draining or server.quick_errors or now < server.cold_until)
+            and not (server.hung or server.draining or server.quick_errors)
+            and now >= self.careful_until
             and server.slow == 1.0
             and not (place.late or place.lost or place.resets)
             and server.connections < server.spec.connections
@@ -237,7 +246,9 @@
         self.fleet = stream(seed, "fleet")
         self.occurrences = faults.plan(scenario, seed)
         self.arrivals = iter(Arrivals(scenario, seed, faults.swells(scenario, self.occurrences)))
+        self.coming: Asked | None = None  # the next request, where the run was stopped before it
         self.end = int(scenario.seconds * SECOND)
+        self.longest_cold = int(max(k.cold_ms for k in scenario.kinds) * 1000.0)
         self.silent = 0
         self.stale: list[float] = []
         self.wholes = 0
@@ -307,7 +318,7 @@
         """Go on to the end, or stop before whatever happens at a time (milliseconds) or after it."""
         stop = NEVER if until is None else int(round(until * 1000.0))
         heap, arrivals, events = self.heap, self.arrivals, 0
-        asked = next(arrivals, None)
+        asked = self.coming or next(arrivals, None)
         coming = asked.at if asked is not None else NEVER
         while True:
             if heap and heap[0][0] < coming:
@@ -329,6 +340,7 @@
                 self.hash.update(self.trace)
                 self.trace.clear()
         self.events += events
+        self.coming = asked
         if stop == NEVER:
             self.settle()
 
@@ -409,13 +421,14 @@
         if got > t.due:  # the client has closed its connection at its deadline
             kind = 2
         if kind == 0:
-            carry = answer.content  # type: ignore[union-attr]
-            self.useful += carry.job.work if carry.job is not None else 0.0
+            made = answer.content if isinstance(answer, Served) else None
+            if isinstance(made, Made) and made.carry.job is not None:
+                self.useful += made.carry.job.work
             self.latencies[t.op.klass].append(got - t.op.sent)
             self.finish(t.op, t, IN_AIM if got - t.op.sent <= self.aims[t.op.klass] else LATE, got)
         elif kind == 1:
             t.over = True
-            after = answer.retry_after if t.op.asked.honours else 0.0  # type: ignore[union-attr]
+            after = answer.retry_after if isinstance(answer, Refused) and t.op.asked.honours else 0.0
             self.retry(t.op, t, REFUSED, got, after)
         else:
             t.over = True
@@ -628,6 +641,7 @@
         self.all_hosts.append(host)
         if cold:
             host.plain, host.listed_at, host.told_born_at = False, NEVER, NEVER
+            host.careful_until = self.now + self.longest_cold
             self.at(self.now + self.delay_of_news(), self.news_of_start, (host, host.life))
         else:
             self.registry.note(self.now, self.listed(host, "ready"))
@@ -720,7 +734,7 @@
             job.ticket.job = job
         links, host.links = list(host.links), {}
         for link in links:
-            if link.carry is None and link.up:
+            if link.load is None and link.up:
                 if link in link.member.idle:
                     link.member.idle.remove(link)
                 link.close()
@@ -737,6 +751,7 @@
         host.slows, host.errors, host.hangs = [], [], 0
         host.listed_at = host.told_born_at = NEVER
         host.plain = False
+        host.careful_until = self.now + self.longest_cold
         self.oracle.started_anew(host)
         self.at(self.now + self.delay_of_news(), self.news_of_start, (host, host.life))
 
@@ -983,6 +998,20 @@
     )
 
 
+@contextmanager
+def few_collections() -> Iterator[None]:
+    """Leave the garbage collector little to do: what the set-up has made stays for the whole run."""
+    thresholds = gc.get_threshold()
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECT)
+    try:
+        yield
+    finally:
+        gc.set_threshold(*thresholds)
+        gc.unfreeze()
+
+
 def change(sizes: list[float], size: float, on: bool) -> bool:
     """Add a size to those that act, or take it away; whether there was anything to change."""
     if on:
@@ -1094,7 +1123,8 @@
     """
     began = time.perf_counter()
     world = World(scenario, seed, policy, most_breaches)
-    world.run(until)
+    with few_collections():
+        world.run(until)
     result = world.result()
     result.cost.wall_s = time.perf_counter() - began
     result.cost.events = world.events
