--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -303,9 +303,12 @@
 def print_profile(path: Path, most: int = 30) -> None:
     """Where the time goes, by function; each line's own time, as a share of all."""
     stats = pstats.Stats(str(path)).stats  # type: ignore[attr-defined]
-    waits = ("poll",)  # waiting is no work
-    rows = [(own, calls, where) for where, (_, calls, own, _, _) in stats.items()]
-    total = sum(own for own, _, where in rows if not any(wait in where[2] for wait in waits))
+    rows = [
+        (own, calls, where)
+        for where, (_, calls, own, _, _) in stats.items()
+        if "poll" not in where[2]  # waiting is no work
+    ]
+    total = sum(own for own, _, _ in rows)
     print(f"{'own':>6} {'calls':>9}  function")
     for own, calls, (file, line, name) in sorted(rows, reverse=True)[:most]:
         place = f"{Path(file).name}:{line} " if line else ""
--- a/brackenusher/runtime/log.py
+++ b/brackenusher/runtime/log.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Mapping, MutableMapping
+from collections.abc import MutableMapping
 from typing import Any
 
 FORMATS = ("text", "logfmt", "json")
@@ -35,14 +35,6 @@
         log.log(logging.ERROR, text, *arguments, exc_info=True, extra={"event": event}, stacklevel=2)
 
 
-def fields_of(record: logging.LogRecord) -> dict[str, Any]:
-    """The fields of a line, cut to their longest; of a line in its own words, these."""
-    if not hasattr(record, "event"):
-        return {"text": record.getMessage()[:LONGEST]}
-    fields = record.args if isinstance(record.args, Mapping) else {}
-    return {name: plain(value) for name, value in fields.items()}
-
-
 def plain(value: object) -> Any:
     if isinstance(value, bool | int | float) or value is None:
         return value
@@ -60,8 +52,12 @@
 
     def word(_: Any, __: str, given: MutableMapping[str, Any]) -> MutableMapping[str, Any]:
         record: logging.LogRecord = given["_record"]
+        event, fields = getattr(record, "event", None), given["positional_args"]
+        if event is None:  # a library's own words
+            event, fields = UNNAMED, {"text": given["event"]}
         line = {"timestamp": given["timestamp"], "level": record.levelname.lower(), "logger": record.name}
-        line |= {"event": getattr(record, "event", UNNAMED), **fields_of(record)}
+        line["event"] = event
+        line |= {name: plain(value) for name, value in fields.items()} if fields else {}
         if "exception" in given:
             line["exception"] = given["exception"]
         return line
@@ -70,6 +66,7 @@
     formatter = stdlib.ProcessorFormatter(
         foreign_pre_chain=[processors.TimeStamper(fmt="iso", utc=True), processors.format_exc_info],
         processors=[word, render],
+        pass_foreign_args=True,
     )
     for handler in logging.getLogger().handlers:
         handler.setFormatter(formatter)
--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,119 @@
+"""The daemon's log: the same events and fields in every format, text as ever, one line a happening."""
+
+import ast
+import json
+import logging
+import re
+import shlex
+import signal
+import socket
+from collections import defaultdict
+
+import pytest
+from helpers import ROOT, Program, TurnServer, command, until, write_config
+
+from brackenusher.runtime import log as logs
+
+CALLS = {"say": 2, "fault": 1}  # where the event stands among the arguments
+
+
+def said():
+    """Each call in the daemon that logs: event, text, names of fields."""
+    for path in sorted((ROOT / "brackenusher").rglob("*.py")):
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if isinstance(node, ast.Call) and isinstance(node.func, ast.Name) and node.func.id in CALLS:
+                at = CALLS[node.func.id]
+                if len(node.args) > at + 1 and all(isinstance(a, ast.Constant) for a in node.args[at:]):
+                    event, text = (argument.value for argument in node.args[at : at + 2])
+                    yield event, text, {keyword.arg for keyword in node.keywords}
+
+
+def test_every_event_has_one_name_and_the_fields_that_its_text_words():
+    # guards against a line that fails when it is worded, and against one event with two meanings
+    found = defaultdict(set)
+    for event, text, fields in said():
+        assert re.fullmatch(r"[a-z][a-z_]+", event)
+        assert set(re.findall(r"%\((\w+)\)", text)) == fields, text
+        assert not fields & {"timestamp", "level", "logger", "event", "exception"}
+        found[event].add(frozenset(fields))
+    assert len(found) > 15 and all(len(fields) == 1 for fields in found.values())
+
+
+@pytest.fixture(scope="module")
+def logged(tmp_path_factory):
+    """What the daemon logs from its start to its end, by format."""
+    texts = {}
+    for form in ("", "text", "logfmt", "json"):
+        folder = tmp_path_factory.mktemp(form or "none")
+        operator = f"log.format = {form}\n" if form else "capture.files = 2\n"
+        with Program(folder, TurnServer(), operator=operator) as program:
+            until(lambda program=program: program.agent.watchers, "the watch")
+            (folder / "config.json").write_text("{", encoding="utf-8")
+            program.process.send_signal(signal.SIGHUP)
+            until(lambda program=program: "reload" in program.log, "the complaint")
+            program.process.terminate()
+            assert program.process.wait(20) == 0
+        texts[form] = program.log.splitlines()
+    return texts
+
+
+def test_text_is_as_ever_and_the_default(logged):
+    line = r"\d{4}-\d\d-\d\d \d\d:\d\d:\d\d,\d{3} (INFO|ERROR) brackenusher\.daemon: "
+    for form in ("", "text"):
+        rests = [re.sub(line, "", text) for text in logged[form]]
+        assert all(re.match(line, text) for text in logged[form])
+        assert re.fullmatch(r"n0 serves on 127\.0\.0\.1:\d+", rests[0]) and rests[2] == "stopping"
+        assert rests[1].startswith("reload: left as it was: ")
+        assert rests[3] == "ended: 0 taken, 0 stood unanswered" and len(rests) == 4
+
+
+def test_logfmt_and_json_tell_the_same_events_and_fields(logged):
+    told = [json.loads(line) for line in logged["json"]]
+    assert [line["event"] for line in told] == ["serving", "reload_unusable", "stopping", "ended"]
+    assert (told[0]["name"], told[0]["host"], type(told[0]["port"])) == ("n0", "127.0.0.1", int)
+    assert (told[3]["taken"], told[3]["unanswered"], told[3]["level"]) == (0, 0, "info")
+    pairs = [dict(pair.split("=", 1) for pair in shlex.split(line)) for line in logged["logfmt"]]
+    assert [list(line) for line in pairs] == [list(line) for line in told]
+    assert [line["event"] for line in pairs] == [line["event"] for line in told]
+
+
+@pytest.mark.parametrize("form", ["logfmt", "json"])
+def test_what_comes_from_outside_neither_ends_a_line_nor_swells_it(form):
+    # guards against a forged line, and against a log that a client can fill
+    root, stream = logging.getLogger(), []
+    handler = logging.Handler()
+    handler.emit = lambda record: stream.append(handler.format(record))
+    old, root.handlers = root.handlers, [handler]
+    try:
+        logs.take_form(form)
+        log = logging.getLogger("a")
+        logs.say(log, logging.WARNING, "odd", "%(why)s", why='x"\nevent=ended ' + "y" * 5000)
+        try:
+            raise ValueError("two\nlines")
+        except ValueError:
+            logs.fault(log, "failed", "it failed")
+        log.warning("in %s own words", "its")
+    finally:
+        root.handlers = old
+    assert all("\n" not in line for line in stream) and len(stream[0]) < 1300
+    if form == "json":
+        odd, failed, note = (json.loads(line) for line in stream)
+        assert (
+            odd["event"] == "odd" and 'x"\nevent' in odd["why"] and "ValueError: two" in failed["exception"]
+        )
+        assert (note["event"], note["text"]) == ("note", "in its own words")
+
+
+def test_structlog_is_imported_for_its_formats_alone_and_its_lack_is_one_line(tmp_path):
+    (tmp_path / "structlog.py").write_text("raise ImportError('not here')", encoding="utf-8")
+    taken = socket.create_server(("127.0.0.1", 0))
+    path = write_config(tmp_path, listen=f"127.0.0.1:{taken.getsockname()[1]}")
+    file = tmp_path / "operator.properties"
+    environ = {"GW_CONFIG": path, "PYTHONPATH": str(tmp_path)}
+    for form, code in (("text", 1), ("json", 2), ("xml", 2)):  # the port is taken: that is a 1
+        file.write_text(f"log.format = {form}\n", encoding="utf-8")
+        done = command("serve", "--operator", str(file), **environ)
+        assert done.returncode == code, done.stderr
+        if code == 2:
+            assert done.stderr.count("\n") == 1 and "log.format" in done.stderr
+    taken.close()
