--- a/testbed/standins.py
+++ b/testbed/standins.py
@@ -103,10 +103,11 @@
     def __init__(
         self,
         behave: Callable[[Any, Message], bytes | None] = lambda server, message: response(200, b"board"),
+        port: int = 0,
     ) -> None:
         self.behave = behave
         self.requests: list[Message] = []
-        super().__init__()
+        super().__init__(port)
 
     def serve(self, sock: socket.socket) -> None:
         file = sock.makefile("rb")
@@ -124,11 +125,11 @@
     list.
     """
 
-    def __init__(self, hosts: Iterable[Entry]) -> None:
+    def __init__(self, hosts: Iterable[Entry], port: int = 0) -> None:
         self.seq, self.hosts = 1, list(hosts)
         self.calls: list[str] = []
         self.watchers: list[socket.socket] = []
-        super().__init__()
+        super().__init__(port)
 
     def listing(self, whole: bool, hosts: list[Entry]) -> bytes:
         return json.dumps({"seq": self.seq, "whole": whole, "hosts": hosts}).encode()
