--- a/barleybarrow/brain.py
+++ b/barleybarrow/brain.py
@@ -187,11 +187,11 @@
             values = [None if at > self.now else v for at, v in zip(b.rests, values, strict=True)]
             b.resting = None in values
             self.await_turn(b, min((at for at in b.rests if at > self.now), default=inf))
-        if b.cold < 1:
-            rate = self.warm(b)
+        if b.cold < 1 and (rate := self.warm(b)):
+            self.await_turn(b, b.warm_from + self.conf.cold)
             if b.inflight + 1 > max(1.0, b.limit * b.cold):
                 values = []
-            elif rate and (short := [c.cost - b.pace for c in self.classes if c.cost > b.pace]):
+            elif short := [c.cost - b.pace for c in self.classes if c.cost > b.pace]:
                 values = [v if b.pace >= c.cost else None for v, c in zip(values, self.classes, strict=True)]
                 self.await_turn(b, self.now + max(min(short) / rate, self.conf.tick))
         self.idle.put(b, values)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -47,7 +47,8 @@
         self.gap = self.mean / (servers * CORES * load)
         self.brain = Balancer(self.conf, seed, 0.0)
         self.open, self.answers = {}, []  # id: [class, arrived]; then (arrived, took or None, class)
-        self.held_idle = 0.0
+        self.attempts = []  # (class, took) of each one that was served
+        self.mix = 0.44  # share of the second class
         entries = [self.newcomer(0.0) for _ in range(servers)]
         self.give(face.ListChanged(ListScope.COMPLETE, entries))
         for i, name in enumerate(list(self.fleet)):
@@ -105,7 +106,7 @@
                 self.now, arrivals = next_at, arrivals - 1
                 next_at += self.rng.expovariate(1 / (self.gap * self.scale(self.now)))
                 self.serial += 1
-                request, klass = self.serial, int(self.rng.random() < 0.44)
+                request, klass = self.serial, int(self.rng.random() < self.mix)
                 self.open[request] = [klass, self.now, 0]
                 deadline = self.now + self.conf.classes[klass].deadline
                 self.give(face.Arrived(request, klass, deadline))
@@ -123,6 +124,7 @@
         entry = self.open.get(request)
         served = outcome is Outcome.SERVED and entry is not None
         if served:
+            self.attempts.append((entry[0], self.now - sent))
             del self.open[request]
             self.answers.append((entry[1], self.now - entry[1], entry[0]))
         self.give(face.Finished(request, number, outcome, self.now - sent, served))
