--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -25,6 +25,7 @@
 from brackenusher.records.capture import Capture
 from brackenusher.records.figures import Figures
 from brackenusher.runtime.buffers import Buffers
+from brackenusher.runtime.log import say
 from brackenusher.runtime.loop import READ, Coroutine, Loop, clock
 from brackenusher.runtime.outlet import Outlet
 from brackenusher.upstream.connections import Upstream
@@ -103,28 +104,55 @@
             try:
                 self.transactions.post(self.pool.take(read_listing(self.config.known)))
             except Broken as error:
-                log.warning("the known list is left aside: %s", error)
+                say(
+                    log,
+                    logging.WARNING,
+                    "known_list_unusable",
+                    "the known list is left aside: %(why)s",
+                    why=error,
+                )
         self.clients.listen(self.config.listen)
         self.agent.connect()
         gc.collect()
         gc.freeze()  # what is here stays: later collections need not look at it
         for doubt in doubts(self.operator, self.config.settings):
-            log.warning("operators' file: %s", doubt)
-        log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
+            say(log, logging.WARNING, "operators_file_doubt", "operators' file: %(what)s", what=doubt)
+        host, port = self.config.listen
+        say(
+            log,
+            logging.INFO,
+            "serving",
+            "%(name)s serves on %(host)s:%(port)d",
+            name=self.config.name,
+            host=host,
+            port=port,
+        )
         self.loop.run()
-        log.info(
-            "ended: %d taken, %d stood unanswered, %d refused at the end, %d connections left",
-            self.transactions.taken,
-            self.transactions.unanswered,
-            self.admission.at_the_end,
-            len(self.clients.links),
+        say(
+            log,
+            logging.INFO,
+            "ended",
+            "ended: %(taken)d taken, %(unanswered)d stood unanswered, %(refused)d refused at the end, "
+            "%(left)d connections left",
+            taken=self.transactions.taken,
+            unanswered=self.transactions.unanswered,
+            refused=self.admission.at_the_end,
+            left=len(self.clients.links),
         )
         if self.capture:
             self.capture.close()
-            log.info("capture: %d records, %d dropped", self.capture.serial, self.capture.dropped)
+            say(
+                log,
+                logging.INFO,
+                "capture_ended",
+                "capture: %(records)d records, %(dropped)d dropped",
+                records=self.capture.serial,
+                dropped=self.capture.dropped,
+            )
         if self.figures:
             self.figures.close()
-            log.info("figures: %d batches dropped", self.figures.sink.dropped)
+            dropped = self.figures.sink.dropped
+            say(log, logging.INFO, "figures_ended", "figures: %(dropped)d batches dropped", dropped=dropped)
         self.outlet.close()
         return 0
 
@@ -162,28 +190,40 @@
         try:
             config = self.load()
         except ConfigError as error:
-            log.error("reload: left as it was: %s", error)
+            say(log, logging.ERROR, "reload_unusable", "reload: left as it was: %(why)s", why=error)
             return
         for name in ("listen", "sockets", "settings"):
             if getattr(config, name) != getattr(self.config, name):
-                log.warning("reload: %s counts from the next start on", name)
-        log.info("reload: discovery is at %s:%d", *config.discovery)
+                say(
+                    log,
+                    logging.WARNING,
+                    "reload_waits",
+                    "reload: %(entry)s counts from the next start on",
+                    entry=name,
+                )
+        host, port = config.discovery
+        say(log, logging.INFO, "reloaded", "reload: discovery is at %(host)s:%(port)d", host=host, port=port)
         if config.discovery != self.agent.address:
             self.agent.move(config.discovery)
 
     def stop(self) -> None:
         """Serve on as long as the deployment allows, then end with all answered; asked again, go on so."""
         if self.farewell is not None:
-            log.info("stopping already")
+            say(log, logging.INFO, "stopping_already", "stopping already")
             return
-        longest = max(c.deadline for c in self.config.settings.classes)
+        settings = self.config.settings
+        longest, alone = max(c.deadline for c in settings.classes), settings.proxies <= 1
         least = self.transactions.balancer.margin + RESERVE  # the module refuses at once what has less
-        plan = Farewell(self.told_at or clock(), longest, self.config.cores, least)
+        plan = Farewell(self.told_at or clock(), longest, self.config.cores, least, alone)
         self.farewell = self.admission.farewell = plan
-        log.info(
-            "stopping: killed in %.0f ms at the soonest, all is to be answered in %.0f ms",
-            plan.limit - plan.told_at,
-            plan.answered_by - plan.told_at,
+        say(
+            log,
+            logging.INFO,
+            "stopping",
+            "stopping: killed in %(kill_ms).0f ms at the soonest, "
+            "all is to be answered in %(answered_ms).0f ms",
+            kill_ms=plan.limit - plan.told_at,
+            answered_ms=plan.answered_by - plan.told_at,
         )
         self.later(CHECK, partial(self.attend, plan, clock() + CHECK))
 
@@ -192,14 +232,18 @@
         now, before = clock(), plan.phase
         phase = plan.step(now, now - due, len(self.clients.links), self.clients.shut)
         if phase != before:
-            log.info(
-                "%s %.0f ms after the signal: %d taken, %d in hand, %d connections, stalled %.0f ms at most",
-                phase.name.lower().replace("_", " "),
-                now - plan.told_at,
-                self.transactions.taken,
-                len(self.transactions.open),
-                len(self.clients.links),
-                plan.stall,
+            say(
+                log,
+                logging.INFO,
+                "stop_phase",
+                "%(phase)s %(after_ms).0f ms after the signal: %(taken)d taken, %(in_hand)d in hand, "
+                "%(connections)d connections, stalled %(stall_ms).0f ms at most",
+                phase=phase.name.lower().replace("_", " "),
+                after_ms=now - plan.told_at,
+                taken=self.transactions.taken,
+                in_hand=len(self.transactions.open),
+                connections=len(self.clients.links),
+                stall_ms=plan.stall,
             )
         if phase is Phase.ENDED:
             self.loop.running = False
@@ -210,7 +254,13 @@
         if phase is Phase.CLOSING:
             given_up = self.transactions.answer_all()
             if given_up:
-                log.error("%d transactions stood unanswered at the end", given_up)
+                say(
+                    log,
+                    logging.WARNING,
+                    "given_up",
+                    "%(count)d transactions were given up at the end",
+                    count=given_up,
+                )
             self.clients.hurry()
             self.clients.stop_accepting()
         self.later(CHECK, partial(self.attend, plan, clock() + CHECK))
--- a/brackenusher/fronts/http.py
+++ b/brackenusher/fronts/http.py
@@ -36,6 +36,7 @@
     )
 )
 ID = re.compile(rb"[!-~]{1,256}\Z")  # an id or a key that can be passed on
+AUTHORITY = re.compile(rb"(?:\[[0-9A-Fa-f:.]+\]|[-A-Za-z0-9._~!$&'()*+,;=%]+)(?::[0-9]*)?\Z")  # no userinfo
 SPAN = re.compile(rb"([0-9]{1,9}(?:\.[0-9]{1,9})?)([mu])\Z")
 REASONS = {
     200: b"OK",
@@ -152,8 +153,7 @@
 def final(answer: Answer) -> tuple[int, bytes, Headers]:
     """Status, body and headers of a final answer."""
     if isinstance(answer, Served):
-        kind = answer.content.kind or b"application/octet-stream"
-        headers: Headers = ((b"content-type", kind),)
+        headers: Headers = ((b"content-type", answer.content.kind or b"application/octet-stream"),)
         if answer.content.coding:
             headers += ((b"content-encoding", answer.content.coding),)
         return 200, answer.content.body, headers
