--- a/brackenusher/upstream/flow.py
+++ b/brackenusher/upstream/flow.py
@@ -10,7 +10,7 @@
 
 LONGEST_HEAD = 16 * 1024
 SLACK = 2 * 1024  # bytes of a head beyond those that are counted: spaces, its first line
-LONGEST_STREAM = 8 * LONGEST_BODY  # bytes of a message: in chunks of one byte a body takes six times its own
+LONGEST_STREAM = 8 * LONGEST_BODY  # bytes of a message: a body in chunks of one byte takes six times its own
 MOST_INTERIM = 16  # answers of the kind 1xx ahead of the final one
 HOP_BY_HOP = frozenset(
     (
