--- a/brackenusher/upstream/pool.py
+++ b/brackenusher/upstream/pool.py
@@ -1,6 +1,5 @@
 """The pool: discovery's list as members, and the idle connections to each of them."""
 
-from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -22,12 +21,14 @@
 
 
 class Member:
-    """A turn server on the list; flows to one that has left it keep theirs."""
+    """A turn server on the list; flows to one that has left it keep theirs. A fleet has thousands of them."""
+
+    __slots__ = ("name", "address", "born_ms", "left_at", "idle")
 
     def __init__(self, name: str, address: Address, born_ms: float) -> None:
         self.name, self.address, self.born_ms = name, address, born_ms
         self.left_at: float | None = None  # when this proxy was told that it drains or is gone
-        self.idle: deque[Connection] = deque()  # the one that was used last stands last
+        self.idle: list[Connection] = []  # the one that was used last stands last
 
     def hang_up(self) -> None:
         """Close the idle connections."""
@@ -123,5 +124,5 @@
         member = max(self.members.values(), key=lambda m: len(m.idle), default=None)
         if member is None or not member.idle:
             return False
-        member.idle.popleft().close()
+        member.idle.pop(0).close()
         return True
--- a/testbed/world.py
+++ b/testbed/world.py
@@ -296,8 +296,10 @@
         ]
         self.proxies: list[Proxy] = []
         self.down_since: dict[int, int] = {}
+        zones = len(scenario.zones)
+        self.settings = [config.settings(scenario, zone) for zone in range(zones)]  # by zone alone
         for number in range(scenario.proxies):
-            self.proxies.append(Proxy(self, number, 0, config.settings(scenario, number), policy, first))
+            self.proxies.append(Proxy(self, number, 0, self.settings[number % zones], policy, first))
         for occurrence in self.occurrences:
             step = int(occurrence.fault.stagger_ms * 1000.0)
             for i, target in enumerate(occurrence.targets()):
@@ -930,7 +932,7 @@
         agent = self.agents[proxy]
         agent.watched = self.scenario.discovery.mode == "push"
         listing = self.registry.whole(agent.known)  # as it was last held, which may be old
-        settings = config.settings(self.scenario, proxy)
+        settings = self.settings[proxy % len(self.settings)]
         self.proxies[proxy] = Proxy(self, proxy, old.life + 1, settings, self.policy, listing)
         if agent.known < self.registry.seq:
             self.will_tell(proxy, agent)
