--- a/brackenusher/core/message.py
+++ b/brackenusher/core/message.py
@@ -24,4 +24,5 @@
     """What a pool member answered."""
 
     body: bytes
-    kind: bytes | None = None
+    kind: bytes | None = None  # Content-Type
+    coding: bytes | None = None  # Content-Encoding; the body is passed on as it is
