Connections to members: a planner decides what is lent, kept, retired and opened ahead

Until now a connection was lent last-in-first-out and closed after a fixed share of the settings' idle time; a write that broke before the request was whole went to the module as a failed connect.

barleybarrow.connections is told the time and what happened and does no I/O: idle limits and caps are learned, what comes due together is spread, openings ahead are paced and none go to a member that may be cold (off by default). What is in flight on an earlier life of a member no longer comes back as idle. The driver looks at the socket right before the write, and a request that provably never ran goes to another connection at once.

--- a/brackenusher/config/operators.py
+++ b/brackenusher/config/operators.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from barleybarrow import interface as face
+from barleybarrow.connections import ConnectionSettings
 from barleybarrow.door import DoorSettings, Limit
 from barleybarrow.tokens import KID, TokenSettings
 from brackenusher.config.platform import Address, ConfigError, read_address
@@ -25,6 +26,7 @@
     capture: CaptureSettings | None = None
     token: TokenSettings | None = None
     figures: FiguresSettings | None = None
+    connections: ConnectionSettings | None = None
 
     @property
     def features(self) -> list[str]:
@@ -178,11 +180,30 @@
     )
 
 
+def read_connections(entries: Entries) -> ConnectionSettings:
+    least = ConnectionSettings()
+    return ConnectionSettings(
+        learn=entries.take("connections.learn", switch, least.learn),
+        rescue=entries.take("connections.rescue", switch, least.rescue),
+        rest=entries.take("connections.rest", switch, least.rest),
+        age=1000.0 * entries.take("connections.age_s", whole(0, 86_400), 0),
+        requests=entries.take("connections.requests", whole(0, 1_000_000_000), least.requests),
+        ahead=entries.take("connections.ahead", switch, least.ahead),
+        spare=entries.take("connections.ahead.spare", whole(0, 1000), least.spare),
+        hold=1000.0 * entries.take("connections.ahead.hold_s", whole(1, 3600), int(least.hold / 1000)),
+        pace=float(entries.take("connections.ahead.pace", whole(1, 1000), int(least.pace))),
+        subset=entries.take("connections.subset", whole(0, 100_000), least.subset),
+        subset_index=entries.take("connections.subset.index", whole(0, 99_999), least.subset_index),
+        subset_proxies=entries.take("connections.subset.proxies", whole(1, 100_000), least.subset_proxies),
+    )
+
+
 FEATURES: dict[str, Callable[[Entries], Any]] = {
     "door": read_door,
     "capture": read_capture,
     "token": read_token,
     "figures": read_figures,
+    "connections": read_connections,
 }
 
 
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -46,7 +46,8 @@
         self.config, self.operator, self.loop = config, operator, Loop(deadlines)
         room = config.sockets - SPARE_SOCKETS - OVERFLOW
         for_clients = int(room * CLIENT_PART)
-        self.pool = Pool(settings, clock, time.time() * 1000.0 - clock())
+        offset = time.time() * 1000.0 - clock()
+        self.pool = Pool(settings, clock, offset, operator.connections, config.seed)
         self.upstream = Upstream(self.loop, self.pool, settings, room - for_clients, buffers)
         began = clock()
         balancer = Balancer(settings, config.seed, began)
@@ -112,6 +113,7 @@
         log.info(
             "ended: %d taken, %d stood unanswered", self.transactions.taken, self.transactions.unanswered
         )
+        log.info("connections to members: %s", self.pool.planner.summary())
         if self.capture:
             self.capture.close()
             log.info("capture: %d records, %d dropped", self.capture.serial, self.capture.dropped)
--- a/brackenusher/upstream/connections.py
+++ b/brackenusher/upstream/connections.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from barleybarrow import interface as face
+from barleybarrow.connections import Cause, Held
 from barleybarrow.interface import Outcome
 from barleybarrow.settings import REPORTS
 from brackenusher.core.transaction import Attempt, Served, Transactions
@@ -17,7 +18,6 @@
 
 log = logging.getLogger(__name__)
 
-IDLE_SHARE = 0.6  # of the time after which a pool member closes an idle connection
 CONNECT_TIME = 1000.0  # where the settings name none
 ANSWER_TIME = 250.0  # an answer that has begun must be whole in this time: it is 64 KiB at most, and near
 
@@ -28,15 +28,18 @@
     def __init__(self, loop: Loop, pool: Pool, settings: face.Settings, room: int, buffers: Buffers) -> None:
         self.loop, self.pool, self.settings, self.room, self.buffers = loop, pool, settings, room, buffers
         self.connect_time = settings.connect_timeout or CONNECT_TIME
-        self.idle_time = settings.conn_idle * IDLE_SHARE if settings.conn_idle else float("inf")
-        self.links: set[ServerLink] = set()
+        self.planner = pool.planner
+        self.planner.room = room
+        self.ticking = False  # the planner's sweep is due at some time
         self.owner: Transactions | None = None
         self.watch = lambda: None
 
     def start(self, attempt: "Attempt | Probe") -> None:
         """Send an attempt on an idle connection, or on a new one."""
-        member = self.pool.members[attempt.backend]
-        link = self.pool.lend(member)
+        self.place(attempt, self.pool.members[attempt.backend])
+
+    def place(self, attempt: "Attempt | Probe", member: Member) -> None:
+        link = self.pool.lend(member, attempt.message.method == b"GET")
         if link is None:
             link = self.connect(member)
         if isinstance(link, Outcome):
@@ -44,21 +47,42 @@
         else:
             link.carry(attempt)
 
-    def connect(self, member: Member) -> "ServerLink | Outcome":
-        if len(self.links) >= self.room and not self.pool.spare():
+    def connect(self, member: Member, ahead: bool = False) -> "ServerLink | Outcome":
+        planner, now = self.planner, clock()
+        if member.line.left or not planner.may_open(member.line, now):
+            return Outcome.NOT_SENT
+        if planner.total >= planner.room and (ahead or not self.pool.spare()):
             return Outcome.NOT_SENT
         try:
             sock, done = open_socket(member.address)
         except OSError as error:
             if error.errno not in SHORTAGE:
+                planner.not_opened(member.line, now)
                 return Outcome.CONNECT_FAILED
-            self.pool.spare()
+            if not ahead:
+                self.pool.spare()
             return Outcome.NOT_SENT
-        return ServerLink(self, member, sock, done)
+        if not self.ticking:
+            self.ticking = True
+            self.loop.deadlines.add(now + planner.every, self.tick)
+        return ServerLink(self, member, sock, done, ahead)
+
+    def tick(self) -> None:
+        """Retire what is due, and open ahead what is wanted, as the planner says."""
+        due, wanted = self.planner.sweep(clock())
+        for held, cause in due:
+            held.link.close(cause)
+        for line in wanted:
+            member = self.pool.members.get(line.name)
+            if member is not None and member.line is line:
+                self.connect(member, ahead=True)
+        self.ticking = bool(self.planner.active)
+        if self.ticking:
+            self.loop.deadlines.add(clock() + self.planner.every, self.tick)
 
     def cancel(self, attempt: Attempt) -> None:
         if attempt.carriage is not None:
-            attempt.carriage.close()
+            attempt.carriage.close(Cause.GIVEN_UP)
 
     def disconnect(self, backend: str) -> None:
         member = self.pool.members.get(backend)
@@ -105,25 +129,27 @@
 class ServerLink:
     """A connection to a pool member."""
 
-    def __init__(self, upstream: Upstream, member: Member, sock: socket.socket, connected: bool) -> None:
+    def __init__(
+        self, upstream: Upstream, member: Member, sock: socket.socket, connected: bool, ahead: bool
+    ) -> None:
         self.upstream, self.member, self.sock = upstream, member, sock
+        self.planner = upstream.planner
         self.attempt: Attempt | Probe | None = None
-        self.limit = self.expiry = self.idle_limit = self.stall = None
-        self.written = False
+        self.limit = self.expiry = self.stall = None
+        self.wrote: float | None = None  # when the present request was written whole
+        self.cause = Cause.FAULT
         self.flow = Flow(f"{member.address[0]}:{member.address[1]}".encode())
         self.reply: Reply | None = None
-        deadlines = upstream.loop.deadlines
         if not connected:
-            self.limit = deadlines.add(clock() + upstream.connect_time, self.not_connected)
-        upstream.links.add(self)
+            until = clock() + upstream.connect_time
+            self.limit = upstream.loop.deadlines.add(until, self.not_connected)
+        self.held: Held = self.planner.opening(member.line, self, clock(), ahead)
         self.task = upstream.loop.spawn(self.run(connected), sock)
 
     def carry(self, attempt: "Attempt | Probe") -> None:
         """Take on an attempt."""
-        deadlines = self.upstream.loop.deadlines
-        deadlines.remove(self.idle_limit)
-        self.attempt, self.written, attempt.carriage = attempt, False, self
-        self.expiry = deadlines.add(attempt.deadline, self.expired)
+        self.attempt, self.wrote, attempt.carriage = attempt, None, self
+        self.expiry = self.upstream.loop.deadlines.add(attempt.deadline, self.expired)
         self.task.wake()
 
     def run(self, connected: bool) -> Coroutine:
@@ -132,13 +158,15 @@
                 while not (yield WRITE):
                     pass  # an attempt was taken on meanwhile
                 if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                    self.done(Outcome.CONNECT_FAILED)
+                    self.done(Outcome.CONNECT_FAILED, cause=Cause.REFUSED)
                     return
             self.upstream.loop.deadlines.remove(self.limit)
+            if not self.planner.up(self.held, clock()):
+                self.cause = Cause.LEFT
+                return
             while True:
                 while self.attempt is None:
-                    events = yield READ
-                    if events and not self.healthy():
+                    if (yield READ) and self.attempt is None and not self.healthy():
                         return  # it has ended, or sent what nobody asked for
                 if not (yield from self.exchange()):
                     return
@@ -148,8 +176,9 @@
     def exchange(self) -> Generator[int, int, bool]:
         """One request and its answer; whether the connection can carry another."""
         if not self.upstream.pool.may_begin(self.member):
-            self.done(Outcome.CONNECT_FAILED)  # it was queued on the connect past the drain limit
-            return False
+            return self.done(Outcome.CONNECT_FAILED, cause=Cause.LEFT)  # queued on the connect past the limit
+        if not self.healthy():
+            return self.elsewhere(self.cause)
         attempt, self.reply = self.attempt, None
         rest = self.flow.request(attempt.message, attempt.deadline - clock())
         try:
@@ -160,13 +189,13 @@
                     if self.reply is not None:
                         break
         except OSError:
-            self.done(Outcome.CONNECT_FAILED)
-            return False
+            return self.elsewhere(Cause.UNWRITTEN)
         if rest:  # it answered or ended before it had the whole request
-            early = self.reply.outcome
-            self.done(Outcome.CONNECT_FAILED if early is Outcome.RESET else early, self.reply.served)
-            return False
-        self.written = True
+            early = self.reply
+            if early.outcome is Outcome.RESET:
+                return self.elsewhere(Cause.UNWRITTEN)
+            return self.done(early.outcome, early.served, cause=Cause.TOLD)
+        self.wrote = clock()
         try:
             while self.reply is None:
                 yield READ
@@ -174,10 +203,14 @@
                 if self.stall is None and self.flow.begun and self.reply is None:
                     self.stall = self.upstream.loop.deadlines.add(clock() + ANSWER_TIME, self.stalled)
         except OSError:
-            self.done(Outcome.RESET)
-            return False
+            return self.broken()
+        if self.reply.outcome is Outcome.RESET:
+            return self.broken()
+        self.planner.answered(self.held, clock())
         reply, keep = self.reply, self.flow.renew()
-        return self.done(reply.outcome, reply.served, keep)
+        if self.flow.promised is not None:
+            self.planner.promised(self.held, self.flow.promised * 1000.0)
+        return self.done(reply.outcome, reply.served, keep, Cause.TOLD)
 
     def read(self) -> None:
         try:
@@ -188,61 +221,95 @@
     def take(self, data: memoryview) -> None:
         self.reply = self.flow.receive(data)
 
-    def done(self, outcome: Outcome, served: Served | None = None, keep: bool = False) -> bool:
-        """Tell what the attempt came to; whether the connection was kept for another.
+    def elsewhere(self, cause: Cause) -> bool:
+        """The request has not run, which is proven: the last byte of it was not written.
 
-        It is offered before the outcome is told, as the module may send the next attempt on hearing of it.
+        On a connection that stood idle this tells nothing of the member, and another is tried at once; each
+        such try has one idle connection less, so there is an end to it.
         """
+        planner, held, now = self.planner, self.held, clock()
+        same = (
+            held.line is self.member.line and not held.line.left
+        )  # it still is the life that the module chose
+        if held.age < 0 or not same or not planner.settings.rescue or now >= self.attempt.deadline:
+            return self.done(Outcome.CONNECT_FAILED, cause=cause)
+        attempt = self.release()
+        self.cause = cause
+        planner.rescued += 1
+        planner.closed(held, now, cause)  # first, as what comes instead needs its room
+        self.upstream.place(attempt, self.member)
+        return False
+
+    def broken(self) -> bool:
+        """The connection ended under a request that was written whole: it may have run."""
+        if not self.flow.begun:
+            self.planner.lost(self.held, clock(), self.wrote, reset=True)
+        return self.done(Outcome.RESET, cause=Cause.RESET)
+
+    def release(self) -> "Attempt | Probe | None":
+        """Let go of the attempt, whatever becomes of it."""
         deadlines, attempt, self.attempt = self.upstream.loop.deadlines, self.attempt, None
         deadlines.remove(self.expiry)
         deadlines.remove(self.stall)
         self.stall = None
-        attempt.carriage = None
-        kept = keep and self.upstream.pool.give_back(self)
-        if kept:
-            self.idle_limit = deadlines.add(clock() + self.upstream.idle_time, self.close)
-        attempt.ended(attempt, outcome, served)
-        return kept
+        if attempt is not None:
+            attempt.carriage = None
+        return attempt
+
+    def done(
+        self,
+        outcome: Outcome,
+        served: Served | None = None,
+        keep: bool = False,
+        cause: Cause = Cause.FAULT,
+    ) -> bool:
+        """Tell what the attempt came to; whether the connection was kept, else it ends for a cause.
+
+        It is offered before the outcome is told, as the module may send the next attempt on hearing of it.
+        """
+        attempt = self.release()
+        ends = self.planner.done(self.held, clock()) if keep else cause
+        if ends is not None:
+            self.cause = ends
+            self.planner.closed(self.held, clock(), ends)
+        if attempt is not None:  # none was waiting for a connection opened ahead
+            attempt.ended(attempt, outcome, served)
+        return ends is None
 
     def not_connected(self) -> None:
-        if self.attempt is not None:
-            self.done(Outcome.CONNECT_FAILED)
-        self.close()
+        self.done(Outcome.CONNECT_FAILED, cause=Cause.REFUSED)
+        self.close(Cause.REFUSED)
 
     def expired(self) -> None:
         """The attempt's time is up; it has not run unless it was written whole."""
-        self.done(Outcome.TIMEOUT if self.written else Outcome.NOT_SENT)
-        self.close()
+        if self.wrote is not None and not self.flow.begun:
+            self.planner.lost(self.held, clock(), self.wrote, reset=False)
+        self.done(Outcome.TIMEOUT if self.wrote is not None else Outcome.NOT_SENT, cause=Cause.GIVEN_UP)
+        self.close(Cause.GIVEN_UP)
 
     def stalled(self) -> None:
         """The answer began and does not go on: it may have run, and nothing more will come of it."""
-        self.done(Outcome.ERROR)
-        self.close()
+        self.done(Outcome.ERROR, cause=Cause.GIVEN_UP)
+        self.close(Cause.GIVEN_UP)
 
     def healthy(self) -> bool:
-        """Whether nothing has come on an idle connection, not even its end."""
+        """Whether nothing has come on an idle connection, not even its end; else it ends for a cause."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            self.cause = Cause.STRAY if self.sock.recv(1, socket.MSG_PEEK) else Cause.ENDED
         except BlockingIOError:
             return True
         except OSError:
-            pass
+            self.cause = Cause.ENDED
         return False
 
-    def close(self) -> None:
+    def close(self, cause: Cause) -> None:
         """Close the connection; an attempt that is given up tells no outcome from here."""
-        if self.attempt is not None:
-            self.upstream.loop.deadlines.remove(self.expiry)
-            self.upstream.loop.deadlines.remove(self.stall)
-            self.attempt.carriage = None
-            self.attempt = None
+        self.cause = cause
+        self.release()
         self.task.stop()
 
     def forget(self) -> None:
-        self.upstream.links.discard(self)
-        for limit in (self.limit, self.idle_limit):
-            self.upstream.loop.deadlines.remove(limit)
-        if self in self.member.idle:
-            self.member.idle.remove(self)
+        self.upstream.loop.deadlines.remove(self.limit)
+        self.planner.closed(self.held, clock(), self.cause)
         if self.attempt is not None:  # only a fault leaves it here
-            self.done(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
+            self.done(Outcome.CONNECT_FAILED if self.wrote is None else Outcome.RESET)
--- a/brackenusher/upstream/flow.py
+++ b/brackenusher/upstream/flow.py
@@ -1,5 +1,6 @@
 """The server-side flow on the wire: one attempt after another on a connection to a pool member."""
 
+import re
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -10,6 +11,7 @@
 
 LONGEST_BODY = 64 * 1024
 LONGEST_HEAD = 16 * 1024
+KEPT = re.compile(rb"\btimeout=([0-9]{1,6})\b", re.IGNORECASE)  # RFC 2068, 19.7.1.1; servers still send it
 MOST_INTERIM = 16  # answers of the kind 1xx ahead of the final one
 HOP_BY_HOP = frozenset(
     (
@@ -66,6 +68,7 @@
     def __init__(self, authority: bytes) -> None:
         self.authority = authority  # for a request that names no host, as HTTP/1.0 allows
         self.parser = HttpResponseParser(self)
+        self.promised: float | None = None  # for how many seconds the server says it keeps an idle connection
         self.usable = True  # the stream can be trusted to begin the next answer where this one ended
         self.reset()
 
@@ -132,6 +135,9 @@
             self.declined = value == b"1"
         elif name == b"content-type":
             self.kind = value
+        elif name == b"keep-alive":
+            match = KEPT.search(value)
+            self.promised = float(match[1]) if match else None
         elif name == b"connection":
             self.closing = value.lower() == b"close"
         elif name == b"transfer-encoding":
--- a/brackenusher/upstream/pool.py
+++ b/brackenusher/upstream/pool.py
@@ -1,10 +1,10 @@
-"""The pool: discovery's list as members, and the idle connections to each of them."""
+"""The pool: discovery's list as members, and what is held toward each of them."""
 
-from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
 from barleybarrow import interface as face
+from barleybarrow.connections import Cause, ConnectionSettings, Held, Line, Planner
 from brackenusher.config.platform import Address
 from brackenusher.membership.discovery import Host, Listing
 
@@ -15,23 +15,23 @@
     """An open connection to a member."""
 
     member: "Member"
+    held: Held
 
-    def close(self) -> None: ...
-    def healthy(self) -> bool: ...
+    def close(self, cause: Cause) -> None: ...
 
 
 class Member:
     """A turn server on the list; flows to one that has left it keep theirs."""
 
-    def __init__(self, name: str, address: Address, born_ms: float) -> None:
+    def __init__(self, name: str, address: Address, born_ms: float, line: Line) -> None:
         self.name, self.address, self.born_ms = name, address, born_ms
         self.left_at: float | None = None  # when this proxy was told that it drains or is gone
-        self.idle: deque[Connection] = deque()  # the one that was used last stands last
+        self.line = line  # the connections to its present life
 
     def hang_up(self) -> None:
         """Close the idle connections."""
-        while self.idle:
-            self.idle.pop().close()
+        for held in list(self.line.idle):
+            held.link.close(Cause.LEFT)
 
 
 class Names:
@@ -47,8 +47,24 @@
 class Pool:
     """All members, by name."""
 
-    def __init__(self, settings: face.Settings, clock: Callable[[], float], unix_offset: float) -> None:
+    def __init__(
+        self,
+        settings: face.Settings,
+        clock: Callable[[], float],
+        unix_offset: float,
+        connections: ConnectionSettings | None = None,
+        seed: int = 0,
+        room: int = 1024,
+    ) -> None:
         self.clock, self.unix_offset = clock, unix_offset
+        self.planner = Planner(
+            connections or ConnectionSettings(),
+            room,
+            seed,
+            settings.conn_idle,
+            settings.cold,
+            settings.proxies,
+        )
         self.drain_grace = settings.drain_grace
         self.zones, self.kinds = Names(settings.zones), Names(settings.kinds)
         self.members: dict[str, Member] = {}
@@ -69,12 +85,15 @@
         """Bring one member up to date."""
         member = self.members.get(host.name)
         if member is None:
-            member = self.members[host.name] = Member(host.name, host.address, host.born_ms)
+            member = Member(host.name, host.address, host.born_ms, self.begin(host))
+            self.members[host.name] = member
         if (member.address, member.born_ms) != (host.address, host.born_ms):
-            member.hang_up()  # they lead to a process that is no longer there
+            self.leave(member)  # what is held leads to a process that is no longer there
             member.address, member.born_ms = host.address, host.born_ms
         if host.health == "ready":
             member.left_at = None
+            if member.line.left:
+                member.line = self.begin(host)
         else:
             self.part(member)
             if host.health == "gone":
@@ -91,7 +110,15 @@
     def part(self, member: Member) -> None:
         if member.left_at is None:
             member.left_at = self.clock()
-        member.hang_up()
+        self.leave(member)
+
+    def begin(self, host: Host) -> Line:
+        return self.planner.join(host.name, self.clock(), self.module_time(host.born_ms))
+
+    def leave(self, member: Member) -> None:
+        """Keep nothing toward the member's present life: what is in flight finishes, the rest is closed."""
+        for held in self.planner.leave(member.line):
+            held.link.close(Cause.LEFT)
 
     def module_time(self, born_ms: float) -> float:
         """Unix time on the module's clock; 0, for long ago, stays 0."""
@@ -101,26 +128,15 @@
         """Whether something new may still be written to a member."""
         return member.left_at is None or self.clock() - member.left_at < self.drain_grace
 
-    def lend(self, member: Member) -> Connection | None:
-        """The idle connection that was used last, if there is one that still stands."""
-        while member.idle:
-            connection = member.idle.pop()
-            if connection.healthy():
-                return connection
-            connection.close()
-        return None
-
-    def give_back(self, connection: Connection) -> bool:
-        """Keep a connection for the next flow, unless its member has left."""
-        if connection.member.left_at is not None:
-            return False
-        connection.member.idle.append(connection)
-        return True
+    def lend(self, member: Member, safe: bool) -> Connection | None:
+        """The idle connection to use; None where a new one is to be opened."""
+        held = self.planner.lend(member.line, self.clock(), safe)
+        return held.link if held is not None else None
 
     def spare(self) -> bool:
         """Close an idle connection to make room; False where there is none."""
-        member = max(self.members.values(), key=lambda m: len(m.idle), default=None)
-        if member is None or not member.idle:
+        held = self.planner.spare()
+        if held is None:
             return False
-        member.idle.popleft().close()
+        held.link.close(Cause.ROOM)
         return True
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -211,14 +211,20 @@
 
 
 class FakeConnection:
-    def __init__(self, member, stands=True):
-        self.member, self.closed, self.stands = member, False, stands
+    """Has carried one request; `kept` says whether it was kept for another."""
 
-    def healthy(self):
-        return self.stands
+    def __init__(self, pool, member):
+        self.planner, self.clock, self.member, self.closed = pool.planner, pool.clock, member, False
+        self.held = self.planner.opening(member.line, self, self.clock())
+        self.planner.up(self.held, self.clock())
+        self.kept = self.end()
 
-    def close(self):
+    def end(self):
+        return self.planner.done(self.held, self.clock()) is None
+
+    def close(self, cause):
         self.closed = True
+        self.planner.closed(self.held, self.clock(), cause)
 
 
 class Clock:
@@ -258,13 +264,13 @@
     clock = Clock()
     pool = pool_of(host("a", Server), clock=clock)
     member = pool.members["a"]
-    idle = FakeConnection(member)
-    assert pool.give_back(idle) and pool.may_begin(member)
+    idle, busy = FakeConnection(pool, member), FakeConnection(pool, member)
+    assert idle.kept and pool.lend(member, True) is busy and pool.may_begin(member)
     if how == "left out":
         changes(pool, whole=True)
     else:
         changes(pool, host("a", Server, how))
-    assert idle.closed and not pool.give_back(FakeConnection(member)) and pool.may_begin(member)
+    assert idle.closed and not busy.closed and not busy.end() and pool.may_begin(member)
     clock.now += 400
     changes(pool, *([] if how == "left out" else [host("a", Server, how)]))
     clock.now += 101
@@ -274,22 +280,28 @@
 def test_idle_connections_to_an_earlier_life_are_closed():
     # guards against a reset on a dead connection, for which the module shuns the member for seconds
     pool = pool_of(host("a", Server))
-    idle = FakeConnection(pool.members["a"])
-    pool.give_back(idle)
+    member = pool.members["a"]
+    idle, busy = FakeConnection(pool, member), FakeConnection(pool, member)
+    assert pool.lend(member, True) is busy
     changes(pool, host("a", Server, born_ms=5))
-    assert idle.closed and pool.lend(pool.members["a"]) is None
+    assert idle.closed and not busy.end() and pool.lend(member, True) is None
+
+
+def test_a_member_that_is_ready_again_gets_connections_anew():
+    # guards against a member that was said to drain and came back: nothing was kept for it any more
+    pool = pool_of(host("a", Server))
+    changes(pool, host("a", Server, "draining"))
+    changes(pool, host("a", Server))
+    member = pool.members["a"]
+    assert FakeConnection(pool, member).kept and pool.lend(member, True) is not None
 
 
-def test_the_idle_connection_used_last_is_lent_and_dead_ones_are_passed_over():
+def test_the_idle_connection_used_last_is_lent_and_the_one_idle_longest_makes_room():
     pool = pool_of(host("a", Server))
     member = pool.members["a"]
-    old, dead = FakeConnection(member), FakeConnection(member, stands=False)
-    pool.give_back(old)
-    pool.give_back(dead)
-    assert pool.lend(member) is old and dead.closed and pool.lend(member) is None
-    assert not pool.spare()
-    pool.give_back(old)
-    assert pool.spare() and old.closed
+    old, new = FakeConnection(pool, member), FakeConnection(pool, member)
+    assert pool.lend(member, True) is new and pool.spare() and old.closed
+    assert pool.lend(member, True) is None and not pool.spare()
 
 
 def test_deadlines_are_swept_in_order_and_a_fault_costs_only_itself():
