--- a/barleybarrow/connections.py
+++ b/barleybarrow/connections.py
@@ -238,9 +238,10 @@
             held.state, held.since = State.BUSY, now
             return True
         line.opening -= 1
-        held.state, held.since, held.ahead = State.IDLE, now, False
+        held.state, held.since, held.ahead = State.DONE, now, False
         if line.left:
             return False
+        held.state = State.IDLE
         line.idle.append(held)
         return True
 
--- a/barleybarrow/subsets.py
+++ b/barleybarrow/subsets.py
@@ -43,6 +43,8 @@
             raise ValueError("a subset needs a size from 1 on and a number below that of the proxies")
         self.size, self.index, self.proxies = size, index, proxies
         self.lots = 0  # not known before the first list
+        self.belongs: dict[str, bool] = {}  # of the members of the last list, by the slots and lot of then
+        self.place = (0, 0, 0)
 
     def settle(self, members: int) -> int:
         """The number of lots for a list of so many members: how many connections each is to get."""
@@ -53,10 +55,13 @@
 
     def choose(self, names: Iterable[str]) -> set[str]:
         """Those of a list that this proxy sees."""
-        names = list(names)
+        names = set(names)
         lots = self.settle(len(names))
         slots = math.ceil(self.proxies / lots)
         slot, lot = divmod(self.index, lots)
-        if slots == 1:
-            return set(names)
-        return {name for name in names if jump(digest(name, lot), slots) == slot}
+        known = self.belongs if self.place == (slots, slot, lot) else {}
+        self.place = slots, slot, lot
+        self.belongs = {
+            name: known[name] if name in known else jump(digest(name, lot), slots) == slot for name in names
+        }
+        return {name for name, belongs in self.belongs.items() if belongs}
--- a/brackenusher/cli.py
+++ b/brackenusher/cli.py
@@ -11,7 +11,7 @@
 from barleybarrow.interface import SettingsError
 from barleybarrow.tokens import NoToken, issue
 from brackenusher import __version__
-from brackenusher.config.operators import doubts, load_operator, load_tokens
+from brackenusher.config.operators import doubts, load_operator, load_tokens, read_subset
 from brackenusher.config.platform import ConfigError, load, load_again
 from brackenusher.daemon import Daemon
 from brackenusher.records.replay import replay_capture
@@ -39,6 +39,7 @@
     )
     if options.operator:
         print(f"{options.operator}: on: {', '.join(operator.features) or 'nothing'}")
+    read_subset(operator, config.worded)
     for doubt in doubts(operator, config.settings):
         print(f"{options.operator}: {doubt}")
     return 0
--- a/brackenusher/config/operators.py
+++ b/brackenusher/config/operators.py
@@ -1,7 +1,7 @@
 """The operators' file: which features are on, and their settings, in properties format."""
 
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from ipaddress import ip_address
 from pathlib import Path
@@ -10,6 +10,7 @@
 from barleybarrow import interface as face
 from barleybarrow.connections import ConnectionSettings
 from barleybarrow.door import DoorSettings, Limit
+from barleybarrow.subsets import Subset
 from barleybarrow.tokens import KID, TokenSettings
 from brackenusher.config.platform import Address, ConfigError, read_address
 from brackenusher.records.capture import CaptureSettings
@@ -218,6 +219,20 @@
     return Operator(**{name: settings for name, settings in features.items() if on[name]})
 
 
+def read_subset(operator: Operator, worded: Mapping[str, Any]) -> Subset | None:
+    """The subset of the list that this proxy sees; the platform's settings say which of how many it is."""
+    wanted = operator.connections
+    if wanted is None or not wanted.subset:
+        return None
+    proxies = wanted.subset_proxies or int(worded.get("instances", 1))
+    index = wanted.subset_index if wanted.subset_index >= 0 else int(worded.get("me", -1))
+    if not 0 <= index < proxies:
+        raise ConfigError(
+            f"connections.subset.index: {index} is no number below that of the proxies, {proxies}"
+        )
+    return Subset(wanted.subset, index, proxies)
+
+
 def doubts(operator: Operator, settings: face.Settings) -> list[str]:
     """What the file says that can have no effect: not wrong, as tenants come and go, but maybe a slip."""
     tenants = operator.door.tenants if operator.door and settings.tenants else ()
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -10,7 +10,7 @@
 
 from barleybarrow.brain import Balancer
 from barleybarrow.door import Door
-from brackenusher.config.operators import Operator, doubts
+from brackenusher.config.operators import Operator, doubts, read_subset
 from brackenusher.config.platform import Config, ConfigError
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.core.transaction import Observers, Transactions
@@ -47,7 +47,9 @@
         room = config.sockets - SPARE_SOCKETS - OVERFLOW
         for_clients = int(room * CLIENT_PART)
         offset = time.time() * 1000.0 - clock()
-        self.pool = Pool(settings, clock, offset, operator.connections, config.seed)
+        self.pool = Pool(
+            settings, clock, offset, operator.connections, config.seed, read_subset(operator, config.worded)
+        )
         self.upstream = Upstream(self.loop, self.pool, settings, room - for_clients, buffers)
         began = clock()
         balancer = Balancer(settings, config.seed, began)
@@ -85,6 +87,7 @@
                 self.transactions.open,
                 config.settings,
             )
+            self.figures.also.append(self.upstream.figures)
         looking = [each for each in (self.capture, self.figures) if each]
         self.transactions.observers = Observers(
             handled=(self.capture.handled,) if self.capture else (),
--- a/brackenusher/records/figures.py
+++ b/brackenusher/records/figures.py
@@ -7,7 +7,7 @@
 import os
 import socket
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from barleybarrow import interface as face
@@ -22,6 +22,7 @@
 LONGEST_NAME = 64  # of a tag's value
 NO_TENANT = -1
 Tags = tuple[int, int]  # positions of class and tenant
+Figure = tuple[str, int, str, list[tuple[str, str]]]  # name, value, statsd's kind, tags
 
 
 @dataclass(frozen=True)
@@ -136,6 +137,7 @@
         self.refused: Counter[Tags] = Counter()
         self.seen: dict[Tags, str] = {}  # with their wording
         self.timers: dict[Tags, tuple[str, str]] = {}  # a timer's line before and after its value
+        self.also: list[Callable[[], Iterable[Figure]]] = []  # asked for more at each flush
         self.batch = bytearray()
         self.due = clock() + settings.flush_ms
         self.limit = deadlines.add(self.due, self.tick)
@@ -199,6 +201,9 @@
             self.tags(key)
         for key, tags in self.seen.items():
             self.add(self.form.line("inflight", inflight[key], "g", tags).encode())
+        for source in self.also:
+            for name, count, kind, pairs in source():
+                self.add(self.form.line(name, count, kind, self.form.tags(pairs)).encode())
         self.add(self.form.line("figures_dropped", self.sink.dropped, "g", "").encode())
         self.send()
 
--- a/brackenusher/upstream/connections.py
+++ b/brackenusher/upstream/connections.py
@@ -2,6 +2,7 @@
 
 import logging
 import socket
+from collections import Counter
 from collections.abc import Callable, Generator
 from dataclasses import dataclass
 
@@ -9,6 +10,7 @@
 from barleybarrow.connections import Cause, Held
 from barleybarrow.interface import Outcome
 from barleybarrow.settings import REPORTS
+from brackenusher.core.deadlines import Entry
 from brackenusher.core.transaction import Attempt, Served, Transactions
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import SHORTAGE, open_socket, write
@@ -31,6 +33,7 @@
         self.planner = pool.planner
         self.planner.room = room
         self.ticking = False  # the planner's sweep is due at some time
+        self.told: Counter[tuple[str, str]] = Counter()  # counters as they were told last, by name and cause
         self.owner: Transactions | None = None
         self.watch = lambda: None
 
@@ -39,11 +42,10 @@
         self.place(attempt, self.pool.members[attempt.backend])
 
     def place(self, attempt: "Attempt | Probe", member: Member) -> None:
-        link = self.pool.lend(member, attempt.message.method == b"GET")
-        if link is None:
-            link = self.connect(member)
+        lent = self.pool.lend(member, attempt.message.method == b"GET")
+        link = lent if lent is not None else self.connect(member)
         if isinstance(link, Outcome):
-            attempt.ended(attempt, link, None)
+            attempt.ended(attempt, link, None)  # type: ignore[arg-type]  # each is told of its own kind
         else:
             link.carry(attempt)
 
@@ -80,6 +82,24 @@
         if self.ticking:
             self.loop.deadlines.add(clock() + self.planner.every, self.tick)
 
+    def figures(self) -> list[tuple[str, int, str, list[tuple[str, str]]]]:
+        """What came to be counted since the last call, and how many connections are held."""
+        planner = self.planner
+        counted = {("connections_closed", cause.value): count for cause, count in planner.closes.items()}
+        counted["connections_opened", ""] = planner.opened
+        counted["connections_opened_ahead", ""] = planner.opened_ahead
+        counted["connections_reused", ""] = planner.reused
+        counted["connections_not_opened", ""] = planner.full
+        counted["requests_moved", ""] = planner.rescued
+        news = [
+            (name, count - self.told[name, cause], "c", [("cause", cause)] if cause else [])
+            for (name, cause), count in counted.items()
+            if count > self.told[name, cause]
+        ]
+        self.told = Counter(counted)
+        idle = sum(len(line.idle) for line in planner.active)
+        return [*news, ("connections_held", planner.total, "g", []), ("connections_idle", idle, "g", [])]
+
     def cancel(self, attempt: Attempt) -> None:
         if attempt.carriage is not None:
             attempt.carriage.close(Cause.GIVEN_UP)
@@ -135,7 +155,9 @@
         self.upstream, self.member, self.sock = upstream, member, sock
         self.planner = upstream.planner
         self.attempt: Attempt | Probe | None = None
-        self.limit = self.expiry = self.stall = None
+        self.limit: Entry | None = None
+        self.expiry: Entry | None = None
+        self.stall: Entry | None = None
         self.wrote: float | None = None  # when the present request was written whole
         self.cause = Cause.FAULT
         self.flow = Flow(f"{member.address[0]}:{member.address[1]}".encode())
@@ -180,6 +202,7 @@
         if not self.healthy():
             return self.elsewhere(self.cause)
         attempt, self.reply = self.attempt, None
+        assert attempt is not None
         rest = self.flow.request(attempt.message, attempt.deadline - clock())
         try:
             while rest:
@@ -227,13 +250,14 @@
         On a connection that stood idle this tells nothing of the member, and another is tried at once; each
         such try has one idle connection less, so there is an end to it.
         """
-        planner, held, now = self.planner, self.held, clock()
+        planner, held, now, attempt = self.planner, self.held, clock(), self.attempt
+        assert attempt is not None
         same = (
             held.line is self.member.line and not held.line.left
         )  # it still is the life that the module chose
-        if held.age < 0 or not same or not planner.settings.rescue or now >= self.attempt.deadline:
+        if held.age < 0 or not same or not planner.settings.rescue or now >= attempt.deadline:
             return self.done(Outcome.CONNECT_FAILED, cause=cause)
-        attempt = self.release()
+        self.release()
         self.cause = cause
         planner.rescued += 1
         planner.closed(held, now, cause)  # first, as what comes instead needs its room
@@ -242,7 +266,7 @@
 
     def broken(self) -> bool:
         """The connection ended under a request that was written whole: it may have run."""
-        if not self.flow.begun:
+        if self.wrote is not None and not self.flow.begun:
             self.planner.lost(self.held, clock(), self.wrote, reset=True)
         return self.done(Outcome.RESET, cause=Cause.RESET)
 
@@ -273,7 +297,7 @@
             self.cause = ends
             self.planner.closed(self.held, clock(), ends)
         if attempt is not None:  # none was waiting for a connection opened ahead
-            attempt.ended(attempt, outcome, served)
+            attempt.ended(attempt, outcome, served)  # type: ignore[arg-type]
         return ends is None
 
     def not_connected(self) -> None:
--- a/brackenusher/upstream/pool.py
+++ b/brackenusher/upstream/pool.py
@@ -1,13 +1,16 @@
 """The pool: discovery's list as members, and what is held toward each of them."""
 
 from collections.abc import Callable
-from typing import Protocol
+from dataclasses import replace
+from typing import Any, Protocol
 
 from barleybarrow import interface as face
 from barleybarrow.connections import Cause, ConnectionSettings, Held, Line, Planner
+from barleybarrow.subsets import Subset
 from brackenusher.config.platform import Address
 from brackenusher.membership.discovery import Host, Listing
 
+ROOM = 1024  # connections, until the driver says how many it may hold
 STATES = {"ready": face.State.LIVE, "draining": face.State.DRAINING, "gone": face.State.GONE}
 
 
@@ -17,6 +20,7 @@
     member: "Member"
     held: Held
 
+    def carry(self, attempt: Any) -> None: ...
     def close(self, cause: Cause) -> None: ...
 
 
@@ -54,12 +58,14 @@
         unix_offset: float,
         connections: ConnectionSettings | None = None,
         seed: int = 0,
-        room: int = 1024,
+        subset: Subset | None = None,
     ) -> None:
+        self.subset = subset
+        self.listed: dict[str, Host] = {}  # with a subset, all that is on the list
         self.clock, self.unix_offset = clock, unix_offset
         self.planner = Planner(
             connections or ConnectionSettings(),
-            room,
+            ROOM,
             seed,
             settings.conn_idle,
             settings.cold,
@@ -73,6 +79,8 @@
     def take(self, listing: Listing) -> face.ListChanged:
         """Apply a list, and word it for the module."""
         self.held = True
+        if self.subset is not None:
+            listing = self.narrow(listing, self.subset)
         entries = [self.note(host) for host in listing.hosts if host.health in STATES]
         if listing.whole:
             named = {entry.backend for entry in entries}
@@ -81,6 +89,27 @@
         scope = face.ListScope.COMPLETE if listing.whole else face.ListScope.CHANGES
         return face.ListChanged(scope, entries, listing.seq)
 
+    def narrow(self, listing: Listing, subset: Subset) -> Listing:
+        """What a list comes to for this proxy's subset, which it may change."""
+        if listing.whole:
+            self.listed = {}
+        for host in listing.hosts:
+            if host.health == "gone":
+                self.listed.pop(host.name, None)
+            elif host.health in STATES:
+                self.listed[host.name] = host
+        chosen = subset.choose(self.listed)
+        if listing.whole:
+            return Listing(listing.seq, True, [self.listed[name] for name in self.listed if name in chosen])
+        named = {host.name for host in listing.hosts}
+        hosts = [host for host in listing.hosts if host.name in chosen or host.name in self.members]
+        hosts += [self.listed[name] for name in self.listed if name in chosen - named - set(self.members)]
+        hosts = [host if host.name in chosen else replace(host, health="gone") for host in hosts]
+        out = [name for name in self.members if name not in chosen and name not in named]
+        return Listing(
+            listing.seq, False, hosts + [replace(self.listed[name], health="gone") for name in out]
+        )
+
     def note(self, host: Host) -> face.Entry:
         """Bring one member up to date."""
         member = self.members.get(host.name)
