--- a/barleybarrow/connections.py
+++ b/barleybarrow/connections.py
@@ -16,6 +16,7 @@
     0.6  # of the idle time in the settings: a member may close earlier than it says, and clocks differ
 )
 SPREAD = 0.1  # of an idle limit, by which each connection's own may be shorter: those of one moment part
+SPREAD_AHEAD = 0.5  # the same where those retired are opened again ahead of need: they come back at a pace
 AGE_SPREAD = 0.25  # the same for age and for number of requests, where nothing is lost by being early
 EARLY = 100.0  # milliseconds after an answer: closes up to then are a habit, later ones an idle limit
 EARLY_KEPT, EARLY_SPAN = 64, 30_000.0  # early closes remembered, and for how many milliseconds
@@ -41,6 +42,10 @@
 DOUBT = 2.0  # standard deviations of a Poisson count that are held on top of its mean
 AHEAD_ROOM = 0.75  # of the room, beyond which nothing is opened ahead: requests come first
 SWEEP, SWEEP_AHEAD = 250.0, 50.0  # milliseconds between sweeps, without and with openings ahead
+OPENED_AT_ONCE = 6  # ahead in one sweep: some 0.3 ms of this program's work each, while requests wait
+CLOSED_AT_ONCE = (
+    16  # in one sweep, or a quarter of what is due: nobody waits for it, and what is due is not used
+)
 AGE_PACE = 1 / 16  # of the idle connections that one sweep may retire by age
 LOST_PROCESS = 3  # connections of a member broken at once: its process went, and comes back cold
 
@@ -149,13 +154,16 @@
         self.rng = random.Random(seed)
         self.total = 0
         self.active: dict[Line, None] = {}  # those that hold or lately used something, in a fixed order
-        self.shared: deque[tuple[float, float]] = deque(maxlen=SHARED)  # when, and what was learned
+        self.shared: deque[tuple[float, float, Line]] = deque(
+            maxlen=SHARED
+        )  # when, what was learned, of whom
         self.common = math.inf  # the limit of members that have shown none
         # when, at what age, after how many answers, whose
         self.early: deque[tuple[float, float, int, str]] = deque(maxlen=EARLY_KEPT)
         self.answers, self.rest = 0, 0.0
         self.outlived, self.outlived_before = 0.0, 0.0  # longest idle age good in this span and the last
         self.outlived_at = -math.inf  # when this span began
+        self.swept = -math.inf
         self.closes: Counter[Cause] = Counter()
         self.opened = self.opened_ahead = self.reused = self.rescued = self.full = 0
 
@@ -181,10 +189,9 @@
         limit, rest = self.limit(line), self.resting(line)
         latest = now - rest
         chosen = None
-        if self.settings.ahead and line.held <= self.need(line):
-            oldest = idle[0]  # what the forecast wants is kept young by use
-            if now - oldest.since > limit / 2 and self.usable(oldest, now, limit, safe):
-                chosen = oldest
+        if self.settings.ahead and now - idle[0].since > limit / 4 and line.held <= self.need(line):
+            if self.usable(idle[0], now, limit, safe):
+                chosen = idle[0]  # what the forecast wants is kept young by use
         if chosen is None:
             for held in reversed(idle):
                 if held.since <= latest:
@@ -333,6 +340,7 @@
         due: list[tuple[Held, Cause]] = []
         wanted: list[Line] = []
         self.forget(now)
+        late, self.swept = now - self.swept > 1.5 * self.every, now
         oldest = max(1, int(AGE_PACE * sum(len(line.idle) for line in self.active)))  # that may go by age now
         for line in list(self.active):
             oldest = self.tend(line, now, due, oldest)
@@ -340,7 +348,12 @@
                 wanted.append(line)
             if not line.held and (line.left or not self.settings.ahead or not any(line.peaks)):
                 del self.active[line]
-        return due, wanted[: max(0, int(self.room * AHEAD_ROOM) - self.total)]
+        most = min(OPENED_AT_ONCE, int(self.room * AHEAD_ROOM) - self.total)
+        if late or most <= 0:
+            wanted = []  # whoever is late has no time for what is not needed yet
+        elif len(wanted) > most:
+            wanted = self.rng.sample(wanted, most)
+        return due[: max(CLOSED_AT_ONCE, len(due) // 4)], wanted
 
     def summary(self) -> str:
         """What was opened and why it was closed, in one line for the log."""
@@ -391,36 +404,46 @@
         """The idle age beyond which a connection to a member is not used, for the one with the most luck."""
         if line.limit < math.inf:
             return min(line.limit, self.base)
-        return min(max(self.common, line.good), self.base)
+        return min(max(self.common, line.good, MARGIN * self.longest), self.base)
+
+    @property
+    def longest(self) -> float:
+        """The longest idle time after which a connection was good lately, to whomever it led."""
+        return max(self.outlived, self.outlived_before)
+
+    def least(self, limit: float) -> float:
+        """The shortest that a connection's own limit may be."""
+        return limit * (1 - (SPREAD_AHEAD if self.settings.ahead else SPREAD))
 
-    @staticmethod
-    def own(limit: float, held: Held) -> float:
-        return limit * (1 - SPREAD * held.luck)
+    def own(self, limit: float, held: Held) -> float:
+        """The idle limit of one connection."""
+        least = self.least(limit)
+        return limit - (limit - least) * held.luck if limit < math.inf else limit
 
     def shorten(self, line: Line, now: float, limit: float) -> None:
         """A connection was dead at an age that was held to be good: the next trial waits twice as long."""
-        again = line.limit < math.inf
-        if again:
+        if line.limit < math.inf:
             line.trial_wait = min(2 * line.trial_wait, TRIAL_MOST)
-        self.learned(line, now, min(limit, self.limit(line)), again)
+        self.learned(line, now, min(limit, self.limit(line)))
 
-    def learned(self, line: Line, now: float, limit: float, sure: bool = True) -> None:
+    def learned(self, line: Line, now: float, limit: float) -> None:
         line.limit = max(LEAST_LIMIT, min(limit, self.base))
         line.trial_at = now + line.trial_wait
-        if sure:  # others take it over
-            self.shared.append((now, line.limit))
-            self.settle_common()
+        self.shared.append((now, line.limit, line))
+        self.settle_common()
 
     def settle_common(self) -> None:
-        limits = sorted(limit for _, limit in self.shared)
-        self.common = limits[len(limits) // 2] if len(limits) > 1 else math.inf
+        """What two members have shown holds for those that have shown nothing."""
+        limits = sorted(limit for _, limit, _ in self.shared)
+        several = len({line for *_, line in self.shared}) > 1
+        self.common = limits[len(limits) // 2] if several else math.inf
 
     def forget(self, now: float) -> None:
         """Let go what was learned of all members long ago."""
         if self.early and now - self.early[0][0] > EARLY_SPAN:
             self.early.popleft()
             self.settle_rest()
-        if self.shared and now - self.shared[0][0] > SHARED_SPAN:
+        while self.shared and now - self.shared[0][0] > SHARED_SPAN:
             self.shared.popleft()
             self.settle_common()
         if now - self.outlived_at > EARLY_SPAN / 2:
@@ -445,8 +468,12 @@
     def broke(self, line: Line, now: float, stale: bool = False, gone: bool = False) -> None:
         """Several that break at once tell of a process that went, not of limits; it comes back cold."""
         if not stale and line.undo is not None and now - line.undo[0] <= AT_ONCE:
-            _, line.limit, line.good = line.undo
+            since, line.limit, line.good = line.undo
             line.undo = None
+            mine = [entry for entry in self.shared if entry[2] is line and entry[0] >= since]
+            for entry in mine:
+                self.shared.remove(entry)
+            self.settle_common()
         if not stale:
             line.broken = line.broken + 1 if now - line.broken_at <= AT_ONCE else 1
             line.broken_at = now
@@ -480,7 +507,7 @@
 
     def resting(self, line: Line) -> float:
         """Milliseconds that a connection is left alone after an answer; none where all close so early."""
-        return self.rest if self.rest and max(self.outlived, self.outlived_before) > self.rest else 0.0
+        return self.rest if self.rest and self.longest > self.rest else 0.0
 
     def may_rest(self, line: Line, now: float) -> bool:
         """Whether a new connection may be opened rather than use one that has not rested."""
@@ -496,9 +523,11 @@
     def tend(self, line: Line, now: float, due: list[tuple[Held, Cause]], oldest: int) -> int:
         """Note what of a line is due; returns how many more may go by age."""
         limit, age = self.limit(line), self.settings.age
-        trial = now >= line.trial_at
+        trial, least = now >= line.trial_at, self.least(limit)
         for position, held in enumerate(line.idle):
             idle = now - held.since
+            if idle < least and not age:
+                break  # those behind it are younger
             if idle >= self.own(limit, held):
                 if trial and not position and idle < min(2 * limit, self.base):
                     held.trial = True
