--- a/brackenusher/upstream/flow.py
+++ b/brackenusher/upstream/flow.py
@@ -1,5 +1,6 @@
 """The server-side flow on the wire: one attempt after another on a connection to a pool member."""
 
+import re
 from dataclasses import dataclass
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
@@ -11,6 +12,7 @@
 LONGEST_HEAD = 16 * 1024
 SLACK = 2 * 1024  # bytes of a head beyond those that are counted: spaces, its first line
 LONGEST_STREAM = 8 * LONGEST_BODY  # bytes of a message: a body in chunks of one byte takes six times its own
+KEPT = re.compile(rb"\btimeout=([0-9]{1,6})\b", re.IGNORECASE)  # RFC 2068, 19.7.1.1; servers still send it
 MOST_INTERIM = 16  # answers of the kind 1xx ahead of the final one
 HOP_BY_HOP = frozenset(
     (
@@ -46,6 +48,7 @@
     def __init__(self, authority: bytes) -> None:
         self.authority = authority  # for a request that names no host, as HTTP/1.0 allows
         self.parser = HttpResponseParser(self)
+        self.promised: float | None = None  # for how many seconds the server says it keeps an idle connection
         self.usable = True  # the stream can be trusted to begin the next answer where this one ended
         self.reset()
 
@@ -127,6 +130,9 @@
             self.kind = value
         elif name == b"content-encoding":
             self.coding = value if self.coding is None else self.coding + b", " + value
+        elif name == b"keep-alive":
+            match = KEPT.search(value)
+            self.promised = float(match[1]) if match else None
         elif name == b"connection":
             options = [option.strip(b" \t") for option in value.lower().split(b",")]
             self.closing = self.closing or b"close" in options
--- a/testbed/proxy.py
+++ b/testbed/proxy.py
@@ -5,12 +5,12 @@
 """
 
 import struct
-from collections import deque
 from collections.abc import Sequence
 from math import ceil
 from typing import TYPE_CHECKING, Any
 
 from barleybarrow import interface as face
+from barleybarrow.connections import Cause
 from barleybarrow.interface import Outcome
 from barleybarrow.settings import read_settings
 from brackenusher.core.deadlines import Deadlines
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from testbed.world import Host, Try, World
 
-IDLE_SHARE = 0.6  # of the time after which a server closes an idle connection; as the daemon's driver does
+ROOM = 1 << 30  # connections: descriptors are not counted here
 LOCAL_START = (
     3_600_000.0  # milliseconds on a proxy's clock when the run begins: a start time must not be under 0
 )
@@ -68,10 +68,10 @@
         "load",
         "up",
         "closed",
-        "idle_until",
         "idle_from",
         "fresh",
         "limit",
+        "held",
     )
 
     def __init__(self, proxy: "Proxy", member: Member, host: "Host | None") -> None:
@@ -79,28 +79,28 @@
         self.life = host.life if host is not None else 0
         self.load: Carry | None = None
         self.up, self.closed, self.fresh = False, False, True
-        self.idle_until, self.idle_from = 0.0, 0
+        self.idle_from = 0
         self.limit: Entry | None = None
+        self.held = proxy.pool.planner.opening(member.line, self, proxy.now)
 
-    def close(self) -> None:
+    def close(self, cause: Cause) -> None:
         """Called by the pool too: what is idle is hung up."""
         if not self.closed:
             self.closed = True
-            self.proxy.forget(self)
+            proxy = self.proxy
+            proxy.pool.planner.closed(self.held, proxy.local(proxy.world.now), cause)
+            proxy.forget(self)
 
     def carry(self, load: "Carry") -> None:
         """Take on an attempt."""
         self.load = load
 
-    def healthy(self) -> bool:
-        return not self.closed
-
     def not_connected(self) -> None:
         """A deadline's action: the connect took too long."""
         self.limit = None
         if not self.up and not self.closed:
             carry = self.load
-            self.close()
+            self.close(Cause.REFUSED)
             if carry is not None:
                 self.proxy.failed(carry)
                 carry.end(Outcome.CONNECT_FAILED)
@@ -109,14 +109,26 @@
 class Carry:
     """One attempt on its way: what the daemon's driver holds of it, and what the oracle wants to know."""
 
-    __slots__ = ("proxy", "attempt", "t", "host", "link", "written", "started", "expiry", "job", "over")
+    __slots__ = (
+        "proxy",
+        "attempt",
+        "t",
+        "host",
+        "link",
+        "written",
+        "wrote",
+        "started",
+        "expiry",
+        "job",
+        "over",
+    )
 
     def __init__(
         self, proxy: "Proxy", attempt: Attempt, t: "Try", host: "Host | None", link: Link, started: int
     ) -> None:
         self.proxy, self.attempt, self.t, self.started = proxy, attempt, t, started
         self.host, self.link = host, link  # host: the one that was meant; the link's is the one that listens
-        self.written, self.over = False, False
+        self.written, self.wrote, self.over = False, 0.0, False
         self.expiry: Entry | None = None
         self.job: Job | None = None
 
@@ -142,13 +154,14 @@
         self.expiry = None
         if self.written:
             self.proxy.failed(self)
+            self.proxy.pool.planner.lost(self.link.held, self.proxy.now, self.wrote, reset=False)
         self.end(Outcome.TIMEOUT if self.written else Outcome.NOT_SENT)
         self.give_up()
 
     def give_up(self) -> None:
         """Close the connection under an attempt; the server hears of it one way later."""
         self.link.load = None
-        self.link.close()
+        self.link.close(Cause.GIVEN_UP)
         if self.written:
             self.proxy.world.given_up(self)
 
@@ -188,16 +201,15 @@
         self.settings = read_settings(settings)
         self.deadlines = Deadlines()
         unix_offset = UNIX_START + world.now / 1000.0 - self.now
-        self.pool = Pool(self.settings, self.clock, unix_offset)
-        self.told = Told()
         seed = world.seed * 1_000_003 + number * 1009 + life  # of the module: another one in each life
+        self.pool = Pool(self.settings, self.clock, unix_offset, seed=seed)
+        self.pool.planner.room = ROOM
+        self.told = Told()
         self.balancer = POLICIES[policy](self.settings, seed, self.now, world.sight(self))
         self.transactions = Transactions(self.balancer, self.clock, self.deadlines, self)  # type: ignore[arg-type]
         self.transactions.observers = Observers(handled=(self.note,))
         self.connect_time = self.settings.connect_timeout or 1000.0
-        self.idle_time = self.settings.conn_idle * IDLE_SHARE
-        self.idle: deque[tuple[float, Link]] = deque()  # what fell idle and until when it is kept, by time
-        self.idle_entry: Entry | None = None
+        self.ticking = False  # the planner's sweep is due at some time
         self.links: dict[Link, None] = {}
         self.failures: dict[Host, int] = {}  # when an attempt failed there last, for the oracle
         self.idle_since: int | None = None  # since when servers stood idle for it, for the oracle
@@ -279,8 +291,12 @@
         assert isinstance(wanted, Wanted)  # only `take` brings requests
         t = wanted.t
         member = self.pool.members[attempt.backend]
-        lent = self.pool.lend(member)
+        safe = self.settings.classes[t.op.klass].effect is face.Effect.SAFE
+        lent = self.pool.lend(member, safe)
         link = lent if isinstance(lent, Link) else self.connect(member)
+        if link is None:
+            attempt.ended(attempt, Outcome.NOT_SENT, None)
+            return
         carry = Carry(self, attempt, t, world.names.get(attempt.backend), link, world.now)
         attempt.carriage = carry
         link.carry(carry)
@@ -292,9 +308,17 @@
         if link.up:
             self.write(carry)
 
-    def connect(self, member: Member) -> Link:
-        """Open a connection. A partition is silent, a machine without a process refuses."""
-        world = self.world
+    def connect(self, member: Member) -> Link | None:
+        """Open a connection, None where the planner says that there is none to be had.
+
+        A partition is silent, a machine without a process refuses.
+        """
+        world, planner = self.world, self.pool.planner
+        if member.line.left or not planner.may_open(member.line, self.now):
+            return None
+        if not self.ticking:
+            self.ticking = True
+            self.deadlines.add(self.now + planner.every, self.tick)
         host = world.addresses.get(member.address)
         link = Link(self, member, host)
         self.links[link] = None
@@ -318,6 +342,7 @@
         link.up = True
         self.deadlines.remove(link.limit)
         link.limit = None
+        self.pool.planner.up(link.held, self.now)
         if link.load is not None:
             self.write(link.load)
         self.rest()
@@ -328,7 +353,7 @@
             return
         self.enter()
         carry = link.load
-        link.close()
+        link.close(Cause.REFUSED)
         if carry is not None:
             self.failed(carry)
             carry.end(Outcome.CONNECT_FAILED)
@@ -340,9 +365,9 @@
         if not self.pool.may_begin(link.member):
             carry.end(Outcome.CONNECT_FAILED)
             link.load = None
-            link.close()
+            link.close(Cause.LEFT)
             return
-        carry.written = True
+        carry.written, carry.wrote = True, self.now
         world = self.world
         world.oracle.written(world.now, carry)
         host = link.host
@@ -358,34 +383,25 @@
         if outcome is not Outcome.SERVED:
             self.failed(carry)
         link.load = None
-        if not link.closed and self.pool.give_back(link):
-            self.keep(link)
-        else:
-            link.close()
+        if not link.closed:
+            planner = self.pool.planner
+            planner.answered(link.held, self.now)
+            ends = planner.done(link.held, self.now)
+            if ends is None:
+                link.idle_from, link.fresh = self.world.now, False
+            else:
+                link.close(ends)
         carry.end(outcome, Served(Made(carry)) if outcome is Outcome.SERVED else None)
         self.rest()
 
-    def keep(self, link: Link) -> None:
-        """An idle connection is kept for a while."""
-        link.idle_from, link.fresh = self.world.now, False
-        if self.idle_time > 0:
-            link.idle_until = self.now + self.idle_time
-            self.idle.append((link.idle_until, link))
-            if self.idle_entry is None:
-                self.idle_entry = self.deadlines.add(link.idle_until, self.tidy)
-
-    def tidy(self) -> None:
-        """A deadline's action: close what stood idle for too long."""
-        self.idle_entry = None
-        idle = self.idle
-        while idle and (idle[0][0] <= self.now or idle[0][1].closed):
-            until, link = idle.popleft()
-            if link.load is None and not link.closed and link.idle_until <= until:
-                if link in link.member.idle:
-                    link.member.idle.remove(link)
-                link.close()
-        if idle:
-            self.idle_entry = self.deadlines.add(idle[0][0], self.tidy)
+    def tick(self) -> None:
+        """A deadline's action: close what is due, as the planner says. It opens nothing ahead here."""
+        planner = self.pool.planner
+        for held, cause in planner.sweep(self.now)[0]:
+            held.link.close(cause)
+        self.ticking = bool(planner.active)
+        if self.ticking:
+            self.deadlines.add(self.now + planner.every, self.tick)
 
     def reset(self, link: Link) -> None:
         """The connection breaks."""
@@ -394,9 +410,14 @@
         self.enter()
         carry = link.load
         link.load = None
-        if link in link.member.idle:
-            link.member.idle.remove(link)
-        link.close()
+        if carry is None:
+            cause = Cause.ENDED
+        elif carry.written:
+            cause = Cause.RESET
+            self.pool.planner.lost(link.held, self.now, carry.wrote, reset=True)
+        else:
+            cause = Cause.REFUSED
+        link.close(cause)
         if carry is not None:
             self.failed(carry)
             carry.end(Outcome.RESET if carry.written else Outcome.CONNECT_FAILED)
--- a/testbed/world.py
+++ b/testbed/world.py
@@ -18,6 +18,7 @@
 import numpy as np
 
 from barleybarrow import interface as face
+from barleybarrow.connections import Cause
 from barleybarrow.interface import Outcome
 from brackenusher.core.transaction import Answer, Refused, Served, Transaction
 from brackenusher.upstream.listing import Host as Listed
@@ -747,9 +748,7 @@
         links, host.links = list(host.links), {}
         for link in links:
             if link.load is None and link.up:
-                if link in link.member.idle:
-                    link.member.idle.remove(link)
-                link.close()
+                link.close(Cause.ENDED)
             elif not self.cut(link.proxy, host):
                 self.at(self.now + self.network.delay(host.zone, link.proxy.zone), link.proxy.reset, link)
         host.wake = None
