--- a/brackenusher/upstream/connections.py
+++ b/brackenusher/upstream/connections.py
@@ -5,17 +5,19 @@
 from collections import Counter
 from collections.abc import Callable, Generator
 from dataclasses import dataclass
+from typing import Any
 
 from barleybarrow import interface as face
 from barleybarrow.connections import Cause, Held
 from barleybarrow.interface import Outcome
 from barleybarrow.settings import REPORTS
-from brackenusher.core.deadlines import Entry
+from brackenusher.core.message import Message
 from brackenusher.core.transaction import Attempt, Served, Transactions
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import SHORTAGE, open_socket, write
 from brackenusher.runtime.loop import READ, WRITE, Coroutine, Loop, clock
-from brackenusher.upstream.flow import Flow, Message, Reply
+from brackenusher.runtime.timers import Entry
+from brackenusher.upstream.flow import Flow, Reply
 from brackenusher.upstream.pool import Member, Pool
 
 log = logging.getLogger(__name__)
@@ -34,7 +36,7 @@
         self.planner.room = room
         self.ticking = False  # the planner's sweep is due at some time
         self.told: Counter[tuple[str, str]] = Counter()  # counters as they were told last, by name and cause
-        self.owner: Transactions | None = None
+        self.owner: Transactions  # set by who makes the transactions, which need this first
         self.watch = lambda: None
 
     def start(self, attempt: "Attempt | Probe") -> None:
@@ -45,7 +47,7 @@
         lent = self.pool.lend(member, attempt.message.method == b"GET")
         link = lent if lent is not None else self.connect(member)
         if isinstance(link, Outcome):
-            attempt.ended(attempt, link, None)  # type: ignore[arg-type]  # each is told of its own kind
+            attempt.ended(attempt, link, None)
         else:
             link.carry(attempt)
 
@@ -129,7 +131,7 @@
     message: Message
     sent_at: float
     deadline: float
-    ended: Callable[["Probe", Outcome, Served | None], None]
+    ended: Callable[[Any, Outcome, Served | None], None]  # as an attempt's
     carriage: "ServerLink | None" = None
 
 
@@ -297,7 +299,7 @@
             self.cause = ends
             self.planner.closed(self.held, clock(), ends)
         if attempt is not None:  # none was waiting for a connection opened ahead
-            attempt.ended(attempt, outcome, served)  # type: ignore[arg-type]
+            attempt.ended(attempt, outcome, served)
         return ends is None
 
     def not_connected(self) -> None:
--- a/brackenusher/upstream/pool.py
+++ b/brackenusher/upstream/pool.py
@@ -7,8 +7,8 @@
 from barleybarrow import interface as face
 from barleybarrow.connections import Cause, ConnectionSettings, Held, Line, Planner
 from barleybarrow.subsets import Subset
-from brackenusher.config.platform import Address
-from brackenusher.membership.discovery import Host, Listing
+from brackenusher.runtime.driver import Address
+from brackenusher.upstream.listing import Host, Listing
 
 ROOM = 1024  # connections, until the driver says how many it may hold
 STATES = {"ready": face.State.LIVE, "draining": face.State.DRAINING, "gone": face.State.GONE}
