--- a/brackenusher/fronts/http.py
+++ b/brackenusher/fronts/http.py
@@ -145,14 +145,18 @@
     headers = ((b"retry-after", seconds(verdict.retry_after)),)
     if verdict.bar is Bar.DOOR:
         return Rejection(429, "over the limit", headers)
-    return Rejection(503, "refused", headers, fatal=True)  # the connection's descriptor is needed
+    # at the end of the program the connection may serve on, else its descriptor is needed
+    return Rejection(503, "refused", headers, fatal=verdict.bar is Bar.ROOM)
 
 
 def final(answer: Answer) -> tuple[int, bytes, Headers]:
     """Status, body and headers of a final answer."""
     if isinstance(answer, Served):
         kind = answer.content.kind or b"application/octet-stream"
-        return 200, answer.content.body, ((b"content-type", kind),)
+        headers: Headers = ((b"content-type", kind),)
+        if answer.content.coding:
+            headers += ((b"content-encoding", answer.content.coding),)
+        return 200, answer.content.body, headers
     if isinstance(answer, Refused):
         return 503, b"refused\n", ((b"retry-after", seconds(answer.retry_after)),)
     return 502, b"failed\n", ()
