--- a/testbed/report.py
+++ b/testbed/report.py
@@ -16,7 +16,7 @@
 from matplotlib.colors import PowerNorm
 from matplotlib.figure import Figure
 
-from testbed.results import Acted, Result
+from testbed.results import Acted, Result, histogram
 
 # Okabe and Ito's palette: told apart by colour-blind readers too; the module is black.
 COLOURS = ["#0072b2", "#d55e00", "#009e73", "#cc79a7", "#56b4e9", "#e69f00", "#999933"]
@@ -33,7 +33,8 @@
 th:first-child,td:first-child{text-align:left}th{background:#f4f4f4}
 td.text,th.text{text-align:left}code{font-size:.85em}
 .bad{color:#b00020;font-weight:600}figure{margin:.8em 0}figcaption{font-size:.88em;color:#555}
-img{max-width:100%;height:auto}.pair{display:flex;gap:12px;flex-wrap:wrap}
+img{width:100%;height:auto}.pair{display:flex;gap:12px}.pair figure{flex:1}
+details{margin:.6em 0}summary{cursor:pointer;color:#0050a0}
 """
 
 
@@ -46,7 +47,8 @@
         '<html lang="en"><meta charset="utf-8"><title>Testbed report</title>',
         f"<style>{STYLE}</style><h1>Testbed report</h1>",
         f"<p>{len(runs)} runs of {len(names)} scenarios. Goodput is the worth answered within the aim over "
-        "the worth asked for. Times are virtual. Of several seeds, plots over time show the first.</p>",
+        "the worth asked for. Times are virtual. Of several seeds, plots over time show the first, and bars "
+        "have a whisker from the least to the most.</p>",
     ]
     if len(names) > 1:
         parts.append(overview(runs, names))
@@ -81,7 +83,9 @@
         draw = lambda a: bars(a, runs, tenants, "tenant", colours)  # noqa: E731
         parts.append(plot(WIDE, 2.8, draw, "Goodput by tenant, mean of the seeds"))
     parts.append(over_time(firsts, colours))
-    parts += [servers(r) for r in firsts[:MAPS] if r.series.in_flight]
+    seen = [r for r in firsts[:MAPS] if r.series.in_flight]
+    top = max([1.0] + [max(map(max, r.series.in_flight.values())) for r in seen])
+    parts += [servers(r, top) for r in seen]
     parts += [troubles(r) for r in firsts[:1]]
     parts += [breaches(r) for r in runs if r.breaches]
     return "\n".join(parts)
@@ -104,38 +108,42 @@
 
 
 def figures(runs: Sequence[Result]) -> str:
-    head = [
-        "policy",
-        "seed",
-        "goodput",
-        "p50 ms",
-        "p99 ms",
-        "asked",
-        "refused",
-        "failed",
-        "attempts a request",
-    ]
-    head += ["work wasted", "breaches", "digest"]
-    rows = []
-    for r in runs:
-        broken = len(r.breaches) + r.breaches_dropped
-        rows.append(
-            [
-                escape(r.policy),
-                r.seed,
-                f"{r.goodput():.4f}",
-                f"{r.percentile(0.5):.0f}",
-                f"{r.percentile(0.99):.0f}",
-                f"{r.total('asked'):.0f}",
-                f"{r.total('refused'):.0f}",
-                f"{r.total('failed'):.0f}",
-                f"{r.attempts_a_request():.3f}",
-                f"{r.wasted():.3f}",
-                f'<span class="bad">{broken}</span>' if broken else "0",
-                f"<code>{escape(r.digest[:12])}</code>",
-            ]
-        )
-    return table(head, rows)
+    """A line a policy, means over its seeds; and each run by itself, folded away where there are several."""
+    head = ["goodput", "p50 ms", "p99 ms", "asked", "refused", "failed", "attempts a request", "work wasted"]
+    means, each = [], []
+    for policy in dict.fromkeys(r.policy for r in runs):
+        of = [r for r in runs if r.policy == policy]
+        lines = [
+            (
+                r.goodput(),
+                r.percentile(0.5),
+                r.percentile(0.99),
+                r.total("asked"),
+                r.total("refused"),
+                r.total("failed"),
+                r.attempts_a_request(),
+                r.wasted(),
+            )
+            for r in of
+        ]
+        broken = [len(r.breaches) + r.breaches_dropped for r in of]
+        mean = [fmean(column) for column in zip(*lines, strict=True)]
+        means.append([escape(policy), len(of), *worded(mean), counted(sum(broken))])
+        for r, line, count in zip(of, lines, broken, strict=True):
+            digest = f"<code>{escape(r.digest[:12])}</code>"
+            each.append([escape(policy), r.seed, *worded(line), counted(count), digest])
+    first = table(["policy", "runs", *head, "breaches"], means)
+    all_ = table(["policy", "seed", *head, "breaches", "digest"], each)
+    return f"{first}<details{' open' if len(runs) <= 8 else ''}><summary>each run</summary>{all_}</details>"
+
+
+def worded(line: Sequence[float]) -> list[str]:
+    formats = [".4f", ".0f", ".0f", ".0f", ".0f", ".0f", ".3f", ".3f"]
+    return [format(value, how) for value, how in zip(line, formats, strict=True)]
+
+
+def counted(breaches: int) -> str:
+    return f'<span class="bad">{breaches}</span>' if breaches else "0"
 
 
 def plot(wide: float, high: float, draw: Callable[[Axes], None], caption: str) -> str:
@@ -187,16 +195,16 @@
 
 
 def tails(axes: Axes, runs: Sequence[Result], colours: dict[str, str]) -> None:
-    """Latency by percentile, the axis stretched toward 100%; mean of the seeds."""
+    """Latency by percentile, the axis stretched toward 100%; all seeds together."""
     for policy, tint in colours.items():
-        of = []
+        whole = histogram()
         for r in runs:
-            whole = r.latency()
-            if r.policy == policy and whole.total_count:
-                of.append([whole.get_value_at_percentile(100.0 * float(share)) / 1000.0 for share in SHARES])
-        if not of:
+            if r.policy == policy:
+                whole.add(r.latency())
+        if not whole.total_count:
             continue
-        axes.plot(1 / (1 - SHARES), np.mean(of, axis=0), color=tint, label=policy, linewidth=1.4)
+        of = [whole.get_value_at_percentile(100.0 * float(share)) / 1000.0 for share in SHARES]
+        axes.plot(1 / (1 - SHARES), of, color=tint, label=policy, linewidth=1.4)
     axes.set_xscale("log")
     axes.set_yscale("log")
     axes.set_xticks([1, 2, 10, 100, 1000], ["0", "50", "90", "99", "99.9"])
@@ -262,7 +270,7 @@
     axes.spines[["top", "right"]].set_visible(False)
 
 
-def servers(r: Result) -> str:
+def servers(r: Result, top: float) -> str:
     """What each server held, second by second; by quantile where there are too many for a row each."""
     held = r.series.in_flight
     grid = np.array(list(held.values()), dtype=float)
@@ -274,10 +282,10 @@
             for n, (name, values) in enumerate(held.items()):
                 axes.plot(np.arange(len(values)) + 1.0, values, color=COLOURS[n % len(COLOURS)], label=name)
             axes.set_ylabel("in flight")
+            axes.set_ylim(0, top * 1.05)
             plain(axes)
             axes.legend(fontsize=7, frameon=False, ncols=5, loc="lower center", bbox_to_anchor=(0.5, 1.0))
         else:
-            top = max(float(np.nanmax(grid)), 1.0)
             image = axes.imshow(
                 grid,
                 aspect="auto",
