--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -12,6 +12,7 @@
 from brackenusher.fronts.http1.virtual_server import VirtualServer
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import SHORTAGE, Address, write
+from brackenusher.runtime.log import say
 from brackenusher.runtime.loop import HANGUP, READ, WRITE, Coroutine, Loop, Task, clock
 from brackenusher.runtime.timers import Entry
 from brackenusher.upstream.pool import Pool
@@ -43,7 +44,7 @@
     try:
         sock.setsockopt(socket.SOL_SOCKET, ATTACH_FILTER, struct.pack("HP", 1, program.buffer_info()[0]))
     except OSError as error:  # not every kernel has filters; the gap is some microseconds then
-        log.info("the listener takes no filter: %s", error)
+        say(log, logging.INFO, "no_filter", "the listener takes no filter: %(why)s", why=error)
 
 
 class Clients:
@@ -109,7 +110,7 @@
                     raise
                 if clock() >= self.warned_at + WARN_AGAIN:
                     self.warned_at = clock()
-                    log.warning("accept: %s", error)
+                    say(log, logging.WARNING, "accept_failed", "accept: %(why)s", why=error)
                 return self.spare()
             if len(self.links) >= self.room:
                 self.spare()  # only now: there may have been nobody to make room for
@@ -254,7 +255,8 @@
         """Have a request answered; no bytes if the client left before."""
         clients = self.clients
         request.address, request.beyond, self.answer = self.address, self.beyond, None
-        request.free = len(clients.kept)
+        fresh = self.place is clients.silent  # a first request shows that new connections come still
+        request.free = None if fresh else len(clients.kept)
         taken = clients.admission.admit(request, self.reply)
         if isinstance(taken, Verdict):
             return self.machine.reject(worded(taken), self.closing)
--- a/brackenusher/fronts/http1/virtual_server.py
+++ b/brackenusher/fronts/http1/virtual_server.py
@@ -1,6 +1,5 @@
 """The virtual server: the clients' side of HTTP, one state machine for each connection."""
 
-import re
 from collections import deque
 from collections.abc import Callable, Sequence, Set
 from dataclasses import replace
@@ -11,11 +10,10 @@
 from brackenusher.core.admission import Request
 from brackenusher.core.message import LONGEST_BODY, Message
 from brackenusher.core.transaction import Answer
-from brackenusher.fronts.http import REASONS, Fields, Front, Rejection, final
+from brackenusher.fronts.http import AUTHORITY, REASONS, Fields, Front, Headers, Rejection, final
 from brackenusher.upstream.flow import LONGEST_HEAD, LONGEST_STREAM, SLACK, Spoilt
 
 MOST_AHEAD = 16  # requests that a client may send ahead of the answer it waits for
-AUTHORITY = re.compile(rb"(?:\[[0-9A-Fa-f:.]+\]|[-A-Za-z0-9._~!$&'()*+,;=%]+)(?::[0-9]*)?\Z")  # no userinfo
 USUAL = frozenset((b"keep-alive", b"close"))  # options of Connection that name no header
 
 
@@ -57,7 +55,7 @@
     if target[:1] == b"/":
         return target, headers
     scheme, _, rest = target.partition(b"://")
-    authority = re.split(rb"[/?]", rest, maxsplit=1)[0]
+    authority = rest.partition(b"/")[0].partition(b"?")[0]
     if scheme.lower() != b"http" or not AUTHORITY.match(authority):
         return Rejection(400, "the target's form is not served here")
     path = rest[len(authority) :]
@@ -157,20 +155,20 @@
     def on_headers_complete(self) -> None:
         self.in_body = True
         self.method, self.version = self.parser.get_method(), self.parser.get_http_version()
+        if self.method == b"CONNECT":  # what comes after it may be in any language
+            allow: Headers = ((b"allow", b"GET, POST"),)
+            self.spoilt(Rejection(405, "no tunnels are made here", allow, fatal=True))
         fields = self.front.fields(self.headers)
         if isinstance(fields, Rejection):
             self.spoilt(fields)
         rejection = judge(fields, self.version)
-        if self.method == b"CONNECT":  # what comes after it may be in any language
-            allow = ((b"allow", b"GET, POST"),)
-            rejection = Rejection(405, "no tunnels are made here", allow, fatal=True)
         if rejection is not None:
             self.spoilt(rejection)
+        self.fields = fields
         if names := nominated(self.headers, fields):
             if not self.front.once.isdisjoint(names):
                 self.spoilt(Rejection(400, "Connection names a header of more than one hop", fatal=True))
             self.headers = [header for header in self.headers if header[0] not in names]
-        self.fields = fields
 
     def on_body(self, part: bytes) -> None:
         self.body += part
