World: a probe tells a server's latency at its present load, not 0

Prequal chooses the fastest of the cold by the latency that probes report; the world reported 0 for all, so it took the first.

--- a/testbed/proxy.py
+++ b/testbed/proxy.py
@@ -109,7 +109,20 @@
 class Carry:
     """One attempt on its way: what the daemon's driver holds of it, and what the oracle wants to know."""
 
-    __slots__ = ("proxy", "attempt", "t", "host", "link", "written", "started", "expiry", "job", "over")
+    __slots__ = (
+        "proxy",
+        "attempt",
+        "t",
+        "host",
+        "link",
+        "written",
+        "started",
+        "expiry",
+        "job",
+        "over",
+        "crowd",
+        "reached",
+    )
 
     def __init__(
         self, proxy: "Proxy", attempt: Attempt, t: "Try", host: "Host | None", link: Link, started: int
@@ -117,6 +130,7 @@
         self.proxy, self.attempt, self.t, self.started = proxy, attempt, t, started
         self.host, self.link = host, link  # host: the one that was meant; the link's is the one that listens
         self.written, self.over = False, False
+        self.crowd = self.reached = 0  # held there when it came, and when; where reports tell of latency
         self.expiry: Entry | None = None
         self.job: Job | None = None
 
--- a/testbed/world.py
+++ b/testbed/world.py
@@ -9,6 +9,7 @@
 import resource
 import time
 from array import array
+from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from hashlib import blake2b
@@ -33,6 +34,7 @@
 
 SECOND = 1_000_000  # microseconds
 NEVER = 1 << 62
+RECENT, NEAREST = 64, 9  # answers that a server's report of its latency knows of, and is the median of
 MOST_BREACHES = 100  # kept of one run; the rest is counted
 FRONT_NOTICE = 2 * SECOND  # until the front knows that a proxy has died
 LOST_WATCH = SECOND  # after which a call to a discovery that is silent has failed
@@ -83,6 +85,7 @@
         "errors",
         "leaves",
         "careful_until",
+        "recent",
     )
 
     def __init__(self, name: str, place: Place, server: model.Server) -> None:
@@ -97,6 +100,7 @@
         self.slows: list[float] = []
         self.errors: list[float] = []
         self.hangs = 0
+        self.recent: deque[tuple[int, int]] | None = None  # held at arrival, and how long it took
         self.leaves = 0  # drains that were begun: the process ends with the last one
         self.careful_until = 0  # until when proxies must take it for cold, whatever it is
 
@@ -277,6 +281,7 @@
         self.safe = [c.effect == "safe" for c in scenario.classes]
         self.groups = [c.group for c in scenario.classes]
         self.spreads = [c.attempt_noise for c in scenario.classes]
+        self.reports = bool(scenario.rules.probe_reports)
         self.series = Series()
         self.seconds_of = SecondBySecond(scenario)
         self.registry = Registry()
@@ -535,6 +540,8 @@
         )
         if server.cold_until:
             self.oracle.reached(now, carry, host, work)
+        if self.reports:
+            carry.crowd, carry.reached = server.held(), now
         if not server.arrive(now, job):
             if not server.up:
                 self.crash_host(host)  # pushed over: it stays down
@@ -565,6 +572,10 @@
         self.trace += RECORD.pack(
             now, carry.proxy.number, DONE, carry.t.number, place.index, float(job.outcome)
         )
+        if self.reports and job.outcome == model.SERVED:
+            if host.recent is None:
+                host.recent = deque(maxlen=RECENT)
+            host.recent.append((carry.crowd, now - carry.reached))
         if carry.over or carry.link.closed or self.cut(carry.proxy, host):
             return
         if place.lost and self.chance() < max(place.lost):
@@ -621,6 +632,16 @@
         back = self.now + self.network.delay(host.zone, proxy.zone)
         self.at(back, self.probe_back, (proxy, host, backend, outcome, sent))
 
+    def usual(self, host: Host) -> float:
+        """What a server says of its latency, in milliseconds: the median of late answers to requests that
+        found about as many there as one would find now (as Prequal has it, NSDI 2024)."""
+        held = host.server.held()
+        near = sorted(host.recent or (), key=lambda answer: abs(answer[0] - held))[:NEAREST]
+        if not near:
+            pace = host.server.one_core(self.now)
+            return self.scenario.mean_work() / pace if pace else 0.0
+        return sorted(span for _, span in near)[len(near) // 2] / 1000.0
+
     def probe_back(self, what: tuple[Proxy, Host | None, str, Outcome, int]) -> None:
         proxy, host, backend, outcome, sent = what
         report = None
@@ -631,7 +652,7 @@
                 "inflight": float(held),
                 "queue": float(waits),
                 "util": min(1.0, len(server.working) / server.spec.cores),
-                "latency": 0.0,
+                "latency": self.usual(host),
                 "rate": 0.0,
                 "errors": 0.0,
             }
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -8,6 +8,7 @@
 from barleybarrow import interface as face
 from barleybarrow.interface import Effect, Entry, ListScope, Outcome, State
 from testbed.policies import BOUND, POLICIES
+from testbed.scenario import parse
 
 RIVALS = [name for name in POLICIES if name != "module"]
 
@@ -213,3 +214,28 @@
     assert not only(ask(policy, 2, 11.0), face.Send)
     sight.cores = 1
     assert only(policy.handle(30.0, face.TimerDue(0)), face.Send)[0].backend == "s2"
+
+
+def test_in_the_world_probes_tell_of_load_and_of_a_slow_server(monkeypatch):
+    from testbed.policies import rivals
+    from testbed.world import run
+
+    text = """
+        name = "told"
+        seconds = 4.0
+        servers = 4
+        rules = { probing = true, probe_reports = ["inflight", "latency"] }
+        faults = [{ kind = "slow", servers = [0], size = 5.0, lasts = 9000.0 }]
+    """
+    told, probed = {}, rivals.Prequal.probed
+
+    def note(self, event):
+        told.setdefault(event.backend, []).append(event.report["latency"])
+        probed(self, event)
+
+    monkeypatch.setattr(rivals.Prequal, "probed", note)
+    result = run(parse(text), 1, policy="prequal")
+    middle = {name: sorted(seen)[len(seen) // 2] for name, seen in told.items()}
+    slow = middle.pop(min(middle))
+    assert result.probes > 100 and len(middle) == 3
+    assert slow > 2 * max(middle.values()) > 0
