--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -1,6 +1,7 @@
 """Scenarios are checked, differences are what the textbook says, and the page stands by itself."""
 
 import re
+import runpy
 
 import msgspec
 import pytest
@@ -213,3 +214,29 @@
     assert [(r.policy, r.seed) for r in together] == [(j.policy, j.seed) for j in jobs]
     assert [r.digest for r in together] == [r.digest for r in alone]
     assert len({r.digest for r in alone}) == 4
+
+
+def test_the_benchmark_shows_losses_and_fails_where_the_module_is_beaten(tmp_path, capsys):
+    policies = runpy.run_path(str(DOCS.parent / "benchmarks" / "policies.py"))["main"]
+    page = tmp_path / "page.md"
+    page.write_text("before\n<!-- policies: begin -->\nold\n<!-- policies: end -->\nafter\n")
+
+    def code(**goodput):
+        runs = [
+            made_up(policy, seed, share + 0.002 * seed + (0.001 * (seed % 2) if policy == "least" else 0.0))
+            for policy, share in goodput.items()
+            for seed in (1, 2, 3, 4)
+        ]
+        results.save(runs, tmp_path / "runs.json")
+        return policies(["--from", str(tmp_path / "runs.json"), "--write", str(page)])
+
+    assert code(module=0.8, least=0.83, all_knowing=0.95) == 1
+    told = capsys.readouterr().out
+    assert "made-up: least leads by 0.03" in told and "the upper bound is 0.150" in told
+    text = page.read_text()
+    assert text.startswith("before\n") and text.endswith("after\n") and "old" not in text
+    assert "0.835 (+0.030" in text and "| made-up | 0.805 |" in text
+    assert code(module=0.8, least=0.805, all_knowing=0.85) == 0  # beyond noise, yet of no use
+    assert "beyond noise" in capsys.readouterr().out
+    assert code(module=0.9, least=0.7) == 0
+    assert "nothing beyond noise" in capsys.readouterr().out
