--- a/testbed/proxy.py
+++ b/testbed/proxy.py
@@ -121,6 +121,8 @@
         "expiry",
         "job",
         "over",
+        "crowd",
+        "reached",
     )
 
     def __init__(
@@ -129,6 +131,7 @@
         self.proxy, self.attempt, self.t, self.started = proxy, attempt, t, started
         self.host, self.link = host, link  # host: the one that was meant; the link's is the one that listens
         self.written, self.wrote, self.over = False, 0.0, False
+        self.crowd = self.reached = 0  # held there when it came, and when; where reports tell of latency
         self.expiry: Entry | None = None
         self.job: Job | None = None
 
