--- a/brackenusher/config/platform.py
+++ b/brackenusher/config/platform.py
@@ -30,6 +30,7 @@
     known: dict[str, Any]
     settings: face.Settings
     worded: dict[str, Any]  # the settings as the operators word them
+    cores: float = 1.0  # the part of a core that the program may use
 
 
 def read_address(text: Any, what: str) -> Address:
@@ -76,6 +77,9 @@
     sockets = int(conf.get("limits", {}).get("sockets", 1024))
     if sockets < LEAST_SOCKETS:
         raise ConfigError(f"limits: {sockets} sockets are too few, {LEAST_SOCKETS} are needed")
+    cores = float(conf.get("limits", {}).get("cores", 1.0))
+    if not cores > 0:
+        raise ConfigError(f"limits: {cores} cores are too few")
     known = conf.get("known") or {}
     if not isinstance(known, dict):
         raise ConfigError("known: an object expected")
@@ -88,4 +92,5 @@
         known=known,
         settings=settings,
         worded=conf["settings"],
+        cores=cores,
     )
--- a/testbed/world.py
+++ b/testbed/world.py
@@ -198,6 +198,16 @@
         host = self.host(server)
         return host is not None and host.server.serving() and not self.world.cut(self.proxy, host)
 
+    def idle(self, server: str) -> int:
+        host = self.host(server)
+        if host is None or not host.server.serving():
+            return 0
+        return max(0, host.server.spec.cores - host.server.held())
+
+    def fails(self, server: str) -> float:
+        host = self.host(server)
+        return host.server.quick_errors if host is not None else 0.0
+
     def free(self, server: str) -> int:
         host = self.host(server)
         return host.server.free() if host is not None else 0
@@ -296,8 +306,10 @@
         ]
         self.proxies: list[Proxy] = []
         self.down_since: dict[int, int] = {}
+        zones = len(scenario.zones)
+        self.settings = [config.settings(scenario, zone) for zone in range(zones)]  # by zone alone
         for number in range(scenario.proxies):
-            self.proxies.append(Proxy(self, number, 0, config.settings(scenario, number), policy, first))
+            self.proxies.append(Proxy(self, number, 0, self.settings[number % zones], policy, first))
         for occurrence in self.occurrences:
             step = int(occurrence.fault.stagger_ms * 1000.0)
             for i, target in enumerate(occurrence.targets()):
@@ -908,7 +920,7 @@
         agent = self.agents[proxy]
         agent.watched = self.scenario.discovery.mode == "push"
         listing = self.registry.whole(agent.known)  # as it was last held, which may be old
-        settings = config.settings(self.scenario, proxy)
+        settings = self.settings[proxy % len(self.settings)]
         self.proxies[proxy] = Proxy(self, proxy, old.life + 1, settings, self.policy, listing)
         if agent.known < self.registry.seq:
             self.will_tell(proxy, agent)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -89,6 +89,7 @@
         ("brackenusher.records.x", "from ..fronts.http1 import clients"),
         ("brackenusher.fronts.rpc.x", "from brackenusher.fronts.http1.clients import Clients"),
         ("brackenusher.fronts.x", "import testbed"),
+        ("brackenusher.cli", "from testbed.sockets import demo"),
         ("barleybarrow.x", "from time import monotonic"),
         ("barleybarrow.x", "import brackenusher"),
     ],
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -62,16 +62,22 @@
     for form in ("", "text"):
         rests = [re.sub(line, "", text) for text in logged[form]]
         assert all(re.match(line, text) for text in logged[form])
-        assert re.fullmatch(r"n0 serves on 127\.0\.0\.1:\d+", rests[0]) and rests[2] == "stopping"
-        assert rests[1].startswith("reload: left as it was: ")
-        assert rests[3] == "ended: 0 taken, 0 stood unanswered" and len(rests) == 4
+        assert re.fullmatch(r"n0 serves on 127\.0\.0\.1:\d+", rests[0])
+        assert rests[1].startswith("reload: left as it was: ") and rests[2].startswith("stopping: killed in ")
+        assert all(
+            re.match(r"(closing|ended) \d+ ms after the signal: 0 taken", rest) for rest in rests[3:-1]
+        )
+        end = "ended: 0 taken, 0 stood unanswered, 0 refused at the end, 0 connections left"
+        assert rests[-1] == end and len(rests) == 6
 
 
 def test_logfmt_and_json_tell_the_same_events_and_fields(logged):
     told = [json.loads(line) for line in logged["json"]]
-    assert [line["event"] for line in told] == ["serving", "reload_unusable", "stopping", "ended"]
+    phases = ["stop_phase", "stop_phase"]
+    assert [line["event"] for line in told] == ["serving", "reload_unusable", "stopping", *phases, "ended"]
+    assert [line["phase"] for line in told[3:5]] == ["closing", "ended"]
     assert (told[0]["name"], told[0]["host"], type(told[0]["port"])) == ("n0", "127.0.0.1", int)
-    assert (told[3]["taken"], told[3]["unanswered"], told[3]["level"]) == (0, 0, "info")
+    assert (told[5]["taken"], told[5]["unanswered"], told[5]["level"]) == (0, 0, "info")
     pairs = [dict(pair.split("=", 1) for pair in shlex.split(line)) for line in logged["logfmt"]]
     assert [list(line) for line in pairs] == [list(line) for line in told]
     assert [line["event"] for line in pairs] == [line["event"] for line in told]
