--- a/brackenusher/fronts/rpc/channel.py
+++ b/brackenusher/fronts/rpc/channel.py
@@ -352,7 +352,9 @@
         await self.peek()
         if self.error is not None:
             return self.error.code()
-        return Code.CANCELLED if self.under is None else await self.under.code()
+        if self.under is None:
+            return Code.CANCELLED
+        return await self.under.code()
 
     async def details(self) -> str:
         await self.peek()
@@ -441,6 +443,12 @@
 
     body = b""
 
+    async def code(self) -> grpc.StatusCode:
+        await self.peek()
+        if self.error is not None:
+            return self.error.code()
+        return Code.CANCELLED if self.under is None else Code.OK
+
     def served(self, content: Reply | Stream) -> None:
         if isinstance(content, Reply):
             self.body = content.body
--- a/tests/rpc_world.py
+++ b/tests/rpc_world.py
@@ -1,4 +1,4 @@
-"""What the tests of the RPC plug-in share: asyncio in virtual time, stand-in libraries, the core by itself."""
+"""What the tests of the RPC plug-in share: asyncio in virtual time, stand-in libraries, the bare core."""
 
 import asyncio
 import heapq
