--- a/brackenusher/fronts/rpc/channel.py
+++ b/brackenusher/fronts/rpc/channel.py
@@ -157,7 +157,7 @@
         try:
             body = await call
         except grpc.aio.AioRpcError as error:
-            outcome = self.judge(error.code(), error.trailing_metadata(), attempt)
+            outcome = self.judge(error.code(), error.details(), error.trailing_metadata(), attempt)
             if outcome is Outcome.SERVED:
                 return outcome, Served(Reply(b"", call, error))
             order.said = error
@@ -170,7 +170,7 @@
         try:
             first = await call.read()
         except grpc.aio.AioRpcError as error:
-            outcome = self.judge(error.code(), error.trailing_metadata(), attempt)
+            outcome = self.judge(error.code(), error.details(), error.trailing_metadata(), attempt)
             if outcome is Outcome.SERVED:
                 return outcome, Served(Reply(b"", call, error))
             order.said = error
@@ -198,14 +198,14 @@
             raise
         if code is Code.CANCELLED and call.cancelled():
             return Outcome.CANCELLED
-        outcome = self.judge(code, await call.trailing_metadata(), attempt)
+        outcome = self.judge(code, await call.details(), await call.trailing_metadata(), attempt)
         if order.until is not None and code is Code.DEADLINE_EXCEEDED and self.host.clock() >= order.until:
             return Outcome.CANCELLED  # the caller's own limit, which says nothing of the server
         return Outcome.ERROR if outcome is Outcome.FULL else outcome
 
-    def judge(self, code: grpc.StatusCode, trailing: Any, attempt: Attempt) -> Outcome:
+    def judge(self, code: grpc.StatusCode, details: str | None, trailing: Any, attempt: Attempt) -> Outcome:
         time_up = self.host.clock() >= attempt.deadline - 1.0  # a library's timers are a millisecond coarse
-        return judge(code, trailing, time_up, broken=not self.ready())
+        return judge(code, details, trailing, time_up, broken=not self.ready())
 
     async def probe(self) -> tuple[Outcome, dict[str, float] | None]:
         from brackenusher.upstream.connections import read_report  # needs epoll; most sites have no probes
--- a/brackenusher/fronts/rpc/statuses.py
+++ b/brackenusher/fronts/rpc/statuses.py
@@ -49,6 +49,10 @@
     Code.DEADLINE_EXCEEDED: "codes: may come even if the operation has completed; here the server's own",
 }
 
+# In the details of a status that the library made as a connection went, over its versions. A server can say
+# the same, so they prove nothing; they tell of a process that went, a little sooner than the state does.
+GONE = ("Socket closed", "Connection reset", "Broken pipe", "GOAWAY received")
+
 
 def declined(metadata: object) -> bool:
     """Whether trailing metadata say that the call was turned away and never ran."""
@@ -56,7 +60,9 @@
     return any(name == DECLINED and value == "1" for name, value in pairs)
 
 
-def judge(code: grpc.StatusCode, trailing: object, time_up: bool, broken: bool) -> Outcome:
+def judge(
+    code: grpc.StatusCode, details: str | None, trailing: object, time_up: bool, broken: bool
+) -> Outcome:
     """The outcome of a call that was started.
 
     `time_up`: the attempt's own time has passed. `broken`: the connection has gone meanwhile, which tells a
@@ -70,6 +76,6 @@
         return Outcome.SERVED
     if code is Code.DEADLINE_EXCEEDED and time_up:
         return Outcome.TIMEOUT
-    if code is Code.UNAVAILABLE and broken:
+    if code is Code.UNAVAILABLE and (broken or any(text in (details or "") for text in GONE)):
         return Outcome.RESET
     return Outcome.ERROR
