--- a/benchmarks/rpc.py
+++ b/benchmarks/rpc.py
@@ -5,7 +5,7 @@
 Each policy has a client process and a server process of its own with the same servers, the same troubles at
 the same times and the same arrivals; all run at once, so that the machine's noise meets all alike. Prints
 goodput (worth answered within its aim), the 99th percentile of what was served, and attempts a call, as the
-servers count them. Then what a call costs over a bare channel. Exits with 1 where the channel misses its aims.
+servers count them. Then what a call costs over a bare channel. Exits with 1 where the channel misses an aim.
 """
 
 import argparse
--- a/brackenusher/fronts/rpc/host.py
+++ b/brackenusher/fronts/rpc/host.py
@@ -267,6 +267,8 @@
         for ticket in self.waiting.values():
             self.give(ticket, Refused(self.settings.max_retry_after))
         self.waiting.clear()
-        for number in list(self.transactions.open):
-            self.transactions.answer(number, Failed())
+        for transaction in list(self.transactions.open.values()):
+            if not transaction.over:
+                transaction.reply(Failed())
+                self.transactions.left(transaction)
         self.deadlines.close()
--- a/brackenusher/fronts/rpc/lines.py
+++ b/brackenusher/fronts/rpc/lines.py
@@ -73,6 +73,7 @@
         self.handshake = 0.0  # milliseconds that a connect usually takes
         self.held: dict[str, Held] = {}
         self.tasks: set[asyncio.Task[None]] = set()
+        self.closed = False
         self.host: Host
         self.pool: Pool
         self.asked: Callable[[], None] = lambda: None  # the module asks for the list
@@ -82,7 +83,7 @@
     def start(self, attempt: Attempt) -> None:
         """Set out with an attempt; one that cannot come to an end in its time is not sent."""
         member, left = self.pool.members.get(attempt.backend), attempt.deadline - self.host.clock()
-        if member is None or left <= 0:
+        if member is None or left <= 0 or self.closed:
             self.host.not_started(attempt, Outcome.NOT_SENT)
             return
         if not self.pool.may_begin(member):
@@ -118,7 +119,7 @@
 
     def probe(self, backend: str) -> None:
         member = self.pool.members.get(backend)
-        if member is not None:
+        if member is not None and not self.closed:
             self.spawn(self.ask(backend, self.line(member)))
 
     # lines
--- a/brackenusher/fronts/rpc/picture.py
+++ b/brackenusher/fronts/rpc/picture.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
-from weakref import WeakKeyDictionary
+from weakref import WeakKeyDictionary, WeakValueDictionary
 
 from barleybarrow import interface as face
 from brackenusher.config.platform import ConfigError
@@ -101,6 +101,7 @@
     async def close(self) -> None:
         if self.watch is not None:
             self.watch.close()
+        self.lines.closed = True
         self.host.close()
         await self.lines.close()
 
@@ -122,10 +123,10 @@
 
     def __init__(self) -> None:
         self.pid = os.getpid()
-        self.by_key: dict[tuple[str, str], Picture] = {}
+        self.by_key: WeakValueDictionary[tuple[str, str], Picture] = WeakValueDictionary()
 
 
-# By loop, so that nothing outlives its loop; a forked child runs another loop.
+# By loop, and held by their users alone, so that nothing outlives its loop; a forked child runs another loop.
 _pictures: "WeakKeyDictionary[asyncio.AbstractEventLoop, Pictures]" = WeakKeyDictionary()
 
 
--- a/brackenusher/fronts/rpc/transport.py
+++ b/brackenusher/fronts/rpc/transport.py
@@ -34,7 +34,7 @@
 IDLE_SHARE = 0.6  # of the time after which a server closes an idle connection; as the daemon's
 MOST_CONNECTIONS = 256  # to one server: its threshold bounds them long before
 OWN = frozenset((b"req-id", b"req-retry"))  # headers that are set anew
-FORGED = (503, 504)  # statuses that prove that nothing ran, with Srv-Declined: 1
+DECLINED = (503, 504)  # statuses that prove that nothing ran, with Srv-Declined: 1
 
 
 @dataclass(slots=True, eq=False)
@@ -121,7 +121,7 @@
         if response.status_code == 200:
             kept = [(name, value) for name, value in response.headers.raw if name.lower() not in HOP_BY_HOP]
             return Outcome.SERVED, Served(Content(bytes(body), kept))
-        if response.status_code in FORGED and response.headers.get("srv-declined") == "1":
+        if response.status_code in DECLINED and response.headers.get("srv-declined") == "1":
             return Outcome.FULL, None
         return Outcome.ERROR, None
 
@@ -302,7 +302,7 @@
             raise
 
     async def aclose(self) -> None:
-        """Close it; requests that are open fail with `httpx.TransportError` or are cancelled."""
+        """Close it; with the last transport of the target, requests that are open are answered with 502."""
         if not self.closed:
             self.closed, entered = True, self.entered
             if entered is not None and entered.pid == os.getpid():
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -193,7 +193,9 @@
                     else:  # a failure keeps what the server said
                         assert ended.code() in (Code.UNAVAILABLE, Code.RESOURCE_EXHAUSTED)
                         assert not isinstance(ended, CallRefused)
-                        assert mode != "unavailable" or dict(ended.trailing_metadata()) == {"x-why": "7"}
+                        assert mode != "unavailable" or dict(list(ended.trailing_metadata())) == {
+                            "x-why": "7"
+                        }
 
     asyncio.run(main())
 
--- a/tests/test_rpc_core.py
+++ b/tests/test_rpc_core.py
@@ -81,7 +81,7 @@
         with pytest.raises(CallRefused) as caught:
             await call
         assert self.loop.ms - began <= within
-        assert int(dict(caught.value.trailing_metadata())["grpc-retry-pushback-ms"]) > 0
+        assert int(dict(list(caught.value.trailing_metadata()))["grpc-retry-pushback-ms"]) > 0
 
 
 def silent():
