--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -469,6 +469,50 @@
     asyncio.run(main())
 
 
+def test_an_answer_that_came_while_the_caller_blocked_its_loop_is_served_by_both_libraries():
+    # guards against timers that overtake an answer on its way through the library's own futures
+    code = """
+import asyncio
+from examples.rpc.model import Model
+from examples.rpc.standins import GrpcStandin, HttpStandin
+async def main():
+    work = {"board-read": (100.0, 100.0)}
+    print(*[(await kind(Model(work)).start()).address for kind in (GrpcStandin, HttpStandin)], flush=True)
+    await asyncio.sleep(60.0)
+asyncio.run(main())
+"""
+
+    async def main(grpc_address, http_address):
+        transport = AsyncBalancedTransport(config(), members=[http_address])
+        async with (
+            BalancedChannel(config(), members=[grpc_address]) as channel,
+            httpx.AsyncClient(transport=transport, base_url="http://turn-servers") as client,
+        ):
+            read, hosts = channel.unary_unary("/examples.Turns/ReadBoard"), []
+            assert await read(b"m") and (await client.get("/board-read?k=1")).status_code == 200  # connects
+            for ask in (lambda: read(b"m", timeout=0.5), lambda: client.get("/board-read?k=1", timeout=0.5)):
+                picture = channel.picture if not hosts else transport.picture
+                hosts.append(picture.host)
+                call = asyncio.ensure_future(until_answered(ask()))
+                while not picture.host.out:
+                    await asyncio.sleep(0.001)
+                await asyncio.sleep(0.02)
+                time.sleep(1.0)  # the caller computes something: the answer is here, and so is the deadline
+                assert await call
+                assert picture.host.deadlines.blocks >= 1
+
+    async def until_answered(call):
+        answer = await call
+        return answer == b"board of m" or answer.status_code == 200
+
+    server = subprocess.Popen([sys.executable, "-c", code], cwd=ROOT, stdout=subprocess.PIPE, text=True)
+    try:
+        asyncio.run(main(*server.stdout.readline().split()))
+    finally:
+        server.kill()
+        server.wait()
+
+
 def test_figures_count_calls_attempts_and_what_was_turned_away():
     async def main():
         registry = prometheus_client.CollectorRegistry()
