--- a/brackenusher/config/operators.py
+++ b/brackenusher/config/operators.py
@@ -10,13 +10,32 @@
 from barleybarrow import interface as face
 from barleybarrow.door import DoorSettings, Limit
 from barleybarrow.tokens import KID, TokenSettings
-from brackenusher.config.platform import Address, ConfigError, read_address
-from brackenusher.records.capture import CaptureSettings
-from brackenusher.records.figures import FiguresSettings
+from brackenusher.config.platform import ConfigError, read_address
+from brackenusher.runtime.driver import Address
+from brackenusher.runtime.log import FORMATS
 
 LEAST_KEY = 16  # bytes; a shorter one is used, but named
 
 
+@dataclass(frozen=True)
+class CaptureSettings:
+    """Where the records go: without a folder, to standard error."""
+
+    folder: str | None = None
+    files: int = 8
+    file_kb: int = 512
+
+
+@dataclass(frozen=True)
+class FiguresSettings:
+    """What is sent where; the target is an address, a path, or None for standard error."""
+
+    influx: bool = False
+    target: Address | str | None = None
+    flush_ms: int = 1000
+    batch_bytes: int = 1400
+
+
 @dataclass(frozen=True)
 class Operator:
     """The features that are on; None for one that is off."""
@@ -25,10 +44,11 @@
     capture: CaptureSettings | None = None
     token: TokenSettings | None = None
     figures: FiguresSettings | None = None
+    log_format: str = "text"
 
     @property
     def features(self) -> list[str]:
-        return [name for name, settings in vars(self).items() if settings is not None]
+        return [name for name in FEATURES if getattr(self, name) is not None]
 
 
 class Entries:
@@ -37,7 +57,8 @@
     def __init__(self, path: str, text: str) -> None:
         import javaproperties  # 50 ms and 3 MB, XML and TLS among them: only for who gives a file
 
-        self.path, self.values = path, {}
+        self.path = path
+        self.values: dict[str, str] = {}
         try:
             for element in javaproperties.parse(text):
                 if isinstance(element, javaproperties.KeyValue):
@@ -191,10 +212,12 @@
     entries = Entries(path, text)
     on = {name: entries.take(f"{name}.enabled", switch, False) for name in FEATURES}
     features = {name: read(entries) for name, read in FEATURES.items()}
+    log_format = entries.take("log.format", choice(*FORMATS), "text")
     entries.done()
     if on["token"] and not features["token"].keys:
         raise entries.error("token.key.<kid>", "is missing: tokens need a key")
-    return Operator(**{name: settings for name, settings in features.items() if on[name]})
+    chosen = {name: settings for name, settings in features.items() if on[name]}
+    return Operator(**chosen, log_format=log_format)
 
 
 def doubts(operator: Operator, settings: face.Settings) -> list[str]:
--- a/brackenusher/core/transaction.py
+++ b/brackenusher/core/transaction.py
@@ -1,7 +1,8 @@
 """Owns every transaction: turns what happens into the module's events and carries out its actions.
 
-Nothing here knows of HTTP or sockets. A protocol brings a message that it alone can read and a way to reply;
-a carrier makes attempts, each of which comes back with one outcome. Each transaction gets one final answer.
+Nothing here knows a wire or a socket. Admission brings a message, which nobody looks into here, and a way to
+reply; a carrier makes attempts, each of which comes back with one outcome. Each transaction gets one final
+answer.
 """
 
 import logging
@@ -14,7 +15,10 @@
 from barleybarrow import interface as face
 from barleybarrow.brain import Balancer
 from barleybarrow.interface import Outcome
-from brackenusher.core.deadlines import Deadlines, Entry
+from brackenusher.core.deadlines import Deadlines
+from brackenusher.core.message import Content, Message
+from brackenusher.runtime.log import fault, say
+from brackenusher.runtime.timers import Entry
 
 log = logging.getLogger(__name__)
 
@@ -23,9 +27,9 @@
 
 @dataclass(slots=True)
 class Served:
-    """Final answer: what a pool member answered, in the protocol's own form."""
+    """Final answer: what a pool member answered."""
 
-    content: Any
+    content: Content
 
 
 @dataclass(slots=True)
@@ -49,7 +53,7 @@
 
     id: int
     name: bytes
-    message: Any
+    message: Message
     reply: Callable[[Answer], None]
     klass: int
     tenant: int
@@ -68,10 +72,10 @@
     transaction: Transaction
     number: int
     backend: str
-    message: Any
+    message: Message
     sent_at: float
     deadline: float
-    ended: Callable[["Attempt", Outcome, Served | None], None]
+    ended: Callable[[Any, Outcome, Served | None], None]  # the first is the attempt
     outcome: Outcome | None = None
     carriage: Any = None  # the carrier's own
 
@@ -111,7 +115,7 @@
         self.events: deque[face.Event] = deque()
         self.parting: list[Transaction] = []
         self.acting, self.taken, self.unanswered = False, 0, 0
-        self.performers: dict[type, Callable[[Any], None]] = {
+        self.performers: dict[type, Callable[[Any], object]] = {
             face.Send: self.send,
             face.Refuse: lambda a: self.answer(a.request, Refused(a.retry_after)),
             face.Fail: lambda a: self.answer(a.request, Failed()),
@@ -131,7 +135,7 @@
         name: bytes,
         klass: int,
         span: float,
-        message: Any,
+        message: Message,
         reply: Callable[[Answer], None],
         tenant: int = 0,
         repeated: bool = False,
@@ -187,7 +191,7 @@
                 try:
                     actions = self.balancer.handle(now, event)
                 except Exception:
-                    log.exception("the module failed on %s", type(event).__name__)
+                    fault(log, "module_failed", "the module failed on %(told)s", told=type(event).__name__)
                 if self.observers.handled:
                     self.tell(self.observers.handled, now, event, actions or ())
                 if actions is None:
@@ -206,14 +210,16 @@
             try:
                 observer(*news)
             except Exception:
-                log.exception("an observer failed")
+                fault(log, "observer_failed", "an observer failed")
 
     def perform(self, actions: list[face.Action]) -> None:
         for action in actions:
             try:
                 self.performers[type(action)](action)
             except Exception:
-                log.exception("%s could not be carried out", type(action).__name__)
+                fault(
+                    log, "action_failed", "%(action)s could not be carried out", action=type(action).__name__
+                )
                 self.give_up(action)
 
     def give_up(self, item: Any) -> None:
@@ -236,7 +242,7 @@
         try:
             self.carrier.start(attempt)
         except Exception:
-            log.exception("an attempt could not be started")
+            fault(log, "attempt_failed", "an attempt could not be started")
             self.finished(attempt, Outcome.NOT_SENT)
 
     def cancel(self, action: face.Cancel) -> None:
@@ -267,13 +273,29 @@
         """Drop what is over; later while acting, as the module may still name what it thinks is open."""
         if self.acting:
             self.parting.append(transaction)
-        elif transaction.over and not transaction.out and self.open.pop(transaction.id, None):
+        elif transaction.over and not transaction.out and transaction.id in self.open:
+            del self.open[transaction.id]
             self.names.discard(transaction.name)
 
+    def answer_all(self) -> int:
+        """The program ends: answer what is open still as failed, and say how much that was."""
+        late = [transaction for transaction in self.open.values() if not transaction.over]
+        for transaction in late:
+            self.unanswered += 1
+            self.answer(transaction.id, Failed())
+            self.post(face.Left(transaction.id))
+        return len(late)
+
     def overdue(self, transaction: Transaction) -> None:
         """The last guard: the client's deadline is here and nobody has answered."""
         if not transaction.over:
             self.unanswered += 1
-            log.error("transaction %d stood unanswered at its deadline", transaction.id)
+            say(
+                log,
+                logging.ERROR,
+                "unanswered",
+                "transaction %(request)d stood unanswered at its deadline",
+                request=transaction.id,
+            )
             self.answer(transaction.id, Failed())
             self.post(face.Left(transaction.id))
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -7,20 +7,25 @@
 import socket
 import time
 from collections.abc import Callable
+from functools import partial
+from types import FrameType
 
 from barleybarrow.brain import Balancer
 from barleybarrow.door import Door
+from barleybarrow.farewell import Farewell, Phase
 from brackenusher.config.operators import Operator, doubts
 from brackenusher.config.platform import Config, ConfigError
+from brackenusher.core.admission import Admission
 from brackenusher.core.deadlines import Deadlines
-from brackenusher.core.transaction import Observers, Transactions
+from brackenusher.core.transaction import RESERVE, Observers, Transactions
+from brackenusher.fronts.http import Front
 from brackenusher.fronts.http1.clients import OVERFLOW, Clients
-from brackenusher.fronts.http1.virtual_server import Front
 from brackenusher.membership.agent import Agent
 from brackenusher.membership.discovery import Broken, read_listing
 from brackenusher.records.capture import Capture
 from brackenusher.records.figures import Figures
 from brackenusher.runtime.buffers import Buffers
+from brackenusher.runtime.log import say
 from brackenusher.runtime.loop import READ, Coroutine, Loop, clock
 from brackenusher.runtime.outlet import Outlet
 from brackenusher.upstream.connections import Upstream
@@ -31,9 +36,7 @@
 SPARE_SOCKETS = 24  # listener, epoll, discovery, standard streams, and some to refuse with
 CLIENT_PART = 0.625  # of the other descriptors: a held request has a client connection and no flow
 KEPT_PART = 0.2  # of all, between requests: clients hold a third at most, and some ask once and stay
-FAREWELL = 450.0  # milliseconds after SIGTERM in which clients still come
-GRACE = 700.0  # what comes in later than this after SIGTERM is not waited for
-CHECK = 10.0  # how often it is looked whether all is answered
+CHECK = 10.0  # milliseconds: how often it is looked, once the program is to stop, what is to be done
 
 
 class Daemon:
@@ -41,6 +44,8 @@
 
     def __init__(self, config: Config, load: Callable[[], Config], operator: Operator) -> None:
         self.load = load  # reads the configuration anew
+        self.told_at: float | None = None  # when the first signal to stop came
+        self.farewell: Farewell | None = None
         settings = config.settings
         deadlines, buffers = Deadlines(), Buffers()
         self.config, self.operator, self.loop = config, operator, Loop(deadlines)
@@ -54,10 +59,9 @@
         self.upstream.owner = self.transactions
         most_kept = int(config.sockets * KEPT_PART)
         door = Door(operator.door) if operator.door else None
-        front = Front(settings, door, operator.token, clock)
-        self.clients = Clients(
-            self.loop, front, self.transactions, self.pool, for_clients, most_kept, buffers
-        )
+        self.admission = Admission(self.transactions, settings, door, operator.token)
+        front = Front(settings, with_tokens=operator.token is not None)
+        self.clients = Clients(self.loop, front, self.admission, self.pool, for_clients, most_kept, buffers)
         self.agent = Agent(
             self.loop, config.discovery, self.pool, self.transactions, buffers, random.Random(config.seed)
         )
@@ -100,24 +104,55 @@
             try:
                 self.transactions.post(self.pool.take(read_listing(self.config.known)))
             except Broken as error:
-                log.warning("the known list is left aside: %s", error)
+                say(
+                    log,
+                    logging.WARNING,
+                    "known_list_unusable",
+                    "the known list is left aside: %(why)s",
+                    why=error,
+                )
         self.clients.listen(self.config.listen)
         self.agent.connect()
         gc.collect()
         gc.freeze()  # what is here stays: later collections need not look at it
         for doubt in doubts(self.operator, self.config.settings):
-            log.warning("operators' file: %s", doubt)
-        log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
+            say(log, logging.WARNING, "operators_file_doubt", "operators' file: %(what)s", what=doubt)
+        host, port = self.config.listen
+        say(
+            log,
+            logging.INFO,
+            "serving",
+            "%(name)s serves on %(host)s:%(port)d",
+            name=self.config.name,
+            host=host,
+            port=port,
+        )
         self.loop.run()
-        log.info(
-            "ended: %d taken, %d stood unanswered", self.transactions.taken, self.transactions.unanswered
+        say(
+            log,
+            logging.INFO,
+            "ended",
+            "ended: %(taken)d taken, %(unanswered)d stood unanswered, %(refused)d refused at the end, "
+            "%(left)d connections left",
+            taken=self.transactions.taken,
+            unanswered=self.transactions.unanswered,
+            refused=self.admission.at_the_end,
+            left=len(self.clients.links),
         )
         if self.capture:
             self.capture.close()
-            log.info("capture: %d records, %d dropped", self.capture.serial, self.capture.dropped)
+            say(
+                log,
+                logging.INFO,
+                "capture_ended",
+                "capture: %(records)d records, %(dropped)d dropped",
+                records=self.capture.serial,
+                dropped=self.capture.dropped,
+            )
         if self.figures:
             self.figures.close()
-            log.info("figures: %d batches dropped", self.figures.sink.dropped)
+            dropped = self.figures.sink.dropped
+            say(log, logging.INFO, "figures_ended", "figures: %(dropped)d batches dropped", dropped=dropped)
         self.outlet.close()
         return 0
 
@@ -129,10 +164,15 @@
         signal.set_wakeup_fd(theirs.fileno())
         self.waker = theirs
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, lambda *_: None)
+            signal.signal(number, self.note)
         signal.signal(signal.SIGPIPE, signal.SIG_IGN)
         self.loop.spawn(self.listen_to_signals(ours), ours)
 
+    def note(self, number: int, _frame: FrameType | None) -> None:
+        """Note when the program was first told to stop: the loop may take it up a turn later."""
+        if number != signal.SIGHUP and self.told_at is None:
+            self.told_at = clock()
+
     def listen_to_signals(self, sock: socket.socket) -> Coroutine:
         while True:
             yield READ
@@ -142,39 +182,88 @@
                 continue
             if signal.SIGHUP in numbers:
                 self.reload()
-            if not self.clients.stopping and any(number != signal.SIGHUP for number in numbers):
-                log.info("stopping")
-                self.clients.stopping = True
-                self.later(FAREWELL, self.close_the_door)
+            if any(number != signal.SIGHUP for number in numbers):
+                self.stop()
 
     def reload(self) -> None:
         """Take up what the configuration's file says now; one that cannot be used changes nothing."""
         try:
             config = self.load()
         except ConfigError as error:
-            log.error("reload: left as it was: %s", error)
+            say(log, logging.ERROR, "reload_unusable", "reload: left as it was: %(why)s", why=error)
             return
         for name in ("listen", "sockets", "settings"):
             if getattr(config, name) != getattr(self.config, name):
-                log.warning("reload: %s counts from the next start on", name)
-        log.info("reload: discovery is at %s:%d", *config.discovery)
+                say(
+                    log,
+                    logging.WARNING,
+                    "reload_waits",
+                    "reload: %(entry)s counts from the next start on",
+                    entry=name,
+                )
+        host, port = config.discovery
+        say(log, logging.INFO, "reloaded", "reload: discovery is at %(host)s:%(port)d", host=host, port=port)
         if config.discovery != self.agent.address:
             self.agent.move(config.discovery)
 
-    def close_the_door(self) -> None:
-        """Take no new connections; end those that stand between requests."""
-        self.clients.stop_accepting()
-        longest = max(c.deadline for c in self.config.settings.classes)
-        self.last_call = clock() + GRACE - FAREWELL + longest
-        self.leave_when_done()
+    def stop(self) -> None:
+        """Serve on as long as the deployment allows, then end with all answered; asked again, go on so."""
+        if self.farewell is not None:
+            say(log, logging.INFO, "stopping_already", "stopping already")
+            return
+        settings = self.config.settings
+        longest, alone = max(c.deadline for c in settings.classes), settings.proxies <= 1
+        least = self.transactions.balancer.margin + RESERVE  # the module refuses at once what has less
+        plan = Farewell(self.told_at or clock(), longest, self.config.cores, least, alone)
+        self.farewell = self.admission.farewell = plan
+        say(
+            log,
+            logging.INFO,
+            "stopping",
+            "stopping: killed in %(kill_ms).0f ms at the soonest, "
+            "all is to be answered in %(answered_ms).0f ms",
+            kill_ms=plan.limit - plan.told_at,
+            answered_ms=plan.answered_by - plan.told_at,
+        )
+        self.later(CHECK, partial(self.attend, plan, clock() + CHECK))
 
-    def leave_when_done(self) -> None:
-        """End once no client is left; connections that fell idle meanwhile are closed."""
-        if not self.clients.links or clock() >= self.last_call:
+    def attend(self, plan: Farewell, due: float) -> None:
+        """Do what the plan of the end says."""
+        now, before = clock(), plan.phase
+        phase = plan.step(now, now - due, len(self.clients.links), self.clients.shut)
+        if phase != before:
+            say(
+                log,
+                logging.INFO,
+                "stop_phase",
+                "%(phase)s %(after_ms).0f ms after the signal: %(taken)d taken, %(in_hand)d in hand, "
+                "%(connections)d connections, stalled %(stall_ms).0f ms at most",
+                phase=phase.name.lower().replace("_", " "),
+                after_ms=now - plan.told_at,
+                taken=self.transactions.taken,
+                in_hand=len(self.transactions.open),
+                connections=len(self.clients.links),
+                stall_ms=plan.stall,
+            )
+        if phase is Phase.ENDED:
             self.loop.running = False
             return
-        self.clients.close_idle()
-        self.later(CHECK, self.leave_when_done)
+        if phase >= Phase.LAST_CALL:
+            self.clients.stopping = True
+            self.clients.close_idle()
+        if phase is Phase.CLOSING:
+            given_up = self.transactions.answer_all()
+            if given_up:
+                say(
+                    log,
+                    logging.WARNING,
+                    "given_up",
+                    "%(count)d transactions were given up at the end",
+                    count=given_up,
+                )
+            self.clients.hurry()
+            self.clients.stop_accepting()
+        self.later(CHECK, partial(self.attend, plan, clock() + CHECK))
 
     def later(self, span: float, action: Callable[[], None]) -> None:
         self.loop.deadlines.add(clock() + span, action)
--- a/brackenusher/fronts/rpc/channel.py
+++ b/brackenusher/fronts/rpc/channel.py
@@ -12,11 +12,12 @@
 from pathlib import Path
 from typing import Any
 
-import grpc  # type: ignore[import-untyped]
-import grpc.aio  # type: ignore[import-untyped]
+import grpc
+import grpc.aio
 
 from barleybarrow.interface import Effect, Outcome
 from brackenusher.config.platform import ConfigError
+from brackenusher.core.message import Content, Message
 from brackenusher.core.transaction import Answer, Attempt, Failed, Refused, Served
 from brackenusher.fronts.rpc import picture as pictures
 from brackenusher.fronts.rpc.config import Method, RpcConfig, read_config
@@ -62,36 +63,35 @@
 
 
 @dataclass(slots=True, eq=False)
-class Order:
+class Order(Message):
     """What a call asks for; the message of its transaction."""
 
-    kind: str  # the channel's method that makes the multi-callable
-    path: str
-    request: Any  # bytes; for streams of requests, what the caller gave, or None if it writes
-    metadata: tuple[tuple[str, Any], ...]
-    credentials: grpc.CallCredentials | None
-    compression: grpc.Compression | None
-    until: float | None  # clock time in milliseconds at which the caller gives up
+    kind: str = ""  # the channel's method that makes the multi-callable
+    path: str = ""
+    request: Any = None  # bytes; for streams of requests, what the caller gave, or None if it writes
+    metadata: tuple[tuple[str, Any], ...] = ()
+    credentials: grpc.CallCredentials | None = None
+    compression: grpc.Compression | None = None
+    until: float | None = None  # clock time in milliseconds at which the caller gives up
     serializer: Callable[[Any], bytes] | None = None
     deserializer: Callable[[bytes], Any] | None = None
     said: grpc.aio.AioRpcError | None = None  # by the last attempt that failed
 
 
-@dataclass(slots=True)
-class Reply:
+@dataclass(slots=True, eq=False)
+class Reply(Content):
     """A unary answer: its bytes, or the status that is the answer; the sub-channel's call has the rest."""
 
-    body: bytes
-    call: Any
+    call: Any = None
     error: grpc.aio.AioRpcError | None = None
 
 
-@dataclass(slots=True)
-class Stream:
-    """A stream that belongs to the caller from here on."""
+@dataclass(slots=True, eq=False)
+class Stream(Content):
+    """A stream that belongs to the caller from here on, and the message that made it so."""
 
-    call: Any
-    first: Any = None  # the message that made it so
+    call: Any = None
+    first: Any = None
     has_first: bool = False
 
 
@@ -138,7 +138,8 @@
         )
 
     async def exchange(self, attempt: Attempt, trip: Trip, left: float) -> tuple[Outcome, Served | None]:
-        order: Order = attempt.message
+        order = attempt.message
+        assert isinstance(order, Order)
         if order.kind == "unary_unary":
             return await self.unary(attempt, trip, order, left)
         until = None if order.until is None else order.until - self.host.clock()
@@ -146,7 +147,7 @@
         trip.written = True
         if order.kind == "unary_stream":
             return await self.server_stream(attempt, trip, order, call)
-        self.belong(attempt, trip, Stream(call))  # messages that are gone cannot be sent again
+        self.belong(attempt, trip, Stream(b"", call=call))  # messages that are gone cannot be sent again
         return await self.outcome(call, attempt, order), None
 
     async def unary(
@@ -159,10 +160,10 @@
         except grpc.aio.AioRpcError as error:
             outcome = self.judge(error.code(), error.details(), error.trailing_metadata(), attempt)
             if outcome is Outcome.SERVED:
-                return outcome, Served(Reply(b"", call, error))
+                return outcome, Served(Reply(b"", call=call, error=error))
             order.said = error
             return outcome, None
-        return Outcome.SERVED, Served(Reply(body, call))
+        return Outcome.SERVED, Served(Reply(body, call=call))
 
     async def server_stream(
         self, attempt: Attempt, trip: Trip, order: Order, call: Any
@@ -172,15 +173,15 @@
         except grpc.aio.AioRpcError as error:
             outcome = self.judge(error.code(), error.details(), error.trailing_metadata(), attempt)
             if outcome is Outcome.SERVED:
-                return outcome, Served(Reply(b"", call, error))
+                return outcome, Served(Reply(b"", call=call, error=error))
             order.said = error
             return outcome, None
         except asyncio.CancelledError:
             call.cancel()
             raise
         if first is EOF:
-            return Outcome.SERVED, Served(Stream(call))
-        self.belong(attempt, trip, Stream(call, first, True))
+            return Outcome.SERVED, Served(Stream(b"", call=call))
+        self.belong(attempt, trip, Stream(b"", call=call, first=first, has_first=True))
         return await self.outcome(call, attempt, order), None
 
     def belong(self, attempt: Attempt, trip: Trip, stream: Stream) -> None:
@@ -267,7 +268,8 @@
         else:
             self.fail(self.order.said or self.unsaid(answer))
 
-    def served(self, content: Reply | Stream) -> None:
+    def served(self, content: Content) -> None:
+        assert isinstance(content, Reply | Stream)
         self.under = content.call
         if isinstance(content, Reply) and content.error is not None:
             self.fail(content.error)
@@ -385,7 +387,7 @@
     has_stash = False
     style = ""
 
-    def served(self, content: Reply | Stream) -> None:
+    def served(self, content: Content) -> None:
         if isinstance(content, Stream):
             self.stash, self.has_stash = content.first, content.has_first
         super().served(content)
@@ -449,7 +451,7 @@
             return self.error.code()
         return Code.CANCELLED if self.under is None else Code.OK
 
-    def served(self, content: Reply | Stream) -> None:
+    def served(self, content: Content) -> None:
         if isinstance(content, Reply):
             self.body = content.body
         super().served(content)
@@ -522,7 +524,17 @@
         channel.open()
         pairs = tuple(metadata or ())
         until = None if timeout is None else channel.picture.host.clock() + timeout * 1000.0
-        order = Order(self.kind, self.path, request, pairs, credentials, compression, until)
+        order = Order(
+            b"POST",
+            self.path.encode(),
+            kind=self.kind,
+            path=self.path,
+            request=request,
+            metadata=pairs,
+            credentials=credentials,
+            compression=compression,
+            until=until,
+        )
         if self.kind in ("unary_unary", "unary_stream") and self.serializer is not None:
             order.request = self.serializer(request)  # once, for all attempts
         if self.kind.startswith("stream"):
--- a/brackenusher/fronts/rpc/config.py
+++ b/brackenusher/fronts/rpc/config.py
@@ -13,7 +13,8 @@
 from barleybarrow import interface as face
 from barleybarrow.interface import Effect
 from barleybarrow.settings import EFFECTS, read_settings
-from brackenusher.config.platform import Address, ConfigError, read_address
+from brackenusher.config.platform import ConfigError, read_address
+from brackenusher.runtime.driver import Address
 
 MOST_OPEN = 1000  # calls at once where the settings name no `limits.mostHeld`: some 3 MB
 MOST_MEMBERS = 10_000  # in a fixed list
--- a/brackenusher/fronts/rpc/host.py
+++ b/brackenusher/fronts/rpc/host.py
@@ -8,11 +8,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
+from typing import Any
 
 from barleybarrow import interface as face
 from barleybarrow.brain import Balancer
 from barleybarrow.interface import Outcome
-from brackenusher.core.deadlines import Deadlines, Entry
+from brackenusher.core.deadlines import Deadlines
 from brackenusher.core.transaction import (
     RESERVE,
     Answer,
@@ -24,6 +25,8 @@
     Transaction,
     Transactions,
 )
+from brackenusher.runtime.log import fault
+from brackenusher.runtime.timers import Entry
 
 log = logging.getLogger("brackenusher.rpc")
 
@@ -103,8 +106,9 @@
 
     klass: int
     reply: Callable[[Answer], None]
-    message: object
+    message: Any  # what the carrier's line reads
     tenant: int
+    repeated: bool
     until: float  # clock time in milliseconds
     transaction: Transaction | None = None
     guard: Entry | None = None
@@ -136,14 +140,20 @@
     # the callers' side
 
     def arrive(
-        self, klass: int, span: float, message: object, reply: Callable[[Answer], None], tenant: int = 0
+        self,
+        klass: int,
+        span: float,
+        message: Any,
+        reply: Callable[[Answer], None],
+        tenant: int = 0,
+        repeated: bool = False,
     ) -> Ticket:
         """Take a call whose client waits for `span` milliseconds; `reply` gets its one final answer.
 
         That may be before this returns: beyond the bound of open calls it is a refusal. Before the first
         list the call waits for it up to its own deadline.
         """
-        ticket = Ticket(klass, reply, message, tenant, self.clock() + span)
+        ticket = Ticket(klass, reply, message, tenant, repeated, self.clock() + span)
         if self.closed or len(self.transactions.open) + len(self.waiting) >= self.most_open:
             self.refused_open += 1
             self.transactions.turn_away(message, f"room {self.settings.max_retry_after:.0f} refused")
@@ -168,6 +178,7 @@
             message=ticket.message,
             reply=lambda answer: self.give(ticket, answer),
             tenant=ticket.tenant,
+            repeated=ticket.repeated,
         )
         ticket.transaction = transaction
 
@@ -213,7 +224,7 @@
 
     # the carrier's side
 
-    def began(self, attempt: Attempt, stream: object) -> bool:
+    def began(self, attempt: Attempt, stream: Any) -> bool:
         """A streamed answer has begun: it is the client's, and nothing is repeated after this.
 
         False where the client has gone: nobody will read it.
@@ -259,7 +270,7 @@
             try:
                 self.attempted(attempt, outcome)
             except Exception:
-                log.exception("metrics failed")
+                fault(log, "metrics_failed", "metrics failed")
 
     def close(self) -> None:
         """Answer all that is open, and take nothing more."""
--- a/brackenusher/fronts/rpc/lines.py
+++ b/brackenusher/fronts/rpc/lines.py
@@ -11,9 +11,10 @@
 
 from barleybarrow import interface as face
 from barleybarrow.interface import Outcome
-from brackenusher.core.deadlines import Entry
 from brackenusher.core.transaction import Attempt, Served
 from brackenusher.fronts.rpc.host import Host
+from brackenusher.runtime.log import fault
+from brackenusher.runtime.timers import Entry
 from brackenusher.upstream.pool import Member, Pool
 
 log = logging.getLogger("brackenusher.rpc")
@@ -169,7 +170,7 @@
         except TimeoutError:
             done = False
         except Exception:
-            log.exception("a connect failed in an unforeseen way")
+            fault(log, "connect_failed", "a connect failed in an unforeseen way")
             done = False
         if done:
             took = self.host.clock() - began
@@ -198,7 +199,7 @@
             if not trip.over:  # not by us: the library closed it
                 outcome = Outcome.RESET if trip.written else Outcome.CONNECT_FAILED
         except Exception:
-            log.exception("an attempt failed in an unforeseen way")
+            fault(log, "attempt_failed", "an attempt failed in an unforeseen way")
             outcome = Outcome.RESET if trip.written else Outcome.NOT_SENT
         self.done(attempt, trip, held, outcome, served)
 
--- a/brackenusher/fronts/rpc/picture.py
+++ b/brackenusher/fronts/rpc/picture.py
@@ -19,7 +19,8 @@
 from brackenusher.fronts.rpc.lines import Line, Lines
 from brackenusher.fronts.rpc.metrics import Metrics, look_on, look_on_attempts
 from brackenusher.fronts.rpc.watch import Watch
-from brackenusher.membership.discovery import Broken, Listing, read_listing
+from brackenusher.membership.discovery import Broken, read_listing
+from brackenusher.upstream.listing import Listing
 from brackenusher.upstream.pool import Member, Pool
 
 log = logging.getLogger("brackenusher.rpc")
--- a/brackenusher/fronts/rpc/statuses.py
+++ b/brackenusher/fronts/rpc/statuses.py
@@ -14,7 +14,7 @@
 Pushback (A6) says when to come back, not that nothing ran.
 """
 
-import grpc  # type: ignore[import-untyped]
+import grpc
 
 from barleybarrow.interface import Outcome
 
--- a/brackenusher/fronts/rpc/transport.py
+++ b/brackenusher/fronts/rpc/transport.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import itertools
-import math
 import os
 import secrets
 import threading
@@ -14,46 +13,35 @@
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
-from urllib.parse import unquote
 
 import httpx
 
 from barleybarrow import interface as face
-from barleybarrow.interface import Effect, Outcome
-from brackenusher.core.transaction import Answer, Attempt, Refused, Served
+from barleybarrow.interface import Outcome
+from brackenusher.core.admission import Request
+from brackenusher.core.message import LONGEST_BODY, Content, Message
+from brackenusher.core.transaction import Answer, Attempt, Served
+from brackenusher.fronts.http import Front, Rejection, final
 from brackenusher.fronts.rpc import picture as pictures
 from brackenusher.fronts.rpc.config import RpcConfig, read_config
 from brackenusher.fronts.rpc.host import Host
 from brackenusher.fronts.rpc.lines import Trip
 from brackenusher.fronts.rpc.metrics import Metrics
 from brackenusher.fronts.rpc.picture import Members, Picture
-from brackenusher.upstream.flow import HOP_BY_HOP, LONGEST_BODY
+from brackenusher.upstream.flow import HOP_BY_HOP
 from brackenusher.upstream.pool import Member
 
 PROTOCOL = "http"
 IDLE_SHARE = 0.6  # of the time after which a server closes an idle connection; as the daemon's
 MOST_CONNECTIONS = 256  # to one server: its threshold bounds them long before
-OWN = frozenset((b"req-id", b"req-retry"))  # headers that are set anew
 DECLINED = (503, 504)  # statuses that prove that nothing ran, with Srv-Declined: 1
 
 
 @dataclass(slots=True, eq=False)
-class Order:
+class Order(Message):
     """A request as it is passed on; the message of its transaction."""
 
-    method: str
-    scheme: bytes
-    target: bytes
-    headers: list[tuple[bytes, bytes]]
-    body: bytes
-
-
-@dataclass(slots=True)
-class Content:
-    """What a server answered."""
-
-    body: bytes
-    headers: list[tuple[bytes, bytes]]
+    scheme: str = "http"
 
 
 class ServerPool:
@@ -71,14 +59,16 @@
         return True
 
     async def exchange(self, attempt: Attempt, trip: Trip, left: float) -> tuple[Outcome, Served | None]:
-        order: Order = attempt.message
+        order = attempt.message
+        assert isinstance(order, Order)
 
         async def trace(name: str, _: Mapping[str, Any]) -> None:
             if name.endswith("send_request_body.complete"):
                 trip.written = True  # its last byte is with the system
 
-        headers = [*order.headers, (b"req-deadline", b"%dm" % max(1, int(left)))]
-        request = self.request(order.method, order.scheme, order.target, headers, order.body)
+        headers = [(name, value) for name, value in order.headers if name not in HOP_BY_HOP]
+        headers.append((b"req-deadline", b"%dm" % max(1, int(left))))
+        request = self.request(order.method.decode(), order.scheme, order.target, headers, order.body)
         request.extensions = {"timeout": self.limits(left), "trace": trace}
         try:
             response = await self.inner.handle_async_request(request)
@@ -99,11 +89,11 @@
             return (Outcome.RESET if trip.written else Outcome.CONNECT_FAILED), None
 
     def request(
-        self, method: str, scheme: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes
+        self, method: str, scheme: str, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes
     ) -> httpx.Request:
         if body or method != "GET":
             headers = [*headers, (b"content-length", b"%d" % len(body))]
-        url = httpx.URL(scheme=scheme.decode(), netloc=self.authority, raw_path=target)
+        url = httpx.URL(scheme=scheme, netloc=self.authority, raw_path=target)
         return httpx.Request(method, url, headers=headers, stream=httpx.ByteStream(body))
 
     def limits(self, left: float) -> dict[str, float]:
@@ -119,8 +109,9 @@
             if len(body) > LONGEST_BODY:
                 return Outcome.ERROR, None
         if response.status_code == 200:
-            kept = [(name, value) for name, value in response.headers.raw if name.lower() not in HOP_BY_HOP]
-            return Outcome.SERVED, Served(Content(bytes(body), kept))
+            kind, coding = (response.headers.get(name) for name in ("content-type", "content-encoding"))
+            content = Content(bytes(body), kind and kind.encode(), coding and coding.encode())
+            return Outcome.SERVED, Served(content)
         if response.status_code in DECLINED and response.headers.get("srv-declined") == "1":
             return Outcome.FULL, None
         return Outcome.ERROR, None
@@ -129,7 +120,7 @@
         from brackenusher.upstream.connections import read_report  # needs epoll; most sites have no probes
 
         reports = bool(self.host.settings.probe_reports)
-        request = self.request("GET", b"http", b"/stats" if reports else b"/health/live", [], b"")
+        request = self.request("GET", "http", b"/stats" if reports else b"/health/live", [], b"")
         request.extensions = {"timeout": self.limits(self.host.settings.connect_timeout or 1000.0)}
         try:
             response = await self.inner.handle_async_request(request)
@@ -153,62 +144,28 @@
     """Reads requests as the daemon does, for the settings' classes and tenants."""
 
     def __init__(self, settings: face.Settings) -> None:
-        self.classes = {c.name: i for i, c in enumerate(settings.classes)}
-        self.settings = settings
-        self.tenants = {name: i for i, name in enumerate(settings.tenants)}
+        self.front = Front(settings)
         self.ids = (f"{secrets.token_hex(6)}{n:04x}".encode() for n in itertools.count())
 
-    def read(self, request: httpx.Request, body: bytes) -> "tuple[Order, int, float, int] | httpx.Response":
-        """Order, class, span in milliseconds and tenant; or the 4xx that says what is wrong."""
-        name = unquote(request.url.path[1:].partition("/")[0])
-        klass = self.classes.get(name)
-        if klass is None:
-            return text(404, "no such class")
-        conf = self.settings.classes[klass]
-        method = "GET" if conf.effect is Effect.SAFE else "POST"
-        if request.method != method:
-            return text(405, "wrong method for the class", {"allow": method})
-        if method == "GET" and body:
-            return text(400, "no body is expected")
-        if method == "POST" and not request.headers.get("idempotency-key"):
-            return text(400, "Idempotency-Key is missing")
+    def read(self, request: httpx.Request, body: bytes) -> tuple[Order, Request] | Rejection:
+        """What is to be passed on and as what it counts; or the 4xx that says what is wrong."""
+        headers = [(name.lower(), value) for name, value in request.headers.raw]
+        if "req-id" not in request.headers:
+            headers.append((b"req-id", next(self.ids)))
+        url = request.url
+        order = Order(request.method.encode(), url.raw_path, headers, body, scheme=url.scheme)
+        fields = self.front.fields(headers)
+        if isinstance(fields, Rejection):
+            return fields
         if len(body) > LONGEST_BODY:
-            return text(413, "the body is too large")
-        owner, tenant = request.headers.get("req-owner"), 0
-        if owner is not None and self.tenants:
-            if owner not in self.tenants:
-                return text(400, "Req-Owner is unknown")
-            tenant = self.tenants[owner]
-        span = self.span(request, conf.deadline)
-        if span is None:
-            return text(400, "Req-Deadline cannot be read")
-        headers = [
-            (key, value)
-            for key, value in ((key.lower(), value) for key, value in request.headers.raw)
-            if key not in HOP_BY_HOP and key not in OWN
-        ]
-        headers.append((b"req-id", request.headers.get("req-id", "").encode() or next(self.ids)))
-        if "req-kind" not in request.headers:
-            headers.append((b"req-kind", name.encode()))
-        order = Order(method, request.url.raw_scheme, request.url.raw_path, headers, body)
-        return order, klass, span, tenant
-
-    def span(self, request: httpx.Request, most: float) -> float | None:
-        """How long the caller waits: the least of the class's deadline, Req-Deadline and the read timeout."""
+            return Rejection(413, "the body is too large")
+        item = self.front.read(order, fields)
+        if isinstance(item, Rejection):
+            return item
         read = (request.extensions.get("timeout") or {}).get("read")
         if read is not None:
-            most = min(most, read * 1000.0)
-        worded = request.headers.get("req-deadline")
-        if worded is None:
-            return most
-        number, unit = worded[:-1], worded[-1:]
-        if unit not in ("m", "u") or not number.replace(".", "", 1).isdigit():
-            return None
-        return min(most, float(number) / (1.0 if unit == "m" else 1000.0))
-
-
-def text(status: int, words: str, headers: Mapping[str, str] | None = None) -> httpx.Response:
-    return httpx.Response(status, headers=headers, text=words + "\n")
+            item.span = min(item.span, read * 1000.0)
+        return order, item
 
 
 class AsyncBalancedTransport(httpx.AsyncBaseTransport):
@@ -284,9 +241,9 @@
         """Have a request answered; cancelling it gives it up."""
         self.open()
         item = self.reader.read(request, body)
-        if isinstance(item, httpx.Response):
-            return item
-        order, klass, span, tenant = item
+        if isinstance(item, Rejection):
+            return httpx.Response(item.status, headers=list(item.headers), content=item.text.encode() + b"\n")
+        order, taken = item
         host = self.picture.host
         answered: asyncio.Future[Answer] = host.loop.create_future()
 
@@ -294,7 +251,7 @@
             if not answered.done():
                 answered.set_result(answer)
 
-        ticket = host.arrive(klass, span, order, reply, tenant)
+        ticket = host.arrive(taken.klass, taken.span, order, reply, taken.tenant, taken.repeated)
         try:
             return respond(await answered)
         except asyncio.CancelledError:
@@ -310,12 +267,8 @@
 
 
 def respond(answer: Answer) -> httpx.Response:
-    if isinstance(answer, Served):
-        return httpx.Response(200, headers=answer.content.headers, content=answer.content.body)
-    if isinstance(answer, Refused):
-        wait = f"{math.ceil(answer.retry_after) / 1000.0:.3f}"
-        return text(503, "refused", {"retry-after": wait})
-    return text(502, "failed")
+    status, body, headers = final(answer)
+    return httpx.Response(status, headers=list(headers), content=body)
 
 
 class LoopThread:
--- a/brackenusher/fronts/rpc/watch.py
+++ b/brackenusher/fronts/rpc/watch.py
@@ -5,8 +5,10 @@
 import random
 from collections.abc import Callable
 
-from brackenusher.config.platform import Address
-from brackenusher.membership.discovery import Broken, Discovery, Listing
+from brackenusher.membership.discovery import Broken, Discovery
+from brackenusher.runtime.driver import Address
+from brackenusher.runtime.log import fault, say
+from brackenusher.upstream.listing import Listing
 
 log = logging.getLogger("brackenusher.rpc")
 
@@ -52,9 +54,9 @@
             except asyncio.CancelledError:
                 raise
             except Exception:
-                log.exception("discovery: failed in an unforeseen way")
+                fault(log, "discovery_failed", "discovery: failed in an unforeseen way")
                 why = "failed"
-            log.warning("discovery: %s", why)
+            say(log, logging.WARNING, "discovery_lost", "discovery: %(why)s", why=why)
             self.lost()
             wait = self.back_off * (0.5 + self.rng.random())
             self.back_off = min(2 * self.back_off, LONGEST_BACK_OFF)
--- a/brackenusher/membership/agent.py
+++ b/brackenusher/membership/agent.py
@@ -6,12 +6,13 @@
 from functools import partial
 
 from barleybarrow import interface as face
-from brackenusher.config.platform import Address
 from brackenusher.core.transaction import Transactions
 from brackenusher.membership.discovery import Broken, Discovery
 from brackenusher.runtime.buffers import Buffers
-from brackenusher.runtime.driver import open_socket, write
-from brackenusher.runtime.loop import READ, WRITE, Coroutine, Loop, clock
+from brackenusher.runtime.driver import Address, open_socket, write
+from brackenusher.runtime.log import say
+from brackenusher.runtime.loop import READ, WRITE, Coroutine, Loop, Task, clock
+from brackenusher.runtime.timers import Entry
 from brackenusher.upstream.pool import Pool
 
 log = logging.getLogger(__name__)
@@ -36,8 +37,11 @@
         self.loop, self.address, self.pool, self.owner, self.buffers = loop, address, pool, owner, buffers
         self.rng = rng
         self.seq: int | None = None
-        self.back_off, self.task, self.limit, self.retry = BACK_OFF, None, None, None
+        self.back_off = BACK_OFF
+        self.limit: Entry | None = None
+        self.retry: Entry | None = None
         self.machine: Discovery | None = None  # that of the connection which counts
+        self.task: Task  # and its coroutine
 
     def move(self, address: Address) -> None:
         """Leave this agent for another at once; that one is asked for the whole list."""
@@ -100,7 +104,7 @@
 
     def again(self, why: str) -> None:
         """Try again after a while that doubles."""
-        log.warning("discovery: %s", why)
+        say(log, logging.WARNING, "discovery_lost", "discovery: %(why)s", why=why)
         if self.owner.balancer.conf.must_ask:
             self.owner.post(face.ListChanged(face.ListScope.LOST, []))
         wait = self.back_off * (0.5 + self.rng.random())
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -10,14 +10,14 @@
 from helpers import SETTINGS, Program, TurnServer, read_request, submit_request, until
 
 from barleybarrow.settings import read_settings
-from brackenusher.config.operators import read_operator
+from brackenusher.config.operators import FiguresSettings, read_operator
 from brackenusher.config.platform import ConfigError
+from brackenusher.core.admission import Request
 from brackenusher.core.deadlines import Deadlines
+from brackenusher.core.message import Message
 from brackenusher.core.transaction import Refused, Served, Transaction
-from brackenusher.fronts.http1.virtual_server import Request
-from brackenusher.records.figures import Appended, Figures, FiguresSettings
+from brackenusher.records.figures import Appended, Figures
 from brackenusher.runtime.outlet import Outlet
-from brackenusher.upstream.flow import Message
 
 CONF = read_settings(
     SETTINGS | {"tenants": [{"name": name} for name in ("kente-wars", "harmattan", "a b,c=d|e\\")]}
@@ -209,7 +209,7 @@
         lines = program.log.splitlines()
         assert sum(line.startswith("latency_ms:") and line.endswith("wars") for line in lines) == 200
         assert sum(line.startswith("id") and " served at=" in line for line in lines) == 200
-        assert any(line.endswith("stopping") for line in lines)
+        assert any(" stopping: " in line and line.endswith(" ms") for line in lines)
 
 
 def test_without_the_feature_nothing_is_sent(tmp_path):
