--- a/benchmarks/rpc.py
+++ b/benchmarks/rpc.py
@@ -24,7 +24,7 @@
 
 SERVERS, CORES, QUEUE = 8, 2, 2
 WORK = {"board-read": (15.0, 25.0), "turn-submit": (20.0, 30.0)}  # milliseconds
-CLASSES = [
+CLASSES: list[dict[str, Any]] = [
     {"name": "board-read", "slo": 200.0, "deadline": 800.0, "worth": 2.0, "repeat": "free"},
     {"name": "turn-submit", "slo": 250.0, "deadline": 1000.0, "worth": 8.0, "repeat": "guarded"}
     | {"group": "all", "window": 6000.0},
@@ -132,7 +132,8 @@
     """The arrivals of a scenario through one policy."""
     from examples.rpc.turns import TurnsStub
 
-    rng, calls, spans = random.Random(11), [], []
+    rng, spans = random.Random(11), list[float]()
+    calls: list[asyncio.Future[None]] = []
     asked = won = 0.0
     count = 0
 
--- a/brackenusher/fronts/rpc/host.py
+++ b/brackenusher/fronts/rpc/host.py
@@ -13,6 +13,7 @@
 from barleybarrow import interface as face
 from barleybarrow.brain import Balancer
 from barleybarrow.interface import Outcome
+from brackenusher.core.admission import Admission, Request, Verdict
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.core.transaction import (
     RESERVE,
@@ -131,6 +132,7 @@
         self.clock = self.deadlines.clock
         balancer = Balancer(settings, seed, self.clock())
         self.transactions = Transactions(balancer, self.clock, self.deadlines, carrier)
+        self.admission = Admission(self.transactions, settings)
         self.waiting: dict[int, Ticket] = {}  # for the first list, in the order of their arrival
         self.listed = self.closed = False
         self.serial = self.out = self.refused_open = 0
@@ -156,8 +158,7 @@
         ticket = Ticket(klass, reply, message, tenant, repeated, self.clock() + span)
         if self.closed or len(self.transactions.open) + len(self.waiting) >= self.most_open:
             self.refused_open += 1
-            self.transactions.turn_away(message, f"room {self.settings.max_retry_after:.0f} refused")
-            self.give(ticket, Refused(self.settings.max_retry_after))
+            self.enter(ticket, beyond=True)
         elif self.listed:
             self.enter(ticket)
         elif span <= RESERVE:
@@ -169,18 +170,23 @@
             ticket.guard = self.deadlines.add(ticket.until - RESERVE, lambda: self.no_list(number))
         return ticket
 
-    def enter(self, ticket: Ticket) -> None:
+    def enter(self, ticket: Ticket, beyond: bool = False) -> None:
+        """Through admission into the transactions, or back."""
         self.serial += 1
-        transaction = self.transactions.arrive(
+        request = Request(
             name=b"%d" % self.serial,
             klass=ticket.klass,
             span=ticket.until - self.clock(),
-            message=ticket.message,
-            reply=lambda answer: self.give(ticket, answer),
             tenant=ticket.tenant,
             repeated=ticket.repeated,
+            message=ticket.message,
+            beyond=beyond,
         )
-        ticket.transaction = transaction
+        admitted = self.admission.admit(request, lambda answer: self.give(ticket, answer))
+        if isinstance(admitted, Verdict):
+            self.give(ticket, Refused(admitted.retry_after))
+        else:
+            ticket.transaction = admitted
 
     def give(self, ticket: Ticket, answer: Answer) -> None:
         if not ticket.over:
@@ -202,7 +208,7 @@
             return
         ticket.over = True
         if ticket.transaction is not None:
-            self.transactions.left(ticket.transaction)
+            self.admission.left(ticket.transaction)
             return
         self.deadlines.remove(ticket.guard)
         for number, waiting in self.waiting.items():
