Module: breaks weigh little where a repeat may go, and more of them tell of a dead process

Change: a break counts as lost only where the class may not be repeated; how many in a row tell of a dead process follows from the share that breaks anywhere.

--- a/barleybarrow/brain.py
+++ b/barleybarrow/brain.py
@@ -36,6 +36,7 @@
 HOPE = 3.0  # usual latencies that must be left to the aim of a held request, half the aim at most
 BREAK, LONGEST = 4.0, 8.0  # aims that a backend whose process went is left alone; the longest back-off
 BREAKS = 3  # connections broken within an aim and no answer between tell that a process went; fewer do not
+BY_CHANCE, SLOW = 1e-5, 1 / 256  # unless so many are likelier than this by the share that breaks anywhere
 WORSE, BETTER = 1 / 3, 1 / 4  # weight of a failure, and of an answer, in the share that fails of late
 STUCK = 6.0  # usual latencies after which an attempt that a later one overtook is given up on
 SOUND = 2.0  # aims for which an answer shows that a backend serves its class
@@ -71,7 +72,7 @@
         self.retry, self.agenda = deque[Request](), Agenda[Request]()
         self.ripe = Agenda[Backend]()  # when a backend has to be placed anew
         self.entered, self.wake_at, self.turn, self.answers = 0, inf, 0, 0
-        self.budget, self.watch_at, self.watch_backoff = RETRY_DEPTH, inf, 0.0
+        self.budget, self.watch_at, self.watch_backoff, self.breaking = RETRY_DEPTH, inf, 0.0, 0.0
         self.room, self.far, self.least = 1.0, FAR, 1 / max(settings.proxies, 1)
         self.fleet, self.many, self.each = Gauge(self.level), False, 0.0  # more proxies than backends: one
         self.crossed, self.ask_at, self.pause = -inf, now, FRESH * self.aim / 4  # threshold for each of them
@@ -196,8 +197,7 @@
                 self.await_turn(b, self.now + max(min(short) / rate, self.conf.tick))
         self.idle.put(b, values)
 
-    def await_turn(self, b: Backend, at: float) -> None:
-        """Have a backend placed anew at a time, or before."""
+    def await_turn(self, b: Backend, at: float) -> None:  # have it placed anew at a time, or before
         if at < b.due:
             b.due = at
             self.ripe.add(at, b)
@@ -452,7 +452,7 @@
         """Take from an outcome what it tells of the backend."""
         if outcome is Outcome.SERVED:
             b.failing[k], b.failing[-1] = b.failing[k] * (1 - BETTER), b.failing[-1] * (1 - BETTER)
-            b.answered_at[k], b.breaks = self.now, 0
+            b.answered_at[k], b.breaks, self.breaking = self.now, 0, self.breaking * (1 - SLOW)
             self.pool.serve(b, klass.cost)
             b.lost[k] -= LOST * b.lost[k]
             sample = log(max(elapsed, self.conf.tick / 4)) - klass.log
@@ -465,11 +465,10 @@
                 self.weigh(klass, sample, self.fleet.mean if self.many else b.mean if b.seen else b.kind.mean)
         else:  # an error is no proof of speed, a time-out took at least the time waited
             sample = log(max(elapsed, FAILED * klass.cost)) - klass.log
-            self.leave(b, klass, k, outcome)
-            if outcome is Outcome.FULL:
-                return
-            b.lost[k] += 2 * LOST * (1 - b.lost[k])
-            if 0 < b.breaks < BREAKS and outcome is not Outcome.TIMEOUT:
+            broke = self.leave(b, klass, k, outcome)
+            if outcome is not Outcome.FULL and (not broke or klass.conf.effect is Effect.UNSAFE):
+                b.lost[k] += 2 * LOST * (1 - b.lost[k])  # else little is lost: it may go elsewhere at once
+            if outcome is Outcome.FULL or broke:
                 return  # a connection that broke tells nothing of latency
             if self.many:  # lost answers must not pass for crowding, nor a fleet that answers none for idle
                 if outcome is Outcome.TIMEOUT:
@@ -515,21 +514,21 @@
         if self.many:
             self.add_up()
 
-    def leave(self, b: Backend, klass: Class, k: int, outcome: Outcome) -> None:
-        """Leave a backend that failed alone for a while, by its failures to an answer.
+    def leave(self, b: Backend, klass: Class, k: int, outcome: Outcome) -> bool:
+        """Leave a backend that failed alone for a while, by its failures to an answer; whether it broke off.
 
         It errs, is full, hangs or is gone; while it answers other classes well, only this one rests.
         """
-        broke, gone = outcome is Outcome.RESET, False
-        broke = broke or outcome is Outcome.CONNECT_FAILED and (b.open or b.breaks > 0)
+        broke = outcome is Outcome.RESET or outcome is Outcome.CONNECT_FAILED and (b.open or b.breaks > 0)
+        self.breaking += SLOW * (broke - self.breaking)
         if broke:
-            b.breaks = b.breaks + 1 if self.now < b.broke_at + self.aim else 1
-            b.broke_at, gone = self.now, b.breaks >= BREAKS
-            if gone and b.position >= 0:
-                b.warm_from = self.now  # its process went: it may be back, and cold, before the list tells
-                self.warm(b)
+            b.breaks, b.broke_at = b.breaks + 1 if self.now < b.broke_at + self.aim else 1, self.now
         elif outcome is not Outcome.TIMEOUT:
             b.breaks = 0
+        gone = broke and b.breaks >= max(BREAKS, log(BY_CHANCE) / log(min(self.breaking, 0.3)))
+        if gone and b.position >= 0:
+            b.warm_from = self.now  # its process went: it may be back, and cold, before the list tells
+            self.warm(b)
         b.open = b.open and outcome is not Outcome.CONNECT_FAILED
         if self.now >= max(b.busy_until, b.rests[k]):
             share = b.failing[-1 if broke else k] = WORSE + (1 - WORSE) * b.failing[-1 if broke else k]
@@ -542,6 +541,7 @@
                 b.rests[k], b.resting = until, True
         if outcome in PROVEN and not broke and not self.sound(b, k):
             self.pool.set_limit(b, max(self.least, b.limit * CUT))
+        return broke
 
     def sound(self, b: Backend, k: int) -> bool:
         """Whether a backend answers other classes than one: the fault lies with that class."""
@@ -580,8 +580,7 @@
         self.far = max(NEAR, hope - log(4) if self.many else min(FAR, hope - log(2)))
         self.rank_queues()
 
-    def price(self) -> None:
-        """What the classes cost by what was learned."""
+    def price(self) -> None:  # what the classes cost by what was learned
         for c in self.classes:
             c.cost, c.penalty = exp(c.log + self.level), c.conf.aim / exp(c.log)
         self.light, self.heavy = min(c.cost for c in self.classes), max(c.cost for c in self.classes)
