--- a/brackenusher/config/operators.py
+++ b/brackenusher/config/operators.py
@@ -1,14 +1,16 @@
 """The operators' file: which features are on, and their settings, in properties format."""
 
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from ipaddress import ip_address
 from pathlib import Path
 from typing import Any
 
 from barleybarrow import interface as face
+from barleybarrow.connections import ConnectionSettings
 from barleybarrow.door import DoorSettings, Limit
+from barleybarrow.subsets import Subset
 from barleybarrow.tokens import KID, TokenSettings
 from brackenusher.config.platform import ConfigError, read_address
 from brackenusher.runtime.driver import Address
@@ -44,6 +46,7 @@
     capture: CaptureSettings | None = None
     token: TokenSettings | None = None
     figures: FiguresSettings | None = None
+    connections: ConnectionSettings | None = None
     log_format: str = "text"
 
     @property
@@ -199,11 +202,30 @@
     )
 
 
+def read_connections(entries: Entries) -> ConnectionSettings:
+    least = ConnectionSettings()
+    return ConnectionSettings(
+        learn=entries.take("connections.learn", switch, least.learn),
+        rescue=entries.take("connections.rescue", switch, least.rescue),
+        rest=entries.take("connections.rest", switch, least.rest),
+        age=1000.0 * entries.take("connections.age_s", whole(0, 86_400), 0),
+        requests=entries.take("connections.requests", whole(0, 1_000_000_000), least.requests),
+        ahead=entries.take("connections.ahead", switch, least.ahead),
+        spare=entries.take("connections.ahead.spare", whole(0, 1000), least.spare),
+        hold=1000.0 * entries.take("connections.ahead.hold_s", whole(1, 3600), int(least.hold / 1000)),
+        pace=float(entries.take("connections.ahead.pace", whole(1, 1000), int(least.pace))),
+        subset=entries.take("connections.subset", whole(0, 100_000), least.subset),
+        subset_index=entries.take("connections.subset.index", whole(0, 99_999), least.subset_index),
+        subset_proxies=entries.take("connections.subset.proxies", whole(1, 100_000), least.subset_proxies),
+    )
+
+
 FEATURES: dict[str, Callable[[Entries], Any]] = {
     "door": read_door,
     "capture": read_capture,
     "token": read_token,
     "figures": read_figures,
+    "connections": read_connections,
 }
 
 
@@ -220,6 +242,20 @@
     return Operator(**chosen, log_format=log_format)
 
 
+def read_subset(operator: Operator, worded: Mapping[str, Any]) -> Subset | None:
+    """The subset of the list that this proxy sees; the platform's settings say which of how many it is."""
+    wanted = operator.connections
+    if wanted is None or not wanted.subset:
+        return None
+    proxies = wanted.subset_proxies or int(worded.get("instances", 1))
+    index = wanted.subset_index if wanted.subset_index >= 0 else int(worded.get("me", -1))
+    if not 0 <= index < proxies:
+        raise ConfigError(
+            f"connections.subset.index: {index} is no number below that of the proxies, {proxies}"
+        )
+    return Subset(wanted.subset, index, proxies)
+
+
 def doubts(operator: Operator, settings: face.Settings) -> list[str]:
     """What the file says that can have no effect: not wrong, as tenants come and go, but maybe a slip."""
     tenants = operator.door.tenants if operator.door and settings.tenants else ()
