--- a/barleybarrow/state.py
+++ b/barleybarrow/state.py
@@ -15,6 +15,14 @@
 class Gauge:
     """Smoothed log of the latency of usual work, in log milliseconds, and the threshold learned from it."""
 
+    __slots__ = (
+        "mean",
+        "best",
+        "limit",
+        "cut_at",
+        "seen",
+    )
+
     def __init__(self, mean: float, limit: float = 1.0) -> None:
         self.mean = self.best = mean
         self.limit, self.cut_at, self.seen = limit, 0.0, 0  # how many answers the mean stands on
@@ -36,6 +44,42 @@
 class Backend(Gauge):
     """What this proxy knows of one life of one backend; clock times and spans are in milliseconds."""
 
+    __slots__ = (
+        "serial",
+        "name",
+        "started",
+        "cell",
+        "zone",
+        "kind",
+        "far",
+        "others",
+        "inflight",
+        "open",
+        "alone",
+        "waiting",
+        "held",
+        "stuck",
+        "warm_from",
+        "lost",
+        "heard_at",
+        "asked",
+        "busy_until",
+        "rests",
+        "resting",
+        "failing",
+        "answered_at",
+        "breaks",
+        "broke_at",
+        "pace",
+        "paced_at",
+        "served",
+        "cold",
+        "aged_at",
+        "position",
+        "due",
+        "ranks",
+    )
+
     def __init__(
         self, serial: int, entry: Entry, kind: Gauge, far: float, limit: float, classes: int, now: float
     ) -> None:
@@ -145,6 +189,21 @@
 class Request:
     """A request that this proxy has taken, until it is answered and no attempt is out."""
 
+    __slots__ = (
+        "id",
+        "klass",
+        "deadline",
+        "arrived",
+        "attempts",
+        "out",
+        "repeated",
+        "closed",
+        "held",
+        "may_run",
+        "bound",
+        "window_end",
+    )
+
     def __init__(self, event: Arrived, now: float) -> None:
         self.id, self.klass, self.deadline, self.arrived = event.request, event.klass, event.deadline, now
         self.attempts: list[tuple[Backend, float | None]] = []  # when each was sent, None once it has ended
