A connection that makes room is counted out at once, also while its coroutine runs

What is sent on hearing of an answer could be given the room of the very connection that had brought it: that one ended a moment later, so the planner held the room for taken and the attempt failed on an assertion. Found by a driver test with room for one.

--- a/brackenusher/upstream/connections.py
+++ b/brackenusher/upstream/connections.py
@@ -156,6 +156,7 @@
     ) -> None:
         self.upstream, self.member, self.sock = upstream, member, sock
         self.planner = upstream.planner
+        self.held: Held = self.planner.opening(member.line, self, clock(), ahead)
         self.attempt: Attempt | Probe | None = None
         self.limit: Entry | None = None
         self.expiry: Entry | None = None
@@ -167,7 +168,6 @@
         if not connected:
             until = clock() + upstream.connect_time
             self.limit = upstream.loop.deadlines.add(until, self.not_connected)
-        self.held: Held = self.planner.opening(member.line, self, clock(), ahead)
         self.task = upstream.loop.spawn(self.run(connected), sock)
 
     def carry(self, attempt: "Attempt | Probe") -> None:
@@ -332,6 +332,7 @@
         """Close the connection; an attempt that is given up tells no outcome from here."""
         self.cause = cause
         self.release()
+        self.planner.closed(self.held, clock(), cause)  # its coroutine may be running, and end a little later
         self.task.stop()
 
     def forget(self) -> None:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -524,20 +524,22 @@
 class Driver:
     """The driver in this process, with probes for attempts."""
 
-    def __init__(self, server):
+    def __init__(self, *servers, room=50):
         settings = read_settings(SETTINGS)
         self.loop = Loop(Deadlines())
         self.pool = Pool(settings, clock, 0.0)
-        self.upstream = connections.Upstream(self.loop, self.pool, settings, 50, Buffers())
-        self.pool.take(read_listing({"seq": 1, "whole": True, "hosts": [host("s0", server)]}))
+        self.upstream = connections.Upstream(self.loop, self.pool, settings, room, Buffers())
+        hosts = [host(f"s{n}", server) for n, server in enumerate(servers)]
+        self.pool.take(read_listing({"seq": 1, "whole": True, "hosts": hosts}))
+
+    def start(self, name, ended):
+        message, now = Message(b"GET", b"/board-read"), clock()
+        attempt = connections.Probe(name, message, now, now + 20_000.0, lambda _, outcome, __: ended(outcome))
+        self.upstream.start(attempt)
 
     def ask(self):
         ends = []
-        message = Message(b"GET", b"/board-read")
-        attempt = connections.Probe(
-            "s0", message, clock(), clock() + 20_000.0, lambda _, outcome, __: ends.append(outcome)
-        )
-        self.upstream.start(attempt)
+        self.start("s0", ends.append)
         self.turn_until(lambda: ends)
         return ends[0]
 
@@ -598,6 +600,16 @@
         assert (planner.rescued, planner.closes[Cause.ENDED], len(server.connections)) == (1, 1, 2)
 
 
+def test_a_connection_makes_room_while_its_own_coroutine_runs():
+    # guards against a room that is counted as taken still: what came on hearing of an answer failed on it
+    with TurnServer() as first, TurnServer() as second:
+        driver, ends = Driver(first, second, room=1), []
+        driver.start("s0", lambda outcome: (ends.append(outcome), driver.start("s1", ends.append)))
+        driver.turn_until(lambda: len(ends) == 2)
+        assert ends == [Outcome.SERVED, Outcome.SERVED] and driver.upstream.planner.total == 1
+        assert driver.upstream.planner.closes == {Cause.ROOM: 1}
+
+
 class Forgetful(TurnServer):
     """Drops connections after 0.2 s between requests and says nothing: a request on one is reset unread."""
 
