--- a/testbed/report.py
+++ b/testbed/report.py
@@ -12,11 +12,12 @@
 
 import matplotlib
 import numpy as np
+from hdrh.histogram import HdrHistogram
 from matplotlib.axes import Axes
 from matplotlib.colors import PowerNorm
 from matplotlib.figure import Figure
 
-from testbed.results import Acted, Result
+from testbed.results import Acted, Live, Result
 
 # Okabe and Ito's palette: told apart by colour-blind readers too; the module is black.
 COLOURS = ["#0072b2", "#d55e00", "#009e73", "#cc79a7", "#56b4e9", "#e69f00", "#999933"]
@@ -46,7 +47,7 @@
         '<html lang="en"><meta charset="utf-8"><title>Testbed report</title>',
         f"<style>{STYLE}</style><h1>Testbed report</h1>",
         f"<p>{len(runs)} runs of {len(names)} scenarios. Goodput is the worth answered within the aim over "
-        "the worth asked for. Times are virtual. Of several seeds, plots over time show the first.</p>",
+        f"the worth asked for. {times(runs)} Of several seeds, plots over time show the first.</p>",
     ]
     if len(names) > 1:
         parts.append(overview(runs, names))
@@ -83,10 +84,39 @@
     parts.append(over_time(firsts, colours))
     parts += [servers(r) for r in firsts[:MAPS] if r.series.in_flight]
     parts += [troubles(r) for r in firsts[:1]]
+    parts += [on_sockets(r.live, r.seed) for r in runs if r.live is not None]
     parts += [breaches(r) for r in runs if r.breaches]
     return "\n".join(parts)
 
 
+def times(runs: Sequence[Result]) -> str:
+    real = sum(r.live is not None for r in runs)
+    if not real:
+        return "Times are virtual."
+    return "Runs on sockets: times are real." if real == len(runs) else "Times of runs on sockets are real."
+
+
+def on_sockets(live: Live, seed: int) -> str:
+    """What only a run on sockets has: the daemons' cost, and whether the testbed kept up."""
+    rows = [
+        [
+            f"n{p.proxy}",
+            f"{p.cpu_s:.2f}",
+            f"{p.cpu_worst:.2f}",
+            f"{p.memory_mb:.0f}",
+            p.descriptors,
+            p.lives,
+            escape(p.ended),
+        ]
+        for p in live.processes
+    ]
+    head = ["proxy", "CPU s", "of a core in the worst second", "MB", "descriptors", "lives", "ended"]
+    notes = "".join(f"<li>{escape(line)}</li>" for line in live.behind)
+    late = HdrHistogram.decode(live.lateness).get_value_at_percentile(99.0) / 1000.0
+    kept = f"<p>99% of the requests were written within {late:.1f} ms of their time.</p><ul>{notes}</ul>"
+    return f"<h3>On sockets, seed {seed}</h3>" + table(head, rows, texts=(6,)) + kept
+
+
 def colour(policy: str, n: int) -> str:
     return "#000000" if policy == "module" else COLOURS[n % len(COLOURS)]
 
--- a/testbed/sockets/run.py
+++ b/testbed/sockets/run.py
@@ -38,6 +38,7 @@
 from testbed.sockets.fleet import Fleet
 from testbed.sockets.load import Load
 from testbed.sockets.ports import free_port
+from testbed.world import SecondBySecond
 
 START_S = 30.0  # a process that is not ready by then will not be
 LEAD_S = 0.3  # between the word to begin and the first instant, so that everybody has heard it
@@ -285,6 +286,7 @@
         self.events: list[tuple[int, str]] = []
         self.load: dict[str, Any] = {}
         self.busy: dict[str, list[float]] = {"fleet": [], "load": []}
+        self.by_second = SecondBySecond(scenario)  # what the servers and the proxies hold
         self.sums: dict[str, dict[str, Any]] = {}
 
     def __enter__(self) -> "Run":
@@ -376,6 +378,7 @@
                 watch(Look(now - self.origin, self.load, self.fleet, self.events, self.daemons))
         for daemon in self.daemons:
             daemon.sample(self.origin)
+        load.send("end")  # its connections go: a daemon that is to stop waits for nobody then
         fleet.send("end")
         while "fleet" not in self.sums:
             if not fleet.poll(START_S):
@@ -395,6 +398,9 @@
                 elif kind == "fleet":
                     self.fleet, self.events = rest[0], rest[1]
                     self.busy["fleet"].append(rest[2])
+                    held = [float(count) for _, _, count, _ in self.fleet]
+                    before = max(0.0, self.load.get("open", 0) - sum(held))
+                    self.by_second.sample(int(before), held, [name for name, *_ in self.fleet])
                 else:
                     self.load, news = rest[0], True
                     self.busy["load"].append(rest[1])
@@ -451,6 +457,7 @@
         doubtful = [b for b in breaches if b.promise in TIMED and around(b.at) & lagging]
         breaches = [b for b in breaches if b not in doubtful]
         series = load["series"]
+        series.in_flight, series.held = self.by_second.series.in_flight, self.by_second.series.held
         for second, count in fleet["of_second"].items():
             if 0 <= second < len(series.attempts):
                 series.attempts[second] = count
