--- a/testbed/sockets/load.py
+++ b/testbed/sockets/load.py
@@ -25,7 +25,7 @@
 from testbed.model.network import stream, uniforms
 from testbed.results import Breach, Tally, encode, histogram
 from testbed.sockets import http
-from testbed.sockets.fleet import Lag
+from testbed.sockets.lag import Lag
 from testbed.world import FAILED, FRONT_NOTICE, IN_AIM, LATE, LEFT, REFUSED, Quota, SecondBySecond
 
 SECOND = 1_000_000
