--- a/tests/rpc_world.py
+++ b/tests/rpc_world.py
@@ -3,6 +3,7 @@
 import asyncio
 import heapq
 import selectors
+import sys
 
 import grpc
 import httpx
@@ -18,7 +19,8 @@
 from brackenusher.fronts.rpc.host import STEP
 from examples.rpc.model import DECLINED, FAILED, SERVED, SILENT
 
-grpc.aio.init_grpc_aio()  # held to the end: else whoever lets go last waits for its poller, maybe in the collector
+if "pytest" in sys.modules:  # held to the end: else whoever lets go last waits for its poller, maybe in the
+    grpc.aio.init_grpc_aio()  # collector; a process that forks must not hold it
 
 START = 1000.0  # seconds at which virtual time begins
 METHODS = {
