Module: hearsay of other proxies as an event that can only lower a rank

One more event, Told. A backend's expected latency is multiplied by a hint, 1 without hearsay, so decisions without it are the same to the bit.

--- a/barleybarrow/brain.py
+++ b/barleybarrow/brain.py
@@ -7,8 +7,7 @@
 4. One table says what may be sent again or refused. A cold backend gets a paced share of a warm one's work.
 
 A latency is a backend's usual one times the work of a class, which is 1 on the mean of what is answered: as
-only their product is seen, either could drift without bound otherwise.
-"""
+only their product is seen, either could drift without bound otherwise."""
 
 import random
 from bisect import bisect_left
@@ -81,7 +80,7 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             face.Arrived: self.arrived, face.Finished: self.finished, face.Left: self.left,
             face.TimerDue: self.timer, face.ListChanged: self.listed, face.Began: self.began,
-            face.Probed: self.probed}  # fmt: skip
+            face.Probed: self.probed, face.Told: self.told}  # fmt: skip
         self.asks = settings.probing and "inflight" in settings.probe_reports
         self.share = 1 / self.least / START if self.asks else 1.0  # with what others have it is the fleet's
         self.price()
@@ -92,8 +91,7 @@
 
     def handle(self, now: float, event: face.Event) -> list[Action]:
         """Take one event, return the actions it calls for."""
-        handler = self.handlers.get(type(event))
-        if handler is None:
+        if (handler := self.handlers.get(type(event))) is None:
             raise face.UnknownEvent(type(event).__name__)
         self.now, self.actions, self.news = now, [], self.news + 1
         span = now - self.swept
@@ -180,7 +178,7 @@
         if full or self.now < b.busy_until:
             self.idle.drop(b)
             return None if full else self.await_turn(b, b.busy_until)
-        usual = b.usual if b.seen else b.kind.usual
+        usual = (b.usual if b.seen else b.kind.usual) * b.hint
         shares = zip(b.lost, self.classes, strict=True)
         values: list[float | None] = [usual + (b.far + lost) * c.penalty for lost, c in shares]
         if b.resting:
@@ -212,12 +210,17 @@
                 self.place(b)
             self.dispatch()
 
+    def told(self, event: face.Told) -> None:  # hearsay of a life on the list lowers its rank, and no more
+        for word in event.hearsay:
+            if (b := self.backends.get(word.backend)) and b.started == word.started:
+                b.heed(word, self.fleet.mean)
+                self.place(b)
+
     def warm(self, b: Backend) -> float:
         """Guess low how warm it is and allow that share of what a warm one serves here: it may fall over.
 
         The rates of all proxies add up to the fleet's own, so none needs to know the others.
-        Returns the rate at which its budget fills, in milliseconds of work a millisecond.
-        """
+        Returns the rate at which its budget fills, in milliseconds of work a millisecond."""
         conf, age, span = self.conf, self.now - b.warm_from, self.now - b.paced_at
         b.paced_at = self.now
         if b.warm_from <= 0 or age >= conf.cold:
@@ -333,7 +336,7 @@
                 continue
             if tried and (b in tried or r.bound is not None and not self.same_group(b, r.bound, klass)):
                 continue
-            value = (b.usual if b.seen else b.kind.usual) + (b.far + b.lost[r.klass]) * klass.penalty
+            value = (b.usual if b.seen else b.kind.usual) * b.hint + (b.far + b.lost[r.klass]) * klass.penalty
             found.append((value * (OPENING if each and not b.open else 1.0), b))
         best = min((value for value, _ in found), default=inf)
         near = [b for value, b in found if value <= best * (1 + TIE)]
@@ -402,8 +405,7 @@
             self.close(r)
 
     def finished(self, event: face.Finished) -> None:
-        r = self.requests.get(event.request)
-        if r is None or not 0 <= event.attempt < len(r.attempts):
+        if (r := self.requests.get(event.request)) is None or not 0 <= event.attempt < len(r.attempts):
             return
         b, sent = r.attempts[event.attempt]
         if sent is None:
@@ -518,8 +520,7 @@
     def leave(self, b: Backend, klass: Class, k: int, outcome: Outcome) -> None:
         """Leave a backend that failed alone for a while, by its failures to an answer.
 
-        It errs, is full, hangs or is gone; while it answers other classes well, only this one rests.
-        """
+        It errs, is full, hangs or is gone; while it answers other classes well, only this one rests."""
         broke, gone = outcome is Outcome.RESET, False
         broke = broke or outcome is Outcome.CONNECT_FAILED and (b.open or b.breaks > 0)
         if broke:
--- a/barleybarrow/interface.py
+++ b/barleybarrow/interface.py
@@ -198,6 +198,23 @@
     report: dict[str, float] | None = None
 
 
+@dataclass(slots=True)
+class Hearsay:
+    """What other proxies say of one life of a backend, weighed; see `barleybarrow.knowledge`."""
+
+    backend: str
+    started: float  # as in its Entry: another start is another life, of which this says nothing
+    slower: float  # log of how many times the fleet's usual latency it takes; under 0 it is faster
+    weight: float  # 0 to 1: how far this counts now, against nothing known at first hand
+
+
+@dataclass(slots=True)
+class Told:
+    """Hearsay. It can only lower a backend in the ranking, and fades."""
+
+    hearsay: list[Hearsay]
+
+
 @dataclass(slots=True)
 class Send:
     """Start an attempt; timeout is a span, 0 for until the client gives up."""
@@ -257,5 +274,5 @@
     backend: str
 
 
-Event = ListChanged | Arrived | Finished | Began | Left | TimerDue | Probed
+Event = ListChanged | Arrived | Finished | Began | Left | TimerDue | Probed | Told
 Action = Send | Refuse | Fail | Cancel | Disconnect | SetTimer | Watch | Probe
--- /dev/null
+++ b/barleybarrow/knowledge.py
@@ -0,0 +1,301 @@
+"""Shared knowledge as values: what each proxy saw at first hand, how copies merge, what it is worth later.
+
+It does no I/O, is told the time in milliseconds, and changes nothing that the module decided: it hands the
+module hearsay, which can only lower a backend's rank.
+
+- Evidence is about one life of one backend and comes from one proxy, its origin, which alone makes new
+  versions of it. Copies travel with their origin's name and the age of the evidence: a copy of a copy adds
+  nothing.
+- Merging takes the greater version, which is a join of a semilattice (Shapiro et al., "Conflict-free
+  Replicated Data Types", SSS 2011): order and repetition make no difference.
+- Evidence is worth its weight times e^(-FADE t), t seconds after it was seen.
+- Speeds are relative to the median of the origin's own backends. A class mix, or a bad link, that slows all
+  that a proxy sees cancels; so does what is said of all backends alike.
+- Where several origins speak, their weighted lower median counts: less than half of the weight lowers nobody.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
+from math import exp, inf, isfinite, log
+from statistics import median
+from typing import Protocol
+
+from barleybarrow.interface import Hearsay, Outcome
+
+FADE = 0.04  # a second takes this share off: twice FORGET of the module, a half-life of 17 s
+OWN = 2.0  # answers of its own after which a proxy halves what it hears
+MOST_SLOWER = log(8.0)  # more is not believed: ranked behind all others a backend is already
+LEAST = 3  # measured backends below which there is no median to compare with
+FULL_WEIGHT = 16  # answers that the module's smoothing remembers: more weigh no more
+MOST_FAILING = 0.9  # a share of failures above it counts as this: tenfold cost is enough
+OLDEST = 300_000.0  # milliseconds: worth e^-12 then, so it is dropped
+MOST_HELD = 16_384  # pieces of evidence: eight origins' word on 2,000 backends, some 6 MB
+MOST_NAME = 128  # characters
+BEYOND = 10.0  # |slower| above it is absurd: 22,000 times the median
+MOST_COUNT = 2**53  # whole numbers beyond are not exact in every reader
+CHANGED = log(1.3)  # a change of speed worth telling: well beyond the spread after smoothing
+FAILS_OTHERWISE = 0.2  # a change in the share that fails worth telling
+NOTABLE = log(1.2)  # within the module's tie nothing has to be told again
+REFRESH = 5_000.0  # milliseconds after which what is notable and newer is told again
+NEVER = -1.0  # for a lag: it has not happened
+
+
+class Absurd(ValueError):
+    """Evidence that cannot be true."""
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """What one proxy saw of one life of one backend. Spans and clock times are in milliseconds."""
+
+    backend: str
+    born: float  # Unix time at which this life began, as discovery tells it to all; 0 for long ago
+    origin: str  # the proxy that saw it
+    epoch: int  # the life of that proxy: Unix milliseconds on its own clock when it started
+    serial: int  # the origin counts what it says
+    at: float  # on this proxy's clock: when the newest of it was seen
+    slower: float = 0.0  # log of how many times the origin's median backend it costs, failures counted in
+    weight: float = 1.0  # 0 to 1: answers behind it, of those that smoothing remembers
+    failing: float = 0.0  # 0 to 1: share of attempts that failed of late
+    limit: float = 1.0  # threshold learned: attempts of the origin at once
+    warm: float = 1.0  # 0 to 1, as the origin guessed it
+    answered: float = NEVER  # so long before `at` it last answered; NEVER where it did not
+    failed: float = NEVER  # the same for a failure
+    silent: float = NEVER  # the same for an attempt without any answer
+
+    @property
+    def key(self) -> tuple[str, float, str]:
+        return self.backend, self.born, self.origin
+
+    def check(self, now: float) -> None:
+        """Raise Absurd where a field is out of its range, or its time has not come yet."""
+        for name, text in (("backend", self.backend), ("origin", self.origin)):
+            if not 0 < len(text) <= MOST_NAME or not text.isprintable():
+                raise Absurd(name)
+        for name, value, least, most in (
+            ("born", self.born, 0.0, 1e15),
+            ("epoch", self.epoch, 0, MOST_COUNT),
+            ("serial", self.serial, 0, MOST_COUNT),
+            ("at", self.at, now - 1e12, now),
+            ("slower", self.slower, -BEYOND, BEYOND),
+            ("weight", self.weight, 0.0, 1.0),
+            ("failing", self.failing, 0.0, 1.0),
+            ("limit", self.limit, 0.0, 1e6),
+            ("warm", self.warm, 0.0, 1.0),
+            ("answered", self.answered, NEVER, 1e12),
+            ("failed", self.failed, NEVER, 1e12),
+            ("silent", self.silent, NEVER, 1e12),
+        ):
+            if not isfinite(value) or not least <= value <= most:
+                raise Absurd(name)
+
+    def worth(self, now: float) -> float:
+        """What is left of its weight."""
+        return self.weight * exp(-FADE * max(0.0, now - self.at) / 1000.0)
+
+
+def rank(e: Evidence) -> tuple[float, ...]:
+    """An order of all versions of one key; the rest after the age only keeps it free of chance."""
+    content = (e.slower, e.weight, e.failing, e.limit, e.warm, e.answered, e.failed, e.silent)
+    return e.epoch, e.serial, -e.at, *content
+
+
+def greater(one: Evidence, other: Evidence) -> Evidence:
+    """The version that counts. Of one version the copy that says it is older does: no copy makes it young."""
+    return max(one, other, key=rank)
+
+
+def lowering(slower: float, weight: float, own: float, seen: int) -> float:
+    """By how much hearsay multiplies an expected latency, 1 at least and 8 at most.
+
+    `own` is what this proxy itself expects, `seen` the answers that stands on; both speeds are logs of
+    multiples of the fleet's usual latency, each of its own proxy's fleet. Taken is their geometric mean by
+    weight, where it is above `own`.
+    """
+    doubt = min(max(weight, 0.0), 1.0) * OWN / (OWN + seen)
+    return min(exp(max(0.0, doubt * (min(slower, MOST_SLOWER) - own))), exp(MOST_SLOWER))
+
+
+class Book:
+    """All evidence that is held, by backend's life and origin."""
+
+    def __init__(self, room: int = MOST_HELD) -> None:
+        self.held: dict[tuple[str, float, str], Evidence] = {}
+        self.room = room
+        self.absurd = self.dropped = 0  # rejected; not kept for want of room
+
+    def merge(self, evidence: Evidence, now: float) -> bool:
+        """Take up a piece of evidence; whether it was news. What is absurd or too old is not kept."""
+        try:
+            evidence.check(now)
+        except Absurd:
+            self.absurd += 1
+            return False
+        old = self.held.get(evidence.key)
+        if now - evidence.at > OLDEST:
+            return False
+        if old is None:
+            if len(self.held) >= self.room and not self.make_room(evidence):
+                self.dropped += 1
+                return False
+            self.held[evidence.key] = evidence
+            return True
+        self.held[evidence.key] = best = greater(old, evidence)
+        return (best.epoch, best.serial) > (old.epoch, old.serial)
+
+    def make_room(self, evidence: Evidence) -> bool:
+        """Drop an eighth of the oldest, unless this one is older than they are."""
+        ages = sorted((e.at, key) for key, e in self.held.items())
+        gone = ages[: max(1, len(ages) // 8)]
+        if evidence.at <= gone[-1][0]:
+            return False
+        for _, key in gone:
+            del self.held[key]
+        self.dropped += len(gone)
+        return True
+
+    def prune(self, now: float) -> None:
+        """Forget what is too old to count."""
+        old = [key for key, e in self.held.items() if now - e.at > OLDEST]
+        for key in old:
+            del self.held[key]
+
+    def hearsay(
+        self, now: float, lives: Mapping[str, float], but: tuple[str, int]
+    ) -> dict[str, tuple[float, float]]:
+        """What others say of these lives (name and Unix time of birth): speed and weight by name.
+
+        What the origin `but` (name and epoch) says is left out: a proxy does not hear itself.
+        """
+        said: dict[str, list[tuple[float, float]]] = {}
+        for e in self.held.values():
+            if (e.origin, e.epoch) != but and lives.get(e.backend) == e.born:
+                said.setdefault(e.backend, []).append((e.slower, e.worth(now)))
+        return {name: agreed(words) for name, words in said.items()}
+
+
+def agreed(words: Iterable[tuple[float, float]]) -> tuple[float, float]:
+    """The weighted lower median of (speed, weight), and the weight of all, 1 at most."""
+    ordered = sorted(words)
+    total, upto = sum(weight for _, weight in ordered), 0.0
+    for speed, weight in ordered:
+        upto += weight
+        if 2 * upto >= total:
+            return speed, min(1.0, total)
+    return 0.0, 0.0
+
+
+class Known(Protocol):
+    """What is read of the module's record of a backend."""
+
+    name: str
+    started: float
+    mean: float
+    seen: int
+    limit: float
+    cold: float
+    failing: list[float]
+    lost: list[float]
+
+
+class Sightings:
+    """When each backend last answered, failed, or left an attempt unanswered, in clock milliseconds."""
+
+    def __init__(self) -> None:
+        self.times: dict[str, list[float]] = {}
+
+    def ended(self, now: float, backend: str, outcome: Outcome) -> None:
+        """Note the end of an attempt there."""
+        if outcome in (Outcome.NOT_SENT, Outcome.CANCELLED):
+            return
+        place = 0 if outcome is Outcome.SERVED else 2 if outcome is Outcome.TIMEOUT else 1
+        self.times.setdefault(backend, [-inf, -inf, -inf])[place] = now
+
+    def keep(self, names: Mapping[str, object]) -> None:
+        """Forget all other backends: their names come and go without end."""
+        self.times = {name: times for name, times in self.times.items() if name in names}
+
+
+def first_hand(
+    backends: Mapping[str, Known], sightings: Sightings, lives: Mapping[str, float], origin: str, epoch: int
+) -> list[Evidence]:
+    """What this proxy itself has seen of these lives, each with serial 0.
+
+    The module's estimates hold its own answers alone, as hearsay never enters them.
+    """
+    sightings.keep(backends)
+    rows: list[tuple[Known, list[float], float]] = []
+    for name, times in sightings.times.items():
+        b = backends[name]
+        if name in lives and (b.seen or max(times[1:]) > -inf):
+            shares = b.failing[:-1]
+            failing = max(sum(shares) / len(shares), b.failing[-1], sum(b.lost) / len(b.lost))
+            rows.append((b, times, min(max(failing, 0.0), 1.0)))
+    costs = [b.mean - log(1 - min(failing, MOST_FAILING)) for b, _, failing in rows if b.seen]
+    middle = median(costs) if len(costs) >= LEAST else None
+    found = []
+    for b, times, failing in rows:
+        at = max(times)
+        slower = 0.0
+        if middle is not None and b.seen:
+            slower = b.mean - log(1 - min(failing, MOST_FAILING)) - middle
+        lags = [at - t if t > -inf else NEVER for t in times]
+        found.append(
+            Evidence(
+                backend=b.name,
+                born=lives[b.name],
+                origin=origin,
+                epoch=epoch,
+                serial=0,
+                at=at,
+                slower=min(max(slower, -BEYOND), BEYOND),
+                weight=min(1.0, b.seen / FULL_WEIGHT) if middle is not None else 0.0,
+                failing=failing,
+                limit=b.limit,
+                warm=b.cold,
+                answered=lags[0],
+                failed=lags[1],
+                silent=lags[2],
+            )
+        )
+    return found
+
+
+class Teller:
+    """Decides what of a proxy's own evidence is worth a new version, and numbers it."""
+
+    def __init__(self) -> None:
+        self.serial = 0
+        self.told: dict[str, tuple[float, Evidence]] = {}
+
+    def news(self, seen: Sequence[Evidence], now: float) -> list[Evidence]:
+        """The pieces worth telling, numbered."""
+        names = {e.backend for e in seen}
+        self.told = {name: last for name, last in self.told.items() if name in names}
+        found = []
+        for e in seen:
+            last = self.told.get(e.backend)
+            if last is None or self.worth_telling(*last, e, now):
+                self.serial += 1
+                e = replace(e, serial=self.serial)
+                self.told[e.backend] = now, e
+                found.append(e)
+        return found
+
+    @staticmethod
+    def worth_telling(when: float, old: Evidence, new: Evidence, now: float) -> bool:
+        if old.born != new.born or abs(new.failing - old.failing) > FAILS_OTHERWISE:
+            return True
+        if abs(new.slower - old.slower) > CHANGED or old.weight < 0.5 <= new.weight:
+            return True
+        notable = max(abs(new.slower), abs(old.slower)) > NOTABLE
+        return notable and new.at > old.at and now - when >= REFRESH
+
+
+def words(agreed: Mapping[str, tuple[float, float]], starts: Mapping[str, float]) -> list[Hearsay]:
+    """Hearsay for the module, by backend; `starts` are clock times as the module was told them."""
+    return [
+        Hearsay(name, starts[name], slower, weight)
+        for name, (slower, weight) in agreed.items()
+        if name in starts
+    ]
--- a/barleybarrow/state.py
+++ b/barleybarrow/state.py
@@ -7,10 +7,13 @@
 from math import exp, inf
 from typing import Generic, TypeVar
 
-from barleybarrow.interface import Arrived, Entry, RequestClass
+from barleybarrow.interface import Arrived, Entry, Hearsay, RequestClass
 
 Item = TypeVar("Item", bound="Backend | Request")
 
+HASTE = 2.0  # hearsay fades so many times as fast as what was learned at first hand
+YIELD = 0.7  # of its log, what an answer of the backend's own leaves: two halve it
+
 
 class Gauge:
     """Smoothed log of the latency of usual work, in log milliseconds, and the threshold learned from it."""
@@ -58,9 +61,12 @@
         self.served, self.cold, self.aged_at = 0.0, 1.0, now  # work served lately; share warm
         self.position, self.due = -1, inf  # in the list of those live, -1 for gone; when it is placed anew
         self.ranks: Sequence[float | None] = ()  # its values in the ranking, by class
+        self.hint = 1.0  # hearsay: its latency counts as so many times what this proxy itself expects
 
     def fade(self, best: float, forget: float, keep: float) -> None:
         """Move what was learned these shares of the way to what is usual; keep a share of what was served."""
+        if self.hint > 1.0:
+            self.hint **= max(0.0, 1.0 - HASTE * forget)
         if self.seen:
             self.best += (self.mean - self.best) * best
             self.mean += (self.kind.mean - self.mean) * forget
@@ -68,6 +74,19 @@
             self.failing = [x * (1 - forget) for x in self.failing]
         self.served *= keep
 
+    def take(self, sample: float, weight: float) -> None:
+        """Learn from an answer of its own; hearsay gives way to it, and never enters the mean."""
+        super().take(sample, weight)
+        if self.hint > 1.0:
+            self.hint **= YIELD
+
+    def heed(self, word: Hearsay, fleet: float) -> None:
+        """Let hearsay lower its rank; `fleet` is the log of the fleet's usual latency."""
+        from barleybarrow.knowledge import lowering  # only who is told anything needs it
+
+        own = self.mean if self.seen else self.kind.mean
+        self.hint = lowering(word.slower, word.weight, own - fleet, self.seen)
+
     def sent(self, request: int, attempt: int, now: float) -> None:
         """Note an attempt that has gone there."""
         self.alone = not self.inflight
