--- a/barleybarrow/knowledge.py
+++ b/barleybarrow/knowledge.py
@@ -14,19 +14,20 @@
 - Where several origins speak, their weighted lower median counts: less than half of the weight lowers nobody.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
+from heapq import nsmallest
 from math import exp, inf, isfinite, log
 from statistics import median
 from typing import Protocol
 
-from barleybarrow.interface import Hearsay, Outcome
+from barleybarrow.interface import Outcome
 
 FADE = 0.04  # a second takes this share off: twice FORGET of the module, a half-life of 17 s
 OWN = 2.0  # answers of its own after which a proxy halves what it hears
 MOST_SLOWER = log(8.0)  # more is not believed: ranked behind all others a backend is already
 LEAST = 3  # measured backends below which there is no median to compare with
-FULL_WEIGHT = 16  # answers that the module's smoothing remembers: more weigh no more
+FULL_WEIGHT = 4  # answers from which on the mean weighs in full: until then it leans on its kind's anyway
 MOST_FAILING = 0.9  # a share of failures above it counts as this: tenfold cost is enough
 OLDEST = 300_000.0  # milliseconds: worth e^-12 then, so it is dropped
 MOST_HELD = 16_384  # pieces of evidence: eight origins' word on 2,000 backends, some 6 MB
@@ -64,8 +65,8 @@
     silent: float = NEVER  # the same for an attempt without any answer
 
     @property
-    def key(self) -> tuple[str, float, str]:
-        return self.backend, self.born, self.origin
+    def key(self) -> tuple[float, str]:
+        return self.born, self.origin
 
     def check(self, now: float) -> None:
         """Raise Absurd where a field is out of its range, or its time has not come yet."""
@@ -117,12 +118,19 @@
 
 
 class Book:
-    """All evidence that is held, by backend's life and origin."""
+    """All evidence that is held, by backend, and there by life and origin."""
 
     def __init__(self, room: int = MOST_HELD) -> None:
-        self.held: dict[tuple[str, float, str], Evidence] = {}
-        self.room = room
+        self.held: dict[str, dict[tuple[float, str], Evidence]] = {}
+        self.room, self.size = room, 0
         self.absurd = self.dropped = 0  # rejected; not kept for want of room
+        self.changed: dict[
+            str, None
+        ] = {}  # backends of which something new was said since they were looked at
+
+    def all(self) -> Iterator[Evidence]:
+        for of_backend in self.held.values():
+            yield from of_backend.values()
 
     def merge(self, evidence: Evidence, now: float) -> bool:
         """Take up a piece of evidence; whether it was news. What is absurd or too old is not kept."""
@@ -131,34 +139,44 @@
         except Absurd:
             self.absurd += 1
             return False
-        old = self.held.get(evidence.key)
         if now - evidence.at > OLDEST:
             return False
+        old = self.held.get(evidence.backend, {}).get(evidence.key)
         if old is None:
-            if len(self.held) >= self.room and not self.make_room(evidence):
+            if self.size >= self.room and not self.make_room(evidence):
                 self.dropped += 1
                 return False
-            self.held[evidence.key] = evidence
-            return True
-        self.held[evidence.key] = best = greater(old, evidence)
-        return (best.epoch, best.serial) > (old.epoch, old.serial)
+            self.size += 1
+            best = evidence
+        else:
+            best = greater(old, evidence)
+        self.held.setdefault(evidence.backend, {})[evidence.key] = best
+        news = old is None or (best.epoch, best.serial) > (old.epoch, old.serial)
+        if news:
+            self.changed[evidence.backend] = None
+        return news
+
+    def drop(self, evidence: Evidence) -> None:
+        of_backend = self.held[evidence.backend]
+        del of_backend[evidence.key]
+        self.size -= 1
+        if not of_backend:
+            del self.held[evidence.backend]
 
     def make_room(self, evidence: Evidence) -> bool:
-        """Drop an eighth of the oldest, unless this one is older than they are."""
-        ages = sorted((e.at, key) for key, e in self.held.items())
-        gone = ages[: max(1, len(ages) // 8)]
-        if evidence.at <= gone[-1][0]:
+        """Drop an eighth, the oldest, unless this one is older than they are."""
+        oldest = nsmallest(max(1, self.size // 8), self.all(), key=lambda e: e.at)
+        if evidence.at <= oldest[-1].at:
             return False
-        for _, key in gone:
-            del self.held[key]
-        self.dropped += len(gone)
+        for e in oldest:
+            self.drop(e)
+        self.dropped += len(oldest)
         return True
 
     def prune(self, now: float) -> None:
         """Forget what is too old to count."""
-        old = [key for key, e in self.held.items() if now - e.at > OLDEST]
-        for key in old:
-            del self.held[key]
+        for e in [e for e in self.all() if now - e.at > OLDEST]:
+            self.drop(e)
 
     def hearsay(
         self, now: float, lives: Mapping[str, float], but: tuple[str, int]
@@ -167,11 +185,15 @@
 
         What the origin `but` (name and epoch) says is left out: a proxy does not hear itself.
         """
-        said: dict[str, list[tuple[float, float]]] = {}
-        for e in self.held.values():
-            if (e.origin, e.epoch) != but and lives.get(e.backend) == e.born:
-                said.setdefault(e.backend, []).append((e.slower, e.worth(now)))
-        return {name: agreed(words) for name, words in said.items()}
+        found = {}
+        for name, born in lives.items():
+            of_backend = self.held.get(name, {}).values()
+            said = [
+                (e.slower, e.worth(now)) for e in of_backend if e.born == born and (e.origin, e.epoch) != but
+            ]
+            if said:
+                found[name] = agreed(said)
+        return found
 
 
 def agreed(words: Iterable[tuple[float, float]]) -> tuple[float, float]:
@@ -290,12 +312,3 @@
             return True
         notable = max(abs(new.slower), abs(old.slower)) > NOTABLE
         return notable and new.at > old.at and now - when >= REFRESH
-
-
-def words(agreed: Mapping[str, tuple[float, float]], starts: Mapping[str, float]) -> list[Hearsay]:
-    """Hearsay for the module, by backend; `starts` are clock times as the module was told them."""
-    return [
-        Hearsay(name, starts[name], slower, weight)
-        for name, (slower, weight) in agreed.items()
-        if name in starts
-    ]
--- a/brackenusher/cli.py
+++ b/brackenusher/cli.py
@@ -11,7 +11,7 @@
 from barleybarrow.interface import SettingsError
 from barleybarrow.tokens import NoToken, issue
 from brackenusher import __version__
-from brackenusher.config.operators import doubts, load_operator, load_tokens
+from brackenusher.config.operators import doubts, load_operator, load_peers, load_tokens
 from brackenusher.config.platform import ConfigError, load, load_again
 from brackenusher.daemon import Daemon
 from brackenusher.records.replay import replay_capture
@@ -57,6 +57,15 @@
     return 0
 
 
+def show_knowledge(options: argparse.Namespace) -> int:
+    from brackenusher.membership import show  # with msgspec: only for who shares
+
+    settings = load_peers(options.properties) if options.properties else None
+    if options.verb == "show":
+        return show.show(options.source, settings, sys.stdout)
+    return show.diff(options.source, options.other, settings, sys.stdout)
+
+
 def version(options: argparse.Namespace) -> int:
     print(f"brackenusher {__version__}")
     return 0
@@ -91,6 +100,15 @@
     command.add_argument("--ttl", required=True, type=int, help="seconds from now until it expires")
     command.add_argument("properties", help="the operators' file, with the key")
     command.set_defaults(call=issue_token)
+    command = commands.add_parser("knowledge", help="print what a snapshot or a running proxy knows")
+    verbs = command.add_subparsers(dest="verb", required=True, metavar="VERB")
+    for verb, about in (("show", "print it, with ages and origins"), ("diff", "print where two differ")):
+        command = verbs.add_parser(verb, help=about)
+        command.add_argument("source", metavar="FILE|ADDRESS", help="a snapshot; with --properties host:port")
+        if verb == "diff":
+            command.add_argument("other", metavar="FILE|ADDRESS")
+        command.add_argument("--properties", metavar="FILE", help="the operators' file, with the peers' keys")
+        command.set_defaults(call=show_knowledge)
     command = commands.add_parser("version", help="print the version")
     command.set_defaults(call=version)
     options = parser.parse_args(arguments)
--- a/brackenusher/config/operators.py
+++ b/brackenusher/config/operators.py
@@ -1,8 +1,8 @@
 """The operators' file: which features are on, and their settings, in properties format."""
 
 import re
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 from ipaddress import ip_address
 from pathlib import Path
 from typing import Any
@@ -13,6 +13,7 @@
 from brackenusher.config.platform import ConfigError, read_address
 from brackenusher.runtime.driver import Address
 
+MOST_SEEDS = 32  # each is asked in turn until somebody answers
 LEAST_KEY = 16  # bytes; a shorter one is used, but named
 
 
@@ -35,6 +36,27 @@
     batch_bytes: int = 1400
 
 
+@dataclass(frozen=True)
+class PeersSettings:
+    """Other proxies to share knowledge with: where this one is found, whom it knows, the keys of all."""
+
+    listen: Address = ("", 0)  # an IP address and a port, for datagrams and for questions
+    seeds: tuple[Address, ...] = ()
+    keys: Mapping[str, bytes] = field(default_factory=dict, repr=False)
+    sign: str = ""  # the id of the key that seals what this proxy sends
+    period_ms: int = 1000
+    warm_ms: int = 300
+    ask: int = 3
+
+
+@dataclass(frozen=True)
+class SnapshotSettings:
+    """Where knowledge is saved, and how often."""
+
+    file: str = ""
+    every_s: int = 10
+
+
 @dataclass(frozen=True)
 class Operator:
     """The features that are on; None for one that is off."""
@@ -43,6 +65,8 @@
     capture: CaptureSettings | None = None
     token: TokenSettings | None = None
     figures: FiguresSettings | None = None
+    peers: PeersSettings | None = None
+    snapshot: SnapshotSettings | None = None
 
     @property
     def features(self) -> list[str]:
@@ -197,11 +221,55 @@
     )
 
 
+def ip_port(text: str) -> Address:
+    """An address that needs no look-up, as that could wait."""
+    host, port = read_address(text, "an address")
+    ip = ip_address(host.removeprefix("[").removesuffix("]"))
+    if ip.is_unspecified or ip.is_multicast:
+        raise ValueError(f"must be the address of one machine, not {text!r}")
+    return str(ip), whole(1, 65_535)(str(port))
+
+
+def ip_ports(text: str) -> tuple[Address, ...]:
+    found = tuple(ip_port(part.strip()) for part in text.split(",") if part.strip())
+    if len(found) > MOST_SEEDS:
+        raise ValueError(f"must name {MOST_SEEDS} at most")
+    return found
+
+
+def read_peers(entries: Entries) -> PeersSettings:
+    least, keys = PeersSettings(), entries.family("peers.key.", key)
+    for kid in keys:
+        if not KID.match(kid):
+            raise entries.error(f"peers.key.{kid}", "must end in letters, digits, _ or -, 64 at most")
+    sign = entries.take("peers.sign", str, next(iter(keys)) if len(keys) == 1 else "")
+    if sign and sign not in keys:
+        raise entries.error("peers.sign", f"names no key: there is no peers.key.{sign}")
+    return PeersSettings(
+        listen=entries.take("peers.listen", ip_port, least.listen),
+        seeds=entries.take("peers.seeds", ip_ports, least.seeds),
+        keys=keys,
+        sign=sign,
+        period_ms=entries.take("peers.period_ms", whole(100, 60_000), least.period_ms),
+        warm_ms=entries.take("peers.warm_ms", whole(0, 900), least.warm_ms),
+        ask=entries.take("peers.ask", whole(0, 8), least.ask),
+    )
+
+
+def read_snapshot(entries: Entries) -> SnapshotSettings:
+    return SnapshotSettings(
+        file=entries.take("snapshot.file", path, ""),
+        every_s=entries.take("snapshot.every_s", whole(1, 3600), SnapshotSettings().every_s),
+    )
+
+
 FEATURES: dict[str, Callable[[Entries], Any]] = {
     "door": read_door,
     "capture": read_capture,
     "token": read_token,
     "figures": read_figures,
+    "peers": read_peers,
+    "snapshot": read_snapshot,
 }
 
 
@@ -213,6 +281,13 @@
     entries.done()
     if on["token"] and not features["token"].keys:
         raise entries.error("token.key.<kid>", "is missing: tokens need a key")
+    if on["peers"]:
+        peers: PeersSettings = features["peers"]
+        for name, value in (("listen", peers.listen[0]), ("key.<kid>", peers.keys), ("sign", peers.sign)):
+            if not value:
+                raise entries.error(f"peers.{name}", "is missing: peers need it")
+    if on["snapshot"] and not features["snapshot"].file:
+        raise entries.error("snapshot.file", "is missing: snapshots need a file")
     return Operator(**{name: settings for name, settings in features.items() if on[name]})
 
 
@@ -221,7 +296,9 @@
     tenants = operator.door.tenants if operator.door and settings.tenants else ()
     keys = operator.token.keys if operator.token else {}
     found = [f"door: the settings name no tenant {name}" for name in tenants if name not in settings.tenants]
-    return found + [f"token: the key {kid} is short" for kid, key in keys.items() if len(key) < LEAST_KEY]
+    found += [f"token: the key {kid} is short" for kid, key in keys.items() if len(key) < LEAST_KEY]
+    shared = operator.peers.keys if operator.peers else {}
+    return found + [f"peers: the key {kid} is short" for kid, key in shared.items() if len(key) < LEAST_KEY]
 
 
 def read_text(name: str) -> str:
@@ -236,6 +313,13 @@
     return Operator() if name is None else read_operator(name, read_text(name))
 
 
+def load_peers(name: str) -> PeersSettings:
+    """The file's settings of peers, whether they are on or not: who asks a proxy need not be one."""
+    text = read_text(name)
+    read_operator(name, text)
+    return read_peers(Entries(name, text))
+
+
 def load_tokens(name: str) -> TokenSettings:
     """The file's settings of tokens, whether they are on or not: who issues tokens need not serve."""
     text = read_text(name)
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from functools import partial
 from types import FrameType
+from typing import TYPE_CHECKING
 
 from barleybarrow.brain import Balancer
 from barleybarrow.door import Door
@@ -30,6 +31,9 @@
 from brackenusher.upstream.connections import Upstream
 from brackenusher.upstream.pool import Pool
 
+if TYPE_CHECKING:
+    from brackenusher.membership.peers import Peers
+
 log = logging.getLogger(__name__)
 
 SPARE_SOCKETS = 24  # listener, epoll, discovery, standard streams, and some to refuse with
@@ -66,8 +70,22 @@
         )
         self.upstream.watch = self.agent.connect
         self.outlet = Outlet(deadlines, clock)
+        self.peers: Peers | None = None
+        if operator.peers or operator.snapshot:
+            self.share(buffers)
         self.look_on(began)
 
+    def share(self, buffers: Buffers) -> None:
+        """Share knowledge with peers, or with the next start by a file."""
+        from brackenusher.membership.peers import Peers  # with msgspec: only for who shares
+
+        peers, saved = self.operator.peers, self.operator.snapshot
+        parts = (self.loop, buffers, self.outlet, self.transactions, self.pool)
+        try:
+            self.peers = Peers(*parts, self.config.name, peers, saved)
+        except (OSError, ValueError) as error:
+            raise ConfigError(str(error)) from error
+
     def look_on(self, began: float) -> None:
         """Start what observes the transactions, where the operators want it."""
         operator, config = self.operator, self.config
@@ -89,7 +107,7 @@
             )
         looking = [each for each in (self.capture, self.figures) if each]
         self.transactions.observers = Observers(
-            handled=(self.capture.handled,) if self.capture else (),
+            handled=tuple(each.handled for each in (self.capture, self.peers) if each),
             answered=tuple(each.answered for each in looking),
             turned_away=tuple(each.turned_away for each in looking),
         )
@@ -105,6 +123,9 @@
             except Broken as error:
                 log.warning("the known list is left aside: %s", error)
         self.clients.listen(self.config.listen)
+        if self.peers:
+            self.clients.warming = True
+            self.peers.start(self.warm)
         self.agent.connect()
         gc.collect()
         gc.freeze()  # what is here stays: later collections need not look at it
@@ -119,6 +140,8 @@
             self.admission.at_the_end,
             len(self.clients.links),
         )
+        if self.peers:
+            self.peers.close()
         if self.capture:
             self.capture.close()
             log.info("capture: %d records, %d dropped", self.capture.serial, self.capture.dropped)
@@ -128,6 +151,10 @@
         self.outlet.close()
         return 0
 
+    def warm(self) -> None:
+        """What others know has been taken up, or comes too late."""
+        self.clients.warming = False
+
     def catch_signals(self) -> None:
         """Have signals wake the loop through a socket of its own."""
         ours, theirs = socket.socketpair()
--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -68,12 +68,13 @@
         self.partial: dict[ClientLink, None] = {}  # with a request that is not whole; the oldest first
         self.spent: dict[ClientLink, None] = {}  # with their last answer written, the rest is read away
         self.stopping = self.shut = False  # each answer ends its connection; the door is closed
+        self.warming = False  # what others know is still awaited, for a fraction of a second
         self.warned_at = -WARN_AGAIN
         self.task: Task  # the listener's
 
     def ready(self) -> bool:
         """Whether clients that may choose are to come here."""
-        return self.pool.held and self.admission.farewell is None
+        return self.pool.held and not self.warming and self.admission.farewell is None
 
     def listen(self, address: Address) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
--- /dev/null
+++ b/brackenusher/membership/peers.py
@@ -0,0 +1,388 @@
+"""The drivers of shared knowledge: datagrams, questions to peers and theirs, snapshots, and the times of all.
+
+What is sent and decided is in `swim`, `frames`, `snapshot` and `keeper`; here are their sockets.
+"""
+
+import errno
+import logging
+import os
+import random
+import socket
+import time
+from collections.abc import Callable
+
+from brackenusher.config.operators import PeersSettings, SnapshotSettings
+from brackenusher.core.transaction import Transactions
+from brackenusher.membership import snapshot
+from brackenusher.membership.frames import (
+    MOST_FRAME,
+    MOST_TOLD,
+    Asked,
+    Broken,
+    Reader,
+    Told,
+    encode,
+    pack,
+    unpack,
+)
+from brackenusher.membership.keeper import Keeper
+from brackenusher.membership.snapshot import Snapshot
+from brackenusher.membership.swim import LONGEST, LONGEST_NAME, STATES, Swim
+from brackenusher.runtime.buffers import Buffers
+from brackenusher.runtime.driver import Address, write
+from brackenusher.runtime.loop import READ, WRITE, Coroutine, Loop, Task, clock
+from brackenusher.runtime.outlet import Outlet
+from brackenusher.runtime.timers import Entry
+from brackenusher.upstream.pool import Pool
+
+log = logging.getLogger(__name__)
+
+AT_A_TIME = 32  # datagrams read before others have their turn
+MOST_ASKERS = 8  # connections of who asks what is known; beyond they are closed at once
+ASKING = 1000.0  # milliseconds that one of them may take
+LONGEST_QUESTION = 1024  # bytes
+ROOM = snapshot.MOST + 1024  # bytes of snapshots that wait to be written: one of the greatest
+LEAST_WAIT = 1.0  # milliseconds between two looks at what membership has to do
+
+
+class Peers:
+    """Shares knowledge as the operators want it: with peers, with a file, or with both."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        buffers: Buffers,
+        outlet: Outlet,
+        transactions: Transactions,
+        pool: Pool,
+        name: str,
+        peers: PeersSettings | None,
+        saved: SnapshotSettings | None,
+    ) -> None:
+        if len(name) > LONGEST_NAME or not name.isprintable():
+            raise ValueError(f"peers: the proxy's name must be printable, {LONGEST_NAME} characters at most")
+        if saved is not None and not os.access(os.path.dirname(os.path.abspath(saved.file)), os.W_OK):
+            raise ValueError(f"snapshot.file: {saved.file}: the folder cannot be written to")
+        self.loop, self.buffers, self.settings, self.saved = loop, buffers, peers, saved
+        self.rng = random.SystemRandom()  # a number that proves a peer's life must not be guessed
+        self.epoch = int(time.time() * 1000.0)
+        self.keeper = Keeper(name, self.epoch, transactions, pool)
+        self.keeper.listed = self.list_changed
+        self.handled = self.keeper.handled
+        self.swim: Swim | None = None
+        if peers is not None:
+            ask = (name, peers.listen, self.epoch, peers.keys, peers.sign, peers.seeds)
+            self.swim = Swim(*ask, float(peers.period_ms), self.rng, clock())
+        self.channel = outlet.channel(self.write_snapshot, ROOM, ROOM) if saved else None
+        self.anew: Entry | None = None
+        self.due: Entry | None = None
+        self.askers = self.turned_away = self.unsent = self.snapshots = self.unsaved = 0
+        self.conflicts = 0
+        self.asking: dict[Address, Task] = {}
+        self.then: Callable[[], None] | None = None
+        self.datagrams: socket.socket | None = None
+
+    # The start
+
+    def start(self, then: Callable[[], None]) -> None:
+        """Load what was saved, ask some peers what they know, and call `then` once that is done or late.
+
+        Raises OSError where the address cannot be listened on.
+        """
+        self.load()
+        self.then = then
+        settings = self.settings
+        if settings is not None:
+            self.listen(settings.listen)
+            asked = self.rng.sample(settings.seeds, min(settings.ask, len(settings.seeds)))
+            if settings.warm_ms:
+                for address in asked:
+                    if address != settings.listen:
+                        self.ask(address, settings)
+            self.later(settings.warm_ms, self.late)
+            self.work()
+        self.look()
+        if self.saved is not None:
+            self.later(self.saved.every_s * 1000.0, self.save)
+        if not self.asking:
+            self.warm()
+
+    def late(self) -> None:
+        for task in list(self.asking.values()):
+            task.stop()
+        self.warm()
+
+    def warm(self) -> None:
+        """Go on, with what is known by now."""
+        then, self.then = self.then, None
+        if then is not None:
+            log.info("knowledge: %d pieces held at the start", self.keeper.book.size)
+            self.keeper.advise(clock(), anew=True)
+            then()
+
+    def later(self, span: float, action: Callable[[], None]) -> Entry:
+        return self.loop.deadlines.add(clock() + span, action)
+
+    # Times
+
+    def list_changed(self) -> None:
+        """The module was told a list: tell it of those that are new on it, in a moment."""
+        if self.anew is None:
+            self.anew = self.later(0.0, self.advise_anew)
+
+    def advise_anew(self) -> None:
+        self.anew = None
+        self.keeper.advise(clock(), anew=True)
+
+    def look(self) -> None:
+        """Every second or so: gather what was seen, tell it, and have the module told what others say."""
+        try:
+            now = clock()
+            news = self.keeper.gather(now)
+            if self.swim is not None:
+                for e in news:
+                    self.swim.tell(f"{e.origin}\0{e.backend}".encode(), encode(e, now))
+            self.keeper.advise(now)
+        finally:
+            self.later(self.keeper.span(), self.look)
+
+    def work(self) -> None:
+        """Do what membership has to do by now."""
+        assert self.swim is not None
+        self.due = None
+        try:
+            self.send(self.swim.tick(clock()))
+        finally:
+            self.again()
+
+    def again(self) -> None:
+        """Be called when membership next has something to do."""
+        assert self.swim is not None
+        self.loop.deadlines.remove(self.due)
+        self.due = self.loop.deadlines.add(max(self.swim.next(), clock() + LEAST_WAIT), self.work)
+
+    # Datagrams
+
+    def listen(self, address: Address) -> None:
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        flags = socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC
+        self.datagrams = socket.socket(family, socket.SOCK_DGRAM | flags)
+        stream = socket.socket(family, socket.SOCK_STREAM | flags)
+        try:
+            self.datagrams.bind(address)
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            stream.bind(address)
+            stream.listen(MOST_ASKERS)
+        except OSError as error:
+            self.datagrams.close()
+            stream.close()
+            raise OSError(error.errno, f"peers.listen {address[0]}:{address[1]}: {error.strerror}") from error
+        self.loop.spawn(self.take_datagrams(self.datagrams), self.datagrams)
+        self.loop.spawn(self.take_askers(stream), stream)
+
+    def take_datagrams(self, sock: socket.socket) -> Coroutine:
+        assert self.swim is not None
+        buffer = bytearray(LONGEST + 1)  # one longer is cut here, and told by its length
+        while True:
+            yield READ
+            for _ in range(AT_A_TIME):
+                try:
+                    size, source = sock.recvfrom_into(buffer)
+                except BlockingIOError:
+                    break
+                except OSError:  # an earlier one was refused: somebody is not there
+                    continue
+                now = clock()
+                self.send(self.swim.receive(now, bytes(buffer[:size]), source[:2]))
+                self.heard(now)
+            self.again()
+
+    def heard(self, now: float) -> None:
+        """Take up what membership has heard, and pass on what of it was news."""
+        swim = self.swim
+        assert swim is not None
+        records, swim.heard = swim.heard, []
+        for e in self.keeper.take(now, records):
+            swim.tell(f"{e.origin}\0{e.backend}".encode(), encode(e, now))
+        changes, swim.changes = swim.changes, []
+        for name, state in changes:
+            log.info("peers: %s is %s, %d members", name, STATES[state], len(swim.alive()) + 1)
+        if swim.epoch != self.keeper.epoch:
+            self.keeper.epoch = swim.epoch
+        if swim.counts["name"] and not self.conflicts:
+            log.warning("peers: a name is used by two, or a peer has moved: its datagrams are left aside")
+        self.conflicts = swim.counts["name"]
+
+    def send(self, datagrams: list[tuple[bytes, Address]]) -> None:
+        for data, address in datagrams:
+            try:
+                assert self.datagrams is not None
+                self.datagrams.sendto(data, address)
+            except OSError:  # no room or no way: a datagram may always be lost
+                self.unsent += 1
+
+    # Questions
+
+    def take_askers(self, sock: socket.socket) -> Coroutine:
+        while True:
+            yield READ
+            try:
+                link, _ = sock.accept()
+            except OSError:
+                continue
+            if self.askers >= MOST_ASKERS:
+                self.turned_away += 1
+                link.close()
+                continue
+            link.setblocking(False)
+            self.askers += 1
+            task = self.loop.spawn(self.tell(link), link)
+            self.later(ASKING, task.stop)
+
+    def tell(self, sock: socket.socket) -> Coroutine:
+        """Answer one question."""
+        settings = self.settings
+        assert settings is not None
+        try:
+            reader, body = Reader(LONGEST_QUESTION), None
+            while body is None:
+                yield READ
+                body = self.read(sock, reader)
+            asked = unpack(settings.keys, body)
+            if isinstance(asked, Asked):
+                keeper, now = self.keeper, clock()
+                records = keeper.dump(now, min(asked.most, MOST_TOLD))
+                told = Told(asked.nonce, keeper.name, keeper.epoch, records)
+                rest = pack(told, settings.keys[settings.sign], settings.sign)
+                while rest:
+                    rest = write(sock, rest)
+                    if rest:
+                        yield WRITE
+        except (OSError, Broken) as error:
+            log.debug("peers: a question came to nothing: %s", error)
+        finally:
+            self.askers -= 1
+
+    def read(self, sock: socket.socket, reader: Reader) -> bytes | None:
+        """Read once; the body of the frame once it is whole. Raises Broken where it never will be."""
+        found: list[bytes | None] = [None]
+
+        def feed(data: memoryview) -> None:
+            if not data:
+                raise Broken("cut short")
+            found[0] = reader.feed(data)
+
+        try:
+            self.buffers.receive(sock, feed)
+        except BlockingIOError:
+            return None
+        return found[0]
+
+    def ask(self, address: Address, settings: PeersSettings) -> None:
+        """Ask one peer what it knows."""
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
+        code = sock.connect_ex(address)
+        if code not in (0, errno.EINPROGRESS):
+            sock.close()
+            log.info("knowledge: %s:%d cannot be asked: %s", *address, os.strerror(code))
+            return
+        self.asking[address] = self.loop.spawn(self.hear(sock, address, settings), sock)
+
+    def hear(self, sock: socket.socket, address: Address, settings: PeersSettings) -> Coroutine:
+        """Put a question and take its answer."""
+        why, nonce = "late", self.rng.getrandbits(64)
+        rest = pack(Asked(nonce), settings.keys[settings.sign], settings.sign)
+        try:
+            yield WRITE
+            while rest:
+                rest = write(sock, rest)
+                if rest:
+                    yield WRITE
+            reader, body = Reader(MOST_FRAME), None
+            while body is None:
+                yield READ
+                body = self.read(sock, reader)
+            told = unpack(settings.keys, body)
+            if not isinstance(told, Told) or told.nonce != nonce:
+                raise Broken("an answer to something else")
+            news = self.keeper.take(clock(), told.records)
+            why = f"{len(told.records)} pieces, {len(news)} of them news"
+        except (OSError, Broken) as error:
+            why = str(error)
+        finally:
+            log.info("knowledge: %s:%d was asked: %s", *address, why)
+            self.asking.pop(address, None)
+            if not self.asking:
+                self.warm()
+
+    # Snapshots
+
+    def load(self) -> None:
+        """Take up what was saved; what cannot be used is set aside."""
+        if self.saved is None:
+            return
+        path, now = self.saved.file, time.time() * 1000.0
+        try:
+            held = snapshot.read(path, now)
+        except FileNotFoundError:
+            return
+        except snapshot.Unusable as error:
+            try:
+                log.warning("snapshot: %s is set aside as %s: %s", path, snapshot.set_aside(path), error)
+            except OSError as stuck:
+                log.warning("snapshot: %s is left aside: %s; %s", path, error, stuck)
+            return
+        age = max(0.0, now - held.saved)
+        if held.epoch >= self.epoch:  # the clock went back: what comes must count as later all the same
+            self.keeper.epoch = self.epoch = held.epoch + 1
+            if self.swim is not None:
+                self.swim.epoch = self.epoch
+        news = self.keeper.take(clock() - age, held.records)
+        log.info(
+            "snapshot: %s is %.1f s old, %d of %d pieces count",
+            path,
+            age / 1000.0,
+            len(news),
+            len(held.records),
+        )
+
+    def save(self, again: bool = True) -> None:
+        """Hand a snapshot to the thread that writes; dropped where that is still busy with others."""
+        assert self.saved is not None and self.channel is not None
+        try:
+            keeper = self.keeper
+            keeper.book.prune(clock())
+            held = Snapshot(time.time() * 1000.0, keeper.name, keeper.epoch, keeper.dump(clock()))
+            if not self.channel.put(snapshot.encode(held)):
+                self.unsaved += 1
+            self.channel.flush()
+        finally:
+            if again:
+                self.later(self.saved.every_s * 1000.0, self.save)
+
+    def write_snapshot(self, pieces: list[bytes]) -> None:
+        """Called by the writer."""
+        assert self.saved is not None
+        snapshot.write(self.saved.file, bytes(pieces[-1]))
+        self.snapshots += 1
+
+    # The end
+
+    def close(self) -> None:
+        """Say good-bye, save, and tell the log what was dropped."""
+        if self.saved is not None:
+            self.keeper.gather(clock())
+            self.save(again=False)
+        if self.swim is not None:
+            self.send(self.swim.leave())
+            dropped = ", ".join(f"{why} {count}" for why, count in sorted(self.swim.counts.items()))
+            log.info("peers: left; dropped: %s", dropped or "nothing")
+        keeper, book = self.keeper, self.keeper.book
+        log.info(
+            "knowledge: %d pieces held, %d words told to the module; %d absurd, %d without room",
+            book.size,
+            keeper.told,
+            book.absurd + keeper.rejected,
+            book.dropped,
+        )
--- /dev/null
+++ b/brackenusher/membership/swim.py
@@ -0,0 +1,621 @@
+"""Who else is there: SWIM with Lifeguard, a state machine fed datagrams and told the time, without a socket.
+
+Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership Protocol"
+(DSN 2002): each period a member pings one other, chosen by a shuffled round; without an answer it has a few
+others ping that one; without an answer still it suspects it, and tells so on whatever it sends. A suspect
+refutes by a greater incarnation; one that does not is dead after a while. Dadgar, Phillips and Currey,
+"Lifeguard: Local Health Awareness for More Accurate Failure Detection" (DSN-W 2018): one that gets no answers
+from others doubts itself and waits longer; suspicion shortens as others confirm it; a ping tells a suspect
+that it is one.
+
+Each datagram is sealed (`seal`) and numbered by its sender. The numbers count in a window as in RFC 4303,
+3.4.3, and only for a life of the sender that has answered a random nonce of ours: an old recording proves
+nothing, and no clock is compared. Names, counts and rates are bounded;
+`counts` says what was dropped, and why.
+"""
+
+import random
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from heapq import nsmallest
+from ipaddress import ip_address
+from math import ceil, inf, log, log10
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+from brackenusher.membership.seal import DATAGRAM, Refused, overhead, seal, unseal
+
+Address = tuple[str, int]
+
+LONGEST = 1400  # bytes of a datagram: it fits one packet on every usual link
+MOST_MEMBERS = 1024  # names held, the dead among them
+MOST_WAITING = 256  # pings and pings on behalf of others whose answer is awaited
+MOST_RECORDS = 512  # opaque records that wait to be passed on
+RATE, BURST = 2000.0, 400.0  # datagrams a second looked at, and at once: 1,000 members send each some 4
+INDIRECT = 3  # others that ping on one's behalf; the paper's k
+ANSWER = 0.4  # of the period, until others are asked: the rest is theirs
+NACK = 0.8  # of that, until one that pings on another's behalf says that it got no answer
+SUSPICION = (
+    4.0  # periods that a confirmed suspicion lasts, times the log10 of the group (as memberlist has it)
+)
+UNCONFIRMED = 6.0  # times as long while nobody confirms it
+CONFIRMATIONS = 3  # after which it is at its shortest
+DOUBT = 8  # worst health of one's own, on which all waits are 9 times as long
+SPREAD = 3  # times the ln of the group: how often each piece of news is passed on
+FORGOTTEN = 300_000.0  # milliseconds for which a dead member is remembered, and looked for
+LOOK_FOR = 10  # periods between looks for the dead, and for seeds that nobody knows
+PAGES_AGAIN = 5_000.0  # milliseconds between two tellings of the whole list to one member
+MOST_PAGES = 40
+MOST_UPDATES = 128  # in one datagram; no more would fit
+AT_ONCE = 32  # pieces of news that one datagram may carry
+WINDOW = 256  # numbers behind the greatest of which it is remembered whether they came
+
+ALIVE, SUSPECT, DEAD, LEFT = range(4)
+STATES = ("alive", "suspect", "dead", "left")
+PING, ACK, PING_FOR, NONE, PAGE = range(5)
+
+LONGEST_NAME = 64  # characters: two of them, in updates and outside, always fit a datagram
+
+Name = Annotated[str, Meta(min_length=1, max_length=LONGEST_NAME)]
+Number = Annotated[int, Meta(ge=0, le=2**53)]
+Nonce = Annotated[int, Meta(ge=0)]
+
+
+class Update(Struct, array_like=True, frozen=True):
+    """What is said of a member; fields that a later form adds behind are skipped."""
+
+    name: Name
+    host: Annotated[str, Meta(max_length=45)]
+    port: Annotated[int, Meta(ge=1, le=65_535)]
+    epoch: Number  # its life: Unix milliseconds on its own clock when it started
+    incarnation: Number
+    state: Annotated[int, Meta(ge=0, le=3)]
+    by: Annotated[str, Meta(max_length=LONGEST_NAME)] = ""  # who suspects it
+
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """The greater counts: a later life, then a later incarnation, then the worse news."""
+        return self.epoch, self.incarnation, self.state
+
+
+class Message(Struct, array_like=True, frozen=True):
+    """The body of a datagram."""
+
+    sender: Name
+    epoch: Number
+    serial: Number
+    kind: Annotated[int, Meta(ge=0, le=255)]
+    nonce: Nonce
+    target: Annotated[str, Meta(max_length=LONGEST_NAME)] = (
+        ""  # who is meant; of PING_FOR, who is to be pinged
+    )
+    joins: bool = False  # the sender knows nobody yet
+    updates: Annotated[list[Update], Meta(max_length=MOST_UPDATES)] = []
+    records: Annotated[list[bytes], Meta(max_length=MOST_UPDATES)] = []
+
+
+@dataclass(slots=True)
+class Member:
+    """Another proxy."""
+
+    name: str
+    address: Address
+    epoch: int
+    incarnation: int
+    state: int
+    since: float
+    proved: bool = False  # this life has answered a nonce
+    heard_at: float = -inf
+    top: int = -1  # greatest number that came, and which of those behind it did
+    came: int = 0
+    told_by: set[str] = field(default_factory=set)  # who suspects it
+    paged_at: float = -inf
+
+    def update(self, by: str = "") -> Update:
+        return Update(self.name, *self.address, self.epoch, self.incarnation, self.state, by)
+
+    def fresh(self, serial: int) -> bool:
+        """Whether a number comes for the first time, as far as the window tells; RFC 4303, 3.4.3."""
+        if serial > self.top:
+            self.came = (self.came << min(serial - self.top, WINDOW) | 1) & (1 << WINDOW) - 1
+            self.top = serial
+            return True
+        bit = self.top - serial
+        if bit >= WINDOW or self.came >> bit & 1:
+            return False
+        self.came |= 1 << bit
+        return True
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A ping whose answer is awaited."""
+
+    name: str  # empty for a seed of which only the address is known
+    address: Address
+    until: float
+    behalf: tuple[Address, int] | None = None  # whose ping it is, and their nonce
+    pages: bool = False  # it asked for the whole list, and gets it once it has answered
+
+
+@dataclass(slots=True)
+class Probe:
+    """The ping of this period."""
+
+    name: str
+    nonce: int
+    ask_at: float  # when others are asked
+    ends_at: float
+    asked: int = 0
+    nones: int = 0
+
+
+@dataclass(slots=True)
+class News:
+    """Something to be passed on, and how often it was."""
+
+    data: bytes
+    sent: int = 0
+
+
+class Swim:
+    """One member. Whatever it returns is to be sent: datagrams with their addresses."""
+
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        epoch: int,
+        keys: Mapping[str, bytes],
+        kid: str,
+        seeds: tuple[Address, ...],
+        period: float,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.name, self.address, self.epoch, self.keys, self.kid = name, address, epoch, keys, kid
+        self.seeds, self.period, self.rng = [s for s in seeds if s != address], period, rng
+        self.incarnation = self.serial = self.doubt = 0
+        self.members: dict[str, Member] = {}
+        self.round: list[str] = []
+        self.probe: Probe | None = None
+        self.waiting: dict[int, Waiting] = {}
+        self.suspicions: dict[str, float] = {}  # when each began
+        self.news: dict[str, News] = {}
+        self.records: dict[bytes, News] = {}
+        self.heard: list[bytes] = []  # records that came; whoever drives this takes them
+        self.changes: list[tuple[str, int]] = []  # members whose state changed, likewise
+        self.counts: Counter[str] = Counter()  # what was dropped, by why
+        self.next_probe, self.next_look, self.last = now, now, now
+        self.allowance, self.allowed_at = BURST, now
+        self.encoder = msgspec.msgpack.Encoder()
+        self.decoder = msgspec.msgpack.Decoder(Message)
+        self.out: list[tuple[bytes, Address]] = []
+        self.left = False
+
+    # What it is asked
+
+    def alive(self) -> list[Member]:
+        """Members that are not known to be gone."""
+        return [m for m in self.members.values() if m.state <= SUSPECT]
+
+    def next(self) -> float:
+        """When it next has something to do."""
+        ends = [self.next_probe, self.next_look]
+        if self.probe is not None:
+            ends.append(self.probe.ask_at if not self.probe.asked else self.probe.ends_at)
+        ends += [w.until for w in self.waiting.values()]
+        ends += [self.ends(name) for name in self.suspicions]
+        return min(ends)
+
+    def tell(self, key: bytes, record: bytes) -> None:
+        """Pass a record on; a later one of the same key takes its place."""
+        if key not in self.records and len(self.records) >= MOST_RECORDS:
+            oldest = max(self.records, key=lambda k: self.records[k].sent)
+            del self.records[oldest]
+            self.counts["records"] += 1
+        self.records[key] = News(record)
+
+    def leave(self) -> list[tuple[bytes, Address]]:
+        """The last word."""
+        self.left = True
+        self.note(Update(self.name, *self.address, self.epoch, self.incarnation, LEFT))
+        others = self.alive()
+        for m in self.rng.sample(others, min(len(others), 2 * INDIRECT)):
+            self.send(m.address, PAGE, 0)
+        return self.flush()
+
+    # Time
+
+    def tick(self, now: float) -> list[tuple[bytes, Address]]:
+        """Do what is due."""
+        late = now - max(self.last, self.next())
+        if late > self.period and self.last < now:
+            self.slept(now, late)
+        self.last = now
+        for nonce in [n for n, w in self.waiting.items() if w.until <= now]:
+            w = self.waiting.pop(nonce)
+            if w.behalf is not None:
+                self.send(w.behalf[0], NONE, w.behalf[1])
+        for name in [name for name in self.suspicions if self.ends(name) <= now]:
+            m = self.members[name]
+            self.take(now, dead(m))
+        probe = self.probe
+        if probe is not None:
+            if not probe.asked and now >= probe.ask_at:
+                self.ask_others(now, probe)
+            if now >= probe.ends_at:
+                self.failed(now, probe)
+        if now >= self.next_probe:
+            self.begin_probe(now)
+        if now >= self.next_look:
+            self.look(now)
+        return self.flush()
+
+    def slept(self, now: float, late: float) -> None:
+        """This process stood still: what it did not hear meanwhile says nothing of others."""
+        self.counts["slept"] += 1
+        self.worse(1)
+        self.probe = None
+        self.waiting.clear()
+        self.next_probe = now
+        for name in self.suspicions:
+            self.suspicions[name] += late
+
+    def worse(self, by: int) -> None:
+        self.doubt = min(max(self.doubt + by, 0), DOUBT)
+
+    def group(self) -> int:
+        return len(self.alive()) + 1
+
+    def ends(self, name: str) -> float:
+        """When a suspicion ends with the suspect's death."""
+        shortest = SUSPICION * max(1.0, log10(self.group())) * self.period
+        needed = min(CONFIRMATIONS, self.group() - 2)
+        if needed < 1:
+            return self.suspicions[name] + shortest
+        confirmed = min(len(self.members[name].told_by) - 1, needed)
+        share = log(max(confirmed, 0) + 1) / log(needed + 1)
+        return self.suspicions[name] + shortest * (UNCONFIRMED - (UNCONFIRMED - 1) * share)
+
+    def begin_probe(self, now: float) -> None:
+        span = self.period * (1 + self.doubt)
+        self.next_probe = now + span
+        while self.round or self.shuffle():
+            m = self.members.get(self.round.pop())
+            if m is not None and m.state <= SUSPECT:
+                nonce = self.ping(now, m, span)
+                if nonce is not None:
+                    self.probe = Probe(m.name, nonce, now + ANSWER * span, now + span)
+                return
+
+    def shuffle(self) -> bool:
+        """A new round; False where there is nobody."""
+        self.round = [m.name for m in self.alive()]
+        self.rng.shuffle(self.round)
+        return bool(self.round)
+
+    def ping(
+        self, now: float, m: Member, span: float, behalf: tuple[Address, int] | None = None
+    ) -> int | None:
+        """Ping a member; one that is thought ill of is told so first, so that it can refute."""
+        about = m.update() if m.state != ALIVE else None
+        return self.knock(now, Waiting(m.name, m.address, now + span, behalf), about)
+
+    def knock(
+        self, now: float, waiting: Waiting, about: Update | None = None, joins: bool = False
+    ) -> int | None:
+        if len(self.waiting) >= MOST_WAITING:
+            self.counts["waiting"] += 1
+            return None
+        nonce = self.rng.getrandbits(64)
+        self.waiting[nonce] = waiting
+        self.send(waiting.address, PING, nonce, waiting.name, joins, about)
+        return nonce
+
+    def ask_others(self, now: float, probe: Probe) -> None:
+        others = [m for m in self.alive() if m.name != probe.name and m.state == ALIVE and m.proved]
+        chosen = self.rng.sample(others, min(INDIRECT, len(others)))
+        for m in chosen:
+            self.send(m.address, PING_FOR, probe.nonce, probe.name)
+        probe.asked = len(chosen) or -1
+        kept = self.waiting.get(probe.nonce)
+        if kept is not None:
+            kept.until = probe.ends_at
+
+    def failed(self, now: float, probe: Probe) -> None:
+        """Neither it nor those asked have answered; Lifeguard holds silence of the latter against us."""
+        self.probe = None
+        self.waiting.pop(probe.nonce, None)
+        self.worse(max(probe.asked - probe.nones, 0) if probe.asked > 0 else 1)
+        m = self.members.get(probe.name)
+        if m is not None and m.state <= SUSPECT:
+            self.take(now, Update(m.name, *m.address, m.epoch, m.incarnation, SUSPECT, self.name))
+
+    def look(self, now: float) -> None:
+        """Forget who has long been dead; look for one of the others, and for a seed that nobody knows."""
+        alone = not any(m.proved and m.state <= SUSPECT for m in self.members.values())
+        self.next_look = now + self.period * (1 if alone else LOOK_FOR)
+        for m in [m for m in self.members.values() if m.state > SUSPECT and now - m.since > FORGOTTEN]:
+            del self.members[m.name]
+            self.news.pop(m.name, None)
+        gone = [m for m in self.members.values() if m.state == DEAD]
+        if gone:
+            self.ping(now, self.rng.choice(gone), self.period)
+        known = {m.address for m in self.alive() if m.proved}
+        unknown = [s for s in self.seeds if s not in known]
+        for seed in unknown if alone else self.rng.sample(unknown, min(1, len(unknown))):
+            self.knock(now, Waiting("", seed, now + self.period), joins=alone)
+
+    # Datagrams
+
+    def receive(self, now: float, data: bytes, source: Address) -> list[tuple[bytes, Address]]:
+        """Take a datagram as it came, whatever it is."""
+        self.allowance = min(BURST, self.allowance + (now - self.allowed_at) * RATE / 1000.0)
+        self.allowed_at = now
+        if self.allowance < 1.0:
+            self.counts["rate"] += 1
+            return []
+        self.allowance -= 1.0
+        if len(data) > LONGEST:
+            self.counts["long"] += 1
+            return []
+        try:
+            message = self.decoder.decode(unseal(self.keys, DATAGRAM, data))
+        except Refused as why:
+            self.counts[str(why)] += 1
+        except (msgspec.MsgspecError, ValueError, RecursionError):
+            self.counts["garbage"] += 1
+        else:
+            if message.sender == self.name:
+                self.counts["name"] += 1  # somebody else goes by this name, or it is our own echo
+            elif message.kind == PING and message.target not in ("", self.name):
+                self.counts["target"] += 1  # for one that was here before
+            elif self.credible(now, message, source):
+                self.act(now, message, source)
+        return self.flush()
+
+    def credible(self, now: float, message: Message, source: Address) -> bool:
+        """Whether the sender is who it says, now and for the first time; one not proved yet is asked to."""
+        m = self.members.get(message.sender)
+        if m is not None and m.proved and (m.epoch, m.address) == (message.epoch, source):
+            if m.fresh(message.serial):
+                return True
+            self.counts["replayed"] += 1
+            return False
+        if m is not None and m.proved and m.state == ALIVE and m.address != source:
+            if now - m.heard_at < 3 * self.period:
+                self.counts["name"] += 1  # a name used by two: who was here first keeps it while it answers
+                return False
+        w = self.waiting.get(message.nonce) if message.kind == ACK else None
+        if w is not None and w.address == source and w.name in ("", message.sender):
+            return self.prove(now, message, source)
+        if message.kind == PING:
+            self.send(source, ACK, message.nonce)
+            if not any(w.address == source and w.behalf is None for w in self.waiting.values()):
+                self.knock(now, Waiting(message.sender, source, now + self.period, pages=message.joins))
+        else:
+            self.counts["unproved"] += 1
+        return False
+
+    def prove(self, now: float, message: Message, source: Address) -> bool:
+        """The sender's life has answered a nonce."""
+        m = self.members.get(message.sender)
+        if m is None:
+            if len(self.members) >= MOST_MEMBERS:
+                self.counts["members"] += 1
+                return False
+            m = self.members[message.sender] = Member(message.sender, source, message.epoch, 0, ALIVE, now)
+            self.changes.append((m.name, ALIVE))
+        elif (m.epoch, m.address) != (message.epoch, source):  # another life; the same one has to refute
+            if m.state > SUSPECT:
+                self.changes.append((m.name, ALIVE))
+            if m.epoch != message.epoch:
+                m.incarnation = 0
+            m.epoch, m.address, m.state, m.since = message.epoch, source, ALIVE, now
+            self.suspicions.pop(m.name, None)
+            m.paged_at, m.told_by = -inf, set()
+        m.proved, m.top, m.came = True, message.serial, 1
+        self.note(m.update())
+        return True
+
+    def act(self, now: float, message: Message, source: Address) -> None:
+        """What a credible message asks for and tells."""
+        sender = self.members[message.sender]
+        sender.heard_at = now
+        for update in message.updates:
+            self.take(now, update)
+        self.heard += message.records
+        if message.kind == PING:
+            self.send(source, ACK, message.nonce)
+            if message.joins:
+                self.page(now, sender)
+        elif message.kind == PING_FOR:
+            m = self.members.get(message.target)
+            if m is not None:
+                self.ping(now, m, ANSWER * NACK * self.period, (source, message.nonce))
+        elif message.kind == NONE:
+            if self.probe is not None and self.probe.nonce == message.nonce:
+                self.probe.nones += 1
+        elif message.kind == ACK:
+            self.answered(now, message, sender, source)
+
+    def answered(self, now: float, message: Message, sender: Member, source: Address) -> None:
+        probe, w = self.probe, self.waiting.get(message.nonce)
+        if w is None:
+            return
+        if w.address == source and w.name in ("", sender.name):
+            del self.waiting[message.nonce]
+            if w.pages:
+                self.page(now, sender)
+            if w.behalf is not None:
+                self.send(w.behalf[0], ACK, w.behalf[1], sender.name)
+        elif message.target != w.name or probe is None or probe.nonce != message.nonce:
+            return  # neither who was pinged nor one that was asked to
+        if probe is not None and probe.nonce == message.nonce:
+            self.waiting.pop(message.nonce, None)
+            self.probe = None
+            self.worse(-1)
+
+    # News
+
+    def take(self, now: float, update: Update) -> None:
+        """Take up what is said of a member."""
+        if update.name == self.name:
+            self.refute(update)
+            return
+        m = self.members.get(update.name)
+        if m is None:
+            self.meet(now, update)
+            return
+        if update.state == SUSPECT == m.state and update.rank == (m.epoch, m.incarnation, SUSPECT):
+            if update.by and update.by not in m.told_by and len(m.told_by) <= CONFIRMATIONS:
+                m.told_by.add(update.by)
+                self.note(update)  # Lifeguard passes each of the first few confirmations on
+            return
+        if update.rank <= (m.epoch, m.incarnation, m.state):
+            return
+        if not usable(update):
+            self.counts["garbage"] += 1
+            return
+        if update.epoch != m.epoch:
+            m.proved = False
+        m.epoch, m.incarnation, m.address = update.epoch, update.incarnation, (update.host, update.port)
+        self.suspicions.pop(m.name, None)
+        m.told_by = set()
+        if update.state == SUSPECT:
+            self.suspicions[m.name] = now
+            m.told_by = {update.by}
+        if m.state != update.state:
+            self.changes.append((m.name, update.state))
+            m.state, m.since = update.state, now
+        self.note(update)
+
+    def meet(self, now: float, update: Update) -> None:
+        """Somebody new, by hearsay: it still has to prove itself."""
+        if update.state > SUSPECT:
+            return
+        if len(self.members) >= MOST_MEMBERS:
+            self.counts["members"] += 1
+        elif not usable(update) or (update.host, update.port) == self.address:
+            self.counts["garbage"] += 1
+        else:
+            address = (update.host, update.port)
+            m = Member(update.name, address, update.epoch, update.incarnation, ALIVE, now)
+            self.members[m.name] = m
+            self.round.insert(self.rng.randrange(len(self.round) + 1), m.name)  # as the paper has it
+            self.changes.append((m.name, ALIVE))
+            self.note(m.update())
+
+    def refute(self, update: Update) -> None:
+        """Contradict what is said of this member."""
+        if update.epoch > self.epoch:
+            if (update.host, update.port) == self.address:
+                self.epoch, self.incarnation, self.serial = update.epoch + 1, 0, 0  # the clock went back
+            else:
+                self.counts["name"] += 1
+        elif update.epoch == self.epoch and update.state != ALIVE and update.incarnation >= self.incarnation:
+            if not self.left:
+                self.incarnation = update.incarnation + 1
+                self.worse(1)
+                self.note(self.own())
+
+    def own(self) -> Update:
+        state = LEFT if self.left else ALIVE
+        return Update(self.name, *self.address, self.epoch, self.incarnation, state)
+
+    def note(self, update: Update) -> None:
+        """Pass an update on."""
+        self.news[update.name] = News(self.encoder.encode(update))
+
+    def page(self, now: float, m: Member) -> None:
+        """Tell one that joins of all, in a few datagrams."""
+        if now - m.paged_at < PAGES_AGAIN:
+            return
+        m.paged_at = now
+        rest = [self.encoder.encode(other.update()) for other in self.alive() if other is not m]
+        for _ in range(MOST_PAGES):
+            if not rest:
+                return
+            rest = self.write(m.address, PAGE, 0, "", False, rest, [])
+
+    def send(
+        self,
+        address: Address,
+        kind: int,
+        nonce: int,
+        target: str = "",
+        joins: bool = False,
+        about: Update | None = None,
+    ) -> None:
+        """Send a message with as much news as fits, what was told least first."""
+        most = SPREAD * ceil(log(self.group() + 1))
+        news = nsmallest(AT_ONCE, self.news.items(), key=lambda item: item[1].sent)
+        records = nsmallest(AT_ONCE, self.records.items(), key=lambda item: item[1].sent)
+        first = [self.encoder.encode(u) for u in (self.own(), about) if u is not None]
+        room = LONGEST - overhead(self.kid) - 64 - len(self.name.encode()) - len(target.encode())
+        room -= sum(map(len, first))
+        parts: list[bytes] = []
+        told: list[bytes] = []
+        for name, item in news:
+            if len(item.data) > room:
+                break
+            room -= len(item.data)
+            parts.append(item.data)
+            item.sent += 1
+            if item.sent >= most:
+                del self.news[name]
+        for key, item in records:
+            if len(item.data) + 3 > room:
+                break
+            room -= len(item.data) + 3
+            told.append(item.data)
+            item.sent += 1
+            if item.sent >= most:
+                del self.records[key]
+        self.write(address, kind, nonce, target, joins, first + parts, told)
+
+    def write(
+        self,
+        address: Address,
+        kind: int,
+        nonce: int,
+        target: str,
+        joins: bool,
+        updates: list[bytes],
+        records: list[bytes],
+    ) -> list[bytes]:
+        """Seal a datagram; return the updates that did not fit."""
+        room, count = LONGEST - overhead(self.kid) - 64 - len(self.name.encode()) - len(target.encode()), 0
+        room -= sum(len(r) + 3 for r in records)
+        for update in updates[:MOST_UPDATES]:
+            room -= len(update)
+            if room < 0:
+                break
+            count += 1
+        self.serial += 1
+        raw = [msgspec.Raw(update) for update in updates[:count]]
+        body = [self.name, self.epoch, self.serial, kind, nonce, target, joins, raw, records]
+        data = seal(self.keys[self.kid], self.kid, DATAGRAM, self.encoder.encode(body))
+        self.out.append((data, address))
+        return updates[max(count, 1) :]
+
+    def flush(self) -> list[tuple[bytes, Address]]:
+        out, self.out = self.out, []
+        return out
+
+
+def dead(m: Member) -> Update:
+    return Update(m.name, *m.address, m.epoch, m.incarnation, DEAD)
+
+
+def usable(update: Update) -> bool:
+    """Whether an update names an address that can be sent to; names would have to be looked up."""
+    try:
+        ip = ip_address(update.host)
+    except ValueError:
+        return False
+    return not ip.is_multicast and not ip.is_unspecified and update.name.isprintable()
--- a/brackenusher/records/capture.py
+++ b/brackenusher/records/capture.py
@@ -56,6 +56,7 @@
 def module_digest() -> str:
     """Tells one text of the module from another."""
     texts = [Path(str(part.__file__)).read_bytes() for part in (brain, state)]
+    texts.append(Path(str(brain.__file__)).with_name("knowledge.py").read_bytes())  # weighs what it is told
     return hashlib.sha256(b"".join(texts)).hexdigest()[:16]
 
 
@@ -265,6 +266,9 @@
             report = ",".join(f"{name}:{value!r}" for name, value in (event.report or {}).items())
             about = f"{number},{now!r},{quote(event.backend)},{OUTCOMES[event.outcome]},{event.elapsed!r}"
             self.probes.append(f"{about},{report}")
+        elif isinstance(event, face.Told):
+            words = (f"{quote(w.backend)},{w.started!r},{w.slower!r},{w.weight!r}" for w in event.hearsay)
+            self.write(f"list 0 - told at={number},{now!r} told={';'.join(words)}")
         elif isinstance(event, face.Arrived):
             self.arrived(number, now, event)
         elif isinstance(event, (face.Finished, face.Left)):
--- a/brackenusher/records/replay.py
+++ b/brackenusher/records/replay.py
@@ -124,7 +124,9 @@
     def lay_out(self) -> None:
         lists: dict[int, list[Line]] = defaultdict(list)
         for line in self.run.lines:
-            if line.words[0] == "list":
+            if line.words[0] == "list" and "told" in line.pairs:
+                self.lay_out_hearsay(line)
+            elif line.words[0] == "list":
                 lists[int(line.one("at")[0])].append(line)
             elif "event" in line.pairs:
                 self.events[int(line.one("event")[0])] = (0.0, partial(self.ask_door, line))
@@ -151,6 +153,13 @@
             face.ListChanged(scope, entries, int(first.words[1])),
         )
 
+    def lay_out_hearsay(self, line: Line) -> None:
+        words = []
+        for value in line.pairs["told"][0].split(";"):
+            name, *numbers = value.split(",")
+            words.append(face.Hearsay(unquote(name), *map(float, numbers)))
+        self.events[int(line.one("at")[0])] = (float(line.one("at")[1]), face.Told(words))
+
     def lay_out_probe(
         self, number: str, now: str, host: str, outcome: str, elapsed: str, report: str
     ) -> None:
--- a/testbed/proxy.py
+++ b/testbed/proxy.py
@@ -43,6 +43,7 @@
     face.Left: 5,
     face.TimerDue: 6,
     face.Probed: 7,
+    face.Told: 8,
 }
 ACTIONS: dict[type, int] = {
     face.Send: 16,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -300,6 +300,7 @@
         files=None,
         operator=None,
         stderr=None,
+        name="n0",
     ):
         self.servers = servers
         hosts = [host(f"s{n}", server) for n, server in enumerate(servers)]
@@ -309,6 +310,7 @@
         self.log_path = tmp_path / "log"
         path = write_config(
             tmp_path,
+            name=name,
             listen=f"127.0.0.1:{self.port}",
             discovery=self.agent.address,
             limits={"cores": 1.0, "memory_mb": 192, "sockets": sockets},
--- /dev/null
+++ b/tests/test_knowledge_daemons.py
@@ -0,0 +1,133 @@
+"""Shared knowledge between real programs over loopback: one learns, one starts warm, one only has a file."""
+
+import itertools
+import re
+import socket
+import threading
+import time
+
+from helpers import Program, TurnServer, command, host, read_request, response, until
+
+from brackenusher.membership.frames import Asked, Reader, Told, decode, pack, unpack
+from brackenusher.membership.seal import DATAGRAM, seal
+
+NUMBERS = itertools.count()
+KEY = "00112233445566778899aabbccddeeff"
+
+
+def free_port():
+    """A port that is free for datagrams and for connections."""
+    while True:
+        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+            stream.bind(("127.0.0.1", 0))
+            try:
+                datagrams.bind(stream.getsockname())
+            except OSError:
+                continue
+            return stream.getsockname()[1]
+
+
+def settings(own, seed):
+    return (
+        f"peers.enabled = true\npeers.listen = 127.0.0.1:{own}\npeers.seeds = 127.0.0.1:{seed}\n"
+        f"peers.key.k1 = {KEY}\npeers.period_ms = 200\npeers.warm_ms = 900\n"
+    )
+
+
+class Fleet:
+    """Four turn servers, of which the first takes its time."""
+
+    def __init__(self):
+        self.slow = 0.06
+        self.servers = [TurnServer(self.slowly), *(TurnServer() for _ in range(3))]
+        self.hosts = [host(f"s{n}", server) for n, server in enumerate(self.servers)]
+
+    def slowly(self, _server, _message):
+        time.sleep(self.slow)
+        return response(200, b"board")
+
+
+def ask(program, count, at_once=10):
+    """Ask a program so often, by some clients at once."""
+
+    def client(first):
+        with program.connect() as sock:
+            for _ in range(first, count, at_once):
+                assert program.ask(read_request(next(NUMBERS)), sock)[0] in (200, 503)
+
+    threads = [threading.Thread(target=client, args=(first,)) for first in range(at_once)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def known(port):
+    """What a program tells who asks it: evidence by backend."""
+    with socket.create_connection(("127.0.0.1", port), timeout=10) as sock:
+        sock.sendall(pack(Asked(7), bytes.fromhex(KEY), "k1"))
+        reader, body = Reader(), None
+        while body is None:
+            body = reader.feed(sock.recv(65_536))
+    told = unpack({"k1": bytes.fromhex(KEY)}, body)
+    assert isinstance(told, Told) and told.nonce == 7
+    return {e.backend: e for e in (decode(record, 0.0) for record in told.records)}
+
+
+def learned(port):
+    """What it tells of the slow one, once that is clear."""
+    found = known(port).get("s0")
+    return found if found and found.slower > 0.6 else None
+
+
+def test_a_proxy_that_starts_beside_another_avoids_what_that_one_found_slow(tmp_path):
+    # guards the whole way: sightings, numbering, the question over TCP, hearsay into the module; membership
+    # over datagrams; and that what is no datagram or frame of a peer's ends nothing
+    fleet, ports = Fleet(), (free_port(), free_port())
+    for name in ("a", "b"):
+        (tmp_path / name).mkdir()
+    own, properties = settings(ports[0], ports[1]), tmp_path / "a" / "operator.properties"
+    with Program(tmp_path / "a", *fleet.servers, known=fleet.hosts, operator=own) as first:
+        found = until(lambda: ask(first, 40) or learned(ports[0]), "word of the slow one")
+        assert found.origin == "n0" and 0 <= found.answered < 60_000 and found.born == 0
+        printed = command("knowledge", "show", f"127.0.0.1:{ports[0]}", "--properties", str(properties))
+        assert printed.returncode == 0 and re.search(r"^s0 .* n0 ", printed.stdout, re.M), printed
+        for rubbish in (b"", b"x" * 1300, seal(b"other", "k1", DATAGRAM, b"x"), b"y" * 65_000):
+            with socket.socket(type=socket.SOCK_DGRAM) as sock:
+                sock.sendto(rubbish, ("127.0.0.1", ports[0]))
+        with socket.create_connection(("127.0.0.1", ports[0]), timeout=10) as sock:
+            sock.sendall(b"\xff\xff\xff\xff" + b"z" * 100)
+            assert sock.recv(1) == b""
+        before = len(fleet.servers[0].requests)
+        own = settings(ports[1], ports[0])
+        with Program(tmp_path / "b", *fleet.servers, known=fleet.hosts, operator=own, name="n1") as second:
+            assert "pieces, 4 of them news" in second.log, second.log
+            for number in range(60):
+                assert second.ask(read_request(f"b{number}"))[0] == 200
+            assert len(fleet.servers[0].requests) == before
+            until(lambda: "n0 is alive" in second.log and "n1 is alive" in first.log, "membership")
+            second.process.terminate()
+            assert second.process.wait(20) == 0
+            until(lambda: "n1 is left" in first.log, "word of its leaving")
+        assert "Traceback" not in first.log + second.log
+
+
+def test_a_restart_takes_up_its_own_snapshot_and_sets_a_broken_one_aside(tmp_path):
+    fleet, path = Fleet(), tmp_path / "knowledge"
+    own = f"snapshot.enabled = true\nsnapshot.file = {path}\n"
+    with Program(tmp_path, *fleet.servers, known=fleet.hosts, operator=own) as first:
+        until(lambda: ask(first, 40) or len(fleet.servers[0].requests) > 8, "enough answers of the slow one")
+        first.process.terminate()
+        assert first.process.wait(20) == 0
+    printed = command("knowledge", "show", str(path))
+    assert printed.returncode == 0 and "4 pieces" in printed.stdout, printed
+    assert command("knowledge", "diff", str(path), str(path)).returncode == 0
+    fleet = Fleet()
+    with Program(tmp_path, *fleet.servers, known=fleet.hosts, operator=own) as again:
+        for number in range(60):
+            assert again.ask(read_request(f"c{number}"))[0] == 200
+        assert not fleet.servers[0].requests
+        again.process.kill()
+    path.write_bytes(path.read_bytes()[:-3])
+    with Program(tmp_path, *Fleet().servers, operator=own) as third:
+        assert "is set aside" in third.log and path.with_name("knowledge.unusable").exists()
