--- a/brackenusher/membership/swim.py
+++ b/brackenusher/membership/swim.py
@@ -37,6 +37,7 @@
 RATE, BURST = 2000.0, 400.0  # datagrams a second looked at, and at once: 1,000 members send each some 4
 INDIRECT = 3  # others that ping on one's behalf; the paper's k
 ANSWER = 0.4  # of the period, until others are asked: the rest is theirs
+GOSSIP, FANOUT = 0.2, 3  # of the period, how often news goes to so many others (as memberlist does)
 NACK = 0.8  # of that, until one that pings on another's behalf says that it got no answer
 SUSPICION = (
     4.0  # periods that a confirmed suspicion lasts, times the log10 of the group (as memberlist has it)
@@ -48,6 +49,7 @@
 FORGOTTEN = 300_000.0  # milliseconds for which a dead member is remembered, and looked for
 LOOK_FOR = 10  # periods between looks for the dead, and for seeds that nobody knows
 PAGES_AGAIN = 5_000.0  # milliseconds between two tellings of the whole list to one member
+LIST = 30  # periods, times the ln of the group, after which another member is asked for its whole list
 MOST_PAGES = 40
 MOST_UPDATES = 128  # in one datagram; no more would fit
 AT_ONCE = 32  # pieces of news that one datagram may carry
@@ -107,7 +109,8 @@
     incarnation: int
     state: int
     since: float
-    proved: bool = False  # this life has answered a nonce
+    proved: bool = False  # this life has answered a nonce of ours
+    trusts: bool = False  # and we one of its: what we tell it is heard
     heard_at: float = -inf
     top: int = -1  # greatest number that came, and which of those behind it did
     came: int = 0
@@ -189,7 +192,8 @@
         self.heard: list[bytes] = []  # records that came; whoever drives this takes them
         self.changes: list[tuple[str, int]] = []  # members whose state changed, likewise
         self.counts: Counter[str] = Counter()  # what was dropped, by why
-        self.next_probe, self.next_look, self.last = now, now, now
+        self.next_probe, self.next_look, self.next_gossip, self.last = now, now, now, now
+        self.next_list, self.list_wait = now + period, 2 * period
         self.allowance, self.allowed_at = BURST, now
         self.encoder = msgspec.msgpack.Encoder()
         self.decoder = msgspec.msgpack.Decoder(Message)
@@ -205,6 +209,8 @@
     def next(self) -> float:
         """When it next has something to do."""
         ends = [self.next_probe, self.next_look]
+        if self.news or self.records:
+            ends.append(self.next_gossip)
         if self.probe is not None:
             ends.append(self.probe.ask_at if not self.probe.asked else self.probe.ends_at)
         ends += [w.until for w in self.waiting.values()]
@@ -232,8 +238,8 @@
 
     def tick(self, now: float) -> list[tuple[bytes, Address]]:
         """Do what is due."""
-        late = now - max(self.last, self.next())
-        if late > self.period and self.last < now:
+        late = now - max(self.last, min(self.next_probe, self.next_look))
+        if late > self.period:
             self.slept(now, late)
         self.last = now
         for nonce in [n for n, w in self.waiting.items() if w.until <= now]:
@@ -253,6 +259,8 @@
             self.begin_probe(now)
         if now >= self.next_look:
             self.look(now)
+        if (self.news or self.records) and now >= self.next_gossip:
+            self.gossip(now)
         return self.flush()
 
     def slept(self, now: float, late: float) -> None:
@@ -292,6 +300,15 @@
                     self.probe = Probe(m.name, nonce, now + ANSWER * span, now + span)
                 return
 
+    def gossip(self, now: float) -> None:
+        """Pass news on between pings too, so that a refutation is faster than a suspicion's end."""
+        self.next_gossip = now + self.period * GOSSIP
+        others = [m for m in self.alive() if m.trusts]
+        for m in self.rng.sample(others, min(len(others), FANOUT)):
+            if self.news or self.records:
+                about = m.update() if m.state == SUSPECT else None
+                self.send(m.address, PAGE, 0, about=about, news=True)
+
     def shuffle(self) -> bool:
         """A new round; False where there is nobody."""
         self.round = [m.name for m in self.alive()]
@@ -303,24 +320,33 @@
     ) -> int | None:
         """Ping a member; one that is thought ill of is told so first, so that it can refute."""
         about = m.update() if m.state != ALIVE else None
-        return self.knock(now, Waiting(m.name, m.address, now + span, behalf), about)
+        joins = now >= self.next_list and behalf is None
+        if joins:  # news may miss some, most of all while hardly anybody is known: have one tell its list
+            self.next_list = now + self.list_wait
+            self.list_wait = min(2 * self.list_wait, self.period * LIST * ceil(log(self.group() + 1)))
+        return self.knock(now, Waiting(m.name, m.address, now + span, behalf), about, joins, m.trusts)
 
     def knock(
-        self, now: float, waiting: Waiting, about: Update | None = None, joins: bool = False
+        self,
+        now: float,
+        waiting: Waiting,
+        about: Update | None = None,
+        joins: bool = False,
+        news: bool = False,
     ) -> int | None:
         if len(self.waiting) >= MOST_WAITING:
             self.counts["waiting"] += 1
             return None
         nonce = self.rng.getrandbits(64)
         self.waiting[nonce] = waiting
-        self.send(waiting.address, PING, nonce, waiting.name, joins, about)
+        self.send(waiting.address, PING, nonce, waiting.name, joins, about, news)
         return nonce
 
     def ask_others(self, now: float, probe: Probe) -> None:
         others = [m for m in self.alive() if m.name != probe.name and m.state == ALIVE and m.proved]
         chosen = self.rng.sample(others, min(INDIRECT, len(others)))
         for m in chosen:
-            self.send(m.address, PING_FOR, probe.nonce, probe.name)
+            self.send(m.address, PING_FOR, probe.nonce, probe.name, news=m.trusts)
         probe.asked = len(chosen) or -1
         kept = self.waiting.get(probe.nonce)
         if kept is not None:
@@ -395,6 +421,8 @@
             return self.prove(now, message, source)
         if message.kind == PING:
             self.send(source, ACK, message.nonce)
+            if m is not None and (m.epoch, m.address) == (message.epoch, source):
+                m.trusts = True
             if not any(w.address == source and w.behalf is None for w in self.waiting.values()):
                 self.knock(now, Waiting(message.sender, source, now + self.period, pages=message.joins))
         else:
@@ -410,6 +438,7 @@
                 return False
             m = self.members[message.sender] = Member(message.sender, source, message.epoch, 0, ALIVE, now)
             self.changes.append((m.name, ALIVE))
+            self.note(m.update())
         elif (m.epoch, m.address) != (message.epoch, source):  # another life; the same one has to refute
             if m.state > SUSPECT:
                 self.changes.append((m.name, ALIVE))
@@ -417,9 +446,9 @@
                 m.incarnation = 0
             m.epoch, m.address, m.state, m.since = message.epoch, source, ALIVE, now
             self.suspicions.pop(m.name, None)
-            m.paged_at, m.told_by = -inf, set()
+            m.paged_at, m.told_by, m.trusts = -inf, set(), False
+            self.note(m.update())
         m.proved, m.top, m.came = True, message.serial, 1
-        self.note(m.update())
         return True
 
     def act(self, now: float, message: Message, source: Address) -> None:
@@ -430,7 +459,8 @@
             self.take(now, update)
         self.heard += message.records
         if message.kind == PING:
-            self.send(source, ACK, message.nonce)
+            self.send(source, ACK, message.nonce, news=True)
+            sender.trusts = True
             if message.joins:
                 self.page(now, sender)
         elif message.kind == PING_FOR:
@@ -482,7 +512,7 @@
             self.counts["garbage"] += 1
             return
         if update.epoch != m.epoch:
-            m.proved = False
+            m.proved = m.trusts = False
         m.epoch, m.incarnation, m.address = update.epoch, update.incarnation, (update.host, update.port)
         self.suspicions.pop(m.name, None)
         m.told_by = set()
@@ -550,17 +580,18 @@
         target: str = "",
         joins: bool = False,
         about: Update | None = None,
+        news: bool = False,
     ) -> None:
-        """Send a message with as much news as fits, what was told least first."""
+        """Send a message, with as much news as fits where it will be heard, what was told least first."""
         most = SPREAD * ceil(log(self.group() + 1))
-        news = nsmallest(AT_ONCE, self.news.items(), key=lambda item: item[1].sent)
-        records = nsmallest(AT_ONCE, self.records.items(), key=lambda item: item[1].sent)
+        updates = nsmallest(AT_ONCE, self.news.items() if news else (), key=lambda item: item[1].sent)
+        records = nsmallest(AT_ONCE, self.records.items() if news else (), key=lambda item: item[1].sent)
         first = [self.encoder.encode(u) for u in (self.own(), about) if u is not None]
         room = LONGEST - overhead(self.kid) - 64 - len(self.name.encode()) - len(target.encode())
         room -= sum(map(len, first))
         parts: list[bytes] = []
         told: list[bytes] = []
-        for name, item in news:
+        for name, item in updates:
             if len(item.data) > room:
                 break
             room -= len(item.data)
