--- a/brackenusher/cli.py
+++ b/brackenusher/cli.py
@@ -15,15 +15,18 @@
 from brackenusher.config.platform import ConfigError, load, load_again
 from brackenusher.daemon import Daemon
 from brackenusher.records.replay import replay_capture
+from brackenusher.runtime.log import TEXT, NoFormat, take_form
 
 LEVELS = ("debug", "info", "warning", "error")
 
 
 def serve(options: argparse.Namespace) -> int:
     config, operator = load(os.environ), load_operator(options.operator)
-    logging.basicConfig(
-        level=options.log_level.upper(), format="%(asctime)s %(levelname)s %(name)s: %(message)s"
-    )
+    logging.basicConfig(level=options.log_level.upper(), format=TEXT)
+    try:
+        take_form(operator.log_format)
+    except NoFormat as error:
+        raise ConfigError(f"{options.operator}: log.format: {error}") from error
     try:
         return Daemon(config, partial(load_again, os.environ), operator).run()
     except OSError as error:
@@ -66,6 +69,18 @@
     return show.diff(options.source, options.other, settings, sys.stdout)
 
 
+def demo(options: argparse.Namespace) -> int:
+    try:
+        from testbed.sockets.demo import main as play
+    except ImportError as error:
+        print(
+            f"brackenusher: demo needs the extra testbed: pip install 'brackenusher[testbed]' ({error})",
+            file=sys.stderr,
+        )
+        return 2
+    return play(options)
+
+
 def version(options: argparse.Namespace) -> int:
     print(f"brackenusher {__version__}")
     return 0
@@ -109,6 +124,13 @@
             command.add_argument("other", metavar="FILE|ADDRESS")
         command.add_argument("--properties", metavar="FILE", help="the operators' file, with the peers' keys")
         command.set_defaults(call=show_knowledge)
+    command = commands.add_parser(
+        "demo", help="play the main job on this machine: emulated servers and clients"
+    )
+    command.add_argument("--seconds", type=float, metavar="N", help="of load, 20 where left out")
+    command.add_argument("--report", metavar="FILE", help="where to write the report")
+    command.add_argument("--scenario", metavar="NAME", help="one of the testbed's scenarios, or a file")
+    command.set_defaults(call=demo)
     command = commands.add_parser("version", help="print the version")
     command.set_defaults(call=version)
     options = parser.parse_args(arguments)
--- a/brackenusher/config/operators.py
+++ b/brackenusher/config/operators.py
@@ -12,6 +12,7 @@
 from barleybarrow.tokens import KID, TokenSettings
 from brackenusher.config.platform import ConfigError, read_address
 from brackenusher.runtime.driver import Address
+from brackenusher.runtime.log import FORMATS
 
 MOST_SEEDS = 32  # each is asked in turn until somebody answers
 LEAST_KEY = 16  # bytes; a shorter one is used, but named
@@ -67,10 +68,11 @@
     figures: FiguresSettings | None = None
     peers: PeersSettings | None = None
     snapshot: SnapshotSettings | None = None
+    log_format: str = "text"
 
     @property
     def features(self) -> list[str]:
-        return [name for name, settings in vars(self).items() if settings is not None]
+        return [name for name in FEATURES if getattr(self, name) is not None]
 
 
 class Entries:
@@ -278,6 +280,7 @@
     entries = Entries(path, text)
     on = {name: entries.take(f"{name}.enabled", switch, False) for name in FEATURES}
     features = {name: read(entries) for name, read in FEATURES.items()}
+    log_format = entries.take("log.format", choice(*FORMATS), "text")
     entries.done()
     if on["token"] and not features["token"].keys:
         raise entries.error("token.key.<kid>", "is missing: tokens need a key")
@@ -288,7 +291,8 @@
                 raise entries.error(f"peers.{name}", "is missing: peers need it")
     if on["snapshot"] and not features["snapshot"].file:
         raise entries.error("snapshot.file", "is missing: snapshots need a file")
-    return Operator(**{name: settings for name, settings in features.items() if on[name]})
+    chosen = {name: settings for name, settings in features.items() if on[name]}
+    return Operator(**chosen, log_format=log_format)
 
 
 def doubts(operator: Operator, settings: face.Settings) -> list[str]:
--- a/brackenusher/membership/keeper.py
+++ b/brackenusher/membership/keeper.py
@@ -3,7 +3,6 @@
 It holds no socket and no timer: whoever drives it says when, and carries what it tells to others.
 """
 
-import logging
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
@@ -13,8 +12,6 @@
 from brackenusher.membership.frames import decode, encode, worth_most
 from brackenusher.upstream.pool import Pool
 
-log = logging.getLogger(__name__)
-
 EACH = 32  # words in one event to the module: its line in a capture stays under 4 KiB
 SLIGHT = 0.1  # in log: a lowering that says less changes no ranking, as the module's ties are wider
 MOST_SENT = 4096  # requests whose attempts are remembered; those that were given up stay until then
--- a/brackenusher/membership/peers.py
+++ b/brackenusher/membership/peers.py
@@ -30,6 +30,7 @@
 from brackenusher.membership.swim import LONGEST, LONGEST_NAME, STATES, Swim
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import Address, write
+from brackenusher.runtime.log import say
 from brackenusher.runtime.loop import READ, WRITE, Coroutine, Loop, Task, clock
 from brackenusher.runtime.outlet import Outlet
 from brackenusher.runtime.timers import Entry
@@ -76,7 +77,7 @@
         self.channel = outlet.channel(self.write_snapshot, ROOM, ROOM) if saved else None
         self.anew: Entry | None = None
         self.due: Entry | None = None
-        self.askers = self.turned_away = self.unsent = self.snapshots = self.unsaved = 0
+        self.askers = self.turned_away = self.unsent = self.snapshots = 0
         self.conflicts = 0
         self.asking: dict[Address, Task] = {}
         self.then: Callable[[], None] | None = None
@@ -116,7 +117,8 @@
         """Go on, with what is known by now."""
         then, self.then = self.then, None
         if then is not None:
-            log.info("knowledge: %d pieces held at the start", self.keeper.book.size)
+            text = "knowledge: %(pieces)d pieces held at the start"
+            say(log, logging.INFO, "knowledge_ready", text, pieces=self.keeper.book.size)
             self.keeper.advise(clock(), anew=True)
             then()
 
@@ -206,11 +208,13 @@
             swim.tell(f"{e.origin}\0{e.backend}".encode(), encode(e, now))
         changes, swim.changes = swim.changes, []
         for name, state in changes:
-            log.info("peers: %s is %s, %d members", name, STATES[state], len(swim.alive()) + 1)
+            text, members = "peers: %(peer)s is %(state)s, %(members)d members", len(swim.alive()) + 1
+            say(log, logging.INFO, "peer_changed", text, peer=name, state=STATES[state], members=members)
         if swim.epoch != self.keeper.epoch:
             self.keeper.epoch = swim.epoch
         if swim.counts["name"] and not self.conflicts:
-            log.warning("peers: a name is used by two, or a peer has moved: its datagrams are left aside")
+            text = "peers: a name is used by two, or a peer has moved: its datagrams are left aside"
+            say(log, logging.WARNING, "peer_name_taken", text)
         self.conflicts = swim.counts["name"]
 
     def send(self, datagrams: list[tuple[bytes, Address]]) -> None:
@@ -259,7 +263,7 @@
                     if rest:
                         yield WRITE
         except (OSError, Broken) as error:
-            log.debug("peers: a question came to nothing: %s", error)
+            say(log, logging.DEBUG, "knowledge_not_told", "peers: a question: %(why)s", why=str(error))
         finally:
             self.askers -= 1
 
@@ -285,7 +289,7 @@
         code = sock.connect_ex(address)
         if code not in (0, errno.EINPROGRESS):
             sock.close()
-            log.info("knowledge: %s:%d cannot be asked: %s", *address, os.strerror(code))
+            self.told(address, os.strerror(code))
             return
         self.asking[address] = self.loop.spawn(self.hear(sock, address, settings), sock)
 
@@ -311,11 +315,15 @@
         except (OSError, Broken) as error:
             why = str(error)
         finally:
-            log.info("knowledge: %s:%d was asked: %s", *address, why)
+            self.told(address, why)
             self.asking.pop(address, None)
             if not self.asking:
                 self.warm()
 
+    def told(self, address: Address, why: str) -> None:
+        text = "knowledge: %(address)s was asked: %(what)s"
+        say(log, logging.INFO, "knowledge_asked", text, address="{}:{}".format(*address), what=why)
+
     # Snapshots
 
     def load(self) -> None:
@@ -329,9 +337,11 @@
             return
         except snapshot.Unusable as error:
             try:
-                log.warning("snapshot: %s is set aside as %s: %s", path, snapshot.set_aside(path), error)
+                what = "set aside as " + snapshot.set_aside(path)
             except OSError as stuck:
-                log.warning("snapshot: %s is left aside: %s; %s", path, error, stuck)
+                what = f"left where it is: {stuck}"
+            text = "snapshot: %(file)s is %(what)s: %(why)s"
+            say(log, logging.WARNING, "snapshot_unusable", text, file=path, what=what, why=str(error))
             return
         age = max(0.0, now - held.saved)
         if held.epoch >= self.epoch:  # the clock went back: what comes must count as later all the same
@@ -339,13 +349,9 @@
             if self.swim is not None:
                 self.swim.epoch = self.epoch
         news = self.keeper.take(clock() - age, held.records)
-        log.info(
-            "snapshot: %s is %.1f s old, %d of %d pieces count",
-            path,
-            age / 1000.0,
-            len(news),
-            len(held.records),
-        )
+        facts = {"file": path, "age_s": age / 1000.0, "news": len(news), "pieces": len(held.records)}
+        text = "snapshot: %(file)s is %(age_s).1f s old, %(news)d pieces of %(pieces)d count"
+        say(log, logging.INFO, "snapshot_loaded", text, **facts)
 
     def save(self, again: bool = True) -> None:
         """Hand a snapshot to the thread that writes; dropped where that is still busy with others."""
@@ -354,8 +360,7 @@
             keeper = self.keeper
             keeper.book.prune(clock())
             held = Snapshot(time.time() * 1000.0, keeper.name, keeper.epoch, keeper.dump(clock()))
-            if not self.channel.put(snapshot.encode(held)):
-                self.unsaved += 1
+            self.channel.put(snapshot.encode(held))
             self.channel.flush()
         finally:
             if again:
@@ -377,12 +382,13 @@
         if self.swim is not None:
             self.send(self.swim.leave())
             dropped = ", ".join(f"{why} {count}" for why, count in sorted(self.swim.counts.items()))
-            log.info("peers: left; dropped: %s", dropped or "nothing")
+            text = "peers: left; dropped: %(dropped)s"
+            say(log, logging.INFO, "peers_left", text, dropped=dropped or "nothing")
         keeper, book = self.keeper, self.keeper.book
-        log.info(
-            "knowledge: %d pieces held, %d words told to the module; %d absurd, %d without room",
-            book.size,
-            keeper.told,
-            book.absurd + keeper.rejected,
-            book.dropped,
+        text = (
+            "knowledge: %(pieces)d pieces held, %(words)d words told to the module; %(absurd)d absurd, "
+            "%(dropped)d without room; %(unsaved)d snapshots not written"
         )
+        unsaved = self.channel.dropped if self.channel is not None else 0
+        facts = {"pieces": book.size, "words": keeper.told, "absurd": book.absurd + keeper.rejected}
+        say(log, logging.INFO, "knowledge_end", text, **facts, dropped=book.dropped, unsaved=unsaved)
