--- a/testbed/sockets/run.py
+++ b/testbed/sockets/run.py
@@ -46,6 +46,7 @@
 KILLED_S = 0.5  # a connection that breaks within this time after a kill broke because of it
 SOCKETS, MEMORY_MB = 1024, 192  # of a daemon, as the platform limits it
 PR_SET_PDEATHSIG = 1
+EACH = "{proxy}"  # in the operators' file's name: the proxy's number, where each has a file of its own
 TIMED = ("in_time", "drain")  # promises that are broken by the clock alone
 
 
@@ -329,7 +330,8 @@
             path = self.keep / f"proxy{number}.json"
             text = json.dumps(configuration(self.scenario, number, port, addresses, self.seed))
             path.write_text(text, encoding="utf-8")
-            daemon = Daemon(number, port, addresses["agents"][number], self.keep, self.options)
+            options = [option.replace(EACH, str(number)) for option in self.options]
+            daemon = Daemon(number, port, addresses["agents"][number], self.keep, options)
             daemon.facts.proxy = number
             self.daemons.append(daemon)
             daemon.start()
--- a/tests/test_knowledge_daemons.py
+++ b/tests/test_knowledge_daemons.py
@@ -10,6 +10,8 @@
 
 from brackenusher.membership.frames import Asked, Reader, Told, decode, pack, unpack
 from brackenusher.membership.seal import DATAGRAM, seal
+from testbed.scenario import parse
+from testbed.sockets.run import Run
 
 NUMBERS = itertools.count()
 KEY = "00112233445566778899aabbccddeeff"
@@ -112,6 +114,55 @@
         assert "Traceback" not in first.log + second.log
 
 
+SCENE = """
+name = "warm"
+seconds = 7.0
+proxies = 2
+servers = 6
+[load]
+rate = 90.0
+[clients]
+impatient = 0.0
+[[classes]]
+name = "read"
+work_ms = 15.0
+aim = 3000.0
+deadline = 6000.0
+[[classes]]
+name = "submit"
+work_ms = 15.0
+aim = 3000.0
+deadline = 6000.0
+effect = "keyed"
+window = 20000.0
+[[faults]]
+kind = "slow"
+servers = [2]
+lasts = 60000.0
+size = 8.0
+[[faults]]
+kind = "proxy_restart"
+proxies = [1]
+at = 4000.0
+lasts = 500.0
+"""
+
+
+def test_on_sockets_a_restarted_proxy_starts_warm_and_no_promise_is_broken(tmp_path):
+    ports = free_port(), free_port()
+    for number in (0, 1):
+        text = settings(ports[number], ports[1 - number])
+        (tmp_path / f"operator{number}.properties").write_text(text, encoding="utf-8")
+    operator = str(tmp_path / "operator{proxy}.properties")
+    with Run(parse(SCENE), 3, operator, folder=tmp_path / "run", log_level="info") as run:
+        result = run.play()
+    assert result.breaches == [] and result.total("asked") > 400
+    text = (tmp_path / "run" / "proxy1.log").read_text(encoding="utf-8")
+    assert re.search(r"was asked: [1-9]\d* pieces, [1-9]\d* of them news", text), text
+    words = [int(n) for n in re.findall(r"(\d+) words told to the module", text)]
+    assert words[-1] >= 1 and "Traceback" not in text
+
+
 def test_a_restart_takes_up_its_own_snapshot_and_replays_and_sets_a_broken_one_aside(tmp_path):
     fleet, path = Fleet(), tmp_path / "knowledge"
     own = f"snapshot.enabled = true\nsnapshot.file = {path}\n"
