--- a/barleybarrow/knowledge.py
+++ b/barleybarrow/knowledge.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
 from heapq import nsmallest
+from itertools import islice
 from math import exp, inf, isfinite, log
 from statistics import median
 from typing import Protocol
@@ -26,6 +27,7 @@
 FADE = 0.08  # a second takes this share off: four times FORGET of the module, a half-life of 9 s
 OWN = 2.0  # answers of its own after which a proxy halves what it hears
 MOST_SLOWER = log(8.0)  # more is not believed: ranked behind all others a backend is already
+SOME = 256  # backends looked at in one go: some 3 ms
 LEAST = 3  # measured backends below which there is no median to compare with
 FULL_WEIGHT = 4  # answers from which on the mean weighs in full: until then it leans on its kind's anyway
 MOST_FAILING = 0.9  # a share of failures above it counts as this: tenfold cost is enough
@@ -225,6 +227,7 @@
 
     def __init__(self) -> None:
         self.times: dict[str, list[float]] = {}
+        self.fresh: dict[str, None] = {}  # those of which something was seen since they were looked at
 
     def ended(self, now: float, backend: str, outcome: Outcome) -> None:
         """Note the end of an attempt there."""
@@ -232,35 +235,53 @@
             return
         place = 0 if outcome is Outcome.SERVED else 2 if outcome is Outcome.TIMEOUT else 1
         self.times.setdefault(backend, [-inf, -inf, -inf])[place] = now
+        self.fresh[backend] = None
 
     def keep(self, names: Mapping[str, object]) -> None:
         """Forget all other backends: their names come and go without end."""
         self.times = {name: times for name, times in self.times.items() if name in names}
+        self.fresh = {name: None for name in self.fresh if name in names}
+
+    def some(self, most: int) -> list[str]:
+        """So many of the fresh ones, which count as looked at then."""
+        found = list(islice(self.fresh, most))
+        for name in found:
+            del self.fresh[name]
+        return found
+
+
+def share_failing(b: Known) -> float:
+    """Share of attempts that fail there of late, over all classes, or by breaks, or by silence."""
+    shares = b.failing[:-1]
+    found = max(sum(shares) / len(shares), b.failing[-1], sum(b.lost) / len(b.lost))
+    return min(max(found, 0.0), 1.0)
+
+
+def cost_of(b: Known, failing: float) -> float:
+    """Log of the usual latency for each answer that comes."""
+    return b.mean - log(1 - min(failing, MOST_FAILING))
 
 
 def first_hand(
     backends: Mapping[str, Known], sightings: Sightings, lives: Mapping[str, float], origin: str, epoch: int
 ) -> list[Evidence]:
-    """What this proxy itself has seen of these lives, each with serial 0.
+    """What this proxy itself has seen of these lives since the last time, each with serial 0.
 
-    The module's estimates hold its own answers alone, as hearsay never enters them.
+    The module's estimates hold its own answers alone, as hearsay never enters them. SOME are looked at in one
+    go at most, and the median is that of as many, evenly drawn: a large fleet must not hold up the loop.
     """
     sightings.keep(backends)
-    rows: list[tuple[Known, list[float], float]] = []
-    for name, times in sightings.times.items():
-        b = backends[name]
-        if name in lives and (b.seen or max(times[1:]) > -inf):
-            shares = b.failing[:-1]
-            failing = max(sum(shares) / len(shares), b.failing[-1], sum(b.lost) / len(b.lost))
-            rows.append((b, times, min(max(failing, 0.0), 1.0)))
-    costs = [b.mean - log(1 - min(failing, MOST_FAILING)) for b, _, failing in rows if b.seen]
+    step = len(sightings.times) // SOME + 1
+    drawn = (backends[name] for name in islice(sightings.times, 0, None, step))
+    costs = [cost_of(b, share_failing(b)) for b in drawn if b.seen]
     middle = median(costs) if len(costs) >= LEAST else None
     found = []
-    for b, times, failing in rows:
-        at = max(times)
-        slower = 0.0
-        if middle is not None and b.seen:
-            slower = b.mean - log(1 - min(failing, MOST_FAILING)) - middle
+    for name in sightings.some(SOME):
+        b, times = backends[name], sightings.times[name]
+        if name not in lives:
+            continue
+        at, failing = max(times), share_failing(b)
+        slower = cost_of(b, failing) - middle if middle is not None and b.seen else 0.0
         lags = [at - t if t > -inf else NEVER for t in times]
         found.append(
             Evidence(
@@ -292,8 +313,6 @@
 
     def news(self, seen: Sequence[Evidence], now: float) -> list[Evidence]:
         """The pieces worth telling, numbered."""
-        names = {e.backend for e in seen}
-        self.told = {name: last for name, last in self.told.items() if name in names}
         found = []
         for e in seen:
             last = self.told.get(e.backend)
@@ -304,6 +323,10 @@
                 found.append(e)
         return found
 
+    def keep(self, names: Mapping[str, object]) -> None:
+        """Forget all other backends."""
+        self.told = {name: last for name, last in self.told.items() if name in names}
+
     @staticmethod
     def worth_telling(when: float, old: Evidence, new: Evidence, now: float) -> bool:
         if old.born != new.born or abs(new.failing - old.failing) > FAILS_OTHERWISE:
--- a/benchmarks/warm_start.py
+++ b/benchmarks/warm_start.py
@@ -22,7 +22,7 @@
 from barleybarrow import interface as face
 from barleybarrow.knowledge import Evidence
 from brackenusher.core.transaction import Observers, Served
-from brackenusher.membership.frames import MOST_TOLD, decode, encode
+from brackenusher.membership.frames import decode, encode
 from brackenusher.membership.keeper import Keeper
 from testbed.experiments import difference, seeds
 from testbed.proxy import Proxy
@@ -146,7 +146,8 @@
     elif case == "liar among five":
         found = [lied(e) if i == 1 else e for i in range(1, 6) for e in told[i]]
     fresh.take(now, [encode(e, now) for e in found])
-    fresh.advise(now, anew=True)
+    while fresh.advise(now):
+        pass
 
 
 def play(case: str, seed: int) -> Outcome:
@@ -169,7 +170,7 @@
     fresh, now = keep(world, proxy), proxy.now
     watch = Watch(proxy, fresh)
     told = {
-        i: [decode(r, now) for r in keepers[i].dump(world.proxies[i].local(world.now), MOST_TOLD)]
+        i: [decode(r, now) for r in keepers[i].dump(world.proxies[i].local(world.now))]
         for i in range(1, PROXIES)
     }
     learn(case, fresh, told, [decode(r, now - DOWN - 1000.0) for r in saved], now)
--- a/brackenusher/cli.py
+++ b/brackenusher/cli.py
@@ -61,8 +61,11 @@
 
 
 def show_knowledge(options: argparse.Namespace) -> int:
-    from brackenusher.membership import show  # with msgspec: only for who shares
-
+    try:
+        from brackenusher.membership import show  # with msgspec: only for who shares
+    except ImportError as error:
+        needs = "knowledge needs the extra knowledge: pip install 'brackenusher[knowledge]'"
+        raise ConfigError(f"{needs} ({error})") from error
     settings = load_peers(options.properties) if options.properties else None
     if options.verb == "show":
         return show.show(options.source, settings, sys.stdout)
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -78,8 +78,11 @@
 
     def share(self, buffers: Buffers) -> None:
         """Share knowledge with peers, or with the next start by a file."""
-        from brackenusher.membership.peers import Peers  # with msgspec: only for who shares
-
+        try:
+            from brackenusher.membership.peers import Peers  # with msgspec: only for who shares
+        except ImportError as error:
+            needs = "peers and snapshot need the extra knowledge: pip install 'brackenusher[knowledge]'"
+            raise ConfigError(f"{needs} ({error})") from error
         peers, saved = self.operator.peers, self.operator.snapshot
         parts = (self.loop, buffers, self.outlet, self.transactions, self.pool)
         try:
--- a/brackenusher/membership/frames.py
+++ b/brackenusher/membership/frames.py
@@ -14,8 +14,8 @@
 from barleybarrow.knowledge import Absurd, Evidence
 from brackenusher.membership.seal import FRAME, Refused, seal, unseal
 
-MOST_FRAME = 1024 * 1024  # bytes: 2,048 pieces of evidence are some 300 KB
-MOST_TOLD = 2048  # pieces of evidence in an answer: to make one takes some 10 ms, in which nothing is served
+MOST_FRAME = 1024 * 1024  # bytes: 1,024 pieces of evidence are some 100 KB
+MOST_TOLD = 1024  # pieces of evidence in an answer: to make one takes some 10 ms, in which nothing is served
 LONGEST_RECORD = 1024  # bytes of one piece of evidence; usual are 120
 
 Name = Annotated[str, Meta(min_length=1, max_length=128)]
--- a/brackenusher/membership/keeper.py
+++ b/brackenusher/membership/keeper.py
@@ -4,18 +4,21 @@
 """
 
 from collections.abc import Callable, Iterable, Sequence
+from itertools import islice
+from math import inf
 from typing import Any
 
 from barleybarrow import interface as face
-from barleybarrow.knowledge import FADE, Absurd, Book, Evidence, Sightings, Teller, first_hand
+from barleybarrow.knowledge import FADE, SOME, Absurd, Book, Evidence, Sightings, Teller, first_hand
 from brackenusher.core.transaction import Transactions
-from brackenusher.membership.frames import decode, encode, worth_most
+from brackenusher.membership.frames import MOST_TOLD, decode, encode, worth_most
 from brackenusher.upstream.pool import Pool
 
 EACH = 32  # words in one event to the module: its line in a capture stays under 4 KiB
 SLIGHT = 0.1  # in log: a lowering that says less changes no ranking, as the module's ties are wider
 MOST_SENT = 4096  # requests whose attempts are remembered; those that were given up stay until then
-GATHER = 1000.0  # milliseconds between two looks at what was seen, and at most one a millisecond a backend
+GATHER = 1000.0  # milliseconds between two looks at what was seen
+TIDY = 10_000.0  # milliseconds between two tidyings, which pass over all that is held
 
 
 class Keeper:
@@ -28,7 +31,8 @@
         self.posted: dict[
             str, tuple[float, float, float]
         ] = {}  # by backend: start, when, how much it lowered
-        self.listed: Callable[[], object] = lambda: None  # called where the list has changed
+        self.listed: Callable[[], object] = lambda: None  # called where a new list calls for words
+        self.dumped_at, self.dumped, self.tidy_at = -inf, list[bytes](), -inf
         self.told = self.rejected = 0  # words told to the module; records that were none
 
     def handled(self, now: float, event: face.Event, actions: Sequence[Any]) -> None:
@@ -40,7 +44,12 @@
             if event.complete:
                 self.sent.pop(event.request, None)
         elif isinstance(event, face.ListChanged):
-            self.listed()
+            for entry in event.entries:  # those that are new on it have to be told of
+                held = entry.state is face.State.LIVE and entry.backend in self.book.held
+                if held and self.posted.get(entry.backend, (None,))[0] != entry.started:
+                    self.book.changed[entry.backend] = None
+            if self.book.changed:
+                self.listed()
         for action in actions:
             if isinstance(action, face.Send):
                 self.sent.setdefault(action.request, []).append(action.backend)
@@ -51,10 +60,6 @@
         """The backends on the list, with when each was born."""
         return {m.name: m.born_ms for m in self.pool.members.values() if m.left_at is None}
 
-    def span(self) -> float:
-        """Milliseconds until it is worth looking again."""
-        return max(GATHER, float(len(self.pool.members)))
-
     def gather(self, now: float) -> list[Evidence]:
         """What this proxy saw at first hand since the last time and is worth telling."""
         backends = self.transactions.balancer.backends
@@ -62,7 +67,11 @@
         news = self.teller.news(seen, now)
         for e in news:
             self.book.merge(e, now)
-        self.book.prune(now)
+        if now >= self.tidy_at:
+            self.tidy_at = now + TIDY
+            self.book.prune(now)
+            self.teller.keep(backends)
+            self.posted = {name: last for name, last in self.posted.items() if name in backends}
         return news
 
     def take(self, now: float, records: Iterable[bytes]) -> list[Evidence]:
@@ -80,18 +89,21 @@
                 news.append(e)
         return news
 
-    def dump(self, now: float, most: int | None = None) -> list[bytes]:
-        """All that is held, or what of it tells most, with ages."""
-        held: Iterable[Evidence] = self.book.all()
-        return [encode(e, now) for e in (held if most is None else worth_most(held, now, most))]
+    def dump(self, now: float, most: int = MOST_TOLD) -> list[bytes]:
+        """What of all that is held tells most, with ages; made once a second at most, as it takes long."""
+        if now >= self.dumped_at + GATHER:
+            self.dumped_at, self.dumped = now, [encode(e, now) for e in worth_most(self.book.all(), now)]
+        return self.dumped[:most]
 
-    def advise(self, now: float, anew: bool = False) -> None:
-        """Tell the module what others say, where it differs from what it was told; `anew` of all backends."""
-        lives = self.lives()
-        names = lives if anew else [name for name in self.book.changed if name in lives]
-        said = self.book.hearsay(now, {name: lives[name] for name in names}, (self.name, self.epoch))
-        self.book.changed.clear()
-        self.posted = {name: last for name, last in self.posted.items() if name in lives}
+    def advise(self, now: float) -> bool:
+        """Tell the module what others say, where that differs from before; whether there is more to tell."""
+        changed, members = self.book.changed, self.pool.members
+        names = list(islice(changed, SOME))
+        for name in names:
+            del changed[name]
+        on_list = (members[name] for name in names if name in members)
+        lives = {m.name: m.born_ms for m in on_list if m.left_at is None}
+        said = self.book.hearsay(now, lives, (self.name, self.epoch))
         words = []
         for name, (slower, weight) in said.items():
             started = self.pool.module_time(lives[name])
@@ -104,3 +116,4 @@
         self.told += len(words)
         for first in range(0, len(words), EACH):
             self.transactions.post(face.Told(words[first : first + EACH]))
+        return bool(changed)
--- a/brackenusher/membership/peers.py
+++ b/brackenusher/membership/peers.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Callable
 
+from barleybarrow.knowledge import OLDEST, SOME
 from brackenusher.config.operators import PeersSettings, SnapshotSettings
 from brackenusher.core.transaction import Transactions
 from brackenusher.membership import snapshot
@@ -25,7 +26,7 @@
     pack,
     unpack,
 )
-from brackenusher.membership.keeper import Keeper
+from brackenusher.membership.keeper import GATHER, Keeper
 from brackenusher.membership.snapshot import Snapshot
 from brackenusher.membership.swim import LONGEST, LONGEST_NAME, STATES, Swim
 from brackenusher.runtime.buffers import Buffers
@@ -43,6 +44,7 @@
 ASKING = 1000.0  # milliseconds that one of them may take
 LONGEST_QUESTION = 1024  # bytes
 ROOM = snapshot.MOST + 1024  # bytes of snapshots that wait to be written: one of the greatest
+NEXT_PART = 5.0  # milliseconds between two parts of what takes long
 LEAST_WAIT = 1.0  # milliseconds between two looks at what membership has to do
 
 
@@ -119,7 +121,7 @@
         if then is not None:
             text = "knowledge: %(pieces)d pieces held at the start"
             say(log, logging.INFO, "knowledge_ready", text, pieces=self.keeper.book.size)
-            self.keeper.advise(clock(), anew=True)
+            self.advise()
             then()
 
     def later(self, span: float, action: Callable[[], None]) -> Entry:
@@ -130,11 +132,12 @@
     def list_changed(self) -> None:
         """The module was told a list: tell it of those that are new on it, in a moment."""
         if self.anew is None:
-            self.anew = self.later(0.0, self.advise_anew)
+            self.anew = self.later(0.0, self.advise)
 
-    def advise_anew(self) -> None:
-        self.anew = None
-        self.keeper.advise(clock(), anew=True)
+    def advise(self) -> None:
+        """Have the module told what others say, a part at a time."""
+        self.loop.deadlines.remove(self.anew)
+        self.anew = self.later(NEXT_PART, self.advise) if self.keeper.advise(clock()) else None
 
     def look(self) -> None:
         """Every second or so: gather what was seen, tell it, and have the module told what others say."""
@@ -144,9 +147,9 @@
             if self.swim is not None:
                 for e in news:
                     self.swim.tell(f"{e.origin}\0{e.backend}".encode(), encode(e, now))
-            self.keeper.advise(now)
+            self.advise()
         finally:
-            self.later(self.keeper.span(), self.look)
+            self.later(GATHER, self.look)
 
     def work(self) -> None:
         """Do what membership has to do by now."""
@@ -355,17 +358,25 @@
 
     def save(self, again: bool = True) -> None:
         """Hand a snapshot to the thread that writes; dropped where that is still busy with others."""
-        assert self.saved is not None and self.channel is not None
-        try:
-            keeper = self.keeper
-            keeper.book.prune(clock())
-            held = Snapshot(time.time() * 1000.0, keeper.name, keeper.epoch, keeper.dump(clock()))
-            self.channel.put(snapshot.encode(held))
+        keeper, now, saved = self.keeper, clock(), time.time() * 1000.0
+        held = [e for e in keeper.book.all() if now - e.at <= OLDEST]
+        records: list[bytes] = []
+
+        def go_on() -> None:
+            """Encode a part: all in one go would hold up the loop."""
+            part = held[len(records) : len(records) + SOME] if again else held
+            records.extend(encode(e, now) for e in part)
+            if len(records) < len(held):
+                self.later(NEXT_PART, go_on)
+                return
+            assert self.saved is not None and self.channel is not None
+            self.channel.put(snapshot.encode(Snapshot(saved, keeper.name, keeper.epoch, records)))
             self.channel.flush()
-        finally:
             if again:
                 self.later(self.saved.every_s * 1000.0, self.save)
 
+        go_on()
+
     def write_snapshot(self, pieces: list[bytes]) -> None:
         """Called by the writer."""
         assert self.saved is not None
--- a/tests/test_knowledge_daemons.py
+++ b/tests/test_knowledge_daemons.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from helpers import Program, TurnServer, command, host, read_request, response, until
+from helpers import DeafServer, Program, TurnServer, command, host, read_request, response, until
 
 from brackenusher.membership.frames import Asked, Reader, Told, decode, pack, unpack
 from brackenusher.membership.seal import DATAGRAM, seal
@@ -114,6 +114,15 @@
         assert "Traceback" not in first.log + second.log
 
 
+def test_peers_that_do_not_answer_hold_up_nobody(tmp_path):
+    deaf = DeafServer()
+    own = settings(free_port(), deaf.address.rpartition(":")[2]).replace("900", "200")
+    with Program(tmp_path, TurnServer(), operator=own) as program:
+        assert program.ask(read_request())[0] == 200
+        assert "was asked: late" in program.log
+    deaf.close()
+
+
 SCENE = """
 name = "warm"
 seconds = 7.0
