--- a/brackenusher/membership/swim.py
+++ b/brackenusher/membership/swim.py
@@ -193,12 +193,13 @@
         self.changes: list[tuple[str, int]] = []  # members whose state changed, likewise
         self.counts: Counter[str] = Counter()  # what was dropped, by why
         self.next_probe, self.next_look, self.next_gossip, self.last = now, now, now, now
-        self.next_list, self.list_wait = now + period, 2 * period
+        self.next_list, self.list_wait, self.listed = now + period, 2 * period, 0
         self.allowance, self.allowed_at = BURST, now
         self.encoder = msgspec.msgpack.Encoder()
         self.decoder = msgspec.msgpack.Decoder(Message)
         self.out: list[tuple[bytes, Address]] = []
         self.left = False
+        self.living: int | None = None  # members alive or suspect, where that is known
         self.probes = self.failures = 0  # pings of its own, and those without an answer on any way
 
     # What it is asked
@@ -278,7 +279,14 @@
         self.doubt = min(max(self.doubt + by, 0), DOUBT)
 
     def group(self) -> int:
-        return len(self.alive()) + 1
+        if self.living is None:
+            self.living = len(self.alive())
+        return self.living + 1
+
+    def changed(self, name: str, state: int) -> None:
+        """Note that a member's state is another one from now on."""
+        self.changes.append((name, state))
+        self.living = None
 
     def ends(self, name: str) -> float:
         """When a suspicion ends with the suspect's death."""
@@ -324,8 +332,10 @@
         about = m.update() if m.state != ALIVE else None
         joins = now >= self.next_list and behalf is None
         if joins:  # news may miss some, most of all while hardly anybody is known: have one tell its list
+            longest = self.period * LIST * ceil(log(self.group() + 1))
+            grown, self.listed = len(self.members) > self.listed, len(self.members)
+            self.list_wait = 2 * self.period if grown else min(2 * self.list_wait, longest)
             self.next_list = now + self.list_wait
-            self.list_wait = min(2 * self.list_wait, self.period * LIST * ceil(log(self.group() + 1)))
         return self.knock(now, Waiting(m.name, m.address, now + span, behalf), about, joins, m.trusts)
 
     def knock(
@@ -440,11 +450,11 @@
                 self.counts["members"] += 1
                 return False
             m = self.members[message.sender] = Member(message.sender, source, message.epoch, 0, ALIVE, now)
-            self.changes.append((m.name, ALIVE))
+            self.changed(m.name, ALIVE)
             self.note(m.update())
         elif (m.epoch, m.address) != (message.epoch, source):  # another life; the same one has to refute
             if m.state > SUSPECT:
-                self.changes.append((m.name, ALIVE))
+                self.changed(m.name, ALIVE)
             if m.epoch != message.epoch:
                 m.incarnation = 0
             m.epoch, m.address, m.state, m.since = message.epoch, source, ALIVE, now
@@ -524,7 +534,7 @@
             self.suspicions[m.name] = now
             m.told_by = {update.by}
         if m.state != update.state:
-            self.changes.append((m.name, update.state))
+            self.changed(m.name, update.state)
             m.state, m.since = update.state, now
         self.note(update)
 
@@ -541,7 +551,7 @@
             m = Member(update.name, address, update.epoch, update.incarnation, ALIVE, now)
             self.members[m.name] = m
             self.round.insert(self.rng.randrange(len(self.round) + 1), m.name)  # as the paper has it
-            self.changes.append((m.name, ALIVE))
+            self.changed(m.name, ALIVE)
             self.note(m.update())
 
     def refute(self, update: Update) -> None:
