--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -38,6 +38,7 @@
 log = logging.getLogger(__name__)
 
 SPARE_SOCKETS = 24  # listener, epoll, discovery, standard streams, and some to refuse with
+PEERS_SOCKETS = 18  # two to listen on, eight questions of others, eight of one's own
 CLIENT_PART = 0.625  # of the other descriptors: a held request has a client connection and no flow
 KEPT_PART = 0.2  # of all, between requests: clients hold a third at most, and some ask once and stay
 CHECK = 10.0  # milliseconds: how often it is looked, once the program is to stop, what is to be done
@@ -53,7 +54,7 @@
         settings = config.settings
         deadlines, buffers = Deadlines(), Buffers()
         self.config, self.operator, self.loop = config, operator, Loop(deadlines)
-        room = config.sockets - SPARE_SOCKETS - OVERFLOW
+        room = config.sockets - SPARE_SOCKETS - OVERFLOW - (PEERS_SOCKETS if operator.peers else 0)
         for_clients = int(room * CLIENT_PART)
         self.pool = Pool(settings, clock, time.time() * 1000.0 - clock())
         self.upstream = Upstream(self.loop, self.pool, settings, room - for_clients, buffers)
