--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -14,7 +14,7 @@
 from barleybarrow.brain import Balancer
 from barleybarrow.door import Door
 from barleybarrow.farewell import Farewell, Phase
-from brackenusher.config.operators import Operator, doubts
+from brackenusher.config.operators import Operator, doubts, read_subset
 from brackenusher.config.platform import Config, ConfigError
 from brackenusher.core.admission import Admission
 from brackenusher.core.deadlines import Deadlines
@@ -56,7 +56,10 @@
         self.config, self.operator, self.loop = config, operator, Loop(deadlines)
         room = config.sockets - SPARE_SOCKETS - OVERFLOW - (PEERS_SOCKETS if operator.peers else 0)
         for_clients = int(room * CLIENT_PART)
-        self.pool = Pool(settings, clock, time.time() * 1000.0 - clock())
+        offset = time.time() * 1000.0 - clock()
+        self.pool = Pool(
+            settings, clock, offset, operator.connections, config.seed, read_subset(operator, config.worded)
+        )
         self.upstream = Upstream(self.loop, self.pool, settings, room - for_clients, buffers)
         began = clock()
         balancer = Balancer(settings, config.seed, began)
@@ -110,6 +113,7 @@
                 self.transactions.open,
                 config.settings,
             )
+            self.figures.also.append(self.upstream.figures)
         looking = [each for each in (self.capture, self.figures) if each]
         self.transactions.observers = Observers(
             handled=tuple(each.handled for each in (self.capture, self.peers) if each),
@@ -166,6 +170,8 @@
         )
         if self.peers:
             self.peers.close()
+        summary = self.pool.planner.summary()
+        say(log, logging.INFO, "connections_ended", "connections to members: %(summary)s", summary=summary)
         if self.capture:
             self.capture.close()
             say(
--- a/brackenusher/upstream/pool.py
+++ b/brackenusher/upstream/pool.py
@@ -1,12 +1,16 @@
-"""The pool: discovery's list as members, and the idle connections to each of them."""
+"""The pool: discovery's list as members, and what is held toward each of them."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, Protocol
 
 from barleybarrow import interface as face
+from barleybarrow.connections import Cause, ConnectionSettings, Held, Line, Planner
+from barleybarrow.subsets import Subset
 from brackenusher.runtime.driver import Address
 from brackenusher.upstream.listing import Host, Listing
 
+ROOM = 1024  # connections, until the driver says how many it may hold
 STATES = {"ready": face.State.LIVE, "draining": face.State.DRAINING, "gone": face.State.GONE}
 
 
@@ -14,26 +18,26 @@
     """An open connection to a member."""
 
     member: "Member"
+    held: Held
 
     def carry(self, attempt: Any) -> None: ...
-    def close(self) -> None: ...
-    def healthy(self) -> bool: ...
+    def close(self, cause: Cause) -> None: ...
 
 
 class Member:
     """A turn server on the list; flows to one that has left it keep theirs. A fleet has thousands of them."""
 
-    __slots__ = ("name", "address", "born_ms", "left_at", "idle")
+    __slots__ = ("name", "address", "born_ms", "left_at", "line")
 
-    def __init__(self, name: str, address: Address, born_ms: float) -> None:
+    def __init__(self, name: str, address: Address, born_ms: float, line: Line) -> None:
         self.name, self.address, self.born_ms = name, address, born_ms
         self.left_at: float | None = None  # when this proxy was told that it drains or is gone
-        self.idle: list[Connection] = []  # the one that was used last stands last
+        self.line = line  # the connections to its present life
 
     def hang_up(self) -> None:
         """Close the idle connections."""
-        while self.idle:
-            self.idle.pop().close()
+        for held in list(self.line.idle):
+            held.link.close(Cause.LEFT)
 
 
 class Names:
@@ -49,8 +53,26 @@
 class Pool:
     """All members, by name."""
 
-    def __init__(self, settings: face.Settings, clock: Callable[[], float], unix_offset: float) -> None:
+    def __init__(
+        self,
+        settings: face.Settings,
+        clock: Callable[[], float],
+        unix_offset: float,
+        connections: ConnectionSettings | None = None,
+        seed: int = 0,
+        subset: Subset | None = None,
+    ) -> None:
+        self.subset = subset
+        self.listed: dict[str, Host] = {}  # with a subset, all that is on the list
         self.clock, self.unix_offset = clock, unix_offset
+        self.planner = Planner(
+            connections or ConnectionSettings(),
+            ROOM,
+            seed,
+            settings.conn_idle,
+            settings.cold,
+            settings.proxies,
+        )
         self.drain_grace = settings.drain_grace
         self.zones, self.kinds = Names(settings.zones), Names(settings.kinds)
         self.members: dict[str, Member] = {}
@@ -59,6 +81,8 @@
     def take(self, listing: Listing) -> face.ListChanged:
         """Apply a list, and word it for the module."""
         self.held = True
+        if self.subset is not None:
+            listing = self.narrow(listing, self.subset)
         entries = [self.note(host) for host in listing.hosts if host.health in STATES]
         if listing.whole:
             named = {entry.backend for entry in entries}
@@ -67,16 +91,40 @@
         scope = face.ListScope.COMPLETE if listing.whole else face.ListScope.CHANGES
         return face.ListChanged(scope, entries, listing.seq)
 
+    def narrow(self, listing: Listing, subset: Subset) -> Listing:
+        """What a list comes to for this proxy's subset, which it may change."""
+        if listing.whole:
+            self.listed = {}
+        for host in listing.hosts:
+            if host.health == "gone":
+                self.listed.pop(host.name, None)
+            elif host.health in STATES:
+                self.listed[host.name] = host
+        chosen = subset.choose(self.listed)
+        if listing.whole:
+            return Listing(listing.seq, True, [self.listed[name] for name in self.listed if name in chosen])
+        named = {host.name for host in listing.hosts}
+        hosts = [host for host in listing.hosts if host.name in chosen or host.name in self.members]
+        hosts += [self.listed[name] for name in self.listed if name in chosen - named - set(self.members)]
+        hosts = [host if host.name in chosen else replace(host, health="gone") for host in hosts]
+        out = [name for name in self.members if name not in chosen and name not in named]
+        return Listing(
+            listing.seq, False, hosts + [replace(self.listed[name], health="gone") for name in out]
+        )
+
     def note(self, host: Host) -> face.Entry:
         """Bring one member up to date."""
         member = self.members.get(host.name)
         if member is None:
-            member = self.members[host.name] = Member(host.name, host.address, host.born_ms)
+            member = Member(host.name, host.address, host.born_ms, self.begin(host))
+            self.members[host.name] = member
         if (member.address, member.born_ms) != (host.address, host.born_ms):
-            member.hang_up()  # they lead to a process that is no longer there
+            self.leave(member)  # what is held leads to a process that is no longer there
             member.address, member.born_ms = host.address, host.born_ms
         if host.health == "ready":
             member.left_at = None
+            if member.line.left:
+                member.line = self.begin(host)
         else:
             self.part(member)
             if host.health == "gone":
@@ -93,7 +141,15 @@
     def part(self, member: Member) -> None:
         if member.left_at is None:
             member.left_at = self.clock()
-        member.hang_up()
+        self.leave(member)
+
+    def begin(self, host: Host) -> Line:
+        return self.planner.join(host.name, self.clock(), self.module_time(host.born_ms))
+
+    def leave(self, member: Member) -> None:
+        """Keep nothing toward the member's present life: what is in flight finishes, the rest is closed."""
+        for held in self.planner.leave(member.line):
+            held.link.close(Cause.LEFT)
 
     def module_time(self, born_ms: float) -> float:
         """Unix time on the module's clock; 0, for long ago, stays 0."""
@@ -103,26 +159,15 @@
         """Whether something new may still be written to a member."""
         return member.left_at is None or self.clock() - member.left_at < self.drain_grace
 
-    def lend(self, member: Member) -> Connection | None:
-        """The idle connection that was used last, if there is one that still stands."""
-        while member.idle:
-            connection = member.idle.pop()
-            if connection.healthy():
-                return connection
-            connection.close()
-        return None
-
-    def give_back(self, connection: Connection) -> bool:
-        """Keep a connection for the next flow, unless its member has left."""
-        if connection.member.left_at is not None:
-            return False
-        connection.member.idle.append(connection)
-        return True
+    def lend(self, member: Member, safe: bool) -> Connection | None:
+        """The idle connection to use; None where a new one is to be opened."""
+        held = self.planner.lend(member.line, self.clock(), safe)
+        return held.link if held is not None else None
 
     def spare(self) -> bool:
         """Close an idle connection to make room; False where there is none."""
-        member = max(self.members.values(), key=lambda m: len(m.idle), default=None)
-        if member is None or not member.idle:
+        held = self.planner.spare()
+        if held is None:
             return False
-        member.idle.pop(0).close()
+        held.link.close(Cause.ROOM)
         return True
