--- a/brackenusher/membership/swim.py
+++ b/brackenusher/membership/swim.py
@@ -355,7 +355,10 @@
         return nonce
 
     def ask_others(self, now: float, probe: Probe) -> None:
-        others = [m for m in self.alive() if m.name != probe.name and m.state == ALIVE and m.proved]
+        others = [m for m in self.alive() if m.name != probe.name and m.proved]
+        sure = [m for m in others if m.state == ALIVE]
+        if len(sure) >= INDIRECT:  # where loss makes many suspects, most of them live: better than nobody
+            others = sure
         chosen = self.rng.sample(others, min(INDIRECT, len(others)))
         for m in chosen:
             self.send(m.address, PING_FOR, probe.nonce, probe.name, news=m.trusts)
