--- a/barleybarrow/state.py
+++ b/barleybarrow/state.py
@@ -81,6 +81,7 @@
         "position",
         "due",
         "ranks",
+        "hint",
     )
 
     def __init__(
