--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from functools import partial
 from types import FrameType
+from typing import TYPE_CHECKING
 
 from barleybarrow.brain import Balancer
 from barleybarrow.door import Door
@@ -31,9 +32,13 @@
 from brackenusher.upstream.connections import Upstream
 from brackenusher.upstream.pool import Pool
 
+if TYPE_CHECKING:
+    from brackenusher.membership.peers import Peers
+
 log = logging.getLogger(__name__)
 
 SPARE_SOCKETS = 24  # listener, epoll, discovery, standard streams, and some to refuse with
+PEERS_SOCKETS = 18  # two to listen on, eight questions of others, eight of one's own
 CLIENT_PART = 0.625  # of the other descriptors: a held request has a client connection and no flow
 KEPT_PART = 0.2  # of all, between requests: clients hold a third at most, and some ask once and stay
 CHECK = 10.0  # milliseconds: how often it is looked, once the program is to stop, what is to be done
@@ -49,7 +54,7 @@
         settings = config.settings
         deadlines, buffers = Deadlines(), Buffers()
         self.config, self.operator, self.loop = config, operator, Loop(deadlines)
-        room = config.sockets - SPARE_SOCKETS - OVERFLOW
+        room = config.sockets - SPARE_SOCKETS - OVERFLOW - (PEERS_SOCKETS if operator.peers else 0)
         for_clients = int(room * CLIENT_PART)
         offset = time.time() * 1000.0 - clock()
         self.pool = Pool(
@@ -70,8 +75,25 @@
         )
         self.upstream.watch = self.agent.connect
         self.outlet = Outlet(deadlines, clock)
+        self.peers: Peers | None = None
+        if operator.peers or operator.snapshot:
+            self.share(buffers)
         self.look_on(began)
 
+    def share(self, buffers: Buffers) -> None:
+        """Share knowledge with peers, or with the next start by a file."""
+        try:
+            from brackenusher.membership.peers import Peers  # with msgspec: only for who shares
+        except ImportError as error:
+            needs = "peers and snapshot need the extra knowledge: pip install 'brackenusher[knowledge]'"
+            raise ConfigError(f"{needs} ({error})") from error
+        peers, saved = self.operator.peers, self.operator.snapshot
+        parts = (self.loop, buffers, self.outlet, self.transactions, self.pool)
+        try:
+            self.peers = Peers(*parts, self.config.name, peers, saved)
+        except (OSError, ValueError) as error:
+            raise ConfigError(str(error)) from error
+
     def look_on(self, began: float) -> None:
         """Start what observes the transactions, where the operators want it."""
         operator, config = self.operator, self.config
@@ -94,7 +116,7 @@
             self.figures.also.append(self.upstream.figures)
         looking = [each for each in (self.capture, self.figures) if each]
         self.transactions.observers = Observers(
-            handled=(self.capture.handled,) if self.capture else (),
+            handled=tuple(each.handled for each in (self.capture, self.peers) if each),
             answered=tuple(each.answered for each in looking),
             turned_away=tuple(each.turned_away for each in looking),
         )
@@ -116,6 +138,9 @@
                     why=error,
                 )
         self.clients.listen(self.config.listen)
+        if self.peers:
+            self.clients.warming = True
+            self.peers.start(self.warm)
         self.agent.connect()
         gc.collect()
         gc.freeze()  # what is here stays: later collections need not look at it
@@ -143,6 +168,8 @@
             refused=self.admission.at_the_end,
             left=len(self.clients.links),
         )
+        if self.peers:
+            self.peers.close()
         summary = self.pool.planner.summary()
         say(log, logging.INFO, "connections_ended", "connections to members: %(summary)s", summary=summary)
         if self.capture:
@@ -162,6 +189,10 @@
         self.outlet.close()
         return 0
 
+    def warm(self) -> None:
+        """What others know has been taken up, or comes too late."""
+        self.clients.warming = False
+
     def catch_signals(self) -> None:
         """Have signals wake the loop through a socket of its own."""
         ours, theirs = socket.socketpair()
