HTTP/2 toward clients: machine on h2 behind a gate of its own, driver, shared listener

Game apps want many board reads over one connection. A gate cuts and counts frames before h2 sees them, a machine keeps streams, windows and urgencies, a driver feeds it; both fronts share the accept loop, the count of descriptors and the hooks of the orderly end.

--- a/brackenusher/config/operators.py
+++ b/brackenusher/config/operators.py
@@ -35,6 +35,20 @@
     batch_bytes: int = 1400
 
 
+@dataclass(frozen=True)
+class Http2Settings:
+    """HTTP/2 toward clients; docs/http2.md gives the reason of each default."""
+
+    listen: Address
+    streams: int = 100  # open at once on a connection; the least that RFC 9113 6.5.2 recommends
+    head_bytes: int = 16 * 1024  # of a request's header list, as HTTP/1.1 takes here
+    frames: int = 100  # a second, of those that cost and ask nothing; twice as many in one go
+    connection_kb: int = 1024  # bodies and answers that one connection may have held
+    held_kb: int = 8 * 1024  # the same of all connections
+    idle_ms: int = 30_000  # a connection without a stream is kept so long
+    answer_ms: int = 10_000  # an answer must be taken in this time, as over HTTP/1.1
+
+
 @dataclass(frozen=True)
 class Operator:
     """The features that are on; None for one that is off."""
@@ -43,6 +57,7 @@
     capture: CaptureSettings | None = None
     token: TokenSettings | None = None
     figures: FiguresSettings | None = None
+    http2: Http2Settings | None = None
 
     @property
     def features(self) -> list[str]:
@@ -197,11 +212,26 @@
     )
 
 
+def read_http2(entries: Entries) -> Http2Settings:
+    least = Http2Settings(("", 0))
+    return Http2Settings(
+        listen=entries.take("http2.listen", lambda text: read_address(text, "http2.listen"), least.listen),
+        streams=entries.take("http2.streams", whole(1, 1000), least.streams),
+        head_bytes=entries.take("http2.head_bytes", whole(1024, 65_536), least.head_bytes),
+        frames=entries.take("http2.frames", whole(10, 100_000), least.frames),
+        connection_kb=entries.take("http2.connection_kb", whole(128, 65_536), least.connection_kb),
+        held_kb=entries.take("http2.held_kb", whole(128, 1_048_576), least.held_kb),
+        idle_ms=entries.take("http2.idle_ms", whole(1000, 3_600_000), least.idle_ms),
+        answer_ms=entries.take("http2.answer_ms", whole(1000, 600_000), least.answer_ms),
+    )
+
+
 FEATURES: dict[str, Callable[[Entries], Any]] = {
     "door": read_door,
     "capture": read_capture,
     "token": read_token,
     "figures": read_figures,
+    "http2": read_http2,
 }
 
 
@@ -213,6 +243,8 @@
     entries.done()
     if on["token"] and not features["token"].keys:
         raise entries.error("token.key.<kid>", "is missing: tokens need a key")
+    if on["http2"] and not features["http2"].listen[0]:
+        raise entries.error("http2.listen", "is missing: HTTP/2 needs an address of its own")
     return Operator(**{name: settings for name, settings in features.items() if on[name]})
 
 
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -19,12 +19,14 @@
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.core.transaction import RESERVE, Observers, Transactions
 from brackenusher.fronts.http import Front
-from brackenusher.fronts.http1.clients import OVERFLOW, Clients
+from brackenusher.fronts.http1.clients import Clients
+from brackenusher.fronts.listener import OVERFLOW, Listener, Room
 from brackenusher.membership.agent import Agent
 from brackenusher.membership.discovery import Broken, read_listing
 from brackenusher.records.capture import Capture
 from brackenusher.records.figures import Figures
 from brackenusher.runtime.buffers import Buffers
+from brackenusher.runtime.driver import Address
 from brackenusher.runtime.loop import READ, Coroutine, Loop, clock
 from brackenusher.runtime.outlet import Outlet
 from brackenusher.upstream.connections import Upstream
@@ -60,7 +62,19 @@
         door = Door(operator.door) if operator.door else None
         self.admission = Admission(self.transactions, settings, door, operator.token)
         front = Front(settings, with_tokens=operator.token is not None)
-        self.clients = Clients(self.loop, front, self.admission, self.pool, for_clients, most_kept, buffers)
+        share = Room(for_clients)
+        self.clients = Clients(self.loop, front, self.admission, self.pool, share, most_kept, buffers)
+        self.fronts: list[tuple[Listener, Address]] = [(self.clients, config.listen)]
+        self.http2 = None
+        if operator.http2:  # h2 and what it needs takes memory: only for who wants it
+            try:
+                from brackenusher.fronts.http2.clients import Http2Clients
+            except ImportError as error:
+                raise ConfigError(f"http2.enabled: {error}; install brackenusher[http2]") from error
+            self.http2 = Http2Clients(
+                self.loop, operator.http2, front, self.admission, self.clients.ready, share, buffers
+            )
+            self.fronts.append((self.http2, operator.http2.listen))
         self.agent = Agent(
             self.loop, config.discovery, self.pool, self.transactions, buffers, random.Random(config.seed)
         )
@@ -104,21 +118,25 @@
                 self.transactions.post(self.pool.take(read_listing(self.config.known)))
             except Broken as error:
                 log.warning("the known list is left aside: %s", error)
-        self.clients.listen(self.config.listen)
+        for front, address in self.fronts:
+            front.listen(address)
         self.agent.connect()
         gc.collect()
         gc.freeze()  # what is here stays: later collections need not look at it
         for doubt in doubts(self.operator, self.config.settings):
             log.warning("operators' file: %s", doubt)
-        log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
+        for _, address in self.fronts:
+            log.info("%s serves on %s:%d", self.config.name, *address)
         self.loop.run()
         log.info(
             "ended: %d taken, %d stood unanswered, %d refused at the end, %d connections left",
             self.transactions.taken,
             self.transactions.unanswered,
             self.admission.at_the_end,
-            len(self.clients.links),
+            self.connections,
         )
+        if self.http2:
+            log.info("http2: %s", self.http2.counts)
         if self.capture:
             self.capture.close()
             log.info("capture: %d records, %d dropped", self.capture.serial, self.capture.dropped)
@@ -128,6 +146,11 @@
         self.outlet.close()
         return 0
 
+    @property
+    def connections(self) -> int:
+        """Clients' connections, of all fronts."""
+        return sum(len(front.links) for front, _ in self.fronts)
+
     def catch_signals(self) -> None:
         """Have signals wake the loop through a socket of its own."""
         ours, theirs = socket.socketpair()
@@ -186,12 +209,14 @@
             plan.limit - plan.told_at,
             plan.answered_by - plan.told_at,
         )
+        for front, _ in self.fronts:
+            front.told()
         self.later(CHECK, partial(self.attend, plan, clock() + CHECK))
 
     def attend(self, plan: Farewell, due: float) -> None:
         """Do what the plan of the end says."""
         now, before = clock(), plan.phase
-        phase = plan.step(now, now - due, len(self.clients.links), self.clients.shut)
+        phase = plan.step(now, now - due, self.connections, all(front.shut for front, _ in self.fronts))
         if phase != before:
             log.info(
                 "%s %.0f ms after the signal: %d taken, %d in hand, %d connections, stalled %.0f ms at most",
@@ -199,21 +224,22 @@
                 now - plan.told_at,
                 self.transactions.taken,
                 len(self.transactions.open),
-                len(self.clients.links),
+                self.connections,
                 plan.stall,
             )
         if phase is Phase.ENDED:
             self.loop.running = False
             return
         if phase >= Phase.LAST_CALL:
-            self.clients.stopping = True
-            self.clients.close_idle()
+            for front, _ in self.fronts:
+                front.last_call()
         if phase is Phase.CLOSING:
             given_up = self.transactions.answer_all()
             if given_up:
                 log.warning("%d transactions were given up at the end", given_up)
-            self.clients.hurry()
-            self.clients.stop_accepting()
+            for front, _ in self.fronts:
+                front.hurry()
+                front.stop_accepting()
         self.later(CHECK, partial(self.attend, plan, clock() + CHECK))
 
     def later(self, span: float, action: Callable[[], None]) -> None:
--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -1,52 +1,28 @@
 """The driver toward clients: the listener, and sockets round the virtual server's machines."""
 
-import logging
 import socket
-import struct
-from array import array
 from collections.abc import Generator
 
 from brackenusher.core.admission import Admission, Request, Verdict
 from brackenusher.core.transaction import Answer, Transaction
 from brackenusher.fronts.http import Front, Rejection, worded
 from brackenusher.fronts.http1.virtual_server import VirtualServer
+from brackenusher.fronts.listener import Listener, Room
 from brackenusher.runtime.buffers import Buffers
-from brackenusher.runtime.driver import SHORTAGE, Address, write
-from brackenusher.runtime.loop import HANGUP, READ, WRITE, Coroutine, Loop, Task, clock
+from brackenusher.runtime.driver import write
+from brackenusher.runtime.loop import HANGUP, READ, WRITE, Coroutine, Loop, clock
 from brackenusher.runtime.timers import Entry
 from brackenusher.upstream.pool import Pool
 
-log = logging.getLogger(__name__)
-
-OVERFLOW = 16  # client connections beyond their part that are taken only to be refused
-ACCEPTS = 64  # connections accepted in a row before the others get their turn
 IDLE_TIME = 2_050.0  # a connection between requests is kept so long: some clients ask once and stay
 REQUEST_TIME = 2_500.0  # a request must be whole in this time, the first one counted from the connect
 PARTIAL_TIME = 200.0  # where there is no room left, a request is waited for no longer than this
 ANSWER_TIME = 10_000.0  # an answer must be taken by the client in this time
 LINGER = 500.0  # so long the rest of a stream that ends is read away, so that the answer is not reset
 FIRST_TIME = 20.0  # a connection this young is not closed at the end: its first request is on its way
-ATTACH_FILTER = 26  # the socket option SO_ATTACH_FILTER, which the standard library does not name
-DROP_ALL = 0x06  # a socket filter's instruction BPF_RET: with 0, nothing of a packet is let in
-WARN_AGAIN = 1000.0  # a shortage is logged no more often
-
-
-def keep_out(sock: socket.socket) -> None:
-    """Have the kernel drop what comes to a listener from now on, where it can.
 
-    Whoever connects between the last accept and the close would have his request reset unread. So he gets
-    no answer, and his kernel tries again after a second, by when somebody else may listen there. A filter on
-    the listener does not touch the connections that were let in before. A shorter queue, by listen(2), would
-    still let one in.
-    """
-    program = array("B", struct.pack("HBBI", DROP_ALL, 0, 0, 0))
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, ATTACH_FILTER, struct.pack("HP", 1, program.buffer_info()[0]))
-    except OSError as error:  # not every kernel has filters; the gap is some microseconds then
-        log.info("the listener takes no filter: %s", error)
 
-
-class Clients:
+class Clients(Listener):
     """Accepts client connections and keeps count of them."""
 
     def __init__(
@@ -55,68 +31,26 @@
         front: Front,
         admission: Admission,
         pool: Pool,
-        room: int,
+        room: Room,
         most_kept: int,
         buffers: Buffers,
     ) -> None:
-        self.loop, self.front, self.admission, self.pool = loop, front, admission, pool
-        self.room, self.most_kept = room, most_kept
-        self.buffers = buffers
+        super().__init__(loop, room)
+        self.front, self.admission, self.pool = front, admission, pool
+        self.most_kept, self.buffers = most_kept, buffers
         self.links: set[ClientLink] = set()
         self.silent: dict[ClientLink, None] = {}  # between requests, none answered yet; the oldest first
         self.kept: dict[ClientLink, None] = {}  # between requests; the one that was used last stands last
         self.partial: dict[ClientLink, None] = {}  # with a request that is not whole; the oldest first
         self.spent: dict[ClientLink, None] = {}  # with their last answer written, the rest is read away
-        self.stopping = self.shut = False  # each answer ends its connection; the door is closed
-        self.warned_at = -WARN_AGAIN
-        self.task: Task  # the listener's
+        self.stopping = False  # each answer ends its connection
 
     def ready(self) -> bool:
         """Whether clients that may choose are to come here."""
         return self.pool.held and self.admission.farewell is None
 
-    def listen(self, address: Address) -> None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(address)
-        sock.listen(1024)
-        self.task = self.loop.spawn(self.accept(sock), sock)
-
-    def accept(self, sock: socket.socket) -> Coroutine:
-        pause = False
-        while True:
-            if pause:
-                pause = False
-                self.loop.deadlines.add(clock() + 10.0, self.task.wake)
-                yield 0
-            else:
-                yield READ
-            pause = not self.take_in(sock)
-
-    def take_in(self, sock: socket.socket) -> bool:
-        """Accept what waits; False where there is no room for more just now."""
-        for _ in range(ACCEPTS):
-            if len(self.links) >= self.room + OVERFLOW and not self.spare():
-                return False
-            try:
-                client, peer = sock.accept()
-            except BlockingIOError:
-                return True
-            except ConnectionError:
-                continue
-            except OSError as error:
-                if error.errno not in SHORTAGE:
-                    raise
-                if clock() >= self.warned_at + WARN_AGAIN:
-                    self.warned_at = clock()
-                    log.warning("accept: %s", error)
-                return self.spare()
-            if len(self.links) >= self.room:
-                self.spare()  # only now: there may have been nobody to make room for
-            client.setblocking(False)
-            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            ClientLink(self, client, peer[0])
-        return True
+    def begin(self, sock: socket.socket, address: str) -> "ClientLink":
+        return ClientLink(self, sock, address)
 
     def spare(self) -> bool:
         """Close a connection on which nothing is owed; False where there is none.
@@ -134,21 +68,9 @@
             link.task.stop()
         return link is not None
 
-    def stop_accepting(self) -> None:
-        """Let nobody in any more, and close the listener once all are taken in who had been let in.
-
-        Where there is no room for them just now, the listener stays for another call.
-        """
-        if self.shut:
-            return
-        keep_out(self.task.sock)
-        before = -1
-        while before != len(self.links):
-            before = len(self.links)
-            if not self.take_in(self.task.sock):
-                return
-        self.shut = True
-        self.task.stop()
+    def last_call(self) -> None:
+        self.stopping = True
+        self.close_idle()
 
     def close_idle(self) -> None:
         """Close the connections between requests."""
@@ -178,7 +100,7 @@
         self.stands: dict[ClientLink, None] | None = None  # where it is counted just now
         self.place = clients.silent  # among which it counts between requests
         clients.links.add(self)
-        self.beyond = len(clients.links) > clients.room  # taken only to be refused
+        self.beyond = clients.enter()  # taken only to be refused
         self.task = clients.loop.spawn(self.run(), sock)
 
     def unheard(self) -> bool:
@@ -221,6 +143,7 @@
         finally:
             self.rest(None)
             self.clients.links.discard(self)
+            self.clients.leave()
             if self.transaction is not None:
                 self.clients.admission.left(self.transaction)
 
