--- a/brackenusher/fronts/http2/clients.py
+++ b/brackenusher/fronts/http2/clients.py
@@ -120,6 +120,7 @@
                 events = yield (WRITE if self.unsent else 0) | (0 if blocked else READ)
                 now = clock()
                 if self.unsent and now >= self.moved_at + self.clients.settings.answer_ms:
+                    self.clients.counts.stuck += len(machine.sending)
                     return
                 if events & ~WRITE:
                     self.read()
--- a/brackenusher/fronts/http2/frames.py
+++ b/brackenusher/fronts/http2/frames.py
@@ -189,6 +189,8 @@
         elif kind == Kind.SETTINGS:
             self.settled = True
             frame.payload = plain(frame.payload)
+        elif kind == Kind.WINDOW_UPDATE:  # the reserved bit is none of the library's business (6.9)
+            frame.payload = bytes((frame.payload[0] & 0x7F,)) + frame.payload[1:]
         elif kind == Kind.PING and frame.flags & ACK:
             return  # we send none
         elif kind not in KNOWN:
