--- a/brackenusher/fronts/http2/connection.py
+++ b/brackenusher/fronts/http2/connection.py
@@ -93,7 +93,7 @@
 
     streams: int = 0
     refused: int = 0  # streams told that they never ran: too many, no room, the end
-    reset: int = 0  # by their clients, before their answer was sent
+    reset: int = 0  # by their clients, before their answer was sent; also before they were taken
     stuck: int = 0  # answers dropped, as the client did not take them in time or others needed the room
     late: int = 0  # requests that did not come whole in time
     floods: int = 0  # connections ended for what asks for nothing
@@ -236,7 +236,12 @@
         return self.told()
 
     def told(self) -> list[Event]:
+        """What is to be told. A request that was reset in the same read was never taken: it costs nobody."""
         events, self.events = self.events, []
+        gone = {event.stream for event in events if isinstance(event, Gone)}
+        if gone:
+            moot = gone & {event.stream for event in events if isinstance(event, Asked)}
+            events = [event for event in events if event.stream not in moot]
         return events
 
     def take(self, frame: Frame, now: float) -> None:
