--- a/brackenusher/fronts/http2/clients.py
+++ b/brackenusher/fronts/http2/clients.py
@@ -58,7 +58,7 @@
     def told(self) -> None:
         """Ask clients to go elsewhere with new streams; those that come all the same are served."""
         for link in self.links:
-            link.machine.announce()
+            link.machine.announce(clock())
             link.task.wake()
 
     def last_call(self) -> None:
--- a/brackenusher/fronts/http2/connection.py
+++ b/brackenusher/fronts/http2/connection.py
@@ -56,6 +56,7 @@
 REQUEST_TIME = 2_500.0  # ms in which a request must be whole, a frame too, and a connection's first must come
 POLL = 50.0  # ms after which it is looked again whether there is room to take more
 HARDLY = 1_000.0  # ms: an answer that waits longer than this may be dropped where others need its room
+PARTING_TIME = 250.0  # ms without a stream after the first GOAWAY: longer than what it crossed is on its way
 HIGHEST = 2**31 - 1  # the highest id of a stream
 MOST_EARLY = 16  # PRIORITY_UPDATE frames kept for streams that are to come
 MOST_CLOSED = 1024  # streams that h2 remembers for telling how they ended: its 65,536 would take 6 MB
@@ -521,10 +522,12 @@
         self.collect()
         self.out += GoAwayFrame(0, last, code, why.encode()).serialize()
 
-    def announce(self) -> None:
+    def announce(self, now: float) -> None:
         """Ask the client to open no more streams; those that it opens meanwhile are served (6.8)."""
         if not self.announced and not self.over:
             self.announced = True
+            if self.rested_at is not None:
+                self.rested_at = now
             self.goaway(HIGHEST)
 
     def close(self, now: float) -> None:
@@ -592,6 +595,8 @@
     @property
     def patience(self) -> float:
         """How long the connection is kept without a stream."""
+        if self.announced:
+            return PARTING_TIME
         return self.settings.idle_ms if self.asked else REQUEST_TIME
 
     def expire(self, now: float) -> list[Event]:
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -500,7 +500,7 @@
 def test_the_end_in_two_steps_loses_no_stream_and_runs_none_unsaid():
     server = Server()
     server.say(HELLO + b"".join(head(n) for n in range(1, 101, 2)))
-    server.machine.announce()
+    server.machine.announce(server.now)
     assert server.words() == ["bye", str(MAX), "NO_ERROR"]
     assert server.say(head(101)) == ["?101"] and server.say(head(103, POST, end=False)) == []
     server.machine.close(server.now)
@@ -514,6 +514,15 @@
     assert server.machine.over and server.machine.due() == float("inf")
 
 
+def test_a_connection_that_was_asked_to_part_is_closed_once_it_rests():
+    server = Server()
+    server.say(HELLO + head(1))
+    server.machine.announce(server.now)
+    assert server.wait(1_000) == ["bye", str(MAX), "NO_ERROR"]
+    server.answer(1)
+    assert server.wait(249) == [] and server.wait(1) == ["bye", "1", "NO_ERROR"] and server.machine.over
+
+
 def test_a_reset_that_crosses_the_answer_changes_nothing():
     server = Server()
     server.say(HELLO + head(1) + head(3))
