--- a/brackenusher/fronts/http2/connection.py
+++ b/brackenusher/fronts/http2/connection.py
@@ -100,9 +100,6 @@
     floods: int = 0  # connections ended for what asks for nothing
     faults: int = 0  # connections ended for other errors
 
-    def __str__(self) -> str:
-        return ", ".join(f"{getattr(self, name)} {name}" for name in self.__slots__)
-
 
 class Held:
     """Bytes of bodies and answers that are held, over all connections; `most` is their bound."""
--- a/brackenusher/fronts/listener.py
+++ b/brackenusher/fronts/listener.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from brackenusher.runtime.driver import SHORTAGE, Address
+from brackenusher.runtime.log import say
 from brackenusher.runtime.loop import READ, Coroutine, Loop, Task, clock
 
 log = logging.getLogger(__name__)
@@ -34,7 +35,7 @@
     try:
         sock.setsockopt(socket.SOL_SOCKET, ATTACH_FILTER, struct.pack("HP", 1, program.buffer_info()[0]))
     except OSError as error:  # not every kernel has filters; the gap is some microseconds then
-        log.info("the listener takes no filter: %s", error)
+        say(log, logging.INFO, "no_filter", "the listener takes no filter: %(why)s", why=error)
 
 
 class Room:
@@ -131,7 +132,7 @@
                     raise
                 if clock() >= self.warned_at + WARN_AGAIN:
                     self.warned_at = clock()
-                    log.warning("accept: %s", error)
+                    say(log, logging.WARNING, "accept_failed", "accept: %(why)s", why=error)
                 return self.room.spare(self)
             if self.room.held >= self.room.most:
                 self.room.spare(self)  # only now: there may have been nobody to make room for
