HTTP/2: room for a whole body before a stream may send on, frames earned by answers

A hundred bodies of 20 KB at once (grpcio) filled the connection's bound in part each and waited for each other until 408; then the client's resets passed for a flood.

--- a/brackenusher/fronts/http2/connection.py
+++ b/brackenusher/fronts/http2/connection.py
@@ -47,10 +47,9 @@
     urgency,
 )
 
-WINDOW = (
-    16 * 1024
-)  # bytes a stream may send before it is let send more: many turns, a quarter of the longest body
-GRANT = 4 * 1024  # bytes taken from a stream before its window is opened again: a frame saved for each
+WINDOW = 4 * 1024  # bytes a stream may send before there is room for its whole body: a turn takes far less
+STREAM = WINDOW  # bytes counted for a stream from its head on; what it is made of takes about as much
+EARNED = 2.0  # frames that ask for nothing and come with an answer: windows, or a reset that crosses it
 CONNECTION_GRANT = 16 * 1024  # the same of the connection, whose window is 65,535 at the start (6.9.2)
 FRAME = 16 * 1024  # bytes of an answer that one stream sends in its turn: the least that every client takes
 REQUEST_TIME = 2_500.0  # ms in which a request must be whole, a frame too, and a connection's first must come
@@ -106,6 +105,10 @@
 
     def __init__(self, most: int) -> None:
         self.most, self.size, self.peak = most, 0, 0
+        self.aside, self.most_aside = (
+            0,
+            max(most * 3 // 4, LONGEST_BODY),
+        )  # for bodies; the rest for new streams
 
     def add(self, size: int) -> None:
         self.size += size
@@ -125,6 +128,8 @@
     body: bytearray = field(default_factory=bytearray)
     held: int = 0  # bytes counted for it
     owed: int = 0  # bytes taken, for which its window was not opened again
+    roomy: bool = False  # there is room for its whole body
+    aside: int = 0  # bytes set aside for that, while it comes
     answer: memoryview = memoryview(b"")  # what is still to be sent
     fault: bool = False  # malformed: what it sends still is a protocol error
 
@@ -158,12 +163,13 @@
         self.front, self.ready, self.settings = front, ready, settings
         self.held, self.counts, self.own = held, counts, 0  # `own`: bytes held for this connection
         self.most_own = settings.connection_kb * 1024
+        self.aside, self.most_aside = 0, max(self.most_own - settings.streams * STREAM, LONGEST_BODY)
         self.gate = Gate(settings.frames, SHARE_OF_BLOCK * settings.head_bytes, now)
         self.out = bytearray()
         self.streams: dict[int, Stream] = {}
         self.coming: dict[int, Stream] = {}  # whose request is not whole; the oldest first
         self.sending: dict[int, Stream] = {}  # whose answer is not sent; the oldest first
-        self.waiting: dict[int, Stream] = {}  # whose window is not opened again for want of room
+        self.waiting: dict[int, Stream] = {}  # whose window is to be opened, the first first
         self.queues: list[dict[int, Stream]] = [{} for _ in range(8)]  # whose turn it is, by urgency
         self.early: dict[int, int] = {}  # urgencies of streams that are to come
         self.owed = 0  # bytes taken, for which the connection's window was not opened again
@@ -300,12 +306,13 @@
     def open(self, number: int, ended: bool, now: float) -> None:
         """A head has come; `ended` where no body follows."""
         self.counts.streams += 1
-        if self.closing or len(self.streams) >= self.settings.streams or self.short:
+        if self.closing or len(self.streams) >= self.settings.streams or not self.fits(STREAM):
             self.refuse(number)
             return
         self.asked, self.rested_at = True, None
         stream = Stream(number, now, self.early.pop(number, USUAL_URGENCY), ended=ended)
         self.streams[number] = self.coming[number] = stream
+        self.hold(stream, STREAM)
         head = read_head(self.reader.block, self.front, self.settings.head_bytes)
         if isinstance(head, Rejection):
             stream.fault = head.fatal
@@ -330,11 +337,16 @@
         stream.owed += taken
         stream.ended = event.stream_ended is not None
         stream.body += data
-        self.hold(stream, len(data))
-        if len(stream.body) > LONGEST_BODY:
+        size, length = len(stream.body), stream.head.length if stream.head else None
+        if size > LONGEST_BODY:
             self.reject(stream, Rejection(413, "the body is too large"), now)
-        elif not stream.ended and stream.owed >= GRANT:
-            self.waiting[stream.id] = stream
+        elif length is not None and size > length:
+            stream.fault = True
+            self.reject(stream, malformed("the body has another length"), now)
+        elif size > WINDOW and not self.make_roomy(stream):  # it does not know yet how much it may send
+            self.refuse(stream.id)
+        elif not stream.ended and stream.owed >= WINDOW // 2:
+            self.waiting.setdefault(stream.id, stream)
 
     def trail(self, number: int) -> None:
         stream = self.coming.get(number)
@@ -359,6 +371,8 @@
         else:
             head.message.body = bytes(stream.body)
             stream.body = bytearray()
+            self.hold(stream, STREAM + len(head.message.body) - stream.held)
+            self.set_aside(stream, -stream.aside)
             item = self.front.take(head.message, head.fields, self.ready)
             if isinstance(item, Rejection):
                 self.reject(stream, item, now)
@@ -387,22 +401,48 @@
         """Whether so much is held that nothing more is taken."""
         return self.own >= self.most_own or self.held.size >= self.held.most
 
+    def fits(self, size: int) -> bool:
+        return self.own + size <= self.most_own and self.held.size + size <= self.held.most
+
+    def make_roomy(self, stream: Stream) -> bool:
+        """Set room for a whole body aside, if there is any: who has it can end, so nobody waits in a ring."""
+        if not stream.roomy and stream.head is not None:
+            size = LONGEST_BODY if stream.head.length is None else stream.head.length
+            size = len(stream.body) if stream.ended else size
+            more = max(size - WINDOW, 0)
+            room = min(self.most_aside - self.aside, self.held.most_aside - self.held.aside)
+            if more > room or not self.fits(more):
+                return False
+            self.hold(stream, more)
+            self.set_aside(stream, more)
+            stream.roomy = True
+            stream.owed += LONGEST_BODY
+        return True
+
+    def set_aside(self, stream: Stream, size: int) -> None:
+        stream.aside += size
+        self.aside += size
+        self.held.aside += size
+
     def hold(self, stream: Stream, size: int) -> None:
         stream.held += size
         self.own += size
         self.held.add(size)
 
     def open_window(self) -> None:
-        """Let the client send on, where there is room for it."""
-        if self.over or self.short:
+        """Let the client send on: what a connection may send is bounded by what its streams may."""
+        if self.over:
             return
         if self.owed >= CONNECTION_GRANT:
             self.h2.increment_flow_control_window(self.owed)
             self.owed = 0
-        for number, stream in self.waiting.items():
+        while self.waiting:
+            number, stream = next(iter(self.waiting.items()))
+            if not self.make_roomy(stream):
+                return
             self.h2.increment_flow_control_window(stream.owed, number)
             stream.owed = 0
-        self.waiting.clear()
+            del self.waiting[number]
 
     # what goes out
 
@@ -477,6 +517,7 @@
 
     def done(self, stream: Stream) -> None:
         """The answer is sent; who is still sending is told that he need not go on (8.1)."""
+        self.gate.allowance.earn(EARNED)
         if not stream.ended:
             code = ErrorCodes.PROTOCOL_ERROR if stream.fault else ErrorCodes.NO_ERROR
             self.h2.reset_stream(stream.id, code)
@@ -492,8 +533,8 @@
         stream = self.streams.pop(number, None)
         if stream is None:
             return
-        self.own -= stream.held
-        self.held.add(-stream.held)
+        self.hold(stream, -stream.held)
+        self.set_aside(stream, -stream.aside)
         for table in (self.coming, self.sending, self.waiting, self.queues[stream.urgency]):
             table.pop(number, None)
         if stream.state is State.ASKED:
@@ -564,7 +605,7 @@
 
     def end(self, code: int) -> None:
         self.counts.faults += 1
-        self.over = True
+        self.over, self.gate.buffer = True, bytearray()
         self.forget()
 
     def forget(self) -> None:
@@ -585,7 +626,7 @@
             times.append(self.cut_at + REQUEST_TIME)
         if self.rested_at is not None:
             times.append(self.rested_at + self.patience)
-        if self.waiting or self.owed >= CONNECTION_GRANT or self.sending and self.short:
+        if self.waiting or self.sending and self.short:
             times.append(self.polled_at)
         return min(times, default=float("inf"))
 
--- a/brackenusher/fronts/http2/frames.py
+++ b/brackenusher/fronts/http2/frames.py
@@ -94,6 +94,9 @@
         self.left -= 1.0
         return True
 
+    def earn(self, count: float) -> None:
+        self.left = min(self.most, self.left + count)
+
 
 class Gate:
     """Cuts a client's bytes into frames. `rate` is how many frames a second may cost and ask nothing."""
