--- a/tests/frames.py
+++ b/tests/frames.py
@@ -101,7 +101,8 @@
         if isinstance(frame, hf.GoAwayFrame):
             return [f"bye {frame.last_stream_id} {ErrorCodes(frame.error_code).name}"]
         if isinstance(frame, hf.PingFrame):
-            return ["pong " + frame.opaque_data.decode("latin-1").replace(" ", "_")]
+            data = frame.opaque_data
+            return ["pong " + (data.decode() if data.isalnum() else data.hex())]
         if isinstance(frame, hf.WindowUpdateFrame):
             return [f"{number}^{frame.window_increment}"]
         return ["ack"] if "ACK" in frame.flags else ["settings"]
