--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -20,12 +20,14 @@
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.core.transaction import RESERVE, Observers, Transactions
 from brackenusher.fronts.http import Front
-from brackenusher.fronts.http1.clients import OVERFLOW, Clients
+from brackenusher.fronts.http1.clients import Clients
+from brackenusher.fronts.listener import OVERFLOW, Listener, Room
 from brackenusher.membership.agent import Agent
 from brackenusher.membership.discovery import Broken, read_listing
 from brackenusher.records.capture import Capture
 from brackenusher.records.figures import Figures
 from brackenusher.runtime.buffers import Buffers
+from brackenusher.runtime.driver import Address
 from brackenusher.runtime.log import say
 from brackenusher.runtime.loop import READ, Coroutine, Loop, clock
 from brackenusher.runtime.outlet import Outlet
@@ -69,7 +71,19 @@
         door = Door(operator.door) if operator.door else None
         self.admission = Admission(self.transactions, settings, door, operator.token)
         front = Front(settings, with_tokens=operator.token is not None)
-        self.clients = Clients(self.loop, front, self.admission, self.pool, for_clients, most_kept, buffers)
+        share = Room(for_clients)
+        self.clients = Clients(self.loop, front, self.admission, self.pool, share, most_kept, buffers)
+        self.fronts: list[tuple[Listener, Address]] = [(self.clients, config.listen)]
+        self.http2 = None
+        if operator.http2:  # h2 and what it needs takes memory: only for who wants it
+            try:
+                from brackenusher.fronts.http2.clients import Http2Clients
+            except ImportError as error:
+                raise ConfigError(f"http2.enabled: {error}; install brackenusher[http2]") from error
+            self.http2 = Http2Clients(
+                self.loop, operator.http2, front, self.admission, self.clients.ready, share, buffers
+            )
+            self.fronts.append((self.http2, operator.http2.listen))
         self.agent = Agent(
             self.loop, config.discovery, self.pool, self.transactions, buffers, random.Random(config.seed)
         )
@@ -137,7 +151,8 @@
                     "the known list is left aside: %(why)s",
                     why=error,
                 )
-        self.clients.listen(self.config.listen)
+        for front, address in self.fronts:
+            front.listen(address)
         if self.peers:
             self.clients.warming = True
             self.peers.start(self.warm)
@@ -146,16 +161,16 @@
         gc.freeze()  # what is here stays: later collections need not look at it
         for doubt in doubts(self.operator, self.config.settings):
             say(log, logging.WARNING, "operators_file_doubt", "operators' file: %(what)s", what=doubt)
-        host, port = self.config.listen
-        say(
-            log,
-            logging.INFO,
-            "serving",
-            "%(name)s serves on %(host)s:%(port)d",
-            name=self.config.name,
-            host=host,
-            port=port,
-        )
+        for _, (host, port) in self.fronts:
+            say(
+                log,
+                logging.INFO,
+                "serving",
+                "%(name)s serves on %(host)s:%(port)d",
+                name=self.config.name,
+                host=host,
+                port=port,
+            )
         self.loop.run()
         say(
             log,
@@ -166,12 +181,28 @@
             taken=self.transactions.taken,
             unanswered=self.transactions.unanswered,
             refused=self.admission.at_the_end,
-            left=len(self.clients.links),
+            left=self.connections,
         )
         if self.peers:
             self.peers.close()
         summary = self.pool.planner.summary()
         say(log, logging.INFO, "connections_ended", "connections to members: %(summary)s", summary=summary)
+        if self.http2:
+            counts = self.http2.counts
+            say(
+                log,
+                logging.INFO,
+                "streams_ended",
+                "http2: %(streams)d streams, %(refused)d refused, %(reset)d reset, %(stuck)d stuck, "
+                "%(late)d late, %(floods)d floods, %(faults)d faults",
+                streams=counts.streams,
+                refused=counts.refused,
+                reset=counts.reset,
+                stuck=counts.stuck,
+                late=counts.late,
+                floods=counts.floods,
+                faults=counts.faults,
+            )
         if self.capture:
             self.capture.close()
             say(
@@ -193,6 +224,11 @@
         """What others know has been taken up, or comes too late."""
         self.clients.warming = False
 
+    @property
+    def connections(self) -> int:
+        """Clients' connections, of all fronts."""
+        return sum(len(front.links) for front, _ in self.fronts)
+
     def catch_signals(self) -> None:
         """Have signals wake the loop through a socket of its own."""
         ours, theirs = socket.socketpair()
@@ -262,12 +298,14 @@
             kill_ms=plan.limit - plan.told_at,
             answered_ms=plan.answered_by - plan.told_at,
         )
+        for front, _ in self.fronts:
+            front.told()
         self.later(CHECK, partial(self.attend, plan, clock() + CHECK))
 
     def attend(self, plan: Farewell, due: float) -> None:
         """Do what the plan of the end says."""
         now, before = clock(), plan.phase
-        phase = plan.step(now, now - due, len(self.clients.links), self.clients.shut)
+        phase = plan.step(now, now - due, self.connections, all(front.shut for front, _ in self.fronts))
         if phase != before:
             say(
                 log,
@@ -279,15 +317,15 @@
                 after_ms=now - plan.told_at,
                 taken=self.transactions.taken,
                 in_hand=len(self.transactions.open),
-                connections=len(self.clients.links),
+                connections=self.connections,
                 stall_ms=plan.stall,
             )
         if phase is Phase.ENDED:
             self.loop.running = False
             return
         if phase >= Phase.LAST_CALL:
-            self.clients.stopping = True
-            self.clients.close_idle()
+            for front, _ in self.fronts:
+                front.last_call()
         if phase is Phase.CLOSING:
             given_up = self.transactions.answer_all()
             if given_up:
@@ -298,8 +336,9 @@
                     "%(count)d transactions were given up at the end",
                     count=given_up,
                 )
-            self.clients.hurry()
-            self.clients.stop_accepting()
+            for front, _ in self.fronts:
+                front.hurry()
+                front.stop_accepting()
         self.later(CHECK, partial(self.attend, plan, clock() + CHECK))
 
     def later(self, span: float, action: Callable[[], None]) -> None:
