--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -13,7 +13,7 @@
 from barleybarrow.brain import Balancer
 from barleybarrow.door import Door
 from barleybarrow.farewell import Farewell, Phase
-from brackenusher.config.operators import Operator, doubts
+from brackenusher.config.operators import Operator, doubts, read_subset
 from brackenusher.config.platform import Config, ConfigError
 from brackenusher.core.admission import Admission
 from brackenusher.core.deadlines import Deadlines
@@ -51,7 +51,10 @@
         self.config, self.operator, self.loop = config, operator, Loop(deadlines)
         room = config.sockets - SPARE_SOCKETS - OVERFLOW
         for_clients = int(room * CLIENT_PART)
-        self.pool = Pool(settings, clock, time.time() * 1000.0 - clock())
+        offset = time.time() * 1000.0 - clock()
+        self.pool = Pool(
+            settings, clock, offset, operator.connections, config.seed, read_subset(operator, config.worded)
+        )
         self.upstream = Upstream(self.loop, self.pool, settings, room - for_clients, buffers)
         began = clock()
         balancer = Balancer(settings, config.seed, began)
@@ -88,6 +91,7 @@
                 self.transactions.open,
                 config.settings,
             )
+            self.figures.also.append(self.upstream.figures)
         looking = [each for each in (self.capture, self.figures) if each]
         self.transactions.observers = Observers(
             handled=(self.capture.handled,) if self.capture else (),
@@ -139,6 +143,8 @@
             refused=self.admission.at_the_end,
             left=len(self.clients.links),
         )
+        summary = self.pool.planner.summary()
+        say(log, logging.INFO, "connections_ended", "connections to members: %(summary)s", summary=summary)
         if self.capture:
             self.capture.close()
             say(
