--- a/tests/rpc_world.py
+++ b/tests/rpc_world.py
@@ -18,8 +18,6 @@
 from brackenusher.fronts.rpc.host import STEP
 from examples.rpc.model import DECLINED, FAILED, SERVED, SILENT
 
-grpc.aio.init_grpc_aio()  # held to the end: else whoever lets go last waits for its poller, maybe in the collector
-
 START = 1000.0  # seconds at which virtual time begins
 METHODS = {
     "/examples.Turns/SubmitTurn": "turn-submit",
