--- a/testbed/model/network.py
+++ b/testbed/model/network.py
@@ -39,6 +39,12 @@
         yield from source.random(BLOCK).tolist()
 
 
+def normals(source: np.random.Generator) -> Iterator[float]:
+    """Standard normal numbers without end."""
+    while True:
+        yield from source.standard_normal(1024).tolist()
+
+
 class Network:
     """How long a message takes, in integer microseconds, by where its ends are."""
 
--- a/testbed/oracle.py
+++ b/testbed/oracle.py
@@ -25,8 +25,8 @@
 from testbed.results import Breach
 
 if TYPE_CHECKING:
+    from testbed.parts import Host, Try
     from testbed.proxy import Carry, Proxy
-    from testbed.world import Host, Try
 
 PROVEN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)  # it never ran
 WIRE_SLACK = 1_000  # microseconds by which a proxy's clock may round, or drift within a grace
--- a/testbed/proxy.py
+++ b/testbed/proxy.py
@@ -24,7 +24,8 @@
 from testbed.policies import POLICIES
 
 if TYPE_CHECKING:
-    from testbed.world import Host, Try, World
+    from testbed.parts import Host, Try
+    from testbed.world import World
 
 IDLE_SHARE = 0.6  # of the time after which a server closes an idle connection; as the daemon's driver does
 LOCAL_START = (
--- a/testbed/sockets/fleet.py
+++ b/testbed/sockets/fleet.py
@@ -26,11 +26,11 @@
 from testbed.model import server as model
 from testbed.model.arrivals import Arrivals, attempt_noise, spread
 from testbed.model.discovery import Agent, Registry
-from testbed.model.network import stream, uniforms
+from testbed.model.network import normals, stream, uniforms
 from testbed.oracle import Pressed, Told
 from testbed.results import Breach
 from testbed.sockets import http
-from testbed.world import NEVER, change, normals, spec_of
+from testbed.world import NEVER, change, spec_of
 
 SECOND = 1_000_000
 SLACK = 50_000  # by which the rules on sockets are longer than the simulator's
--- a/testbed/sockets/load.py
+++ b/testbed/sockets/load.py
@@ -21,12 +21,13 @@
 
 from testbed import faults
 from testbed import scenario as config
+from testbed.counts import FAILED, IN_AIM, LATE, LEFT, REFUSED, Quota, SecondBySecond
 from testbed.model.arrivals import Arrivals, Asked
 from testbed.model.network import stream, uniforms
 from testbed.results import Breach, Tally, encode, histogram
 from testbed.sockets import http
 from testbed.sockets.fleet import Lag
-from testbed.world import FAILED, FRONT_NOTICE, IN_AIM, LATE, LEFT, REFUSED, Quota, SecondBySecond
+from testbed.world import FRONT_NOTICE
 
 SECOND = 1_000_000
 WIRE = 100_000  # by which an answer may be later than the rules have it, on a machine that is shared
--- a/testbed/world.py
+++ b/testbed/world.py
@@ -19,19 +19,21 @@
 
 from barleybarrow import interface as face
 from barleybarrow.interface import Outcome
-from brackenusher.core.transaction import Answer, Refused, Served, Transaction
+from brackenusher.core.transaction import Answer, Refused, Served
 from brackenusher.upstream.listing import Host as Listed
 from testbed import faults
 from testbed import scenario as config
+from testbed.counts import FAILED, IN_AIM, LATE, LEFT, REFUSED, SECOND, Quota, SecondBySecond
 from testbed.model import server as model
 from testbed.model.arrivals import Arrivals, Asked, attempt_noise, spread
 from testbed.model.discovery import Agent, Registry
-from testbed.model.network import Network, stream, uniforms
+from testbed.model.network import Network, normals, stream, uniforms
 from testbed.oracle import LOOK, SWEEP, Oracle
-from testbed.proxy import LOCAL_START, RECORD, UNIX_START, Carry, Link, Made, Proxy
-from testbed.results import MANY, QUANTILES, Acted, Result, Series, Tally, encode, histogram
+from testbed.parts import Host, Op, Place, Try
+from testbed.proxy import LOCAL_START, RECORD, UNIX_START, Carry, Made, Proxy
+from testbed.results import Acted, Result, Series, Tally, encode, histogram
+from testbed.sight import Sight
 
-SECOND = 1_000_000  # microseconds
 NEVER = 1 << 62
 MOST_BREACHES = 100  # kept of one run; the rest is counted
 FRONT_NOTICE = 2 * SECOND  # until the front knows that a proxy has died
@@ -45,194 +47,6 @@
     model.DECLINED: Outcome.FULL,
 }
 CLIENT, ARRIVED, DONE, ANSWER, FAULT = 32, 33, 34, 35, 36  # records of the digest's trace beside the module's
-IN_AIM, LATE, REFUSED, FAILED, LEFT = range(5)
-
-
-class Place:
-    """Where a server runs; processes come and go there."""
-
-    __slots__ = ("index", "zone", "kind", "cell", "address", "host", "late", "lost", "resets")
-
-    def __init__(self, index: int, zone: int, kind: int, cell: int) -> None:
-        self.index, self.zone, self.kind, self.cell = index, zone, kind, cell
-        self.address = (f"10.{index >> 16}.{index >> 8 & 255}.{index & 255}", 9000)
-        self.host: Host
-        self.late: list[float] = []  # sizes of the faults that act on what it answers
-        self.lost: list[float] = []
-        self.resets: list[float] = []
-
-
-class Host:
-    """A server under one id, over all lives of its process."""
-
-    __slots__ = (
-        "name",
-        "place",
-        "zone",
-        "cell",
-        "server",
-        "life",
-        "links",
-        "wake",
-        "health",
-        "listed_at",
-        "told_born_at",
-        "plain",
-        "slows",
-        "hangs",
-        "errors",
-        "leaves",
-        "careful_until",
-    )
-
-    def __init__(self, name: str, place: Place, server: model.Server) -> None:
-        self.name, self.place, self.server = name, place, server
-        self.zone, self.cell = place.zone, place.cell
-        self.life = 0
-        self.links: dict[Link, None] = {}
-        self.wake: int | None = None  # when the loop next looks at its server
-        self.health = "ready"  # as discovery knows it
-        self.listed_at = self.told_born_at = 0  # the versions that told of this life, and when it began
-        self.plain = True  # nothing has ever been told of it but the first list
-        self.slows: list[float] = []
-        self.errors: list[float] = []
-        self.hangs = 0
-        self.leaves = 0  # drains that were begun: the process ends with the last one
-        self.careful_until = 0  # until when proxies must take it for cold, whatever it is
-
-    def group(self, how: str) -> int:
-        """The group of servers that drop each other's repeats."""
-        return -1 if how == "all" else self.zone if how == "zone" else self.cell
-
-    def idle(self, now: int) -> bool:
-        """Whether it has nothing to do, and would work on a request at once and at full speed.
-
-        One that started lately is not idle before the rules' time is over: it may only be used with care.
-        """
-        server, place = self.server, self.place
-        return (
-            server.up
-            and not server.working
-            and self.health == "ready"
-            and not (server.hung or server.draining or server.quick_errors)
-            and now >= self.careful_until
-            and server.slow == 1.0
-            and not (place.late or place.lost or place.resets)
-            and server.connections < server.spec.connections
-        )
-
-
-class Op:
-    """What a client wants done, over all its tries."""
-
-    __slots__ = (
-        "asked",
-        "sent",
-        "due",
-        "klass",
-        "tenant",
-        "key",
-        "operation",
-        "tries",
-        "worth",
-        "attempts",
-        "effects_seen",
-    )
-
-    def __init__(self, asked: Asked, due: int, operation: model.Operation | None, worth: float) -> None:
-        self.asked, self.sent, self.due = asked, asked.sent, due
-        self.klass, self.tenant, self.key = asked.klass, asked.tenant, asked.key
-        self.operation, self.worth = operation, worth
-        self.tries, self.attempts, self.effects_seen = 0, 0, 1
-
-
-class Try:
-    """One request of a client, under an id of its own, at one proxy."""
-
-    __slots__ = (
-        "op",
-        "number",
-        "number_of_op",
-        "name",
-        "proxy",
-        "sent",
-        "due",
-        "transaction",
-        "carries",
-        "out",
-        "held_since",
-        "answers",
-        "refused",
-        "excused",
-        "reported",
-        "over",
-    )
-
-    def __init__(self, op: Op, number: int, proxy: Proxy, sent: int, due: int, now: int) -> None:
-        self.op, self.number, self.number_of_op, self.proxy = op, number, op.tries, proxy
-        self.name = b"%d" % number
-        self.sent, self.due = sent, due
-        self.transaction: Transaction | None = None
-        self.carries: list[Carry] = []
-        self.out, self.held_since, self.answers = 0, now, 0
-        self.refused = self.excused = self.reported = False
-        self.over = False  # the client has an answer, or has gone
-
-    def reply(self, answer: Answer) -> None:
-        """The proxy's final answer."""
-        self.proxy.world.answered(self, answer)
-
-
-class Sight:
-    """The servers' true state as one proxy may be shown it; a `testbed.policies.View`."""
-
-    def __init__(self, world: "World", proxy: Proxy) -> None:
-        self.world, self.proxy = world, proxy
-
-    def host(self, server: str) -> Host | None:
-        """The process that listens where this proxy would send."""
-        named = self.world.names.get(server)
-        return named if named is not None and named.place.host is named else None
-
-    def alive(self, server: str) -> bool:
-        host = self.host(server)
-        return host is not None and host.server.serving() and not self.world.cut(self.proxy, host)
-
-    def idle(self, server: str) -> int:
-        host = self.host(server)
-        if host is None or not host.server.serving():
-            return 0
-        return max(0, host.server.spec.cores - host.server.held())
-
-    def fails(self, server: str) -> float:
-        host = self.host(server)
-        return host.server.quick_errors if host is not None else 0.0
-
-    def free(self, server: str) -> int:
-        host = self.host(server)
-        return host.server.free() if host is not None else 0
-
-    def ahead(self, server: str) -> float:
-        host = self.host(server)
-        if host is None:
-            return 0.0
-        host.server.advance_to(self.world.now)
-        return host.server.ahead() / 1000.0
-
-    def speed(self, server: str) -> float:
-        host = self.host(server)
-        if host is None:
-            return 0.0
-        now, spec = self.world.now, host.server.spec
-        return host.server.capacity(now) * spec.efficiency(host.server.held())
-
-    def one_core(self, server: str) -> float:
-        host = self.host(server)
-        return host.server.one_core(self.world.now) if host is not None else 0.0
-
-    def warmth(self, server: str) -> float:
-        host = self.host(server)
-        return host.server.warm(self.world.now) if host is not None else 0.0
 
 
 class World:
@@ -1035,93 +849,6 @@
     return True
 
 
-def normals(source: np.random.Generator) -> Iterator[float]:
-    """Standard normal numbers without end."""
-    while True:
-        yield from source.standard_normal(1024).tolist()
-
-
-class Quota:
-    """A tenant's share: what it asks beyond, over a second, is worth little."""
-
-    __slots__ = ("rate", "level", "at")
-
-    def __init__(self, rate: float) -> None:
-        self.rate, self.level, self.at = (
-            rate / SECOND,
-            rate,
-            0,
-        )  # requests a second; a second's worth saved up
-
-    def take(self, at: int) -> bool:
-        full = self.rate * SECOND
-        self.level = min(full, self.level + self.rate * max(0, at - self.at))
-        self.at = max(self.at, at)
-        if self.level < 1.0:
-            return False
-        self.level -= 1.0
-        return True
-
-
-class SecondBySecond:
-    """Fills the series of a result."""
-
-    def __init__(self, scenario: config.Scenario) -> None:
-        self.series = Series(
-            asked={c.name: [] for c in scenario.classes}, in_aim={c.name: [] for c in scenario.classes}
-        )
-        s = self.series
-        self.names = [c.name for c in scenario.classes]
-        self.ints = [*s.asked.values(), *s.in_aim.values(), s.refused, s.failed, s.attempts]
-        self.asked_of = [s.asked[name] for name in self.names]
-        self.in_aim_of = [s.in_aim[name] for name in self.names]
-        self.length = 0
-
-    def grow(self, second: int) -> None:
-        while self.length <= second:
-            self.length += 1
-            for line in self.ints:
-                line.append(0)
-            self.series.worth_asked.append(0.0)
-            self.series.worth_in_aim.append(0.0)
-
-    def asked(self, at: int, klass: int, worth: float) -> None:
-        second = at // SECOND
-        if second >= self.length:
-            self.grow(second)
-        self.asked_of[klass][second] += 1
-        self.series.worth_asked[second] += worth
-
-    def finished(self, at: int, klass: int, how: int, worth: float) -> None:
-        second = at // SECOND
-        if how == IN_AIM:
-            self.in_aim_of[klass][second] += 1
-            self.series.worth_in_aim[second] += worth
-        elif how == REFUSED:
-            self.series.refused[second] += 1
-        elif how == FAILED:
-            self.series.failed[second] += 1
-
-    def attempt(self, at: int) -> None:
-        second = at // SECOND
-        if second >= self.length:
-            self.grow(second)
-        self.series.attempts[second] += 1
-
-    def sample(self, held: int, counts: list[float], names: list[str]) -> None:
-        """Take down what is held by the proxies and by each server at the end of a second."""
-        s = self.series
-        s.held.append(float(held))
-        if len(counts) > MANY:
-            values = np.quantile(np.array(counts), QUANTILES).tolist()
-            for q, value in zip(QUANTILES, values, strict=True):
-                s.in_flight.setdefault(f"q{q:g}", []).append(value)
-            return
-        for name, value in zip(names, counts, strict=True):
-            line = s.in_flight.setdefault(name.partition(".")[0], [])
-            line.append(value)
-
-
 def run(
     scenario: config.Scenario,
     seed: int,
