--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,9 +3,8 @@
 import msgspec
 import pytest
 
-from testbed import faults
+from testbed import faults, world
 from testbed import scenario as config
-from testbed import world
 from testbed.model.arrivals import Arrivals
 from testbed.scenario import FaultKind
 
