--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -37,7 +37,11 @@
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--quick", action="store_true", help="small sizes and short runs, about a minute")
-    sizes = QUICK if parser.parse_args().quick else FULL
+    parser.add_argument(
+        "--size", action="append", metavar="PROXIESxSERVERS", help="of the full sizes, this one"
+    )
+    args = parser.parse_args()
+    sizes = [x for x in FULL if f"{x[1]}x{x[0]}" in args.size] if args.size else QUICK if args.quick else FULL
     names = "proxies x servers, policy, virtual s, requests, events, CPU s, events/s, MB, goodput, breaches"
     print("| " + names.replace(", ", " | ") + " |")
     print("|" + " --- |" * len(names.split(", ")))
