--- a/testbed/sockets/run.py
+++ b/testbed/sockets/run.py
@@ -34,11 +34,11 @@
 import brackenusher
 from testbed import faults
 from testbed import scenario as config
+from testbed.counts import SecondBySecond
 from testbed.results import Acted, Breach, Live, Process, Result
 from testbed.sockets.fleet import Fleet
 from testbed.sockets.load import Load
 from testbed.sockets.ports import free_port
-from testbed.world import SecondBySecond
 
 START_S = 30.0  # a process that is not ready by then will not be
 LEAD_S = 0.3  # between the word to begin and the first instant, so that everybody has heard it
