--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -35,9 +35,6 @@
 from examples.rpc.turns import TurnsStub
 
 Code = grpc.StatusCode
-# held to the end: who lets go last waits for gRPC's poller, without end if that is the collector
-grpc.aio.init_grpc_aio()
-
 WORK = {"board-read": (5.0, 10.0), "turn-submit": (5.0, 10.0)}
 KEY = (("idempotency-key", "k1"),)
 UNSAFE = {"name": "once", "slo": 580.0, "deadline": 1400.0, "repeat": "single_shot"}
