--- a/testbed/proxy.py
+++ b/testbed/proxy.py
@@ -24,7 +24,8 @@
 from testbed.policies import POLICIES
 
 if TYPE_CHECKING:
-    from testbed.world import Host, Try, World
+    from testbed.parts import Host, Try
+    from testbed.world import World
 
 ROOM = 1 << 30  # connections: descriptors are not counted here
 LOCAL_START = (
