--- a/barleybarrow/connections.py
+++ b/barleybarrow/connections.py
@@ -119,7 +119,7 @@
 
     def __init__(self, name: str, now: float, cold_until: float) -> None:
         self.name, self.cold_until, self.left = name, cold_until, False
-        self.idle: deque[Held] = deque()  # in the order of their return
+        self.idle: list[Held] = []  # in the order of their return; a list: an empty deque takes 760 bytes
         self.held = self.used = self.opening = 0  # all; with a request; not yet up and opened ahead
         self.limit, self.good = math.inf, 0.0  # idle age learned as too old, and proven as young enough
         self.undo: tuple[float, float, float] | None = None  # when a surprise came, limit and good before it
@@ -128,7 +128,7 @@
         self.broken, self.broken_at = 0, -math.inf  # connections that broke at once
         self.heard = -math.inf  # when it answered last
         self.cap, self.cap_until, self.cap_wait = math.inf, -math.inf, CAP_WAIT
-        self.peaks = deque([0], maxlen=WINDOWS)  # most in use, by window; the last is the present one
+        self.peaks = [0]  # WINDOWS at most: most in use, by window; the last is the present one
         self.lends, self.rate = 0, 0.0  # since the last sweep, and a millisecond
         self.span = 0.0  # milliseconds that one is in use, smoothed
         self.tended, self.ahead_at = now, now
@@ -545,6 +545,7 @@
             if now // window != line.tended // window:
                 for _ in range(min(WINDOWS, int(now // window - line.tended // window))):
                     line.peaks.append(line.used)
+                    del line.peaks[:-WINDOWS]
             line.tended = now
         return oldest
 
