--- a/barleybarrow/brain.py
+++ b/barleybarrow/brain.py
@@ -147,7 +147,7 @@
         kind = self.kinds.setdefault(entry.kind, Gauge(self.level))
         self.entered += 1
         b = Backend(self.entered, entry, kind, far, START * self.least, len(self.classes), self.now)
-        self.pool.add(b)
+        self.pool.add(b, int(self.rng.random() * (len(self.live) + 1)))  # proxies must not sweep in step
         self.warm(b)
         if self.conf.proxies > len(self.backends):  # one request may be worth minutes of budget here
             b.pace = self.rng.random() * self.light  # and proxies must not save up in step
--- a/barleybarrow/state.py
+++ b/barleybarrow/state.py
@@ -167,9 +167,12 @@
         self.live: list[Backend] = []  # in no order: the last takes the place of one that goes
         self.total, self.limits, self.served, self.warm = 0, 0.0, 0.0, 0
 
-    def add(self, b: Backend) -> None:
-        b.position = len(self.live)
+    def add(self, b: Backend, position: int) -> None:
+        """Put one in at a position up to their number; who stood there moves to the end."""
         self.live.append(b)
+        moved, b.position = self.live[position], position
+        self.live[-1], moved.position = moved, len(self.live) - 1
+        self.live[position], b.position = b, position
         self.named[b.name] = b
         self.limits += b.limit
         self.warm += 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -164,3 +164,12 @@
     assert len(proxy.sent) == before + 1
     proxy.sweep(900)
     assert all(r in proxy.answers or proxy.backend(r) for r in held)
+
+
+def test_proxies_do_not_sweep_a_fleet_in_step():
+    # guards against sweeps in the list's order: what they had looked at ranked first, at every proxy alike
+    names = [f"s{n}" for n in range(400)]
+    orders = [[b.name for b in Proxy(names, seed=seed).brain.live] for seed in (1, 2)]
+    assert sorted(orders[0]) == sorted(orders[1]) == sorted(names)
+    assert sum(a == b for a, b in zip(*orders, strict=True)) < 10
+    assert sum(a == b for a, b in zip(names, orders[0], strict=True)) < 10
