Ports of daemons under test are claimed, so that no two processes are given one

Under three workers a test asked the daemon of another one and got 409: both had been given the port.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -20,6 +20,7 @@
 from testbed.relay.journal import PlayedLink, read_plans
 from testbed.relay.machine import MOST_HELD, Link, Tally
 from testbed.relay.script import DOWN, UP, Hop, Rule, Script, ScriptError, parse
+from testbed.sockets.ports import free_port
 
 
 class Play:
@@ -290,8 +291,7 @@
 
 
 def test_a_target_that_refuses_is_a_reset_for_the_client():
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        address = f"127.0.0.1:{free.getsockname()[1]}"
+    address = f"127.0.0.1:{free_port()}"
     with Relay(target=address) as relay:
         assert talk(relay.port(), b"x") == (b"", True)
     assert relay.report.refused == 1
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -13,9 +13,8 @@
 
 from testbed import scenario as config
 from testbed.results import Breach
-from testbed.sockets import http
+from testbed.sockets import http, ports
 from testbed.sockets.commands import print_account
-from testbed.sockets.ports import free_port
 from testbed.sockets.run import Run, RunError, play
 
 BASE = """
@@ -61,9 +60,18 @@
         http.Reader().feed(b"GET / HTTP/1.1\r\n" + b"X: y\r\n" * 60_000)
 
 
-def test_ports_are_free_and_not_given_twice():
-    ports = [free_port() for _ in range(50)]
-    assert len(set(ports)) == 50 and max(ports) < 32_768
+def test_ports_are_free_and_not_given_twice_even_to_two_processes():
+    # guards against a test that talks to the daemon of another one
+    text = "from testbed.sockets import ports; ports.NEXT = iter(range({0}, {0} + 40)); "
+    text = (
+        text.format(next(ports.NEXT)) + "print(*(ports.free_port() for _ in range(20)), flush=True); input()"
+    )
+    run = [sys.executable, "-c", text]
+    pipes = {"stdin": subprocess.PIPE, "stdout": subprocess.PIPE, "text": True, "cwd": ROOT}
+    with subprocess.Popen(run, **pipes) as one, subprocess.Popen(run, **pipes) as two:
+        given = [*one.stdout.readline().split(), *two.stdout.readline().split()]
+        one.communicate("\n"), two.communicate("\n")
+    assert len(given) == len(set(given)) == 40 and max(map(int, given)) < 32_768
 
 
 def test_a_short_run_keeps_every_promise_and_accounts_for_every_request(capsys):
