--- a/testbed/policies/rivals.py
+++ b/testbed/policies/rivals.py
@@ -184,8 +184,13 @@
         return max(1.0, (1 + self.DELTA) / growth) if growth > 0 else inf
 
     def hot(self) -> float:
-        """Requests in flight beyond which a server is hot."""
-        return self.sorted[min(int(self.Q_RIF * len(self.sorted)), len(self.sorted) - 1)]
+        """Requests in flight beyond which a server is hot.
+
+        Where nothing lies above the quantile, as with short waiting rooms under load, the most that was told
+        is hot itself: the paper's servers queue without bound, and a full one would pass for cold here.
+        """
+        limit, top = self.sorted[int(self.Q_RIF * (len(self.sorted) - 1))], self.sorted[-1]
+        return limit if limit < top else top - 1
 
     def choose(self, r: Request) -> Server | None:
         self.pool = [s for s in self.pool if self.now - s.at <= self.OLDEST]
