--- a/brackenusher/config/operators.py
+++ b/brackenusher/config/operators.py
@@ -1,19 +1,22 @@
 """The operators' file: which features are on, and their settings, in properties format."""
 
 import re
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 from ipaddress import ip_address
 from pathlib import Path
 from typing import Any
 
 from barleybarrow import interface as face
+from barleybarrow.connections import ConnectionSettings
 from barleybarrow.door import DoorSettings, Limit
+from barleybarrow.subsets import Subset
 from barleybarrow.tokens import KID, TokenSettings
 from brackenusher.config.platform import ConfigError, read_address
 from brackenusher.runtime.driver import Address
 from brackenusher.runtime.log import FORMATS
 
+MOST_SEEDS = 32  # each is asked in turn until somebody answers
 LEAST_KEY = 16  # bytes; a shorter one is used, but named
 
 
@@ -36,6 +39,41 @@
     batch_bytes: int = 1400
 
 
+@dataclass(frozen=True)
+class PeersSettings:
+    """Other proxies to share knowledge with: where this one is found, whom it knows, the keys of all."""
+
+    listen: Address = ("", 0)  # an IP address and a port, for datagrams and for questions
+    seeds: tuple[Address, ...] = ()
+    keys: Mapping[str, bytes] = field(default_factory=dict, repr=False)
+    sign: str = ""  # the id of the key that seals what this proxy sends
+    period_ms: int = 1000
+    warm_ms: int = 300
+    ask: int = 3
+
+
+@dataclass(frozen=True)
+class SnapshotSettings:
+    """Where knowledge is saved, and how often."""
+
+    file: str = ""
+    every_s: int = 10
+
+
+@dataclass(frozen=True)
+class Http2Settings:
+    """HTTP/2 toward clients; docs/http2.md gives the reason of each default."""
+
+    listen: Address
+    streams: int = 100  # open at once on a connection; the least that RFC 9113 6.5.2 recommends
+    head_bytes: int = 16 * 1024  # of a request's header list, as HTTP/1.1 takes here
+    frames: int = 100  # a second, of those that cost and ask nothing; twice as many in one go
+    connection_kb: int = 1024  # bodies and answers that one connection may have held
+    held_kb: int = 8 * 1024  # the same of all connections
+    idle_ms: int = 30_000  # a connection without a stream is kept so long
+    answer_ms: int = 10_000  # an answer must be taken in this time, as over HTTP/1.1
+
+
 @dataclass(frozen=True)
 class Operator:
     """The features that are on; None for one that is off."""
@@ -44,6 +82,10 @@
     capture: CaptureSettings | None = None
     token: TokenSettings | None = None
     figures: FiguresSettings | None = None
+    peers: PeersSettings | None = None
+    snapshot: SnapshotSettings | None = None
+    http2: Http2Settings | None = None
+    connections: ConnectionSettings | None = None
     log_format: str = "text"
 
     @property
@@ -199,11 +241,89 @@
     )
 
 
+def ip_port(text: str) -> Address:
+    """An address that needs no look-up, as that could wait."""
+    host, port = read_address(text, "an address")
+    ip = ip_address(host.removeprefix("[").removesuffix("]"))
+    if ip.is_unspecified or ip.is_multicast:
+        raise ValueError(f"must be the address of one machine, not {text!r}")
+    return str(ip), whole(1, 65_535)(str(port))
+
+
+def ip_ports(text: str) -> tuple[Address, ...]:
+    found = tuple(ip_port(part.strip()) for part in text.split(",") if part.strip())
+    if len(found) > MOST_SEEDS:
+        raise ValueError(f"must name {MOST_SEEDS} at most")
+    return found
+
+
+def read_peers(entries: Entries) -> PeersSettings:
+    least, keys = PeersSettings(), entries.family("peers.key.", key)
+    for kid in keys:
+        if not KID.match(kid):
+            raise entries.error(f"peers.key.{kid}", "must end in letters, digits, _ or -, 64 at most")
+    sign = entries.take("peers.sign", str, next(iter(keys)) if len(keys) == 1 else "")
+    if sign and sign not in keys:
+        raise entries.error("peers.sign", f"names no key: there is no peers.key.{sign}")
+    return PeersSettings(
+        listen=entries.take("peers.listen", ip_port, least.listen),
+        seeds=entries.take("peers.seeds", ip_ports, least.seeds),
+        keys=keys,
+        sign=sign,
+        period_ms=entries.take("peers.period_ms", whole(100, 60_000), least.period_ms),
+        warm_ms=entries.take("peers.warm_ms", whole(0, 900), least.warm_ms),
+        ask=entries.take("peers.ask", whole(0, 8), least.ask),
+    )
+
+
+def read_snapshot(entries: Entries) -> SnapshotSettings:
+    return SnapshotSettings(
+        file=entries.take("snapshot.file", path, ""),
+        every_s=entries.take("snapshot.every_s", whole(1, 3600), SnapshotSettings().every_s),
+    )
+
+
+def read_http2(entries: Entries) -> Http2Settings:
+    least = Http2Settings(("", 0))
+    return Http2Settings(
+        listen=entries.take("http2.listen", lambda text: read_address(text, "http2.listen"), least.listen),
+        streams=entries.take("http2.streams", whole(1, 1000), least.streams),
+        head_bytes=entries.take("http2.head_bytes", whole(1024, 65_536), least.head_bytes),
+        frames=entries.take("http2.frames", whole(10, 100_000), least.frames),
+        connection_kb=entries.take("http2.connection_kb", whole(128, 65_536), least.connection_kb),
+        held_kb=entries.take("http2.held_kb", whole(128, 1_048_576), least.held_kb),
+        idle_ms=entries.take("http2.idle_ms", whole(1000, 3_600_000), least.idle_ms),
+        answer_ms=entries.take("http2.answer_ms", whole(1000, 600_000), least.answer_ms),
+    )
+
+
+def read_connections(entries: Entries) -> ConnectionSettings:
+    least = ConnectionSettings()
+    return ConnectionSettings(
+        learn=entries.take("connections.learn", switch, least.learn),
+        rescue=entries.take("connections.rescue", switch, least.rescue),
+        rest=entries.take("connections.rest", switch, least.rest),
+        age=1000.0 * entries.take("connections.age_s", whole(0, 86_400), 0),
+        requests=entries.take("connections.requests", whole(0, 1_000_000_000), least.requests),
+        ahead=entries.take("connections.ahead", switch, least.ahead),
+        spare=entries.take("connections.ahead.spare", whole(0, 1000), least.spare),
+        hold=1000.0 * entries.take("connections.ahead.hold_s", whole(1, 3600), int(least.hold / 1000)),
+        pace=float(entries.take("connections.ahead.pace", whole(1, 1000), int(least.pace))),
+        subset=entries.take("connections.subset", whole(0, 100_000), least.subset),
+        subset_index=entries.take("connections.subset.index", whole(0, 99_999), least.subset_index),
+        subset_proxies=entries.take("connections.subset.proxies", whole(1, 100_000), least.subset_proxies),
+    )
+
+
 FEATURES: dict[str, Callable[[Entries], Any]] = {
     "door": read_door,
     "capture": read_capture,
     "token": read_token,
     "figures": read_figures,
+    "peers": read_peers,
+    "snapshot": read_snapshot,
+    "http2": read_http2,
+    "connections": read_connections,
 }
 
 
@@ -216,16 +336,41 @@
     entries.done()
     if on["token"] and not features["token"].keys:
         raise entries.error("token.key.<kid>", "is missing: tokens need a key")
+    if on["peers"]:
+        peers: PeersSettings = features["peers"]
+        for name, value in (("listen", peers.listen[0]), ("key.<kid>", peers.keys), ("sign", peers.sign)):
+            if not value:
+                raise entries.error(f"peers.{name}", "is missing: peers need it")
+    if on["snapshot"] and not features["snapshot"].file:
+        raise entries.error("snapshot.file", "is missing: snapshots need a file")
+    if on["http2"] and not features["http2"].listen[0]:
+        raise entries.error("http2.listen", "is missing: HTTP/2 needs an address of its own")
     chosen = {name: settings for name, settings in features.items() if on[name]}
     return Operator(**chosen, log_format=log_format)
 
 
+def read_subset(operator: Operator, worded: Mapping[str, Any]) -> Subset | None:
+    """The subset of the list that this proxy sees; the platform's settings say which of how many it is."""
+    wanted = operator.connections
+    if wanted is None or not wanted.subset:
+        return None
+    proxies = wanted.subset_proxies or int(worded.get("instances", 1))
+    index = wanted.subset_index if wanted.subset_index >= 0 else int(worded.get("me", -1))
+    if not 0 <= index < proxies:
+        raise ConfigError(
+            f"connections.subset.index: {index} is no number below that of the proxies, {proxies}"
+        )
+    return Subset(wanted.subset, index, proxies)
+
+
 def doubts(operator: Operator, settings: face.Settings) -> list[str]:
     """What the file says that can have no effect: not wrong, as tenants come and go, but maybe a slip."""
     tenants = operator.door.tenants if operator.door and settings.tenants else ()
     keys = operator.token.keys if operator.token else {}
     found = [f"door: the settings name no tenant {name}" for name in tenants if name not in settings.tenants]
-    return found + [f"token: the key {kid} is short" for kid, key in keys.items() if len(key) < LEAST_KEY]
+    found += [f"token: the key {kid} is short" for kid, key in keys.items() if len(key) < LEAST_KEY]
+    shared = operator.peers.keys if operator.peers else {}
+    return found + [f"peers: the key {kid} is short" for kid, key in shared.items() if len(key) < LEAST_KEY]
 
 
 def read_text(name: str) -> str:
@@ -240,6 +385,13 @@
     return Operator() if name is None else read_operator(name, read_text(name))
 
 
+def load_peers(name: str) -> PeersSettings:
+    """The file's settings of peers, whether they are on or not: who asks a proxy need not be one."""
+    text = read_text(name)
+    read_operator(name, text)
+    return read_peers(Entries(name, text))
+
+
 def load_tokens(name: str) -> TokenSettings:
     """The file's settings of tokens, whether they are on or not: who issues tokens need not serve."""
     text = read_text(name)
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -9,31 +9,38 @@
 from collections.abc import Callable
 from functools import partial
 from types import FrameType
+from typing import TYPE_CHECKING
 
 from barleybarrow.brain import Balancer
 from barleybarrow.door import Door
 from barleybarrow.farewell import Farewell, Phase
-from brackenusher.config.operators import Operator, doubts
+from brackenusher.config.operators import Operator, doubts, read_subset
 from brackenusher.config.platform import Config, ConfigError
 from brackenusher.core.admission import Admission
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.core.transaction import RESERVE, Observers, Transactions
 from brackenusher.fronts.http import Front
-from brackenusher.fronts.http1.clients import OVERFLOW, Clients
+from brackenusher.fronts.http1.clients import Clients
+from brackenusher.fronts.listener import OVERFLOW, Listener, Room
 from brackenusher.membership.agent import Agent
 from brackenusher.membership.discovery import Broken, read_listing
 from brackenusher.records.capture import Capture
 from brackenusher.records.figures import Figures
 from brackenusher.runtime.buffers import Buffers
+from brackenusher.runtime.driver import Address
 from brackenusher.runtime.log import say
 from brackenusher.runtime.loop import READ, Coroutine, Loop, clock
 from brackenusher.runtime.outlet import Outlet
 from brackenusher.upstream.connections import Upstream
 from brackenusher.upstream.pool import Pool
 
+if TYPE_CHECKING:
+    from brackenusher.membership.peers import Peers
+
 log = logging.getLogger(__name__)
 
 SPARE_SOCKETS = 24  # listener, epoll, discovery, standard streams, and some to refuse with
+PEERS_SOCKETS = 18  # two to listen on, eight questions of others, eight of one's own
 CLIENT_PART = 0.625  # of the other descriptors: a held request has a client connection and no flow
 KEPT_PART = 0.2  # of all, between requests: clients hold a third at most, and some ask once and stay
 CHECK = 10.0  # milliseconds: how often it is looked, once the program is to stop, what is to be done
@@ -49,9 +56,12 @@
         settings = config.settings
         deadlines, buffers = Deadlines(), Buffers()
         self.config, self.operator, self.loop = config, operator, Loop(deadlines)
-        room = config.sockets - SPARE_SOCKETS - OVERFLOW
+        room = config.sockets - SPARE_SOCKETS - OVERFLOW - (PEERS_SOCKETS if operator.peers else 0)
         for_clients = int(room * CLIENT_PART)
-        self.pool = Pool(settings, clock, time.time() * 1000.0 - clock())
+        offset = time.time() * 1000.0 - clock()
+        self.pool = Pool(
+            settings, clock, offset, operator.connections, config.seed, read_subset(operator, config.worded)
+        )
         self.upstream = Upstream(self.loop, self.pool, settings, room - for_clients, buffers)
         began = clock()
         balancer = Balancer(settings, config.seed, began)
@@ -61,14 +71,43 @@
         door = Door(operator.door) if operator.door else None
         self.admission = Admission(self.transactions, settings, door, operator.token)
         front = Front(settings, with_tokens=operator.token is not None)
-        self.clients = Clients(self.loop, front, self.admission, self.pool, for_clients, most_kept, buffers)
+        share = Room(for_clients)
+        self.clients = Clients(self.loop, front, self.admission, self.pool, share, most_kept, buffers)
+        self.fronts: list[tuple[Listener, Address]] = [(self.clients, config.listen)]
+        self.http2 = None
+        if operator.http2:  # h2 and what it needs takes memory: only for who wants it
+            try:
+                from brackenusher.fronts.http2.clients import Http2Clients
+            except ImportError as error:
+                raise ConfigError(f"http2.enabled: {error}; install brackenusher[http2]") from error
+            self.http2 = Http2Clients(
+                self.loop, operator.http2, front, self.admission, self.clients.ready, share, buffers
+            )
+            self.fronts.append((self.http2, operator.http2.listen))
         self.agent = Agent(
             self.loop, config.discovery, self.pool, self.transactions, buffers, random.Random(config.seed)
         )
         self.upstream.watch = self.agent.connect
         self.outlet = Outlet(deadlines, clock)
+        self.peers: Peers | None = None
+        if operator.peers or operator.snapshot:
+            self.share(buffers)
         self.look_on(began)
 
+    def share(self, buffers: Buffers) -> None:
+        """Share knowledge with peers, or with the next start by a file."""
+        try:
+            from brackenusher.membership.peers import Peers  # with msgspec: only for who shares
+        except ImportError as error:
+            needs = "peers and snapshot need the extra knowledge: pip install 'brackenusher[knowledge]'"
+            raise ConfigError(f"{needs} ({error})") from error
+        peers, saved = self.operator.peers, self.operator.snapshot
+        parts = (self.loop, buffers, self.outlet, self.transactions, self.pool)
+        try:
+            self.peers = Peers(*parts, self.config.name, peers, saved)
+        except (OSError, ValueError) as error:
+            raise ConfigError(str(error)) from error
+
     def look_on(self, began: float) -> None:
         """Start what observes the transactions, where the operators want it."""
         operator, config = self.operator, self.config
@@ -88,9 +127,10 @@
                 self.transactions.open,
                 config.settings,
             )
+            self.figures.also.append(self.upstream.figures)
         looking = [each for each in (self.capture, self.figures) if each]
         self.transactions.observers = Observers(
-            handled=(self.capture.handled,) if self.capture else (),
+            handled=tuple(each.handled for each in (self.capture, self.peers) if each),
             answered=tuple(each.answered for each in looking),
             turned_away=tuple(each.turned_away for each in looking),
         )
@@ -111,22 +151,26 @@
                     "the known list is left aside: %(why)s",
                     why=error,
                 )
-        self.clients.listen(self.config.listen)
+        for front, address in self.fronts:
+            front.listen(address)
+        if self.peers:
+            self.clients.warming = True
+            self.peers.start(self.warm)
         self.agent.connect()
         gc.collect()
         gc.freeze()  # what is here stays: later collections need not look at it
         for doubt in doubts(self.operator, self.config.settings):
             say(log, logging.WARNING, "operators_file_doubt", "operators' file: %(what)s", what=doubt)
-        host, port = self.config.listen
-        say(
-            log,
-            logging.INFO,
-            "serving",
-            "%(name)s serves on %(host)s:%(port)d",
-            name=self.config.name,
-            host=host,
-            port=port,
-        )
+        for _, (host, port) in self.fronts:
+            say(
+                log,
+                logging.INFO,
+                "serving",
+                "%(name)s serves on %(host)s:%(port)d",
+                name=self.config.name,
+                host=host,
+                port=port,
+            )
         self.loop.run()
         say(
             log,
@@ -137,8 +181,28 @@
             taken=self.transactions.taken,
             unanswered=self.transactions.unanswered,
             refused=self.admission.at_the_end,
-            left=len(self.clients.links),
+            left=self.connections,
         )
+        if self.peers:
+            self.peers.close()
+        summary = self.pool.planner.summary()
+        say(log, logging.INFO, "connections_ended", "connections to members: %(summary)s", summary=summary)
+        if self.http2:
+            counts = self.http2.counts
+            say(
+                log,
+                logging.INFO,
+                "streams_ended",
+                "http2: %(streams)d streams, %(refused)d refused, %(reset)d reset, %(stuck)d stuck, "
+                "%(late)d late, %(floods)d floods, %(faults)d faults",
+                streams=counts.streams,
+                refused=counts.refused,
+                reset=counts.reset,
+                stuck=counts.stuck,
+                late=counts.late,
+                floods=counts.floods,
+                faults=counts.faults,
+            )
         if self.capture:
             self.capture.close()
             say(
@@ -156,6 +220,15 @@
         self.outlet.close()
         return 0
 
+    def warm(self) -> None:
+        """What others know has been taken up, or comes too late."""
+        self.clients.warming = False
+
+    @property
+    def connections(self) -> int:
+        """Clients' connections, of all fronts."""
+        return sum(len(front.links) for front, _ in self.fronts)
+
     def catch_signals(self) -> None:
         """Have signals wake the loop through a socket of its own."""
         ours, theirs = socket.socketpair()
@@ -225,12 +298,14 @@
             kill_ms=plan.limit - plan.told_at,
             answered_ms=plan.answered_by - plan.told_at,
         )
+        for front, _ in self.fronts:
+            front.told()
         self.later(CHECK, partial(self.attend, plan, clock() + CHECK))
 
     def attend(self, plan: Farewell, due: float) -> None:
         """Do what the plan of the end says."""
         now, before = clock(), plan.phase
-        phase = plan.step(now, now - due, len(self.clients.links), self.clients.shut)
+        phase = plan.step(now, now - due, self.connections, all(front.shut for front, _ in self.fronts))
         if phase != before:
             say(
                 log,
@@ -242,15 +317,15 @@
                 after_ms=now - plan.told_at,
                 taken=self.transactions.taken,
                 in_hand=len(self.transactions.open),
-                connections=len(self.clients.links),
+                connections=self.connections,
                 stall_ms=plan.stall,
             )
         if phase is Phase.ENDED:
             self.loop.running = False
             return
         if phase >= Phase.LAST_CALL:
-            self.clients.stopping = True
-            self.clients.close_idle()
+            for front, _ in self.fronts:
+                front.last_call()
         if phase is Phase.CLOSING:
             given_up = self.transactions.answer_all()
             if given_up:
@@ -261,8 +336,9 @@
                     "%(count)d transactions were given up at the end",
                     count=given_up,
                 )
-            self.clients.hurry()
-            self.clients.stop_accepting()
+            for front, _ in self.fronts:
+                front.hurry()
+                front.stop_accepting()
         self.later(CHECK, partial(self.attend, plan, clock() + CHECK))
 
     def later(self, span: float, action: Callable[[], None]) -> None:
--- a/testbed/sockets/run.py
+++ b/testbed/sockets/run.py
@@ -34,6 +34,7 @@
 import brackenusher
 from testbed import faults
 from testbed import scenario as config
+from testbed.counts import SecondBySecond
 from testbed.results import Acted, Breach, Live, Process, Result
 from testbed.sockets.fleet import Fleet
 from testbed.sockets.load import Load
@@ -46,6 +47,7 @@
 KILLED_S = 0.5  # a connection that breaks within this time after a kill broke because of it
 SOCKETS, MEMORY_MB = 1024, 192  # of a daemon, as the platform limits it
 PR_SET_PDEATHSIG = 1
+EACH = "{proxy}"  # in the operators' file's name: the proxy's number, where each has a file of its own
 TIMED = ("in_time", "drain")  # promises that are broken by the clock alone
 
 
@@ -285,6 +287,7 @@
         self.events: list[tuple[int, str]] = []
         self.load: dict[str, Any] = {}
         self.busy: dict[str, list[float]] = {"fleet": [], "load": []}
+        self.by_second = SecondBySecond(scenario)  # what the servers and the proxies hold
         self.sums: dict[str, dict[str, Any]] = {}
 
     def __enter__(self) -> "Run":
@@ -329,7 +332,8 @@
             path = self.keep / f"proxy{number}.json"
             text = json.dumps(configuration(self.scenario, number, port, addresses, self.seed))
             path.write_text(text, encoding="utf-8")
-            daemon = Daemon(number, port, addresses["agents"][number], self.keep, self.options)
+            options = [option.replace(EACH, str(number)) for option in self.options]
+            daemon = Daemon(number, port, addresses["agents"][number], self.keep, options)
             daemon.facts.proxy = number
             self.daemons.append(daemon)
             daemon.start()
@@ -376,6 +380,7 @@
                 watch(Look(now - self.origin, self.load, self.fleet, self.events, self.daemons))
         for daemon in self.daemons:
             daemon.sample(self.origin)
+        load.send("end")  # its connections go: a daemon that is to stop waits for nobody then
         fleet.send("end")
         while "fleet" not in self.sums:
             if not fleet.poll(START_S):
@@ -395,6 +400,9 @@
                 elif kind == "fleet":
                     self.fleet, self.events = rest[0], rest[1]
                     self.busy["fleet"].append(rest[2])
+                    held = [float(count) for _, _, count, _ in self.fleet]
+                    before = max(0.0, self.load.get("open", 0) - sum(held))
+                    self.by_second.sample(int(before), held, [name for name, *_ in self.fleet])
                 else:
                     self.load, news = rest[0], True
                     self.busy["load"].append(rest[1])
@@ -451,6 +459,7 @@
         doubtful = [b for b in breaches if b.promise in TIMED and around(b.at) & lagging]
         breaches = [b for b in breaches if b not in doubtful]
         series = load["series"]
+        series.in_flight, series.held = self.by_second.series.in_flight, self.by_second.series.held
         for second, count in fleet["of_second"].items():
             if 0 <= second < len(series.attempts):
                 series.attempts[second] = count
