--- a/barleybarrow/connections.py
+++ b/barleybarrow/connections.py
@@ -114,7 +114,7 @@
 
     __slots__ = (
         "name cold_until left idle held used opening limit good undo trial_at trial_wait seen broken "
-        "broken_at heard cap cap_until cap_wait peaks lends rate span tended ahead_at handshake"
+        "broken_at heard refusal cap cap_until cap_wait peaks lends rate span tended ahead_at handshake"
     ).split()
 
     def __init__(self, name: str, now: float, cold_until: float) -> None:
@@ -128,6 +128,7 @@
         self.broken, self.broken_at = 0, -math.inf  # connections that broke at once
         self.heard = -math.inf  # when it answered last
         self.cap, self.cap_until, self.cap_wait = math.inf, -math.inf, CAP_WAIT
+        self.refusal: float | None = None  # when a connect was refused, until it is known what that shows
         self.peaks = deque([0], maxlen=WINDOWS)  # most in use, by window; the last is the present one
         self.lends, self.rate = 0, 0.0  # since the last sweep, and a millisecond
         self.span = 0.0  # milliseconds that one is in use, smoothed
@@ -263,6 +264,8 @@
         """The first byte of an answer is here: the connection was alive."""
         line = held.line
         line.heard, line.broken = now, 0
+        if line.refusal is not None:
+            self.capped(line, now, held)
         self.answers += 1
         if held.age > line.good:
             line.good = held.age
@@ -478,14 +481,22 @@
             line.broken = line.broken + 1 if now - line.broken_at <= AT_ONCE else 1
             line.broken_at = now
         if gone or line.broken >= LOST_PROCESS:
-            line.cold_until, line.seen, line.cap = math.inf, None, math.inf
+            line.cold_until, line.seen, line.cap, line.refusal = math.inf, None, math.inf, None
 
     def refused(self, line: Line, now: float) -> None:
-        """A refused connect shows a cap where the member answers on others."""
-        if line.held and now - line.heard <= CAP_WAIT:
+        """A refused connect shows a cap only if the member goes on answering: one that ends refuses too."""
+        if line.refusal is None or now - line.refusal > CAP_WAIT:
+            line.refusal = now if line.held else None
+
+    def capped(self, line: Line, now: float, held: Held) -> None:
+        """The member has answered after it refused a connect: does that show a cap?"""
+        if line.refusal is None or now - line.refusal < AT_ONCE:
+            return  # what it had sent before its end may be read up to now
+        if held.born < line.refusal and now - line.refusal <= CAP_WAIT:
             line.cap = line.held
             line.cap_until = now + line.cap_wait
             line.cap_wait = min(2 * line.cap_wait, CAP_MOST)
+        line.refusal = None
 
     # rest: members that close soon after an answer
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -303,6 +303,20 @@
     assert 4 <= len(refusals) <= 8 and bench.line.cap > 5 and bench.planner.full > 400
 
 
+def test_a_member_that_refuses_because_its_process_ends_is_not_taken_for_a_full_one():
+    # guards against attempts left out for seconds: 587 were on a bench day, for processes that had gone
+    bench = Bench()
+    busy = bench.take()
+    bench.idle(3)
+    bench.now += 10.0
+    bench.planner.not_opened(bench.line, bench.now)
+    bench.serve(busy, 5.0)  # what it had sent before its end
+    assert bench.planner.may_open(bench.line, bench.now)
+    bench.now += 200.0
+    bench.serve(bench.open(), 5.0)  # it is back: that is a new connection
+    assert bench.planner.may_open(bench.line, bench.now) and bench.line.cap == math.inf
+
+
 def test_a_thousand_members_that_leave_and_come_back_leave_nothing_behind():
     # guards against memory that grows with the names of members, and a storm of handshakes at their return
     bench = Bench(AHEAD, room=4_000)
