--- a/barleybarrow/connections.py
+++ b/barleybarrow/connections.py
@@ -36,6 +36,7 @@
     300_000.0,
 )  # limits learned lately, whose median holds for members that have shown none
 CAP_WAIT, CAP_MOST = 1_000.0, 30_000.0  # until a learned cap is tried again; it doubles with each failure
+CAP_SIGNS = 2  # refusals in a row that show a cap: one connect may fail for reasons of its own
 WINDOWS = 6  # parts of the time for which a peak of connections in use is remembered
 RATE_SPAN = 1_000.0  # milliseconds over which the pace of lends is smoothed
 SPAN_WEIGHT = 1 / 16  # of a new time in use in their mean
@@ -114,7 +115,8 @@
 
     __slots__ = (
         "name cold_until left idle held used opening limit good undo trial_at trial_wait seen broken "
-        "broken_at heard refusal cap cap_until cap_wait peaks lends rate span tended ahead_at handshake"
+        "broken_at heard refusal refusals cap cap_until cap_wait peaks lends rate span tended ahead_at "
+        "handshake"
     ).split()
 
     def __init__(self, name: str, now: float, cold_until: float) -> None:
@@ -129,6 +131,7 @@
         self.heard = -math.inf  # when it answered last
         self.cap, self.cap_until, self.cap_wait = math.inf, -math.inf, CAP_WAIT
         self.refusal: float | None = None  # when a connect was refused, until it is known what that shows
+        self.refusals = 0  # in a row that may show a cap
         self.peaks = deque([0], maxlen=WINDOWS)  # most in use, by window; the last is the present one
         self.lends, self.rate = 0, 0.0  # since the last sweep, and a millisecond
         self.span = 0.0  # milliseconds that one is in use, smoothed
@@ -238,6 +241,7 @@
         line = held.line
         took = now - held.since
         line.handshake += (took - line.handshake) * (SPAN_WEIGHT if line.handshake else 1.0)
+        line.refusals = 0
         if line.held > line.cap:
             line.cap, line.cap_wait = line.held, CAP_WAIT
         if line.cold_until == math.inf:  # its process had gone: this is a new one
@@ -493,6 +497,8 @@
         if line.refusal is None or now - line.refusal < AT_ONCE:
             return  # what it had sent before its end may be read up to now
         if held.born < line.refusal and now - line.refusal <= CAP_WAIT:
+            line.refusals += 1
+        if line.refusals >= CAP_SIGNS:
             line.cap = line.held
             line.cap_until = now + line.cap_wait
             line.cap_wait = min(2 * line.cap_wait, CAP_MOST)
