--- a/testbed/counts.py
+++ b/testbed/counts.py
@@ -3,12 +3,27 @@
 import numpy as np
 
 from testbed import scenario as config
-from testbed.results import MANY, QUANTILES, Series
+from testbed.results import MANY, QUANTILES, Series, Tally
 
 SECOND = 1_000_000  # microseconds
 IN_AIM, LATE, REFUSED, FAILED, LEFT = range(5)  # what becomes of a client's request
 
 
+def booked(tally: Tally, how: int, worth: float) -> None:
+    """Note in a tally what became of a request that is worth so much when answered within its aim."""
+    if how == IN_AIM:
+        tally.in_aim += 1
+        tally.worth_in_aim += worth
+    elif how == LATE:
+        tally.late += 1
+    elif how == REFUSED:
+        tally.refused += 1
+    elif how == FAILED:
+        tally.failed += 1
+    else:
+        tally.left += 1
+
+
 class Quota:
     """A tenant's share: what it asks beyond, over a second, is worth little."""
 
--- a/testbed/faults.py
+++ b/testbed/faults.py
@@ -4,7 +4,7 @@
 """
 
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 from testbed import scenario as config
 from testbed.model.arrivals import Swell
@@ -129,3 +129,62 @@
             stage.stop_proxy(target, fault.size == 0.0) if on else stage.start_proxy(target)
         case "load" | "tenant_flood" | "hot_key":
             pass  # the arrivals know
+
+
+def change(sizes: list[float], size: float, on: bool) -> bool:
+    """Add a size to those that act, or take it away; whether there was anything to change."""
+    if on:
+        sizes.append(size)
+    elif size in sizes:
+        sizes.remove(size)
+    else:
+        return False
+    return True
+
+
+class OnHosts:
+    """The faults that mean the same to a host in virtual time and to one on sockets."""
+
+    places: Any  # by number, each with the host that stands there now
+
+    def crash_host(self, host: Any) -> None:
+        raise NotImplementedError
+
+    def start_host(self, host: Any) -> None:
+        raise NotImplementedError
+
+    def begin_drain(self, host: Any, gap: int | None) -> None:
+        raise NotImplementedError
+
+    def publish(self, host: Any, health: str) -> None:
+        raise NotImplementedError
+
+    def quick_errors(self, server: int, share: float, on: bool) -> None:
+        host = self.places[server].host
+        if change(host.errors, share, on):
+            host.server.quick_errors = max(host.errors, default=0.0)
+
+    def crash(self, server: int) -> None:
+        host = self.places[server].host
+        if host.server.up:
+            self.crash_host(host)
+
+    def restart(self, server: int) -> None:
+        host = self.places[server].host
+        if not host.server.up:
+            self.start_host(host)
+
+    def drain(self, server: int) -> None:
+        self.begin_drain(self.places[server].host, None)
+
+    def undrain(self, server: int) -> None:
+        host = self.places[server].host
+        if not host.server.up:
+            self.start_host(host)
+        elif host.health == "draining":
+            host.leaves += 1
+            host.server.draining = False
+            self.publish(host, "ready")
+
+    def replace(self, server: int, gap: int) -> None:
+        self.begin_drain(self.places[server].host, gap)
--- a/testbed/sockets/fleet.py
+++ b/testbed/sockets/fleet.py
@@ -31,7 +31,7 @@
 from testbed.sockets import http
 from testbed.sockets.agents import AgentServer
 from testbed.sockets.lag import Lag
-from testbed.world import NEVER, change, spec_of
+from testbed.world import NEVER, spec_of
 
 SECOND = 1_000_000
 SLACK = 50_000  # by which the rules on sockets are longer than the simulator's
@@ -234,7 +234,7 @@
             self.transport.abort()
 
 
-class Fleet:
+class Fleet(faults.OnHosts):
     """All servers and agents, and the faults; a `faults.Stage`."""
 
     def __init__(self, scenario: config.Scenario, seed: int) -> None:
@@ -682,7 +682,7 @@
                         door.full += 1 if on else -1
                         door.regulate()
             else:
-                change(place.of_sockets.setdefault(fault.kind, []), fault.size, on)
+                faults.change(place.of_sockets.setdefault(fault.kind, []), fault.size, on)
 
     def hush(self, door: Door, on: bool) -> None:
         """One proxy and one place no longer hear of each other; when they do again, what was open is
@@ -699,7 +699,7 @@
 
     def slow(self, server: int, factor: float, on: bool) -> None:
         host = self.places[server].host
-        if change(host.slows, factor, on):
+        if faults.change(host.slows, factor, on):
             product = 1.0
             for each in host.slows:
                 product *= each
@@ -720,42 +720,12 @@
                     self.crash_host(host)
         self.mind(host)
 
-    def quick_errors(self, server: int, share: float, on: bool) -> None:
-        host = self.places[server].host
-        if change(host.errors, share, on):
-            host.server.quick_errors = max(host.errors, default=0.0)
-
-    def crash(self, server: int) -> None:
-        host = self.places[server].host
-        if host.server.up:
-            self.crash_host(host)
-
-    def restart(self, server: int) -> None:
-        host = self.places[server].host
-        if not host.server.up:
-            self.start_host(host)
-
-    def drain(self, server: int) -> None:
-        self.begin_drain(self.places[server].host, None)
-
-    def undrain(self, server: int) -> None:
-        host = self.places[server].host
-        if not host.server.up:
-            self.start_host(host)
-        elif host.health == "draining":
-            host.leaves += 1
-            host.server.draining = False
-            self.publish(host, "ready")
-
-    def replace(self, server: int, gap: int) -> None:
-        self.begin_drain(self.places[server].host, gap)
-
     def partition(self, proxy: int, server: int, on: bool) -> None:
         self.hush(self.places[server].doors[proxy], on)
 
     def discovery(self, kind: str, size: float, on: bool) -> None:
         if kind == "discovery_stale":
-            change(self.stale, size, on)
+            faults.change(self.stale, size, on)
         elif kind == "discovery_whole":
             self.wholes += 1 if on else -1
         else:
@@ -766,7 +736,7 @@
 
     def answers(self, server: int, kind: str, size: float, on: bool) -> None:
         place = self.places[server]
-        change(
+        faults.change(
             {"late_answers": place.late, "lost_answers": place.lost, "resets": place.resets}[kind], size, on
         )
 
--- a/testbed/sockets/load.py
+++ b/testbed/sockets/load.py
@@ -21,7 +21,7 @@
 
 from testbed import faults
 from testbed import scenario as config
-from testbed.counts import FAILED, IN_AIM, LATE, LEFT, REFUSED, Quota, SecondBySecond
+from testbed.counts import FAILED, IN_AIM, LATE, LEFT, REFUSED, Quota, SecondBySecond, booked
 from testbed.model.arrivals import Arrivals, Asked
 from testbed.model.network import stream, uniforms
 from testbed.results import Breach, Tally, encode, histogram
@@ -441,18 +441,7 @@
 
     def finish(self, op: Op, how: int) -> None:
         self.open_ops -= 1
-        tally = self.tallies[op.asked.klass][op.asked.tenant]
-        if how == IN_AIM:
-            tally.in_aim += 1
-            tally.worth_in_aim += op.worth
-        elif how == LATE:
-            tally.late += 1
-        elif how == REFUSED:
-            tally.refused += 1
-        elif how == FAILED:
-            tally.failed += 1
-        else:
-            tally.left += 1
+        booked(self.tallies[op.asked.klass][op.asked.tenant], how, op.worth)
         self.series.finished(op.asked.sent, op.asked.klass, how, op.worth)
         self.check_end()
 
--- a/testbed/world.py
+++ b/testbed/world.py
@@ -25,7 +25,7 @@
 from brackenusher.upstream.listing import Host as Listed
 from testbed import faults
 from testbed import scenario as config
-from testbed.counts import FAILED, IN_AIM, LATE, LEFT, REFUSED, SECOND, Quota, SecondBySecond
+from testbed.counts import FAILED, IN_AIM, LATE, LEFT, REFUSED, SECOND, Quota, SecondBySecond, booked
 from testbed.model import server as model
 from testbed.model.arrivals import Arrivals, Asked, attempt_noise, spread
 from testbed.model.discovery import Agent, Registry
@@ -52,7 +52,7 @@
 CLIENT, ARRIVED, DONE, ANSWER, FAULT = 32, 33, 34, 35, 36  # records of the digest's trace beside the module's
 
 
-class World:
+class World(faults.OnHosts):
     """Everything of one run."""
 
     def __init__(
@@ -291,18 +291,7 @@
         if t is not None:
             t.over = True
         self.open_ops -= 1
-        tally = self.tallies[op.klass][op.tenant]
-        if how == IN_AIM:
-            tally.in_aim += 1
-            tally.worth_in_aim += op.worth
-        elif how == LATE:
-            tally.late += 1
-        elif how == REFUSED:
-            tally.refused += 1
-        elif how == FAILED:
-            tally.failed += 1
-        else:
-            tally.left += 1
+        booked(self.tallies[op.klass][op.tenant], how, op.worth)
         self.seconds_of.finished(op.sent, op.klass, how, op.worth)
 
     # Attempts
@@ -638,7 +627,7 @@
 
     def slow(self, server: int, factor: float, on: bool) -> None:
         host = self.places[server].host
-        if change(host.slows, factor, on):
+        if faults.change(host.slows, factor, on):
             product = 1.0
             for each in host.slows:
                 product *= each
@@ -660,36 +649,6 @@
                     self.crash_host(host)
                 self.mind(host)
 
-    def quick_errors(self, server: int, share: float, on: bool) -> None:
-        host = self.places[server].host
-        if change(host.errors, share, on):
-            host.server.quick_errors = max(host.errors, default=0.0)
-
-    def crash(self, server: int) -> None:
-        host = self.places[server].host
-        if host.server.up:
-            self.crash_host(host)
-
-    def restart(self, server: int) -> None:
-        host = self.places[server].host
-        if not host.server.up:
-            self.start_host(host)
-
-    def drain(self, server: int) -> None:
-        self.begin_drain(self.places[server].host, None)
-
-    def undrain(self, server: int) -> None:
-        host = self.places[server].host
-        if not host.server.up:
-            self.start_host(host)
-        elif host.health == "draining":
-            host.leaves += 1
-            host.server.draining = False
-            self.publish(host, "ready")
-
-    def replace(self, server: int, gap: int) -> None:
-        self.begin_drain(self.places[server].host, gap)
-
     def partition(self, proxy: int, server: int, on: bool) -> None:
         cuts = self.cuts.setdefault(proxy, {})
         if on:
@@ -704,7 +663,7 @@
 
     def discovery(self, kind: str, size: float, on: bool) -> None:
         if kind == "discovery_stale":
-            change(self.stale, size, on)
+            faults.change(self.stale, size, on)
         elif kind == "discovery_whole":
             self.wholes += 1 if on else -1
         else:
@@ -722,7 +681,7 @@
     def answers(self, server: int, kind: str, size: float, on: bool) -> None:
         place = self.places[server]
         sizes = {"late_answers": place.late, "lost_answers": place.lost, "resets": place.resets}
-        change(sizes[kind], size, on)
+        faults.change(sizes[kind], size, on)
 
     def stop_proxy(self, proxy: int, at_once: bool) -> None:
         one = self.proxies[proxy]
@@ -856,17 +815,6 @@
         gc.unfreeze()
 
 
-def change(sizes: list[float], size: float, on: bool) -> bool:
-    """Add a size to those that act, or take it away; whether there was anything to change."""
-    if on:
-        sizes.append(size)
-    elif size in sizes:
-        sizes.remove(size)
-    else:
-        return False
-    return True
-
-
 def run(
     scenario: config.Scenario,
     seed: int,
