Discovery: a start asks only for what changed; a call that waits its turn is left to wait

Cause: Daemon.run held a list with its version and yet Agent (seq None) asked for the whole list, 60 lines a proxy, and then for the watch; Agent.silent hung up after 1.5 s on calls that discovery answers, yes or no, after 2.0 s, so that most of its work was for callers that had gone; and Agent.again called anew 0.1 to 1 s later by a back-off of its own beside the module's, which grows and is spread. Each is harmless alone. Ruled out: the agent (it refuses nobody in push mode), the module's back-off (0.4 to 1.1 s at first, doubling, as it should be).

Change: the known list's version is where the watch begins, if it was read whole; where the list must be asked for the first word may take half of askWithin, and when to call again is the module's word alone.

--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -139,18 +139,8 @@
     def run(self) -> int:
         """Serve until SIGTERM or SIGINT and until all is answered then."""
         self.catch_signals()
+        self.take_known()
         self.transactions.begin()
-        if self.config.known.get("hosts"):
-            try:
-                self.transactions.post(self.pool.take(read_listing(self.config.known)))
-            except Broken as error:
-                say(
-                    log,
-                    logging.WARNING,
-                    "known_list_unusable",
-                    "the known list is left aside: %(why)s",
-                    why=error,
-                )
         for front, address in self.fronts:
             front.listen(address)
         if self.peers:
@@ -220,6 +210,21 @@
         self.outlet.close()
         return 0
 
+    def take_known(self) -> None:
+        """Take up the list as last held; the agent is then asked for no more than what changed since."""
+        known = self.config.known
+        if not known.get("hosts"):
+            return
+        try:
+            listing = read_listing(known)
+        except Broken as error:
+            text = "the known list is left aside: %(why)s"
+            say(log, logging.WARNING, "known_list_unusable", text, why=error)
+            return
+        if listing.whole and len(listing.hosts) == len(known["hosts"]):
+            self.agent.seq = listing.seq
+        self.transactions.post(self.pool.take(listing))
+
     def warm(self) -> None:
         """What others know has been taken up, or comes too late."""
         self.clients.warming = False
--- a/brackenusher/membership/agent.py
+++ b/brackenusher/membership/agent.py
@@ -19,6 +19,8 @@
 
 SILENCE = 3500.0  # discovery sends a line every 2 s
 FIRST_WORD = 1500.0  # the agent is on this machine and answers at once, if at all
+ASKED_WORD = 0.5  # of what the settings allow between two calls: where it must be asked, calls wait in turn,
+# and one that is given up on has been worked on for nothing
 BACK_OFF, LONGEST_BACK_OFF = 100.0, 1000.0
 
 
@@ -36,7 +38,10 @@
     ) -> None:
         self.loop, self.address, self.pool, self.owner, self.buffers = loop, address, pool, owner, buffers
         self.rng = rng
-        self.seq: int | None = None
+        self.seq: int | None = None  # of the list that is held; none: the whole list is asked for
+        settings = owner.balancer.conf
+        self.must_ask = settings.must_ask  # then the module says when: its waits grow, and spread
+        self.first_word = max(FIRST_WORD, ASKED_WORD * settings.ask_within) if self.must_ask else FIRST_WORD
         self.back_off = BACK_OFF
         self.limit: Entry | None = None
         self.retry: Entry | None = None
@@ -63,7 +68,7 @@
             return
         self.machine = Discovery(f"{self.address[0]}:{self.address[1]}", self.seq)
         self.task = self.loop.spawn(self.run(sock, self.machine), sock)
-        self.limit = self.loop.deadlines.add(clock() + FIRST_WORD, self.silent)
+        self.limit = self.loop.deadlines.add(clock() + self.first_word, self.silent)
 
     def run(self, sock: socket.socket, machine: Discovery) -> Coroutine:
         why = "ended"
@@ -103,10 +108,11 @@
         self.task.stop()
 
     def again(self, why: str) -> None:
-        """Try again after a while that doubles."""
+        """Try again after a while that doubles; where the list must be asked for, when the module says."""
         say(log, logging.WARNING, "discovery_lost", "discovery: %(why)s", why=why)
-        if self.owner.balancer.conf.must_ask:
+        if self.must_ask:
             self.owner.post(face.ListChanged(face.ListScope.LOST, []))
+            return
         wait = self.back_off * (0.5 + self.rng.random())
         self.back_off = min(2 * self.back_off, LONGEST_BACK_OFF)
         self.loop.deadlines.remove(self.retry)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -355,6 +355,28 @@
         until(lambda: len(agent.calls) > 1, "the second call")
 
 
+def test_a_start_asks_for_no_more_than_what_changed_since_the_known_list(tmp_path):
+    # guards against forty starts that each ask an overbooked discovery for the whole list
+    with TurnServer() as server:
+        agent = DiscoveryAgent([host("s0", server)])
+        with Program(tmp_path, agent=agent, known=[host("s0", server)]) as program:
+            until(lambda: agent.watchers, "the watch")
+            assert "watch=1&from=0 " in agent.calls[0]
+            assert program.ask(read_request())[0] == 200
+
+
+def test_a_call_that_waits_its_turn_at_discovery_is_not_given_up_and_made_anew(tmp_path):
+    # guards against work for a discovery that serves all proxies, done for callers that have hung up
+    agent = DiscoveryAgent([])
+    agent.listing = lambda whole, hosts: time.sleep(60)
+    with TurnServer() as server:
+        known, mode = [host("s0", server)], {"membershipMode": "subscribe"}
+        with Program(tmp_path, agent=agent, known=known, settings=mode) as program:
+            until(lambda: agent.calls, "the call")
+            time.sleep(2.5)
+            assert len(agent.calls) == 1 and program.ask(read_request())[0] == 200
+
+
 @pytest.mark.parametrize("mode", ["automatic", "subscribe"])
 def test_a_broken_watch_is_taken_up_again_from_the_last_version(tmp_path, mode):
     # guards against missing what changed meanwhile, and against a list never asked for again
