Module: a cold backend counts as crowded by nobody, so that newcomers get their budget

Checked and ruled out: the cold budget (0.5 of a warm one's share, as meant; it was not spent). Line at fault: place() ranks an unseen server at its kind's mean, half as much again for its connection. Each proxy has out some four requests, and among 40 servers that it met a few times each there are always four with better marks by chance: forty proxies each know somebody better, and nobody tries the newcomers.

Change: while a backend is cold its latency counts as its kind's with nobody crowding it, that is, less what the fleet's has risen by; what it gets is bounded by its budget as before.

--- a/barleybarrow/brain.py
+++ b/barleybarrow/brain.py
@@ -68,17 +68,16 @@
         self.least = 1 / max(settings.proxies, 1)
         self.many = START * self.least < FEWEST  # proxies for a threshold of each backend: one for the fleet
         self.sweep_every = max(SWEEP_TICKS * settings.tick, self.aim / (8 if self.many else 50))
-        self.margin = 2 * self.sweep_every  # before a deadline, to be sure of a batch in time
+        self.margin = 2 * max(SWEEP_TICKS * settings.tick, self.aim / 50)  # to be sure of a batch in time
         self.pool, self.idle = Fleet(), Ranking(len(self.classes))
         self.backends, self.live = self.pool.named, self.pool.live
         self.requests, self.kinds, self.sent_to = dict[int, Request](), dict[int, Gauge](), set[str]()
-        self.retry, self.agenda = deque[Request](), Agenda[Request]()
-        self.ripe = Agenda[Backend]()  # when a backend has to be placed anew
+        self.retry, self.agenda, self.ripe = deque[Request](), Agenda[Request](), Agenda[Backend]()
         self.entered, self.wake_at, self.turn, self.answers = 0, inf, 0, 0
         self.budget, self.watch_at, self.watch_backoff, self.breaking = RETRY_DEPTH, inf, 0.0, 0.0
         self.fleet, self.each, self.room, self.far = Gauge(self.level), 0.0, 1.0, FAR
-        self.crossed, self.ask_at, self.pause = -inf, now, FRESH * self.aim / 4
-        self.light, self.heavy, self.rate, self.size = self.aim / 4, self.aim / 4, 0.0, 0
+        self.light = self.heavy = self.aim / 4
+        self.crossed, self.ask_at, self.pause, self.rate, self.size = -inf, now, FRESH * self.light, 0.0, 0
         self.queues, self.actions = list[tuple[Class, deque[Request]]](), list[Action]()
         self.held, self.now, self.swept, self.news = False, now, now, 0
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -185,7 +184,9 @@
         if full or self.now < b.busy_until:
             self.idle.drop(b)
             return None if full else self.await_turn(b, b.busy_until)
-        usual = (b.usual if b.seen else b.kind.usual) * b.hint * (OPENING if self.many > b.open else 1.0)
+        usual = (b.usual if b.seen else b.kind.usual) * b.hint
+        if self.many:  # a cold one is crowded by nobody yet
+            usual *= exp(self.fleet.best - self.fleet.mean) if b.cold < 1 else 1.0 if b.open else OPENING
         shares = zip(b.lost, self.classes, strict=True)
         values: list[float | None] = [usual + (b.far + lost) * c.penalty for lost, c in shares]
         if b.resting:
@@ -434,9 +435,8 @@
         if event.complete or r.closed:
             self.close(r)
         elif not r.held and not r.out:
-            price = outcome not in PROVEN
-            if self.budget >= price and not self.lapsed(r) and self.may_send(r):
-                self.budget -= price
+            if self.budget >= (outcome not in PROVEN) and not self.lapsed(r) and self.may_send(r):
+                self.budget -= outcome not in PROVEN
                 self.hold(r)
             else:
                 self.end(r)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -481,6 +481,20 @@
     assert r not in proxy.answers and len(proxy.sent) == 2
 
 
+def test_a_newcomer_gets_its_budget_though_crowded_ones_have_better_marks():
+    # guards against a replaced fleet that idles: forty proxies each knew somebody better than its kind
+    proxy = crowd(60)
+    for n in range(400):
+        r = proxy.arrive(UNSAFE)
+        proxy.finish(r, elapsed=10.0 if n < 200 else 30.0 * (1 + n % 3))
+        proxy.now += 20
+    proxy.list(face.Entry("new", State.LIVE, started=proxy.now), scope=ListScope.CHANGES)
+    new = proxy.brain.backends["new"]
+    new.pace = proxy.brain.heavy  # what it is allowed by now
+    proxy.brain.place(new)
+    assert proxy.backend(proxy.arrive(UNSAFE)) == "new"
+
+
 def test_proxies_do_not_spend_their_first_credit_at_a_cold_backend_in_step():
     credits = []
     for seed in range(20):
