--- a/testbed/model/discovery.py
+++ b/testbed/model/discovery.py
@@ -89,3 +89,25 @@
             listing = self.registry.since(self.known, seq)
         self.known, self.lost = listing.seq, False
         return listing
+
+
+class Desk:
+    """The one service behind all agents where the list must be asked for: calls wait in turn, and too long.
+
+    A queue of one server, first come, first served, whose work is the lines that it writes; a call that cannot be
+    begun within the patience has waited so long for nothing. Pushes to those who watch are free.
+    """
+
+    def __init__(self, conf: config.Discovery) -> None:
+        self.line = int(1e6 / conf.lines_per_s) if conf.lines_per_s else 0  # microseconds
+        self.patience = int(conf.patience_ms * 1000.0)
+        self.free = self.failed = 0  # when it comes to the next call; calls that waited for nothing
+
+    def call(self, now: int, lines: int) -> tuple[int, bool]:
+        """Microseconds that a call for so many lines takes, and whether it is answered with them."""
+        begins = max(now, self.free)
+        if begins - now > self.patience:
+            self.failed += 1
+            return self.patience, False
+        self.free = begins + self.line * lines
+        return self.free - now, True
--- a/testbed/scenario.py
+++ b/testbed/scenario.py
@@ -135,6 +135,8 @@
     gone_ms: Span = 8000.0  # until a process that went without a word is known as gone
     loss: Share = 0.0  # share of messages lost; the whole list follows with the next
     born_known: bool = True  # whether a server's start is told
+    lines_per_s: Span = 0.0  # where it must be asked: lines of lists that it writes for all; 0 is without end
+    patience_ms: Span = 2000.0  # a call that has waited its turn so long fails
 
 
 class Rules(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/testbed/world.py
+++ b/testbed/world.py
@@ -28,7 +28,7 @@
 from testbed.counts import FAILED, IN_AIM, LATE, LEFT, REFUSED, SECOND, Quota, SecondBySecond, booked
 from testbed.model import server as model
 from testbed.model.arrivals import Arrivals, Asked, attempt_noise, spread
-from testbed.model.discovery import Agent, Registry
+from testbed.model.discovery import Agent, Desk, Registry
 from testbed.model.network import Network, normals, stream, uniforms
 from testbed.oracle import LOOK, SWEEP, Oracle
 from testbed.parts import Host, Op, Place, Try
@@ -97,7 +97,7 @@
         self.reports = bool(scenario.rules.probe_reports)
         self.series = Series()
         self.seconds_of = SecondBySecond(scenario)
-        self.registry = Registry()
+        self.registry, self.desk = Registry(), Desk(scenario.discovery)
         self.away: dict[str, list[tuple[int, str]]] = {}
         self.names: dict[str, Host] = {}
         self.indices: dict[str, int] = {}
@@ -534,8 +534,13 @@
     def watch(self, proxy: Proxy) -> None:
         """A module asks for the list; its call fails while discovery is silent."""
         if self.scenario.discovery.mode == "ask":
-            wait = LOST_WATCH if self.silent else WATCH
-            self.at(self.now + wait, self.watched, (proxy, not self.silent))
+            if self.silent:
+                self.at(self.now + LOST_WATCH, self.watched, (proxy, False))
+                return
+            agent = self.agents[proxy.number]
+            lines = 1 + len(self.registry.since(agent.known, self.registry.seq).hosts)
+            wait, answered = self.desk.call(self.now, lines)
+            self.at(self.now + WATCH + wait, self.watched, (proxy, answered))
 
     def watched(self, what: tuple[Proxy, bool]) -> None:
         proxy, good = what
