--- a/barleybarrow/interface.py
+++ b/barleybarrow/interface.py
@@ -113,6 +113,8 @@
         """Raise SettingsError where no decision could be made by these settings."""
         if not self.classes:
             raise SettingsError("no request classes")
+        if type(self.proxies) is not int or self.proxies < 1:
+            raise SettingsError(f"instances: a whole number above zero is wanted, not {self.proxies!r}")
         if self.tick <= 0 or min(c.aim for c in self.classes) <= 0:
             raise SettingsError("the tick and every aim must be above zero")
         spans = [self.cold, self.tip_after, self.max_retry_after]
--- a/testbed/model/discovery.py
+++ b/testbed/model/discovery.py
@@ -94,8 +94,8 @@
 class Desk:
     """The one service behind all agents where the list must be asked for: calls wait in turn, and too long.
 
-    A queue of one server, first come, first served, whose work is the lines that it writes; a call that cannot be
-    begun within the patience has waited so long for nothing. Pushes to those who watch are free.
+    A queue of one server, first come, first served, whose work is the lines that it writes; a call not begun
+    within the patience has waited so long for nothing. Pushes to those who watch are free.
     """
 
     def __init__(self, conf: config.Discovery) -> None:
--- a/testbed/model/server.py
+++ b/testbed/model/server.py
@@ -167,6 +167,7 @@
         "slow",
         "quick_errors",
         "connections",
+        "connects",
         "born",
         "warmth",
         "warm_done",
@@ -189,7 +190,7 @@
 
     def __init__(self, spec: Spec, draw: Callable[[], float], now: int = 0, cold: bool = False) -> None:
         self.spec, self.draw = spec, draw  # draw: a random number in [0, 1)
-        self.connections = 0
+        self.connections = self.connects = 0
         self.keys: OrderedDict[Any, int] | None = None
         self.tally = Tally()
         self.slow, self.quick_errors = 1.0, 0.0
@@ -343,6 +344,7 @@
         if not self.up or self.connections >= self.spec.connections:
             return False
         self.connections += 1
+        self.connects += 1
         return True
 
     def disconnect(self) -> None:
--- a/testbed/oracle.py
+++ b/testbed/oracle.py
@@ -87,6 +87,7 @@
         ]
         self.idle_held = 0.0  # request-milliseconds held while a server stood idle
         self.pressed: dict[Host, Pressed] = {}
+        self.cold_peak = 0.0  # of what a cold server could do in a window, the most it was sent
         self.usual = max(c.work_ms for c in scenario.classes) * 1000.0
 
     def breach(self, promise: str, at: int, text: str, proxy: int = -1, request: int = -1) -> None:
@@ -212,6 +213,7 @@
             p.total -= old
             p.informed -= old * knew
         budget = conf.tip_multiple * conf.cores * conf.speed * host.server.warm(now) * conf.tip_after
+        self.cold_peak = max(self.cold_peak, conf.tip_multiple * p.total / budget)
         budget += sqrt(budget * self.usual)  # a standard deviation of such a sum, for chance
         if p.total > budget and p.informed >= p.total * 2.0 / 3.0 and not p.broken:
             p.broken = True
--- a/testbed/world.py
+++ b/testbed/world.py
@@ -764,6 +764,8 @@
             attempts=self.attempts,
             repeats=self.repeats,
             probes=self.probes,
+            connects=sum(host.server.connects for host in self.all_hosts),
+            cold_peak=self.oracle.cold_peak,
             work_done=done,
             work_wasted=max(0.0, done - self.useful / 1000.0),
             ran_twice=self.ran_twice,
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -20,8 +20,11 @@
     response,
     submit_request,
     until,
+    write_config,
 )
 
+from barleybarrow.settings import read_settings
+
 
 def test_a_request_reaches_a_turn_server_unchanged_and_its_answer_the_client(tmp_path):
     # guards against rewriting what the protocol passes on: the ids are what repeats are known by
@@ -417,6 +420,35 @@
         assert done.stderr.startswith("brackenusher: ")
 
 
+@pytest.mark.parametrize("instances", [0, -3, "40", 2.5, None])
+def test_a_number_of_proxies_that_is_none_is_named(tmp_path, instances):
+    path = write_config(tmp_path, settings=SETTINGS | {"instances": instances})
+    for name in ("serve", "check-config"):
+        done = command(name, GW_CONFIG=path)
+        assert done.returncode == 2 and done.stderr.count("\n") == 1 and "instances" in done.stderr
+
+
+def test_without_a_number_of_proxies_there_is_one(tmp_path):
+    settings = {name: value for name, value in SETTINGS.items() if name != "instances"}
+    assert command("check-config", GW_CONFIG=write_config(tmp_path, settings=settings)).returncode == 0
+    assert read_settings(settings).proxies == 1
+
+
+def test_odd_lists_leave_the_proxy_serving_or_refusing_with_a_wait(tmp_path):
+    # guards against a proxy that goes down with a list that is empty, cut off, or names a server twice
+    with Program(tmp_path, TurnServer()) as program:
+        agent, entry = program.agent, host("s0", program.servers[0])
+        until(lambda: agent.watchers, "the watch")
+        agent.tell([], whole=True)
+        until(lambda: program.ask(read_request(1))[0] == 503, "the empty list")
+        assert float(program.ask(read_request(2))[1]["retry-after"]) > 0
+        agent.tell([entry, entry, entry | {"health": "ready"}], whole=True)
+        until(lambda: program.ask(read_request(3))[0] == 200, "the list with one server thrice")
+        agent.line(agent.watchers[-1], b'{"seq":9,"whole":true,"hosts":[{"host":"s0","di')
+        until(lambda: len(agent.watchers) > 1, "the next watch")
+        assert program.ask(read_request(4))[0] == 200 and "Traceback" not in program.log
+
+
 def test_a_good_configuration_is_summed_up(program):
     done = command("check-config", GW_CONFIG=str(program.log_path.with_name("config.json")))
     assert done.stdout == f"n0: listens on 127.0.0.1:{program.port}, 2 classes, 0 known\n"
