Module: a fleet keeps room for one request a backend, and grows up to its bound

Lines at fault: threshold (floor of 1 / proxies, growth only under 0.6 of a bound that the noise of the best alone fills by half), place (the bonus).

Change: a cut leaves room for one request at each backend of all proxies together; the fleet's room grows under 0.85 of the bound; a cold backend's bonus is half of what the fleet's latency has risen by.

--- a/barleybarrow/brain.py
+++ b/barleybarrow/brain.py
@@ -26,7 +26,7 @@
 FAILED = 4.0  # a failure counts as an answer that took this multiple of the usual cost, or more
 TIE = 0.2  # costs this near to the best are a tie: less than the spread left after smoothing
 FAR = log(2.5)  # latency over this multiple of its best, or half of what the aim allows, cuts a threshold
-NEAR = 0.6  # and under this share of that (in logs) lets it grow
+NEAR, LOOSE = 0.6, 0.85  # and under this share of that (in logs) lets it grow; the fleet's, of many backends
 GROWTH = 0.25  # a full threshold served adds so much, over all proxies: crowding has to show in between
 CUT = 0.75  # a cut leaves this share of the threshold
 AGE = 0.02  # a second moves the best latency this far toward the present one
@@ -185,8 +185,8 @@
             self.idle.drop(b)
             return None if full else self.await_turn(b, b.busy_until)
         usual = (b.usual if b.seen else b.kind.usual) * b.hint
-        if self.many:  # a cold one is crowded by nobody yet
-            usual *= exp(self.fleet.best - self.fleet.mean) if b.cold < 1 else 1.0 if b.open else OPENING
+        if self.many:  # a cold one is crowded by nobody yet, and slow for another reason
+            usual *= exp((self.fleet.best - self.fleet.mean) / 2) if b.cold < 1 else OPENING ** (not b.open)
         shares = zip(b.lost, self.classes, strict=True)
         values: list[float | None] = [usual + (b.far + lost) * c.penalty for lost, c in shares]
         if b.resting:
@@ -504,15 +504,15 @@
     def threshold(self, g: Gauge, b: Backend, klass: Class, outcome: Outcome) -> None:
         """Grow while latency stays near its best, cut when it leaves it."""
         g.best = min(g.best, g.mean) if g.seen > 1 / SMOOTH else g.mean
-        crowding = g.mean - g.best
+        crowding, floor = g.mean - g.best, self.least * (self.size if self.many else 1)  # one of all
         bound = self.far / (1 + b.far * klass.conf.aim / klass.cost)  # a crossing has to find real room
         filled = self.asks or self.pool.total + 2 > self.room if self.many else b.inflight + 2 > b.limit
-        if crowding < bound * NEAR and outcome is Outcome.SERVED:
+        if crowding < bound * (LOOSE if self.many else NEAR) and outcome is Outcome.SERVED:
             if filled and (self.held or self.now - self.crossed <= self.sweep_every):
                 grown = GROWTH * max(self.least, 1 / FEW) / (1.0 if self.many else max(g.limit, 1.0))
                 self.pool.set_limit(g, g.limit + grown)
         elif crowding > bound and (g.seen if self.many else self.now) >= g.cut_at:
-            self.pool.set_limit(g, max(1.0 if self.asks else self.least, g.limit * CUT))
+            self.pool.set_limit(g, max(1.0 if self.asks else floor, g.limit * CUT))
             g.cut_at = g.seen + 1 / FLEET_SMOOTH if self.many else self.now + g.limit * self.aim / 4
         if self.many:
             self.add_up()
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -472,6 +472,17 @@
     assert 0.5 * room < proxy.brain.room < 0.9 * room
 
 
+def test_a_fleet_keeps_room_for_one_request_at_each_backend_of_all_proxies_together():
+    # guards against requests held, after a trouble, while hundreds of servers stand idle
+    proxy = crowd(60)
+    for n in range(600):
+        served = n < 100
+        took = 10.0 if served else 200.0
+        proxy.finish(proxy.arrive(UNSAFE), Outcome.SERVED if served else Outcome.TIMEOUT, elapsed=took)
+        proxy.now += 300
+    assert proxy.brain.room == pytest.approx(60 / 40)
+
+
 def test_what_never_ran_may_go_elsewhere_though_the_budget_for_repeats_is_spent():
     # guards against refusing, in a release, what the next backend would serve
     proxy = crowd(60)
