Tests: a list that goes up and down while requests are held; a failing server seldom met

Comments of the module that still spoke of proxies outnumbering backends say what is so now; decisions are the same.

--- a/barleybarrow/brain.py
+++ b/barleybarrow/brain.py
@@ -1,7 +1,7 @@
 """All decisions of the proxy; the types, events and actions are in interface.py, the records in state.py.
 
 1. A request goes to the fastest backend seen as idle: own attempts there under a learned threshold, which
-   is the fleet's where proxies outnumber backends; what probes tell of others there counts against it.
+   is the fleet's where a proxy's part of one is small; what probes tell of others there counts against it.
 2. When none is idle it is held, by worth still to be earned per work, and refused when its time runs short.
 3. Whatever goes wrong at a backend leaves it alone for a while; what it leaves unanswered makes it slower.
 4. One table says what may be sent again or refused. A cold backend gets a paced share of a warm one's work.
@@ -51,7 +51,7 @@
 FRESH = 1 / 16  # of the tightest aim: a report of what is at a backend counts so long, many come and go after
 ASKED = 3  # probes sent at once for a held request: of three, one is mostly idle
 LOST = 1 / 8  # weight of an answer, twice for none, in the share of a class that a backend leaves unanswered
-OPENING = 1.5  # a connection yet to be opened counts as so much slower, where proxies outnumber backends
+OPENING = 1.5  # a connection yet to be opened counts as so much slower, with one threshold for the fleet
 PROVEN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))  # it never ran
 
 
@@ -329,7 +329,7 @@
         return found[int(self.rng.random() * len(found))] if found else None
 
     def look_round(self, r: Request, klass: Class) -> Backend | None:
-        """The same in one pass over all, where idleness hangs on the fleet or on what probes tell."""
+        """The same in one pass over all, where idleness hangs on what probes tell."""
         now, fresh, found = self.now, self.now - FRESH * self.aim, list[tuple[float, Backend]]()
         tried = [b for b, _ in r.attempts]
         for b in self.live:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -412,7 +412,7 @@
     assert disconnects(proxy.list(face.Entry("a", State.DRAINING), scope=ListScope.CHANGES)) == ["a"]
 
 
-def test_one_threshold_serves_the_fleet_where_proxies_outnumber_backends():
+def test_one_threshold_serves_the_fleet_where_proxies_are_many():
     proxy = Proxy([f"b{n}" for n in range(8)], proxies=400)
     for _ in range(40):
         some = [proxy.arrive() for _ in range(8)]
@@ -446,6 +446,29 @@
     for size, share in ((20, 1 / 3), (60, 1.0), (0, 0.0), (60, 1.0)):
         proxy.list(*(face.Entry(b, State.LIVE) for b in names[:size]), scope=ListScope.COMPLETE)
         assert proxy.brain.room == pytest.approx(max(before * share, 1 / 40))
+    asked = [proxy.arrive() for _ in range(8)]  # and with requests held
+    held = [r for r in asked if proxy.backend(r) is None]
+    for size in (20, 60):
+        proxy.list(*(face.Entry(b, State.LIVE) for b in names[:size]), scope=ListScope.COMPLETE)
+        proxy.now += 5
+    assert held and not any(r in proxy.answers for r in asked)
+    for r in asked:
+        proxy.finish(r)
+    assert [r for r, _ in proxy.sent] == asked  # each once, in turn
+
+
+def test_a_backend_that_fails_fast_and_is_met_seldom_gets_less_than_its_part():
+    # guards against a failure that draws the traffic of forty proxies, each of which meets it seldom
+    proxy = crowd(60)
+    for n in range(60):
+        proxy.brain.backends[f"b{n}"].open = True  # it has met them all
+        proxy.brain.place(proxy.brain.backends[f"b{n}"])
+    for n in range(1200):
+        r = proxy.arrive(UNSAFE)
+        bad = proxy.backend(r) == "b0"
+        proxy.finish(r, Outcome.ERROR if bad else Outcome.SERVED, elapsed=1.0 if bad else 10.0 + n % 4)
+        proxy.now += 50
+    assert 1 <= [b for _, b in proxy.sent].count("b0") <= 10
 
 
 def test_there_is_no_room_at_backends_that_are_left_alone():
