Second address: readiness, figures, drain and resume, for those who operate the proxy

Change: fronts/control (a machine on h11, a thin driver), barleybarrow/lifecycle (stages without I/O), records/tally (each request once, by what its client was given). The loop takes 64 events a turn at most, and those of the second address first.

--- a/brackenusher/config/platform.py
+++ b/brackenusher/config/platform.py
@@ -31,6 +31,7 @@
     settings: face.Settings
     worded: dict[str, Any]  # the settings as the operators word them
     cores: float = 1.0  # the part of a core that the program may use
+    control: Address | None = None  # the second address; older deployments have none
 
 
 def read_address(text: Any, what: str) -> Address:
@@ -83,6 +84,7 @@
     known = conf.get("known") or {}
     if not isinstance(known, dict):
         raise ConfigError("known: an object expected")
+    control = environ.get("GW_CONTROL") or conf.get("control")
     return Config(
         name=str(environ.get("GW_NAME") or conf.get("name", "")),
         listen=read_address(environ.get("GW_LISTEN") or conf.get("listen"), "listen"),
@@ -93,4 +95,5 @@
         settings=settings,
         worded=conf["settings"],
         cores=cores,
+        control=read_address(control, "control") if control else None,
     )
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -14,11 +14,14 @@
 from barleybarrow.brain import Balancer
 from barleybarrow.door import Door
 from barleybarrow.farewell import Farewell, Phase
+from barleybarrow.lifecycle import Lifecycle, Stage
 from brackenusher.config.operators import Operator, doubts, read_subset
 from brackenusher.config.platform import Config, ConfigError
 from brackenusher.core.admission import Admission
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.core.transaction import RESERVE, Observers, Transactions
+from brackenusher.fronts.control import driver as control
+from brackenusher.fronts.control.machine import Reply
 from brackenusher.fronts.http import Front
 from brackenusher.fronts.http1.clients import Clients
 from brackenusher.fronts.listener import OVERFLOW, Listener, Room
@@ -27,6 +30,7 @@
 from brackenusher.records.capture import Capture
 from brackenusher.records.figures import Figures
 from brackenusher.records.insight import Insight
+from brackenusher.records.tally import Tally
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import Address
 from brackenusher.runtime.log import say
@@ -45,6 +49,7 @@
 CLIENT_PART = 0.625  # of the other descriptors: a held request has a client connection and no flow
 KEPT_PART = 0.2  # of all, between requests: clients hold a third at most, and some ask once and stay
 CHECK = 10.0  # milliseconds: how often it is looked, once the program is to stop, what is to be done
+DRAINED_CHECK = 100.0  # the same while it is drained
 
 
 class Daemon:
@@ -54,10 +59,12 @@
         self.load = load  # reads the configuration anew
         self.told_at: float | None = None  # when the first signal to stop came
         self.farewell: Farewell | None = None
+        self.lifecycle = Lifecycle()
         settings = config.settings
         deadlines, buffers = Deadlines(), Buffers()
         self.config, self.operator, self.loop = config, operator, Loop(deadlines)
         room = config.sockets - SPARE_SOCKETS - OVERFLOW - (PEERS_SOCKETS if operator.peers else 0)
+        room -= control.SOCKETS if config.control else 0
         for_clients = int(room * CLIENT_PART)
         offset = time.time() * 1000.0 - clock()
         self.pool = Pool(
@@ -73,7 +80,9 @@
         self.admission = Admission(self.transactions, settings, door, operator.token)
         front = Front(settings, with_tokens=operator.token is not None)
         share = Room(for_clients)
-        self.clients = Clients(self.loop, front, self.admission, self.pool, share, most_kept, buffers)
+        self.clients = Clients(
+            self.loop, front, self.admission, self.pool, share, most_kept, buffers, self.lifecycle
+        )
         self.fronts: list[tuple[Listener, Address]] = [(self.clients, config.listen)]
         self.http2 = None
         if operator.http2:  # h2 and what it needs takes memory: only for who wants it
@@ -93,6 +102,24 @@
         self.peers: Peers | None = None
         if operator.peers or operator.snapshot:
             self.share(buffers)
+        self.tally: Tally | None = None
+        self.control: control.Control | None = None
+        if config.control:
+            insight = Insight(balancer, clock)
+            self.tally = Tally(
+                settings,
+                clock,
+                lambda now: insight.hosts(self.pool.size, now),
+                lambda: self.transactions.taken,
+                lambda: self.upstream.written,
+            )
+            deeds = {
+                b"/-/ready": (b"GET", self.say_ready),
+                b"/-/metrics": (b"GET", self.say_figures),
+                b"/-/drain": (b"POST", self.drain),
+                b"/-/resume": (b"POST", self.resume),
+            }
+            self.control = control.Control(self.loop, deeds, buffers)
         self.look_on(began)
 
     def share(self, buffers: Buffers) -> None:
@@ -130,7 +157,7 @@
             )
             self.figures.also.append(self.upstream.figures)
             self.figures.also.append(Insight(self.transactions.balancer, clock).figures)
-        looking = [each for each in (self.capture, self.figures) if each]
+        looking = [each for each in (self.capture, self.figures, self.tally) if each]
         self.transactions.observers = Observers(
             handled=tuple(each.handled for each in (self.capture, self.peers) if each),
             answered=tuple(each.answered for each in looking),
@@ -143,8 +170,11 @@
         self.catch_signals()
         self.take_known()
         self.transactions.begin()
+        if self.control and self.config.control:
+            self.control.listen(self.config.control)
         for front, address in self.fronts:
             front.listen(address)
+        self.lifecycle.serves()
         if self.peers:
             self.clients.warming = True
             self.peers.start(self.warm)
@@ -272,7 +302,7 @@
         except ConfigError as error:
             say(log, logging.ERROR, "reload_unusable", "reload: left as it was: %(why)s", why=error)
             return
-        for name in ("listen", "sockets", "settings"):
+        for name in ("listen", "sockets", "settings", "control"):
             if getattr(config, name) != getattr(self.config, name):
                 say(
                     log,
@@ -286,6 +316,58 @@
         if config.discovery != self.agent.address:
             self.agent.move(config.discovery)
 
+    def say_ready(self) -> Reply:
+        return (
+            (200, b"ready\n") if self.clients.ready() else (503, self.lifecycle.stage.value.encode() + b"\n")
+        )
+
+    def say_figures(self) -> Reply:
+        assert self.tally is not None
+        return 200, self.tally.worded()
+
+    def drain(self) -> Reply:
+        """Send clients elsewhere, with the way back left open."""
+        before = self.lifecycle.stage
+        if not self.lifecycle.drain(clock()):
+            return 409, b"the process ends\n"
+        if not before.away:
+            say(
+                log,
+                logging.INFO,
+                "draining",
+                "draining: %(connections)d connections, %(in_hand)d in hand",
+                connections=self.connections,
+                in_hand=len(self.transactions.open),
+            )
+            self.tend_drain(self.lifecycle.drains)
+        return 200, b"draining\n"
+
+    def resume(self) -> Reply:
+        before = self.lifecycle.stage
+        if not self.lifecycle.resume():
+            return 409, b"the process ends\n"
+        if before.away:
+            say(log, logging.INFO, "resumed", "resumed: serving as ever")
+            for front, _ in self.fronts:
+                front.resume()
+        return 200, b"ready\n"
+
+    def tend_drain(self, number: int) -> None:
+        """Do what a drain asks for by now, until it or the process ends."""
+        life, now = self.lifecycle, clock()
+        if not life.stage.away or number != life.drains:
+            return
+        before = life.stage
+        if life.step(now, self.connections) is Stage.DRAINED and before is not Stage.DRAINED:
+            text = "drained after %(span_ms).0f ms: %(connections)d connections"
+            span = now - life.drained_from
+            say(log, logging.INFO, "drained", text, span_ms=span, connections=self.connections)
+        if life.answers_end(now):
+            for front, _ in self.fronts:
+                front.drain(idle=life.idle_end(now))
+        wait = CHECK if life.stage is Stage.DRAINING else DRAINED_CHECK
+        self.later(wait, partial(self.tend_drain, number))
+
     def stop(self) -> None:
         """Serve on as long as the deployment allows, then end with all answered; asked again, go on so."""
         if self.farewell is not None:
@@ -296,6 +378,7 @@
         least = self.transactions.balancer.margin + RESERVE  # the module refuses at once what has less
         plan = Farewell(self.told_at or clock(), longest, self.config.cores, least, alone)
         self.farewell = self.admission.farewell = plan
+        self.lifecycle.end()
         say(
             log,
             logging.INFO,
--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Generator
 
+from barleybarrow.lifecycle import Lifecycle
 from brackenusher.core.admission import Admission, Request, Verdict
 from brackenusher.core.transaction import Answer, Transaction
 from brackenusher.fronts.http import Front, Rejection, worded
@@ -34,9 +35,10 @@
         room: Room,
         most_kept: int,
         buffers: Buffers,
+        lifecycle: Lifecycle,
     ) -> None:
         super().__init__(loop, room)
-        self.front, self.admission, self.pool = front, admission, pool
+        self.front, self.admission, self.pool, self.lifecycle = front, admission, pool, lifecycle
         self.most_kept, self.buffers = most_kept, buffers
         self.links: set[ClientLink] = set()
         self.silent: dict[ClientLink, None] = {}  # between requests, none answered yet; the oldest first
@@ -48,7 +50,7 @@
 
     def ready(self) -> bool:
         """Whether clients that may choose are to come here."""
-        return self.pool.held and not self.warming and self.admission.farewell is None
+        return self.pool.held and not self.warming and self.lifecycle.ready
 
     def begin(self, sock: socket.socket, address: str) -> "ClientLink":
         return ClientLink(self, sock, address)
@@ -70,8 +72,15 @@
         return link is not None
 
     def last_call(self) -> None:
+        self.drain(idle=True)
+
+    def drain(self, idle: bool) -> None:
         self.stopping = True
-        self.close_idle()
+        if idle:
+            self.close_idle()
+
+    def resume(self) -> None:
+        self.stopping = False
 
     def close_idle(self) -> None:
         """Close the connections between requests."""
--- a/brackenusher/fronts/http2/clients.py
+++ b/brackenusher/fronts/http2/clients.py
@@ -67,6 +67,12 @@
                 link.machine.close(clock())
                 link.task.wake()
 
+    def drain(self, idle: bool) -> None:
+        self.last_call()  # GOAWAY: what was taken is answered, and the client opens another connection
+
+    def resume(self) -> None:
+        pass  # who was told to go away goes; newcomers are served as ever
+
     def hurry(self) -> None:
         for link in self.links:
             if link.machine.coming:
--- a/brackenusher/fronts/listener.py
+++ b/brackenusher/fronts/listener.py
@@ -10,13 +10,14 @@
 from collections.abc import Sized
 from typing import Any
 
-from brackenusher.runtime.driver import SHORTAGE, Address
+from brackenusher.runtime.driver import SHORTAGE, Address, open_listener
 from brackenusher.runtime.log import say
 from brackenusher.runtime.loop import READ, Coroutine, Loop, Task, clock
 
 log = logging.getLogger(__name__)
 
 OVERFLOW = 16  # client connections beyond their part that are taken only to be refused
+BACKLOG = 1024  # connections that wait to be accepted
 ACCEPTS = 64  # connections accepted in a row before the others get their turn
 ATTACH_FILTER = 26  # the socket option SO_ATTACH_FILTER, which the standard library does not name
 DROP_ALL = 0x06  # a socket filter's instruction BPF_RET: with 0, nothing of a packet is let in
@@ -84,6 +85,14 @@
         """Nothing new is worth starting any more; called again and again until the end."""
         raise NotImplementedError
 
+    def drain(self, idle: bool) -> None:
+        """Have answers end their connections, and with `idle` close those between requests; called again."""
+        raise NotImplementedError
+
+    def resume(self) -> None:
+        """A drain is over."""
+        raise NotImplementedError
+
     def hurry(self) -> None:
         """All that was taken is answered: turn away who still sends his request. Called again and again."""
         raise NotImplementedError
@@ -99,10 +108,7 @@
         self.room.held -= 1
 
     def listen(self, address: Address) -> None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(address)
-        sock.listen(1024)
+        sock = open_listener(address, BACKLOG)
         self.task = self.loop.spawn(self.accept(sock), sock)
 
     def accept(self, sock: socket.socket) -> Coroutine:
--- a/brackenusher/records/insight.py
+++ b/brackenusher/records/insight.py
@@ -13,6 +13,15 @@
     def __init__(self, balancer: Balancer, clock: Callable[[], float]) -> None:
         self.balancer, self.clock = balancer, clock
 
+    def hosts(self, listed: int, now: float) -> tuple[int, int]:
+        """How many servers are listed, and how many of them get nothing new at a time, whatever its class.
+
+        Those are the ones that drain, and those left alone after failures.
+        """
+        live = self.balancer.live
+        alone = sum(max(b.busy_until, min(b.rests)) > now for b in live)
+        return listed, max(0, listed - len(live)) + alone
+
     def figures(self) -> list[Figure]:
         """Room for what is out (in requests; none where probes bound it), and who is left alone or cold."""
         balancer, now = self.balancer, self.clock()
--- a/brackenusher/runtime/driver.py
+++ b/brackenusher/runtime/driver.py
@@ -22,6 +22,21 @@
     return sock, code == 0
 
 
+def open_listener(address: Address, backlog: int, shared: bool = False) -> socket.socket:
+    """A listening socket that never waits; `shared` where another process may listen there as well."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind(address)
+        sock.listen(backlog)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 def open_datagrams(address: Address) -> socket.socket:
     """A UDP socket that sends to one address and never waits."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
--- a/brackenusher/runtime/loop.py
+++ b/brackenusher/runtime/loop.py
@@ -20,6 +20,7 @@
 READ, WRITE = select.EPOLLIN, select.EPOLLOUT
 HANGUP = select.EPOLLRDHUP
 LONGEST_WAIT = 1000.0  # milliseconds
+MOST_EVENTS = 64  # a turn takes no more, so that what comes first is looked at every few milliseconds
 
 Coroutine = Generator[int, int, None]
 
@@ -32,10 +33,11 @@
 class Task:
     """A running coroutine with its socket."""
 
-    __slots__ = ("loop", "coroutine", "sock", "fd", "mask", "woken", "stopped", "ended")
+    __slots__ = ("loop", "epoll", "coroutine", "sock", "fd", "mask", "woken", "stopped", "ended")
 
-    def __init__(self, loop: "Loop", coroutine: Coroutine, sock: socket.socket) -> None:
+    def __init__(self, loop: "Loop", coroutine: Coroutine, sock: socket.socket, epoll: select.epoll) -> None:
         self.loop, self.coroutine, self.sock, self.fd = loop, coroutine, sock, sock.fileno()
+        self.epoll = epoll  # where it is registered
         self.mask, self.woken, self.stopped, self.ended = 0, False, False, False
 
     def wake(self) -> None:
@@ -62,19 +64,29 @@
         self.tasks: dict[int, Task] = {}
         self.woken: deque[Task] = deque()
         self.running = True
-
-    def spawn(self, coroutine: Coroutine, sock: socket.socket) -> Task:
-        """Start a coroutine that owns a socket, and run it to where it first waits."""
-        task = Task(self, coroutine, sock)
+        self.first: select.epoll | None = None  # what comes first in each turn; made for the first such task
+
+    def spawn(self, coroutine: Coroutine, sock: socket.socket, first: bool = False) -> Task:
+        """Start a coroutine that owns a socket, and run it to where it first waits.
+
+        With `first` its events come before all others of a turn.
+        """
+        epoll = self.epoll
+        if first:
+            if self.first is None:
+                self.first = select.epoll()
+                self.epoll.register(self.first.fileno(), READ)
+            epoll = self.first
+        task = Task(self, coroutine, sock, epoll)
         self.tasks[task.fd] = task
-        self.epoll.register(task.fd, 0)
+        epoll.register(task.fd, 0)
         self.resume(task, None)
         return task
 
     def end(self, task: Task) -> None:
         task.ended = True
         if self.tasks.pop(task.fd, None) is not None:
-            self.epoll.unregister(task.fd)
+            task.epoll.unregister(task.fd)
         task.sock.close()
 
     def resume(self, task: Task, events: int | None) -> None:
@@ -90,13 +102,16 @@
                 task.stop()
             elif mask != task.mask:
                 task.mask = mask
-                self.epoll.modify(task.fd, mask)
+                task.epoll.modify(task.fd, mask)
 
     def turn(self) -> None:
         """Wait for news, resume whom it concerns, then sweep the deadlines."""
         due = self.deadlines.next()
         wait = LONGEST_WAIT if due is None else min(max(due - clock(), 0.0), LONGEST_WAIT)
-        for fd, events in self.epoll.poll(0 if self.woken else wait / 1000.0):
+        news = self.epoll.poll(0 if self.woken else wait / 1000.0, MOST_EVENTS)
+        if self.first is not None and news:
+            news = self.first.poll(0) + news
+        for fd, events in news:
             task = self.tasks.get(fd)
             if task is not None:
                 self.resume(task, events)
--- a/brackenusher/upstream/connections.py
+++ b/brackenusher/upstream/connections.py
@@ -35,6 +35,7 @@
         self.connect_time = settings.connect_timeout or CONNECT_TIME
         self.planner = pool.planner
         self.planner.room = room
+        self.written = 0  # attempts that were written whole, probes apart
         self.ticking = False  # the planner's sweep is due at some time
         self.told: Counter[tuple[str, str]] = Counter()  # counters as they were told last, by name and cause
         self.owner: Transactions  # set by who makes the transactions, which need this first
@@ -228,6 +229,7 @@
                 return self.elsewhere(Cause.UNWRITTEN)
             return self.done(early.outcome, early.served, cause=Cause.TOLD)
         self.wrote = clock()
+        self.upstream.written += isinstance(attempt, Attempt)
         try:
             while self.reply is None:
                 yield READ
--- a/brackenusher/upstream/pool.py
+++ b/brackenusher/upstream/pool.py
@@ -78,6 +78,11 @@
         self.members: dict[str, Member] = {}
         self.held = False  # a list has been taken
 
+    @property
+    def size(self) -> int:
+        """How many are on the list, those that drain among them."""
+        return len(self.listed if self.subset is not None else self.members)
+
     def take(self, listing: Listing) -> face.ListChanged:
         """Apply a list, and word it for the module."""
         self.held = True
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -185,11 +185,13 @@
         operator=None,
         stderr=None,
         name="n0",
+        control=False,
     ):
         self.servers = servers
         hosts = [host(f"s{n}", server) for n, server in enumerate(servers)]
         self.agent = agent or DiscoveryAgent(hosts)
         self.port = free_port()
+        self.control = free_port() if control else None
         self.log_path = tmp_path / "log"
         path = write_config(
             tmp_path,
@@ -199,6 +201,7 @@
             limits={"cores": 1.0, "memory_mb": 192, "sockets": sockets},
             known={"seq": 0, "whole": True, "hosts": list(known)},
             settings=SETTINGS | (settings or {}),
+            **({"control": f"127.0.0.1:{self.control}"} if control else {}),
         )
         arguments = ["serve"]
         if operator is not None:
@@ -234,6 +237,15 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return sock
 
+    def call(self, method, path, body=b""):
+        """Call the second address: status, headers, body."""
+        head = f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+        with socket.create_connection(("127.0.0.1", self.control), timeout=WAIT) as sock:
+            return self.ask(head.encode() + body, sock)
+
+    def figures(self):
+        return json.loads(self.call("GET", "/-/metrics")[2])
+
     def ready(self):
         assert self.process.poll() is None, self.log
         with contextlib.suppress(OSError), self.connect() as sock:
