Handover: a new process takes over listener, list, learned state and clients' connections

Change: brackenusher/handover (packets, the old and the new side), barleybarrow/memo (what a module learned, as values), barleybarrow/succession (who may hold how many descriptors). The old process passes its listening socket, and from SIGTERM on its clients' connections between requests, unread bytes and all. At its end it closes only its own descriptor of the shared listener: the filter that keeps newcomers out would shut the new process's door as well.

Ruled out before: that the estimates are lost with the process (the log: all entries were learned).

--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -2,6 +2,7 @@
 
 import gc
 import logging
+import os
 import random
 import signal
 import socket
@@ -9,12 +10,14 @@
 from collections.abc import Callable
 from functools import partial
 from types import FrameType
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+from barleybarrow import memo
 from barleybarrow.brain import Balancer
 from barleybarrow.door import Door
 from barleybarrow.farewell import Farewell, Phase
 from barleybarrow.lifecycle import Lifecycle, Stage
+from barleybarrow.succession import parts
 from brackenusher.config.operators import Operator, doubts, read_subset
 from brackenusher.config.platform import Config, ConfigError
 from brackenusher.core.admission import Admission
@@ -25,8 +28,11 @@
 from brackenusher.fronts.http import Front
 from brackenusher.fronts.http1.clients import Clients
 from brackenusher.fronts.listener import OVERFLOW, Listener, Room
+from brackenusher.handover.messages import Kind, word, worded
+from brackenusher.handover.new import New, Taken, take
+from brackenusher.handover.old import Old, path_for
 from brackenusher.membership.agent import Agent
-from brackenusher.membership.discovery import Broken, read_listing
+from brackenusher.membership.discovery import Broken, read_listing, word_host
 from brackenusher.records.capture import Capture
 from brackenusher.records.figures import Figures
 from brackenusher.records.insight import Insight
@@ -36,6 +42,7 @@
 from brackenusher.runtime.log import say
 from brackenusher.runtime.loop import READ, Coroutine, Loop, clock
 from brackenusher.runtime.outlet import Outlet
+from brackenusher.runtime.timers import Entry
 from brackenusher.upstream.connections import Upstream
 from brackenusher.upstream.pool import Pool
 
@@ -49,6 +56,7 @@
 CLIENT_PART = 0.625  # of the other descriptors: a held request has a client connection and no flow
 KEPT_PART = 0.2  # of all, between requests: clients hold a third at most, and some ask once and stay
 CHECK = 10.0  # milliseconds: how often it is looked, once the program is to stop, what is to be done
+DIVIDE = 50.0  # milliseconds: how often descriptors are divided anew with a new process
 DRAINED_CHECK = 100.0  # the same while it is drained
 
 
@@ -63,6 +71,9 @@
         settings = config.settings
         deadlines, buffers = Deadlines(), Buffers()
         self.config, self.operator, self.loop = config, operator, Loop(deadlines)
+        self.deadlines = deadlines
+        self.dividing: Entry | None = None  # when it is next looked how the descriptors are divided
+        self.told_held: dict[str, Any] = {}
         room = config.sockets - SPARE_SOCKETS - OVERFLOW - (PEERS_SOCKETS if operator.peers else 0)
         room -= control.SOCKETS if config.control else 0
         for_clients = int(room * CLIENT_PART)
@@ -120,8 +131,119 @@
                 b"/-/resume": (b"POST", self.resume),
             }
             self.control = control.Control(self.loop, deeds, buffers)
+        self.for_clients, self.for_flows, self.room = for_clients, room - for_clients, share
+        self.old: Old | None = None  # this process's side toward one that takes its place
+        self.new: New | None = None  # and toward the one whose place it takes
+        if config.control:
+            self.meet()
         self.look_on(began)
 
+    def meet(self) -> None:
+        """Be ready to give what a new process needs."""
+        path = path_for(self.config.name, os.environ)
+        if path is None:
+            say(
+                log,
+                logging.INFO,
+                "handover_off",
+                "no handover to a new process: no $TMPDIR of a usable length",
+            )
+            return
+        self.old = Old(self.loop, path, self.give)
+        self.old.came = self.divide
+        self.old.went = self.alone_again
+
+    def give(self) -> tuple[list[str], list[int], list[bytes]]:
+        """What a new process gets: addresses, the sockets that listen on them, and packets."""
+        addresses = [f"{host}:{port}" for _, (host, port) in self.fronts]
+        fds = [front.task.fd for front, _ in self.fronts]
+        state = {"seq": self.agent.seq, **self.holding()}
+        packets = [
+            *worded(Kind.LIST, [word_host(host) for host in self.pool.hosts]),
+            *worded(Kind.LEARNED, memo.write(self.transactions.balancer)),
+            word(Kind.READY, state),
+        ]
+        self.divide()
+        return addresses, fds, packets
+
+    def holding(self) -> dict[str, Any]:
+        stopping = self.farewell is not None
+        return {"clients": self.room.held, "flows": self.pool.planner.total, "stopping": stopping}
+
+    def divide(self) -> None:
+        """Keep to this process's part of the descriptors while another has the rest, and tell it of that."""
+        if self.old is None or self.old.link is None:
+            return
+        held = self.holding()
+        self.room.most = parts(self.both(self.for_clients), held["clients"], held["stopping"])[0]
+        self.pool.planner.room = max(1, parts(self.both(self.for_flows), held["flows"], False)[0])
+        if held != self.told_held:
+            self.told_held = held
+            self.old.tell(Kind.HELD, held)
+        self.deadlines.remove(self.dividing)
+        self.dividing = self.later(DIVIDE, self.divide)
+
+    def both(self, part: int) -> int:
+        """What two processes have for a purpose that one has `part` for: each needs its spare ones."""
+        whole = self.for_clients + self.for_flows
+        return max(2, int(part * (1 - (SPARE_SOCKETS + OVERFLOW + control.SOCKETS) / whole)))
+
+    def alone_again(self) -> None:
+        """The new process has gone: serve on, in the end as well, as if it had never come."""
+        assert self.old is not None
+        self.deadlines.remove(self.dividing)
+        self.room.most, self.pool.planner.room = self.for_clients, self.for_flows
+        for front, _ in self.fronts:
+            front.take_back()
+        if self.farewell is None:
+            self.old.listen()
+
+    def succeed(self, taken: Taken) -> None:
+        """Go on where the old process stands."""
+        learned = memo.take(self.transactions.balancer, taken.learned, clock())
+        self.leave_to_old(taken.state)
+        self.new = New(self.loop, taken.link, self.leave_to_old, self.clients.take_over, self.old_ended)
+        text = "handover: %(hosts)d hosts, %(learned)d of %(all)d entries learned, %(listeners)d listeners"
+        say(
+            log,
+            logging.INFO,
+            "handover",
+            text,
+            hosts=len(taken.hosts),
+            learned=learned,
+            all=len(taken.learned),
+            listeners=len(taken.listeners),
+        )
+
+    def leave_to_old(self, held: dict[str, Any]) -> None:
+        """Keep to what the old process leaves of the descriptors."""
+        clients, flows, stopping = int(held["clients"]), int(held["flows"]), bool(held["stopping"])
+        self.room.most = parts(self.both(self.for_clients), clients, stopping)[1]
+        self.pool.planner.room = max(1, parts(self.both(self.for_flows), flows, False)[1])
+
+    def old_ended(self) -> None:
+        self.room.most, self.pool.planner.room = self.for_clients, self.for_flows
+        assert self.new is not None
+        passed = self.new.clients
+        say(
+            log,
+            logging.INFO,
+            "old_ended",
+            "the old process has ended; %(passed)d clients' connections came",
+            passed=passed,
+        )
+        self.new = None
+
+    def serve_in_its_place(self) -> None:
+        """Once this process can serve, take the name over, and say so to the old process."""
+        if not self.clients.ready() and self.lifecycle.stage is Stage.READY:
+            self.later(CHECK, self.serve_in_its_place)
+            return
+        if self.new is not None:
+            self.new.serves()
+        if self.old is not None:
+            self.old.listen()
+
     def share(self, buffers: Buffers) -> None:
         """Share knowledge with peers, or with the next start by a file."""
         try:
@@ -168,16 +290,24 @@
     def run(self) -> int:
         """Serve until SIGTERM or SIGINT and until all is answered then."""
         self.catch_signals()
-        self.take_known()
+        taken = take(self.old.path) if self.old else None
+        self.take_known(taken)
         self.transactions.begin()
+        if taken is not None:
+            self.succeed(taken)
         if self.control and self.config.control:
             self.control.listen(self.config.control)
+        given = taken.listeners if taken is not None else {}
         for front, address in self.fronts:
-            front.listen(address)
+            front.listen(address, bool(self.config.control), given.pop(f"{address[0]}:{address[1]}", None))
+        for sock in given.values():
+            sock.close()
         self.lifecycle.serves()
         if self.peers:
             self.clients.warming = True
             self.peers.start(self.warm)
+        if self.old:
+            self.serve_in_its_place()
         self.agent.connect()
         gc.collect()
         gc.freeze()  # what is here stays: later collections need not look at it
@@ -239,12 +369,17 @@
             self.figures.close()
             dropped = self.figures.sink.dropped
             say(log, logging.INFO, "figures_ended", "figures: %(dropped)d batches dropped", dropped=dropped)
+        if self.old:
+            say(log, logging.INFO, "passed_on", "%(passed)d connections passed on", passed=self.old.passed)
+            self.old.close()
         self.outlet.close()
         return 0
 
-    def take_known(self) -> None:
+    def take_known(self, taken: Taken | None = None) -> None:
         """Take up the list as last held; the agent is then asked for no more than what changed since."""
         known = self.config.known
+        if taken is not None and taken.hosts:
+            known = {"seq": taken.state.get("seq") or 0, "whole": True, "hosts": taken.hosts}
         if not known.get("hosts"):
             return
         try:
@@ -254,7 +389,7 @@
             say(log, logging.WARNING, "known_list_unusable", text, why=error)
             return
         if listing.whole and len(listing.hosts) == len(known["hosts"]):
-            self.agent.seq = listing.seq
+            self.agent.seq = listing.seq or None
         self.transactions.post(self.pool.take(listing))
 
     def warm(self) -> None:
@@ -374,7 +509,8 @@
             say(log, logging.INFO, "stopping_already", "stopping already")
             return
         settings = self.config.settings
-        longest, alone = max(c.deadline for c in settings.classes), settings.proxies <= 1
+        heir = self.old if self.old is not None and self.old.serves else None
+        longest, alone = max(c.deadline for c in settings.classes), settings.proxies <= 1 and heir is None
         least = self.transactions.balancer.margin + RESERVE  # the module refuses at once what has less
         plan = Farewell(self.told_at or clock(), longest, self.config.cores, least, alone)
         self.farewell = self.admission.farewell = plan
@@ -390,6 +526,9 @@
         )
         for front, _ in self.fronts:
             front.told()
+            if heir is not None:
+                front.hand_over(heir.pass_on)
+        self.divide()
         self.later(CHECK, partial(self.attend, plan, clock() + CHECK))
 
     def attend(self, plan: Farewell, due: float) -> None:
@@ -413,6 +552,8 @@
         if phase is Phase.ENDED:
             self.loop.running = False
             return
+        for front, _ in self.fronts:
+            front.pass_idle()
         if phase >= Phase.LAST_CALL:
             for front, _ in self.fronts:
                 front.last_call()
@@ -431,5 +572,5 @@
                 front.stop_accepting()
         self.later(CHECK, partial(self.attend, plan, clock() + CHECK))
 
-    def later(self, span: float, action: Callable[[], None]) -> None:
-        self.loop.deadlines.add(clock() + span, action)
+    def later(self, span: float, action: Callable[[], None]) -> Entry:
+        return self.deadlines.add(clock() + span, action)
--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -8,7 +8,7 @@
 from brackenusher.core.transaction import Answer, Transaction
 from brackenusher.fronts.http import Front, Rejection, worded
 from brackenusher.fronts.http1.virtual_server import VirtualServer
-from brackenusher.fronts.listener import Listener, Room
+from brackenusher.fronts.listener import Heir, Listener, Room
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import write
 from brackenusher.runtime.loop import HANGUP, READ, WRITE, Coroutine, Loop, clock
@@ -20,6 +20,7 @@
 PARTIAL_TIME = 200.0  # where there is no room left, a request is waited for no longer than this
 ANSWER_TIME = 10_000.0  # an answer must be taken by the client in this time
 LINGER = 500.0  # so long the rest of a stream that ends is read away, so that the answer is not reset
+PASSED_AT_ONCE = 16  # connections that are given to another process in one go
 FIRST_TIME = 20.0  # a connection this young is not closed at the end: its first request is on its way
 
 
@@ -46,6 +47,7 @@
         self.partial: dict[ClientLink, None] = {}  # with a request that is not whole; the oldest first
         self.spent: dict[ClientLink, None] = {}  # with their last answer written, the rest is read away
         self.stopping = False  # each answer ends its connection
+        self.heir: Heir | None = None  # who takes connections between requests once this process is to stop
         self.warming = False  # what others know is still awaited, for a fraction of a second
 
     def ready(self) -> bool:
@@ -82,6 +84,24 @@
     def resume(self) -> None:
         self.stopping = False
 
+    def hand_over(self, heir: Heir) -> None:
+        super().hand_over(heir)
+        self.heir = heir
+        self.pass_idle()
+
+    def take_back(self) -> None:
+        super().take_back()
+        self.heir = None
+
+    def pass_idle(self) -> None:
+        idle = [link for link in [*self.silent, *self.kept] if link.machine.between]
+        for at in range(0, len(idle), PASSED_AT_ONCE):
+            links = idle[at : at + PASSED_AT_ONCE]
+            if self.heir is None or not self.heir([link.sock for link in links]):
+                return
+            for link in links:
+                link.task.stop()  # closes this process's descriptor alone
+
     def close_idle(self) -> None:
         """Close the connections between requests."""
         young = clock() - FIRST_TIME
@@ -130,6 +150,9 @@
                 if item is None:
                     if machine.ended or machine.last:
                         return
+                    heir = self.clients.heir
+                    if heir is not None and machine.between and heir([self.sock]):
+                        return
                     self.rest(machine.between)
                     if not (yield from self.write(machine.go_on())):
                         return
--- a/brackenusher/fronts/listener.py
+++ b/brackenusher/fronts/listener.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 from array import array
-from collections.abc import Sized
+from collections.abc import Callable, Sequence, Sized
 from typing import Any
 
 from brackenusher.runtime.driver import SHORTAGE, Address, open_listener
@@ -39,6 +39,9 @@
         say(log, logging.INFO, "no_filter", "the listener takes no filter: %(why)s", why=error)
 
 
+Heir = Callable[[Sequence[socket.socket]], bool]  # takes connections; False where it takes none just now
+
+
 class Room:
     """The clients' part of the descriptors, counted over all listeners."""
 
@@ -65,6 +68,7 @@
         self.loop, self.room = loop, room
         room.listeners.append(self)
         self.shut = False  # the door is closed
+        self.handed = False  # another process accepts at the same door
         self.warned_at = -WARN_AGAIN
         self.task: Task  # the listener's
 
@@ -107,8 +111,10 @@
     def leave(self) -> None:
         self.room.held -= 1
 
-    def listen(self, address: Address) -> None:
-        sock = open_listener(address, BACKLOG)
+    def listen(self, address: Address, shared: bool = False, sock: socket.socket | None = None) -> None:
+        """Listen on an address; `shared` with another process, `sock` being what that one listens on."""
+        sock = sock or open_listener(address, BACKLOG, shared)
+        sock.setblocking(False)
         self.task = self.loop.spawn(self.accept(sock), sock)
 
     def accept(self, sock: socket.socket) -> Coroutine:
@@ -119,8 +125,8 @@
                 self.loop.deadlines.add(clock() + 10.0, self.task.wake)
                 yield 0
             else:
-                yield READ
-            pause = not self.take_in(sock)
+                yield 0 if self.handed else READ
+            pause = not self.handed and not self.take_in(sock)
 
     def take_in(self, sock: socket.socket) -> bool:
         """Accept what waits; False where there is no room for more just now."""
@@ -142,11 +148,38 @@
                 return self.room.spare(self)
             if self.room.held >= self.room.most:
                 self.room.spare(self)  # only now: there may have been nobody to make room for
-            client.setblocking(False)
-            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.begin(client, peer[0])
+            self.welcome(client, peer[0])
         return True
 
+    def welcome(self, client: socket.socket, address: str) -> None:
+        client.setblocking(False)
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.begin(client, address)
+
+    def take_over(self, client: socket.socket) -> None:
+        """Serve a connection that the process before this one accepted, with what is unread on it."""
+        try:
+            address = client.getpeername()[0]
+            if self.room.held >= self.room.most:
+                self.room.spare(self)
+            self.welcome(client, address)
+        except OSError:
+            client.close()  # the client has left
+
+    def hand_over(self, heir: Heir) -> None:
+        """Another process accepts from now on; `heir` gives it connections, False where it takes none now."""
+        self.handed = True
+        self.task.wake()
+
+    def take_back(self) -> None:
+        """That process has gone: accept again."""
+        if self.handed and not self.shut:
+            self.handed = False
+            self.task.wake()
+
+    def pass_idle(self) -> None:
+        """Give what stands between requests to the other process; called again and again."""
+
     def stop_accepting(self) -> None:
         """Let nobody in any more, and close the listener once all are taken in who had been let in.
 
@@ -154,6 +187,9 @@
         """
         if self.shut:
             return
+        if self.handed:  # the other process listens on the very same socket
+            self.shut = True
+            return self.task.stop()
         keep_out(self.task.sock)
         before = -1
         while before != len(self.links):
--- a/brackenusher/membership/discovery.py
+++ b/brackenusher/membership/discovery.py
@@ -32,6 +32,19 @@
     )
 
 
+def word_host(host: Host) -> dict[str, Any]:
+    """An entry in discovery's form."""
+    return {
+        "host": host.name,
+        "dial": f"{host.address[0]}:{host.address[1]}",
+        "site": host.zone,
+        "class": host.kind,
+        "block": host.cell,
+        "health": host.health,
+        "born_ms": host.born_ms,
+    }
+
+
 def read_listing(document: Any) -> Listing:
     """Read a list in discovery's form; an entry that cannot be read is left out and logged."""
     if not isinstance(document, dict):
--- a/brackenusher/upstream/pool.py
+++ b/brackenusher/upstream/pool.py
@@ -7,7 +7,6 @@
 from barleybarrow import interface as face
 from barleybarrow.connections import Cause, ConnectionSettings, Held, Line, Planner
 from barleybarrow.subsets import Subset
-from brackenusher.runtime.driver import Address
 from brackenusher.upstream.listing import Host, Listing
 
 ROOM = 1024  # connections, until the driver says how many it may hold
@@ -27,10 +26,11 @@
 class Member:
     """A turn server on the list; flows to one that has left it keep theirs. A fleet has thousands of them."""
 
-    __slots__ = ("name", "address", "born_ms", "left_at", "line")
+    __slots__ = ("name", "address", "born_ms", "left_at", "line", "host")
 
-    def __init__(self, name: str, address: Address, born_ms: float, line: Line) -> None:
-        self.name, self.address, self.born_ms = name, address, born_ms
+    def __init__(self, host: Host, line: Line) -> None:
+        self.name, self.address, self.born_ms = host.name, host.address, host.born_ms
+        self.host = host  # its entry, as last told
         self.left_at: float | None = None  # when this proxy was told that it drains or is gone
         self.line = line  # the connections to its present life
 
@@ -83,6 +83,13 @@
         """How many are on the list, those that drain among them."""
         return len(self.listed if self.subset is not None else self.members)
 
+    @property
+    def hosts(self) -> list[Host]:
+        """The list as it was told last."""
+        if self.subset is not None:
+            return list(self.listed.values())
+        return [member.host for member in self.members.values()]
+
     def take(self, listing: Listing) -> face.ListChanged:
         """Apply a list, and word it for the module."""
         self.held = True
@@ -121,8 +128,9 @@
         """Bring one member up to date."""
         member = self.members.get(host.name)
         if member is None:
-            member = Member(host.name, host.address, host.born_ms, self.begin(host))
+            member = Member(host, self.begin(host))
             self.members[host.name] = member
+        member.host = host
         if (member.address, member.born_ms) != (host.address, host.born_ms):
             self.leave(member)  # what is held leads to a process that is no longer there
             member.address, member.born_ms = host.address, host.born_ms
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -186,11 +186,13 @@
         stderr=None,
         name="n0",
         control=False,
+        tmpdir=None,
+        port=None,
     ):
         self.servers = servers
         hosts = [host(f"s{n}", server) for n, server in enumerate(servers)]
         self.agent = agent or DiscoveryAgent(hosts)
-        self.port = free_port()
+        self.port = port or free_port()
         self.control = free_port() if control else None
         self.log_path = tmp_path / "log"
         path = write_config(
@@ -211,7 +213,12 @@
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "brackenusher", *arguments],
                 cwd=ROOT,
-                env={**os.environ, "GW_CONFIG": path, "GW_DISCOVERY": self.agent.address},
+                env={
+                    **os.environ,
+                    "GW_CONFIG": path,
+                    "GW_DISCOVERY": self.agent.address,
+                    "TMPDIR": str(tmpdir or tmp_path),
+                },
                 stdout=log,
                 stderr=stderr or log,
             )
