Long bodies and answers pass through in pieces, within a budget of memory

Seen in the log: answers over 64 KiB taken for spoilt and asked for again (1.16 attempts a request), 182 slow bodies answered 408 after 2.5 s, bodies over 64 KiB 413.

Change: core/pipe (a pipe with a bound, and the budget of all), both machines pass on beyond 64 KiB, the drivers stop reading where a pipe is full. A body is kept up to 1 MiB so that its server is chosen when it is whole; longer ones are sent once. A peer that stops has a limit of its own.

Ruled out: requests that the front turns away by itself (none), servers slow to read (one in 4,895 over 20 ms). To the module an answer that is passed on took the time to its first byte.

Two defects were found by tests before that: a body whose last piece and end came in one wake was never ended, and a spoilt end of an answer could pass for whole.

--- a/brackenusher/config/platform.py
+++ b/brackenusher/config/platform.py
@@ -31,6 +31,7 @@
     settings: face.Settings
     worded: dict[str, Any]  # the settings as the operators word them
     cores: float = 1.0  # the part of a core that the program may use
+    memory_mb: float = 64.0  # that the program may take
     control: Address | None = None  # the second address; older deployments have none
 
 
@@ -81,6 +82,9 @@
     cores = float(conf.get("limits", {}).get("cores", 1.0))
     if not cores > 0:
         raise ConfigError(f"limits: {cores} cores are too few")
+    memory_mb = float(conf.get("limits", {}).get("memory_mb", 64.0))
+    if not memory_mb > 0:
+        raise ConfigError(f"limits: {memory_mb} memory_mb are too few")
     known = conf.get("known") or {}
     if not isinstance(known, dict):
         raise ConfigError("known: an object expected")
@@ -95,5 +99,6 @@
         settings=settings,
         worded=conf["settings"],
         cores=cores,
+        memory_mb=memory_mb,
         control=read_address(control, "control") if control else None,
     )
--- a/brackenusher/core/admission.py
+++ b/brackenusher/core/admission.py
@@ -101,6 +101,10 @@
         if self.farewell is not None and isinstance(answer, Served):
             self.farewell.answered(self.owner.clock() - transaction.arrived)
 
+    def whole(self, transaction: Transaction) -> None:
+        """The rest of the body of a request that was taken before has come."""
+        self.owner.whole(transaction)
+
     def left(self, transaction: Transaction) -> None:
         """The client of a request that was taken has gone."""
         self.owner.left(transaction)
--- a/brackenusher/core/transaction.py
+++ b/brackenusher/core/transaction.py
@@ -59,6 +59,7 @@
     tenant: int
     arrived: float
     deadline: float
+    span: float = 0.0  # milliseconds that its client waits, from the last byte of its request
     guard: Entry | None = None
     over: bool = False  # answered, or nobody is there to be answered
     attempts: list["Attempt"] = field(default_factory=list)
@@ -74,10 +75,12 @@
     backend: str
     message: Message
     sent_at: float
+    wait: float  # milliseconds that the module waits for it at most, 0 for as long as the client does
     deadline: float
     ended: Callable[[Any, Outcome, Served | None], None]  # the first is the attempt
     outcome: Outcome | None = None
     carriage: Any = None  # the carrier's own
+    began_at: float = 0.0  # when an answer that takes its time began to come
 
 
 class Carrier(Protocol):
@@ -150,7 +153,7 @@
         self.taken += 1
         self.names.add(name)
         deadline = now + max(0.0, span - RESERVE)
-        transaction = Transaction(self.taken, name, message, reply, klass, tenant, now, deadline)
+        transaction = Transaction(self.taken, name, message, reply, klass, tenant, now, deadline, span)
         transaction.guard = self.deadlines.add(now + span, partial(self.overdue, transaction))
         self.open[transaction.id] = transaction
         self.post(face.Arrived(transaction.id, klass, transaction.deadline, tenant, repeated))
@@ -173,9 +176,10 @@
             return
         attempt.outcome, transaction = outcome, attempt.transaction
         transaction.out -= 1
-        if served is not None:
-            self.answer(transaction.id, served)
-        elapsed = self.clock() - attempt.sent_at
+        if served is not None and not self.answer(transaction.id, served) and served.content.rest:
+            served.content.rest.stop()  # nobody is there to read it
+        passed_on = served is not None and served.content.rest is not None and attempt.began_at
+        elapsed = (attempt.began_at if passed_on else self.clock()) - attempt.sent_at
         self.post(face.Finished(transaction.id, attempt.number, outcome, elapsed, transaction.over))
         self.forget(transaction)
 
@@ -233,10 +237,12 @@
         transaction, now = self.open[action.request], self.clock()
         deadline = min(now + action.timeout, transaction.deadline) if action.timeout else transaction.deadline
         number, message = len(transaction.attempts), transaction.message
-        attempt = Attempt(transaction, number, action.backend, message, now, deadline, self.finished)
+        attempt = Attempt(
+            transaction, number, action.backend, message, now, action.timeout, deadline, self.finished
+        )
         transaction.attempts.append(attempt)
         transaction.out += 1
-        if transaction.over:
+        if transaction.over or message.spent:  # or what was passed on of its body is no longer here
             self.finished(attempt, Outcome.NOT_SENT)
             return
         try:
@@ -254,15 +260,29 @@
             self.carrier.cancel(attempt)
             self.finished(attempt, Outcome.CANCELLED)
 
-    def answer(self, request: int, answer: Answer) -> None:
-        """Give the final answer, unless there was one."""
+    def answer(self, request: int, answer: Answer) -> bool:
+        """Give the final answer; False where there was one."""
         transaction = self.open.get(request)
         if transaction is None or transaction.over:
-            return
+            return False
         self.close(transaction)
         if self.observers.answered:
             self.tell(self.observers.answered, transaction, answer)
         transaction.reply(answer)
+        return True
+
+    def whole(self, transaction: Transaction) -> None:
+        """The body of a request that is sent on in pieces has come whole: from now on its time counts."""
+        if transaction.over:
+            return
+        now = self.clock()
+        transaction.deadline = until = now + max(0.0, transaction.span - RESERVE)
+        for attempt in transaction.attempts:
+            if attempt.outcome is None:
+                attempt.sent_at = now
+                attempt.deadline = min(now + attempt.wait, until) if attempt.wait else until
+        self.deadlines.remove(transaction.guard)
+        transaction.guard = self.deadlines.add(now + transaction.span, partial(self.overdue, transaction))
 
     def close(self, transaction: Transaction) -> None:
         transaction.over = True
@@ -288,7 +308,12 @@
 
     def overdue(self, transaction: Transaction) -> None:
         """The last guard: the client's deadline is here and nobody has answered."""
-        if not transaction.over:
+        rest = transaction.message.rest
+        if transaction.out and rest is not None and not (rest.whole or rest.broken):  # its time has not begun
+            transaction.guard = self.deadlines.add(
+                self.clock() + transaction.span, partial(self.overdue, transaction)
+            )
+        elif not transaction.over:
             self.unanswered += 1
             say(
                 log,
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -22,6 +22,7 @@
 from brackenusher.config.platform import Config, ConfigError
 from brackenusher.core.admission import Admission
 from brackenusher.core.deadlines import Deadlines
+from brackenusher.core.pipe import Budget
 from brackenusher.core.transaction import RESERVE, Observers, Transactions
 from brackenusher.fronts.control import driver as control
 from brackenusher.fronts.control.machine import Reply
@@ -54,12 +55,21 @@
 SPARE_SOCKETS = 24  # listener, epoll, discovery, standard streams, and some to refuse with
 PEERS_SOCKETS = 18  # two to listen on, eight questions of others, eight of one's own
 CLIENT_PART = 0.625  # of the other descriptors: a held request has a client connection and no flow
+OWN_MB = 25.0  # of memory that the program takes without long bodies
 KEPT_PART = 0.2  # of all, between requests: clients hold a third at most, and some ask once and stay
 CHECK = 10.0  # milliseconds: how often it is looked, once the program is to stop, what is to be done
 DIVIDE = 50.0  # milliseconds: how often descriptors are divided anew with a new process
 DRAINED_CHECK = 100.0  # the same while it is drained
 
 
+def budget_for(memory_mb: float) -> int:
+    """Bytes for long bodies and answers: a third of what the program itself does not take, 2 MB at least.
+
+    It takes some 25 MB, and beside a process that is to take its place there are two of them.
+    """
+    return int(max(memory_mb - 2 * OWN_MB, 6.0) / 3 * 1024 * 1024)
+
+
 class Daemon:
     """One proxy."""
 
@@ -81,7 +91,8 @@
         self.pool = Pool(
             settings, clock, offset, operator.connections, config.seed, read_subset(operator, config.worded)
         )
-        self.upstream = Upstream(self.loop, self.pool, settings, room - for_clients, buffers)
+        budget = Budget(budget_for(config.memory_mb))
+        self.upstream = Upstream(self.loop, self.pool, settings, room - for_clients, buffers, budget)
         began = clock()
         balancer = Balancer(settings, config.seed, began)
         self.transactions = Transactions(balancer, clock, deadlines, self.upstream)
@@ -92,7 +103,7 @@
         front = Front(settings, with_tokens=operator.token is not None)
         share = Room(for_clients)
         self.clients = Clients(
-            self.loop, front, self.admission, self.pool, share, most_kept, buffers, self.lifecycle
+            self.loop, front, self.admission, self.pool, share, most_kept, buffers, self.lifecycle, budget
         )
         self.fronts: list[tuple[Listener, Address]] = [(self.clients, config.listen)]
         self.http2 = None
@@ -157,7 +168,7 @@
         """What a new process gets: addresses, the sockets that listen on them, and packets."""
         addresses = [f"{host}:{port}" for _, (host, port) in self.fronts]
         fds = [front.task.fd for front, _ in self.fronts]
-        state = {"seq": self.agent.seq, **self.holding()}
+        state = {"seq": self.agent.seq or 0, **self.holding()}
         packets = [
             *worded(Kind.LIST, [word_host(host) for host in self.pool.hosts]),
             *worded(Kind.LEARNED, memo.write(self.transactions.balancer)),
@@ -379,7 +390,7 @@
         """Take up the list as last held; the agent is then asked for no more than what changed since."""
         known = self.config.known
         if taken is not None and taken.hosts:
-            known = {"seq": taken.state.get("seq") or 0, "whole": True, "hosts": taken.hosts}
+            known = {"seq": taken.state["seq"], "whole": True, "hosts": taken.hosts}
         if not known.get("hosts"):
             return
         try:
@@ -389,7 +400,7 @@
             say(log, logging.WARNING, "known_list_unusable", text, why=error)
             return
         if listing.whole and len(listing.hosts) == len(known["hosts"]):
-            self.agent.seq = listing.seq or None
+            self.agent.seq = listing.seq
         self.transactions.post(self.pool.take(listing))
 
     def warm(self) -> None:
--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -5,12 +5,14 @@
 
 from barleybarrow.lifecycle import Lifecycle
 from brackenusher.core.admission import Admission, Request, Verdict
-from brackenusher.core.transaction import Answer, Transaction
+from brackenusher.core.message import Content
+from brackenusher.core.pipe import Budget, End, Pipe, nothing
+from brackenusher.core.transaction import Answer, Served, Transaction
 from brackenusher.fronts.http import Front, Rejection, worded
 from brackenusher.fronts.http1.virtual_server import VirtualServer
 from brackenusher.fronts.listener import Heir, Listener, Room
 from brackenusher.runtime.buffers import Buffers
-from brackenusher.runtime.driver import write
+from brackenusher.runtime.driver import abort, write
 from brackenusher.runtime.loop import HANGUP, READ, WRITE, Coroutine, Loop, clock
 from brackenusher.runtime.timers import Entry
 from brackenusher.upstream.pool import Pool
@@ -18,7 +20,9 @@
 IDLE_TIME = 2_050.0  # a connection between requests is kept so long: some clients ask once and stay
 REQUEST_TIME = 2_500.0  # a request must be whole in this time, the first one counted from the connect
 PARTIAL_TIME = 200.0  # where there is no room left, a request is waited for no longer than this
-ANSWER_TIME = 10_000.0  # an answer must be taken by the client in this time
+PACE = 48.0  # bytes a millisecond: a body that comes no slower has as much time more as it takes
+BODY_TIME = 3_000.0  # a body that is passed on in pieces goes on in this time
+ANSWER_TIME = 10_000.0  # an answer must be taken by the client in this time, or some more of it
 LINGER = 500.0  # so long the rest of a stream that ends is read away, so that the answer is not reset
 PASSED_AT_ONCE = 16  # connections that are given to another process in one go
 FIRST_TIME = 20.0  # a connection this young is not closed at the end: its first request is on its way
@@ -37,10 +41,12 @@
         most_kept: int,
         buffers: Buffers,
         lifecycle: Lifecycle,
+        budget: Budget | None = None,
     ) -> None:
         super().__init__(loop, room)
         self.front, self.admission, self.pool, self.lifecycle = front, admission, pool, lifecycle
         self.most_kept, self.buffers = most_kept, buffers
+        self.budget = budget  # for long bodies and answers; none: there are none
         self.links: set[ClientLink] = set()
         self.silent: dict[ClientLink, None] = {}  # between requests, none answered yet; the oldest first
         self.kept: dict[ClientLink, None] = {}  # between requests; the one that was used last stands last
@@ -121,11 +127,11 @@
 
     def __init__(self, clients: Clients, sock: socket.socket, address: str) -> None:
         self.clients, self.sock, self.address = clients, sock, address
-        self.machine = VirtualServer(clients.front, clients.ready)
+        self.machine = VirtualServer(clients.front, clients.ready, clients.budget)
         self.transaction: Transaction | None = None
         self.answer: Answer | None = None
         self.limit: Entry | None = None
-        self.late = False
+        self.late, self.seen = False, 0  # bytes of a body that had come when it was looked last
         self.opened_at, self.resting, self.since = clock(), False, 0.0
         self.stands: dict[ClientLink, None] | None = None  # where it is counted just now
         self.place = clients.silent  # among which it counts between requests
@@ -168,13 +174,18 @@
                     data = yield from self.serve(item)
                 else:
                     data = machine.reject(item, self.closing)
-                if not data or not (yield from self.write(data)):
+                if data is None or not (yield from self.write(data)):
                     return
+                if not machine.items:
+                    machine.forget()
             yield from self.linger()
         except OSError:
             pass  # the client broke the connection
         finally:
             self.rest(None)
+            machine.forget()
+            if machine.upload is not None:
+                machine.upload.fail()
             self.clients.links.discard(self)
             self.clients.leave()
             if self.transaction is not None:
@@ -206,8 +217,8 @@
             if oldest.unheard():
                 oldest.task.stop()
 
-    def serve(self, request: Request) -> Generator[int, int, bytes]:
-        """Have a request answered; no bytes if the client left before."""
+    def serve(self, request: Request) -> Generator[int, int, bytes | None]:
+        """Have a request answered; None if the connection is to end at once, as the client left."""
         clients = self.clients
         request.address, request.beyond, self.answer = self.address, self.beyond, None
         fresh = self.place is clients.silent  # a first request shows that new connections come still
@@ -215,20 +226,73 @@
         taken = clients.admission.admit(request, self.reply)
         if isinstance(taken, Verdict):
             return self.machine.reject(worded(taken), self.closing)
-        self.transaction = taken
-        while self.answer is None:
-            full = self.machine.full
-            events = yield HANGUP if full else READ
-            if events and self.answer is None:
-                if full:
-                    return b""
-                self.read()
-                if self.machine.ended:
-                    return b""
+        self.transaction, body = taken, request.message.rest
+        if body is not None:
+            body.to_writer = self.task.wake
+            self.time(BODY_TIME)
+        timed = body is None  # whether its time counts already
+        try:
+            while self.answer is None:
+                full = self.machine.full
+                events = yield HANGUP if full else READ
+                if events and self.answer is None:
+                    if full:
+                        return None
+                    self.read()
+                    if self.machine.ended:
+                        return None
+                if body is not None and (body.broken or self.late):
+                    return self.break_off(taken)
+                if body is not None and body.whole and not timed:
+                    timed = True
+                    clients.admission.whole(taken)
+        finally:
+            if body is not None:
+                self.time()
+                body.to_writer = nothing
+                body.stop(End.WHOLE if body.over else End.GIVEN_UP)
         self.transaction, self.place = None, clients.kept
         clients.admission.answered(taken, self.answer)
+        if isinstance(self.answer, Served) and self.answer.content.rest is not None:
+            return (yield from self.pour(self.answer.content, self.answer.content.rest))
         return self.machine.answer(self.answer, self.closing)
 
+    def break_off(self, taken: Transaction) -> bytes:
+        """A body that was being passed on cannot be read, or does not go on: it has run nowhere."""
+        self.transaction = None
+        self.clients.admission.left(taken)
+        item = self.machine.next()
+        if not isinstance(item, Rejection):
+            item = Rejection(408, "the body took too long", fatal=True)
+        return self.machine.reject(item, True)
+
+    def pour(self, content: Content, pipe: Pipe) -> Generator[int, int, bytes | None]:
+        """Write an answer that comes in pieces; what is left to be written, None where it cannot be ended."""
+        pipe.to_reader = self.task.wake
+        try:
+            data = self.machine.begin(content, self.closing)
+            while True:
+                if pipe.parts:
+                    data += self.machine.piece(pipe.take())
+                if pipe.over and pipe.whole:
+                    data += self.machine.end()
+                if not (yield from self.write(data)):
+                    return None
+                data = b""
+                if pipe.over:
+                    break
+                if not pipe.parts and (yield HANGUP):
+                    return None  # the client has gone
+            if pipe.whole:
+                pipe.stop(End.WHOLE)
+                return data
+            pipe.stop(End.BROKEN)
+            abort(self.sock)  # or a client that reads to the end of the connection would take it for whole
+            return None
+        finally:
+            pipe.to_reader = nothing
+            pipe.stop()
+
     @property
     def closing(self) -> bool:
         """Whether an answer is to end the connection: not while what was sent ahead waits for its own."""
@@ -246,15 +310,14 @@
 
     def write(self, data: bytes) -> Generator[int, int, bool]:
         """Write all of it; False if the client took too long."""
-        data = write(self.sock, data) if data else data
-        if data:
+        rest = write(self.sock, memoryview(data)) if data else memoryview(data)
+        while rest:
             self.time(ANSWER_TIME)
-        while data:
             yield WRITE
             if self.late:
                 return False
-            data = write(self.sock, data)
-            if not data:
+            rest = write(self.sock, rest)
+            if not rest:
                 self.time()
         return True
 
@@ -280,10 +343,27 @@
             self.limit = deadlines.add(clock() + span, self.too_late)
 
     def too_late(self) -> None:
-        self.late, self.limit = not (self.resting and self.stays), None
+        self.limit = None
+        due = self.due()
+        if due > clock():
+            self.limit = self.clients.loop.deadlines.add(due, self.too_late)
+            return
+        self.late = not (self.resting and self.stays)
         if self.late:
             self.task.wake()
 
+    def due(self) -> float:
+        """When what is waited for is really too late: a body that goes on has more time."""
+        machine = self.machine
+        if self.transaction is not None:
+            seen, self.seen = self.seen, machine.body_come
+            goes_on = machine.upload is None or machine.full or machine.body_come > seen
+            return clock() + BODY_TIME if goes_on else 0.0
+        if self.stands is self.clients.partial and machine.body_come:
+            begun = self.opened_at if self.place is self.clients.silent else self.since
+            return begun + REQUEST_TIME + machine.body_come / PACE
+        return 0.0
+
     @property
     def stays(self) -> bool:
         """Whether it is kept however long it rests: once the program stops, clients can open no other."""
--- a/brackenusher/fronts/http1/virtual_server.py
+++ b/brackenusher/fronts/http1/virtual_server.py
@@ -8,10 +8,11 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from brackenusher.core.admission import Request
-from brackenusher.core.message import LONGEST_BODY, Message
-from brackenusher.core.transaction import Answer
+from brackenusher.core.message import LONGEST_BODY, LONGEST_PASSED, Content, Message
+from brackenusher.core.pipe import Budget, Pipe
+from brackenusher.core.transaction import Answer, Served
 from brackenusher.fronts.http import AUTHORITY, REASONS, Fields, Front, Headers, Rejection, final
-from brackenusher.upstream.flow import LONGEST_HEAD, LONGEST_STREAM, SLACK, Spoilt
+from brackenusher.upstream.flow import FRAMING, LONGEST_HEAD, LONGEST_STREAM, SLACK, Spoilt
 
 MOST_AHEAD = 16  # requests that a client may send ahead of the answer it waits for
 USUAL = frozenset((b"keep-alive", b"close"))  # options of Connection that name no header
@@ -25,7 +26,7 @@
     return {option.strip(b" \t").lower() for value in values for option in value.split(b",")}
 
 
-def judge(seen: Fields, version: str) -> Rejection | None:
+def judge(seen: Fields, version: str, longest: int = LONGEST_BODY) -> Rejection | None:
     """Say what is wrong with a head, where the rest of the stream cannot be trusted after it."""
     if version not in ("1.0", "1.1"):
         return Rejection(505, "HTTP/1.1 is spoken here", fatal=True)
@@ -38,7 +39,7 @@
             return Rejection(400, "Content-Length and Transfer-Encoding exclude each other", fatal=True)
         if seen[b"transfer-encoding"].lower() != b"chunked" or version == "1.0":
             return Rejection(501, "Transfer-Encoding is not known", fatal=True)
-    if int(seen.get(b"content-length", b"0")) > LONGEST_BODY:
+    if int(seen.get(b"content-length", b"0")) > longest:
         return Rejection(413, "the body is too large", fatal=True)
     return None
 
@@ -66,10 +67,19 @@
 class VirtualServer:
     """One client connection; it is fed bytes and knows no socket."""
 
-    def __init__(self, front: Front, ready: Callable[[], bool]) -> None:
+    def __init__(self, front: Front, ready: Callable[[], bool], budget: Budget | None = None) -> None:
         self.front, self.ready = front, ready
+        self.budget = budget  # for what is passed on in pieces; none: nothing is
+        self.longest = LONGEST_BODY if budget is None else LONGEST_PASSED
+        self.upload: Pipe | None = (
+            None  # the rest of a body that comes in while its request is served already
+        )
+        self.kept, self.body_come = 0, 0  # bytes on the budget; bytes of the present body that have come
         self.parser = HttpRequestParser(self)
-        self.items: deque[tuple[Request | Rejection, bool]] = deque()  # and whether the connection goes on
+        # with each, whether the connection can go on after it, and its version
+        self.items: deque[tuple[Request | Rejection, bool, str]] = deque()
+        self.of = "1.1"  # the version of the request that is being answered
+        self.chunked = False  # the answer that is being written in pieces
         self.coming = self.in_body = False  # a request has begun to come in; its head is whole
         self.target, self.body, self.size = b"", bytearray(), 0
         self.headers: list[tuple[bytes, bytes]] = []
@@ -115,7 +125,9 @@
 
     def reject_stream(self, rejection: Rejection) -> None:
         self.rejection, self.coming = rejection, False
-        self.items.append((rejection, False))
+        self.items.append((rejection, False, self.version))
+        if self.upload is not None:
+            self.upload.fail()
 
     def count(self, size: int) -> None:
         """Count what the parser told of a head; it tells of a header once that is whole."""
@@ -128,7 +140,7 @@
         self.come += size
         if not self.in_body and self.come > LONGEST_HEAD + SLACK:
             self.spoilt(Rejection(431, "the head is too large", fatal=True))
-        if self.come > LONGEST_STREAM:
+        if self.come > LONGEST_STREAM + FRAMING * self.body_come:
             self.spoilt(Rejection(413, "the body's framing is too large", fatal=True))
 
     def spoilt(self, rejection: Rejection) -> NoReturn:
@@ -141,7 +153,7 @@
     def on_message_begin(self) -> None:
         self.coming, self.in_body = True, False
         self.target, self.headers, self.body, self.size = b"", [], bytearray(), 0
-        self.begun, self.come = self.begun + 1, 0
+        self.begun, self.come, self.body_come = self.begun + 1, 0, 0
 
     def on_url(self, part: bytes) -> None:
         self.target += part
@@ -161,7 +173,7 @@
         fields = self.front.fields(self.headers)
         if isinstance(fields, Rejection):
             self.spoilt(fields)
-        rejection = judge(fields, self.version)
+        rejection = judge(fields, self.version, self.longest)
         if rejection is not None:
             self.spoilt(rejection)
         self.fields = fields
@@ -171,26 +183,62 @@
             self.headers = [header for header in self.headers if header[0] not in names]
 
     def on_body(self, part: bytes) -> None:
-        self.body += part
-        if len(self.body) > LONGEST_BODY:
+        self.body_come += len(part)
+        if self.body_come > self.longest:
             self.spoilt(Rejection(413, "the body is too large", fatal=True))
+        if self.upload is not None:
+            self.upload.put(part)
+            return
+        self.body += part
+        if self.budget is not None and self.body_come > LONGEST_BODY and not self.keep(len(part)):
+            self.pass_on(self.budget)
+
+    def keep(self, size: int) -> bool:
+        """Put what came of a body on the budget; False where it can be kept no further."""
+        assert self.budget is not None
+        if not self.budget.may_keep(self.body_come):
+            return False
+        self.kept += size
+        self.budget.kept += size
+        return True
+
+    def forget(self) -> None:
+        """Nothing of what came is needed any more."""
+        if self.budget is not None:
+            self.budget.kept -= self.kept
+            self.kept = 0
+
+    def pass_on(self, budget: Budget) -> None:
+        """A body is too long to be kept: its request is served from now on, and the rest follows."""
+        item = self.whole()
+        if isinstance(item, Rejection):
+            self.spoilt(replace(item, fatal=True))
+        self.upload = item.message.rest = Pipe(budget)
+        length = self.fields.get(b"content-length")
+        item.message.length = int(length) if length is not None else None
+        self.body = bytearray()
+        self.items.append((item, self.parser.should_keep_alive() and self.version == "1.1", self.version))
 
     def on_message_complete(self) -> None:
         if self.parser.should_upgrade():
             return  # it is not: see feed
         self.coming = False
+        if self.upload is not None:
+            self.upload.finish()
+            self.upload = None
+            return
         goes_on = self.parser.should_keep_alive() and self.version == "1.1"
         item = self.whole()
         if self.method == b"HEAD" and isinstance(item, Rejection):
             item = replace(item, text="")  # the client would take a body for the next answer
-        self.items.append((item, goes_on))
+        self.items.append((item, goes_on, self.version))
 
     def whole(self) -> Request | Rejection:
         """What a request that has come whole is to be answered with, or that it may be taken."""
         read = origin_form(self.target, self.headers)
         if isinstance(read, Rejection):
             return read
-        message = Message(self.method, *read, bytes(self.body))
+        message = Message(self.method, *read, bytes(self.body), streams=self.budget is not None)
         return self.front.take(message, self.fields, self.ready)
 
     # what the driver calls
@@ -203,12 +251,12 @@
     @property
     def full(self) -> bool:
         """Whether so much came ahead of its turn that nothing more is to be read."""
-        return len(self.items) >= MOST_AHEAD
+        return len(self.items) >= MOST_AHEAD or self.upload is not None and self.upload.full
 
     def next(self) -> Request | Rejection | None:
         """The next request or what is to be answered in its place, None until more bytes come."""
         if self.items:
-            item, self.goes_on = self.items.popleft()
+            item, self.goes_on, self.of = self.items.popleft()
             return item
         self.last = self.last or self.ended
         return None
@@ -232,11 +280,34 @@
         body = rejection.text.encode() + b"\n" if rejection.text else b""
         return self.respond(rejection.status, body, rejection.headers, last or rejection.fatal)
 
+    def begin(self, content: Content, last: bool) -> bytes:
+        """The head of an answer that follows in pieces."""
+        status, _, headers = final(Served(content))
+        self.chunked = content.length is None and self.of == "1.1"
+        if self.chunked:
+            headers += ((b"transfer-encoding", b"chunked"),)
+        elif content.length is not None:
+            headers += ((b"content-length", b"%d" % content.length),)
+        else:  # it goes on to the end of the connection
+            last = True
+        return self.head(status, headers, last)
+
+    def piece(self, data: bytes) -> bytes:
+        """A part of such an answer, as it is written."""
+        return b"%x\r\n%b\r\n" % (len(data), data) if self.chunked and data else data
+
+    def end(self) -> bytes:
+        """What is written behind the last part."""
+        return b"0\r\n\r\n" if self.chunked else b""
+
     def respond(self, status: int, body: bytes, headers: Sequence[tuple[bytes, bytes]], last: bool) -> bytes:
-        self.last = last or self.ended or not self.goes_on
+        return self.head(status, (*headers, (b"content-length", b"%d" % len(body))), last) + body
+
+    def head(self, status: int, headers: Sequence[tuple[bytes, bytes]], last: bool) -> bytes:
+        unread = self.upload is not None  # an answer that comes before the body has come
+        self.last = last or self.ended or not self.goes_on or unread
         lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status])]
         lines += [b"%s: %s" % header for header in headers]
-        lines.append(b"content-length: %d" % len(body))
         if self.last:
             lines.append(b"connection: close")
-        return b"\r\n".join(lines) + b"\r\n\r\n" + body
+        return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/brackenusher/records/tally.py
+++ b/brackenusher/records/tally.py
@@ -5,12 +5,14 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 
 import ujson
 
 from barleybarrow import interface as face
 from brackenusher.core.admission import Request
-from brackenusher.core.transaction import Answer, Refused, Served, Transaction
+from brackenusher.core.pipe import End
+from brackenusher.core.transaction import Answer, Failed, Refused, Served, Transaction
 
 STALE = 250.0  # ms: a count of servers is used again so long
 
@@ -44,7 +46,14 @@
 
     def answered(self, transaction: Transaction, answer: Answer | None) -> None:
         """A request has its final answer; None where its client left without one."""
-        self.end(transaction.klass, answer)
+        if isinstance(answer, Served) and answer.content.rest is not None:
+            answer.content.rest.tell.append(partial(self.passed, transaction.klass, answer))
+        else:
+            self.end(transaction.klass, answer)
+
+    def passed(self, klass: int, answer: Answer, end: End) -> None:
+        """An answer that was passed on in pieces has come to its end, one way or another."""
+        self.end(klass, answer if end is End.WHOLE else Failed() if end is End.BROKEN else None)
 
     def end(self, klass: int, answer: Answer | None) -> None:
         self.ended += 1
--- a/brackenusher/runtime/driver.py
+++ b/brackenusher/runtime/driver.py
@@ -2,6 +2,8 @@
 
 import errno
 import socket
+import struct
+from typing import TypeVar
 
 Address = tuple[str, int]  # an IP address or a host's name, and a port
 SHORTAGE = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -49,7 +51,15 @@
     return sock
 
 
-def write(sock: socket.socket, data: bytes) -> bytes:
+def abort(sock: socket.socket) -> None:
+    """Have the close of a connection reset it, so that nobody takes what came for whole."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+Data = TypeVar("Data", bytes, memoryview)
+
+
+def write(sock: socket.socket, data: Data) -> Data:
     """Write what the socket takes now; return the rest."""
     try:
         return data[sock.send(data) :]
--- a/brackenusher/upstream/connections.py
+++ b/brackenusher/upstream/connections.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable, Generator
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 from barleybarrow import interface as face
@@ -12,6 +13,7 @@
 from barleybarrow.interface import Outcome
 from barleybarrow.settings import REPORTS
 from brackenusher.core.message import Message
+from brackenusher.core.pipe import Budget, End, nothing
 from brackenusher.core.transaction import Attempt, Served, Transactions
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import SHORTAGE, open_socket, write
@@ -24,14 +26,26 @@
 log = logging.getLogger(__name__)
 
 CONNECT_TIME = 1000.0  # where the settings name none
-ANSWER_TIME = 250.0  # an answer that has begun must be whole in this time: it is 64 KiB at most, and near
+ANSWER_TIME = 250.0  # an answer that has begun and is to be whole before it is passed on goes on in this time
+HASTE = 150.0  # one that does not say how long it is is passed on as it comes, from so long after its begin
+PASS_TIME = 10_000.0  # an answer that is passed on in pieces goes on in this time
+BODY_TIME = 5_000.0  # a member takes some more of a body in this time
 
 
 class Upstream:
     """Carries attempts to pool members."""
 
-    def __init__(self, loop: Loop, pool: Pool, settings: face.Settings, room: int, buffers: Buffers) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        pool: Pool,
+        settings: face.Settings,
+        room: int,
+        buffers: Buffers,
+        budget: Budget | None = None,
+    ) -> None:
         self.loop, self.pool, self.settings, self.room, self.buffers = loop, pool, settings, room, buffers
+        self.budget = budget  # for answers that are passed on in pieces; none: there are none
         self.connect_time = settings.connect_timeout or CONNECT_TIME
         self.planner = pool.planner
         self.planner.room = room
@@ -135,6 +149,7 @@
     deadline: float
     ended: Callable[[Any, Outcome, Served | None], None]  # as an attempt's
     carriage: "ServerLink | None" = None
+    began_at: float = 0.0
 
 
 def read_report(body: bytes) -> dict[str, float]:
@@ -171,7 +186,8 @@
         self.stall: Entry | None = None
         self.wrote: float | None = None  # when the present request was written whole
         self.cause = Cause.FAULT
-        self.flow = Flow(f"{member.address[0]}:{member.address[1]}".encode())
+        self.flow = Flow(f"{member.address[0]}:{member.address[1]}".encode(), upstream.budget)
+        self.moved_at = 0.0  # when the peer last took or gave something
         self.reply: Reply | None = None
         if not connected:
             until = clock() + upstream.connect_time
@@ -181,7 +197,8 @@
     def carry(self, attempt: "Attempt | Probe") -> None:
         """Take on an attempt."""
         self.attempt, self.wrote, attempt.carriage = attempt, None, self
-        self.expiry = self.upstream.loop.deadlines.add(attempt.deadline, self.expired)
+        if attempt.message.rest is None:  # else its time counts from the last byte of its body
+            self.expiry = self.upstream.loop.deadlines.add(attempt.deadline, self.expired)
         self.task.wake()
 
     def run(self, connected: bool) -> Coroutine:
@@ -213,48 +230,141 @@
             return self.elsewhere(self.cause)
         attempt, self.reply = self.attempt, None
         assert attempt is not None
-        rest = self.flow.request(attempt.message, attempt.deadline - clock())
         try:
-            while rest:
-                rest = write(self.sock, rest)
-                if rest and (yield READ | WRITE) & READ:
-                    self.read()
-                    if self.reply is not None:
-                        break
+            whole = yield from self.send(attempt)
         except OSError:
             return self.elsewhere(Cause.UNWRITTEN)
-        if rest:  # it answered or ended before it had the whole request
-            early = self.reply
+        if not whole:  # it answered or ended before it had the whole request, or the client went
+            early: Reply | None = self.reply
+            if early is None:
+                return self.done(Outcome.NOT_SENT, cause=Cause.GIVEN_UP)
             if early.outcome is Outcome.RESET:
                 return self.elsewhere(Cause.UNWRITTEN)
+            if self.flow.rest is not None:
+                return (yield from self.pass_on())
             return self.done(early.outcome, early.served, cause=Cause.TOLD)
         self.wrote = clock()
-        self.upstream.written += isinstance(attempt, Attempt)
+        if isinstance(attempt, Attempt):
+            self.upstream.written += 1
         try:
             while self.reply is None:
                 yield READ
                 self.read()
                 if self.stall is None and self.flow.begun and self.reply is None:
-                    self.stall = self.upstream.loop.deadlines.add(clock() + ANSWER_TIME, self.stalled)
+                    attempt.began_at = clock()
+                    self.stall = self.upstream.loop.deadlines.add(attempt.began_at + HASTE, self.hurry)
         except OSError:
             return self.broken()
         if self.reply.outcome is Outcome.RESET:
             return self.broken()
+        if self.flow.rest is not None:
+            return (yield from self.pass_on())
         self.planner.answered(self.held, clock())
         reply, keep = self.reply, self.flow.renew()
         if self.flow.promised is not None:
             self.planner.promised(self.held, self.flow.promised * 1000.0)
         return self.done(reply.outcome, reply.served, keep, Cause.TOLD)
 
+    def send(self, attempt: "Attempt | Probe") -> Generator[int, int, bool]:
+        """Write a request with all of its body, however that comes; False if it was not written whole.
+
+        `reply` then says what came instead; without one it is the client that does not go on.
+        """
+        message, body = attempt.message, attempt.message.rest
+        rest = memoryview(self.flow.request(message, attempt.deadline - clock()))
+        if body is not None:
+            body.to_reader = self.task.wake
+            self.watch(BODY_TIME, self.stuck)
+        while True:
+            if not rest and body is not None:
+                if body.stopped and body.end is not End.WHOLE:
+                    return False
+                if body.parts:
+                    message.spent = True
+                    rest = memoryview(self.flow.piece(body.take()))
+                elif body.whole:  # its time counts already
+                    self.expiry = self.upstream.loop.deadlines.add(attempt.deadline, self.expired)
+                    rest, body = memoryview(self.flow.last()), None
+                elif body.broken:
+                    return False
+            if rest:
+                before, rest = len(rest), write(self.sock, rest)
+                if len(rest) < before:
+                    self.moved_at = clock()
+            elif body is not None:
+                self.moved_at = clock()  # it is the client that has to go on
+            if not rest and body is None:
+                if message.rest is not None:
+                    self.unwatch()
+                return True
+            if rest or not (body and (body.parts or body.whole or body.broken)):
+                if (yield READ | (WRITE if rest else 0)) & READ:
+                    self.read()
+                    if self.reply is not None:
+                        return False
+
+    def pass_on(self) -> Generator[int, int, bool]:
+        """Pass the rest of an answer on in pieces, as the client takes them; the attempt has been served."""
+        pipe, reply, flow = self.flow.rest, self.reply, self.flow
+        assert pipe is not None and reply is not None
+        attempt = self.release()
+        pipe.to_writer = self.task.wake
+        try:
+            if attempt is not None:
+                attempt.ended(attempt, reply.outcome, reply.served)
+            self.watch(PASS_TIME, self.stuck)
+            while not flow.done and not pipe.stopped:
+                full = pipe.full
+                if (yield 0 if full else READ) or not full:
+                    self.read()
+                if full:
+                    self.moved_at = clock()  # it is the client that has to go on
+        except OSError:
+            pass
+        finally:
+            self.unwatch()
+            pipe.to_writer = nothing
+            if not flow.done:
+                flow.end(whole=False)
+        self.planner.answered(self.held, clock())
+        keep = pipe.whole and flow.renew()
+        ends = self.planner.done(self.held, clock()) if keep else Cause.TOLD
+        if ends is not None:
+            self.cause = ends
+            self.planner.closed(self.held, clock(), ends)
+        return ends is None
+
     def read(self) -> None:
         try:
-            self.upstream.buffers.receive(self.sock, self.take)
+            if self.upstream.buffers.receive(self.sock, self.take):
+                self.moved_at = clock()
         except BlockingIOError:
             pass
 
     def take(self, data: memoryview) -> None:
         self.reply = self.flow.receive(data)
 
+    def watch(self, span: float, late: Callable[[], None]) -> None:
+        """Have something called once the peer has not moved for a span of milliseconds."""
+        self.unwatch()
+        self.moved_at = clock()
+        self.stall = self.upstream.loop.deadlines.add(
+            self.moved_at + span, partial(self.look, span, late, self.moved_at)
+        )
+
+    def look(self, span: float, late: Callable[[], None], since: float) -> None:
+        self.stall = None
+        if self.moved_at > since:
+            due = max(self.moved_at + span, clock())
+            again = partial(self.look, span, late, self.moved_at)
+            self.stall = self.upstream.loop.deadlines.add(due, again)
+        else:
+            late()
+
+    def unwatch(self) -> None:
+        self.upstream.loop.deadlines.remove(self.stall)
+        self.stall = None
+
     def elsewhere(self, cause: Cause) -> bool:
         """The request has not run, which is proven: the last byte of it was not written.
 
@@ -264,6 +374,7 @@
         planner, held, now, attempt = self.planner, self.held, clock(), self.attempt
         assert attempt is not None
         same = held.line is self.member.line and not held.line.left  # still the life that the module chose
+        same = same and not attempt.message.spent
         if held.age < 0 or not same or not planner.settings.rescue or now >= attempt.deadline:
             return self.done(Outcome.CONNECT_FAILED, cause=cause)
         self.release()
@@ -283,8 +394,9 @@
         """Let go of the attempt, whatever becomes of it."""
         deadlines, attempt, self.attempt = self.upstream.loop.deadlines, self.attempt, None
         deadlines.remove(self.expiry)
-        deadlines.remove(self.stall)
-        self.stall = None
+        self.unwatch()
+        if attempt is not None and attempt.message.rest is not None:
+            attempt.message.rest.to_reader = nothing
         if attempt is not None:
             attempt.carriage = None
         return attempt
@@ -320,6 +432,19 @@
         self.done(Outcome.TIMEOUT if self.wrote is not None else Outcome.NOT_SENT, cause=Cause.GIVEN_UP)
         self.close(Cause.GIVEN_UP)
 
+    def hurry(self) -> None:
+        """The answer takes its time: it is passed on as it comes, or it is waited for a little more."""
+        self.stall, self.reply = None, self.flow.hurry()
+        if self.reply is None:
+            self.watch(ANSWER_TIME, self.stalled)
+        self.task.wake()
+
+    def stuck(self) -> None:
+        """The peer does not go on with what is passed on in pieces."""
+        if self.attempt is not None:
+            self.done(Outcome.NOT_SENT if self.wrote is None else Outcome.ERROR, cause=Cause.GIVEN_UP)
+        self.close(Cause.GIVEN_UP)
+
     def stalled(self) -> None:
         """The answer began and does not go on: it may have run, and nothing more will come of it."""
         self.done(Outcome.ERROR, cause=Cause.GIVEN_UP)
--- a/brackenusher/upstream/flow.py
+++ b/brackenusher/upstream/flow.py
@@ -6,12 +6,14 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from barleybarrow.interface import Outcome
-from brackenusher.core.message import LONGEST_BODY, Content, Message
+from brackenusher.core.message import LONGEST_BODY, LONGEST_PASSED, Content, Message
+from brackenusher.core.pipe import Budget, Pipe
 from brackenusher.core.transaction import Served
 
 LONGEST_HEAD = 16 * 1024
 SLACK = 2 * 1024  # bytes of a head beyond those that are counted: spaces, its first line
 LONGEST_STREAM = 8 * LONGEST_BODY  # bytes of a message: a body in chunks of one byte takes six times its own
+FRAMING = 6  # bytes of framing that a byte in a chunk of its own takes
 KEPT = re.compile(rb"\btimeout=([0-9]{1,6})\b", re.IGNORECASE)  # RFC 2068, 19.7.1.1; servers still send it
 MOST_INTERIM = 16  # answers of the kind 1xx ahead of the final one
 HOP_BY_HOP = frozenset(
@@ -45,8 +47,11 @@
 class Flow:
     """The client's side of HTTP on one connection; it is fed bytes and knows no socket."""
 
-    def __init__(self, authority: bytes) -> None:
+    def __init__(self, authority: bytes, budget: Budget | None = None) -> None:
+        self.chunked = False  # the present request's body
         self.authority = authority  # for a request that names no host, as HTTP/1.0 allows
+        self.budget = budget  # none: no answer is passed on in pieces
+        self.streams = False  # whether the present request's client can be given one
         self.parser = HttpResponseParser(self)
         self.promised: float | None = None  # for how many seconds the server says it keeps an idle connection
         self.usable = True  # the stream can be trusted to begin the next answer where this one ended
@@ -56,11 +61,14 @@
         self.reply: Reply | None = None
         self.begun, self.interim = False, 0  # a byte of the final answer is here
         self.heads, self.come = 0, 0  # heads that began; bytes that have come of the answer
+        self.rest: Pipe | None = None  # an answer that is passed on in pieces
+        self.done = False  # the answer is whole, or nothing more will come of it
         self.begin()
 
     def begin(self) -> None:
         """Get ready for a head."""
         self.in_body, self.framed, self.closing, self.to_the_end = False, False, False, False
+        self.length: int | None = None
         self.sure = True  # where the answer ends, also to one who reads its head otherwise
         self.declined: bool | None = None
         self.kind: bytes | None = None
@@ -68,7 +76,8 @@
         self.body, self.size = bytearray(), 0
 
     def request(self, message: Message, wait: float) -> bytes:
-        """The bytes of a request; `wait` tells the server how many milliseconds it has."""
+        """The bytes of a request or its first part; `wait` tells how many milliseconds the server has."""
+        self.streams = message.streams and self.budget is not None
         lines = [b"%s %s HTTP/1.1" % (message.method, message.target)]
         named = False
         for name, value in message.headers:
@@ -78,28 +87,54 @@
         if not named:
             lines.append(b"host: " + self.authority)
         lines.append(b"req-deadline: %dm" % max(1, int(wait)))
-        if message.body or message.method != b"GET":
-            lines.append(b"content-length: %d" % len(message.body))
-        return b"\r\n".join(lines) + b"\r\n\r\n" + message.body
+        self.chunked = message.rest is not None and message.length is None
+        if self.chunked:
+            lines.append(b"transfer-encoding: chunked")
+        elif message.body or message.method != b"GET":
+            lines.append(b"content-length: %d" % (message.length or len(message.body)))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + self.piece(message.body)
+
+    def piece(self, data: bytes) -> bytes:
+        """A part of the body, as it is written."""
+        return b"%x\r\n%b\r\n" % (len(data), data) if self.chunked and data else data
+
+    def last(self) -> bytes:
+        """What is written behind the last part of the body."""
+        return b"0\r\n\r\n" if self.chunked else b""
 
     def receive(self, data: bytes | memoryview) -> Reply | None:
         """Take bytes, b"" at the end of the stream; return what the attempt came to once that is known."""
         if not data:
             self.usable = False
-            if self.reply is None:
+            if self.rest is not None:
+                self.end(whole=self.done or self.to_the_end)
+            elif self.reply is None:
                 self.reply = self.whole() if self.to_the_end else Reply(Outcome.RESET)
             return self.reply
         before, size = self.heads + (not self.begun), len(data)
         try:
             self.parser.feed_data(data)
-            if self.reply is None:  # where others came before it, how much is its own is not known
+            if not self.done:  # where others came before it, how much is its own is not known
                 self.weigh(size if self.heads <= before else 0)
         except (HttpParserError, HttpParserUpgrade, Spoilt):
             self.usable = False
-            if self.reply is None:
+            if self.rest is not None:
+                self.end(whole=self.done)
+            elif self.reply is None:
                 self.reply = Reply(Outcome.ERROR)
         return self.reply
 
+    def end(self, whole: bool) -> None:
+        """Nothing more comes of an answer that is passed on in pieces."""
+        if self.done:
+            return
+        self.done = True
+        assert self.rest is not None
+        if whole:
+            self.rest.finish()
+        else:
+            self.rest.fail()
+
     def count(self, size: int) -> None:
         """Count what the parser told of a head; it tells of a header once that is whole."""
         self.size += size
@@ -109,14 +144,15 @@
     def weigh(self, size: int) -> None:
         """Count bytes as they come, lest what the parser does not tell of yet grows without bound."""
         self.come += size
-        if self.come > (LONGEST_STREAM if self.in_body else LONGEST_HEAD + SLACK):
+        most = LONGEST_STREAM + (FRAMING * self.rest.came if self.rest is not None else 0)
+        if self.come > (most if self.in_body else LONGEST_HEAD + SLACK):
             raise Spoilt
 
     # what the parser calls
 
     def on_message_begin(self) -> None:
         self.begun, self.heads, self.come = True, self.heads + 1, 0
-        if self.reply is not None:  # more than belongs to the answer: the next request could be given it
+        if self.done:  # more than belongs to the answer: the next request could be given it
             raise Spoilt
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -141,8 +177,8 @@
                 raise Spoilt  # a coding that is not undone here would be taken for the body
             self.framed = True
         elif name == b"content-length":
-            self.framed = True
-            if int(value) > LONGEST_BODY:
+            self.framed, self.length = True, int(value)
+            if self.length > (LONGEST_PASSED if self.streams else LONGEST_BODY):
                 raise Spoilt
 
     def on_headers_complete(self) -> None:
@@ -160,17 +196,42 @@
             self.to_the_end = True
 
     def on_body(self, part: bytes) -> None:
+        if self.rest is not None:
+            self.rest.put(part)
+            if self.rest.came > LONGEST_PASSED:
+                raise Spoilt
+            return
         self.body += part
-        if len(self.body) > LONGEST_BODY:
-            raise Spoilt
+        if len(self.body) > LONGEST_BODY or (self.length or 0) > LONGEST_BODY:
+            if not self.streams or self.parser.get_status_code() != 200:
+                raise Spoilt
+            self.pass_on()
+
+    def pass_on(self) -> None:
+        """Pass the answer on in pieces from here on: it counts as served, and cannot be tried anew."""
+        assert self.budget is not None
+        self.rest = Pipe(self.budget)
+        self.rest.put(bytes(self.body))
+        self.body = bytearray()
+        content = Content(b"", self.kind, self.coding, self.rest, self.length)
+        self.reply = Reply(Outcome.SERVED, Served(content))
+
+    def hurry(self) -> Reply | None:
+        """An answer that does not say how long it is takes its time: pass on what is there, if it can be."""
+        if self.reply is None and self.streams and self.body and self.length is None:
+            if self.parser.get_status_code() == 200:
+                self.pass_on()
+        return self.reply
 
     def on_message_complete(self) -> None:
         if self.parser.get_status_code() < 200:
             self.begun = False
             self.begin()
             return
-        self.reply = self.whole()
         self.usable = self.parser.should_keep_alive() and self.sure
+        if self.rest is not None:
+            return self.end(whole=True)
+        self.reply, self.done = self.whole(), True
 
     def whole(self) -> Reply:
         """Judge an answer that has come whole."""
