Handover: both sides of a replacement as a unit of its own, out of the daemon

Need: daemon.py had taken up who gives and takes what, and a gap: with the word to stop between the new process's yes and its word to the old one, the old one's end would have put its filter on the listening socket that both have.

Change: handover/replacement holds both sides; a listener that another process shares is never filtered; the new one says yes at its second address only once it has told the old one that it serves; a word to stop that comes before that is made up for. Behaviour is else as it was.

--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -2,7 +2,6 @@
 
 import gc
 import logging
-import os
 import random
 import signal
 import socket
@@ -10,14 +9,12 @@
 from collections.abc import Callable
 from functools import partial
 from types import FrameType
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-from barleybarrow import memo
 from barleybarrow.brain import Balancer
 from barleybarrow.door import Door
 from barleybarrow.farewell import Farewell, Phase
 from barleybarrow.lifecycle import Lifecycle, Stage
-from barleybarrow.succession import parts
 from brackenusher.config.operators import Operator, doubts, read_subset
 from brackenusher.config.platform import Config, ConfigError
 from brackenusher.core.admission import Admission
@@ -29,11 +26,10 @@
 from brackenusher.fronts.http import Front
 from brackenusher.fronts.http1.clients import Clients
 from brackenusher.fronts.listener import OVERFLOW, Listener, Room
-from brackenusher.handover.messages import Kind, word, worded
-from brackenusher.handover.new import New, Taken, take
-from brackenusher.handover.old import Old, path_for
+from brackenusher.handover.new import Taken
+from brackenusher.handover.replacement import Replacement
 from brackenusher.membership.agent import Agent
-from brackenusher.membership.discovery import Broken, read_listing, word_host
+from brackenusher.membership.discovery import Broken, read_listing
 from brackenusher.records.capture import Capture
 from brackenusher.records.figures import Figures
 from brackenusher.records.insight import Insight
@@ -43,7 +39,6 @@
 from brackenusher.runtime.log import say
 from brackenusher.runtime.loop import READ, Coroutine, Loop, clock
 from brackenusher.runtime.outlet import Outlet
-from brackenusher.runtime.timers import Entry
 from brackenusher.upstream.connections import Upstream
 from brackenusher.upstream.pool import Pool
 
@@ -58,7 +53,6 @@
 OWN_MB = 25.0  # of memory that the program takes without long bodies
 KEPT_PART = 0.2  # of all, between requests: clients hold a third at most, and some ask once and stay
 CHECK = 10.0  # milliseconds: how often it is looked, once the program is to stop, what is to be done
-DIVIDE = 50.0  # milliseconds: how often descriptors are divided anew with a new process
 DRAINED_CHECK = 100.0  # the same while it is drained
 
 
@@ -81,9 +75,6 @@
         settings = config.settings
         deadlines, buffers = Deadlines(), Buffers()
         self.config, self.operator, self.loop = config, operator, Loop(deadlines)
-        self.deadlines = deadlines
-        self.dividing: Entry | None = None  # when it is next looked how the descriptors are divided
-        self.told_held: dict[str, Any] = {}
         room = config.sockets - SPARE_SOCKETS - OVERFLOW - (PEERS_SOCKETS if operator.peers else 0)
         room -= control.SOCKETS if config.control else 0
         for_clients = int(room * CLIENT_PART)
@@ -142,118 +133,29 @@
                 b"/-/resume": (b"POST", self.resume),
             }
             self.control = control.Control(self.loop, deeds, buffers)
-        self.for_clients, self.for_flows, self.room = for_clients, room - for_clients, share
-        self.old: Old | None = None  # this process's side toward one that takes its place
-        self.new: New | None = None  # and toward the one whose place it takes
+        self.replacement: Replacement | None = None
         if config.control:
-            self.meet()
-        self.look_on(began)
-
-    def meet(self) -> None:
-        """Be ready to give what a new process needs."""
-        path = path_for(self.config.name, os.environ)
-        if path is None:
-            say(
-                log,
-                logging.INFO,
-                "handover_off",
-                "no handover to a new process: no $TMPDIR of a usable length",
+            self.replacement = Replacement(
+                self.loop,
+                config.name,
+                self.fronts,
+                share,
+                self.pool,
+                self.agent,
+                self.transactions,
+                room - for_clients,
+                SPARE_SOCKETS + OVERFLOW + control.SOCKETS,
             )
-            return
-        self.old = Old(self.loop, path, self.give)
-        self.old.came = self.divide
-        self.old.went = self.alone_again
-
-    def give(self) -> tuple[list[str], list[int], list[bytes]]:
-        """What a new process gets: addresses, the sockets that listen on them, and packets."""
-        addresses = [f"{host}:{port}" for _, (host, port) in self.fronts]
-        fds = [front.task.fd for front, _ in self.fronts]
-        state = {"seq": self.agent.seq or 0, **self.holding()}
-        packets = [
-            *worded(Kind.LIST, [word_host(host) for host in self.pool.hosts]),
-            *worded(Kind.LEARNED, memo.write(self.transactions.balancer)),
-            word(Kind.READY, state),
-        ]
-        self.divide()
-        return addresses, fds, packets
-
-    def holding(self) -> dict[str, Any]:
-        stopping = self.farewell is not None
-        return {"clients": self.room.held, "flows": self.pool.planner.total, "stopping": stopping}
-
-    def divide(self) -> None:
-        """Keep to this process's part of the descriptors while another has the rest, and tell it of that."""
-        if self.old is None or self.old.link is None:
-            return
-        held = self.holding()
-        self.room.most = parts(self.both(self.for_clients), held["clients"], held["stopping"])[0]
-        self.pool.planner.room = max(1, parts(self.both(self.for_flows), held["flows"], False)[0])
-        if held != self.told_held:
-            self.told_held = held
-            self.old.tell(Kind.HELD, held)
-        self.deadlines.remove(self.dividing)
-        self.dividing = self.later(DIVIDE, self.divide)
-
-    def both(self, part: int) -> int:
-        """What two processes have for a purpose that one has `part` for: each needs its spare ones."""
-        whole = self.for_clients + self.for_flows
-        return max(2, int(part * (1 - (SPARE_SOCKETS + OVERFLOW + control.SOCKETS) / whole)))
-
-    def alone_again(self) -> None:
-        """The new process has gone: serve on, in the end as well, as if it had never come."""
-        assert self.old is not None
-        self.deadlines.remove(self.dividing)
-        self.room.most, self.pool.planner.room = self.for_clients, self.for_flows
-        for front, _ in self.fronts:
-            front.take_back()
-        if self.farewell is None:
-            self.old.listen()
-
-    def succeed(self, taken: Taken) -> None:
-        """Go on where the old process stands."""
-        learned = memo.take(self.transactions.balancer, taken.learned, clock())
-        self.leave_to_old(taken.state)
-        self.new = New(self.loop, taken.link, self.leave_to_old, self.clients.take_over, self.old_ended)
-        text = "handover: %(hosts)d hosts, %(learned)d of %(all)d entries learned, %(listeners)d listeners"
-        say(
-            log,
-            logging.INFO,
-            "handover",
-            text,
-            hosts=len(taken.hosts),
-            learned=learned,
-            all=len(taken.learned),
-            listeners=len(taken.listeners),
-        )
-
-    def leave_to_old(self, held: dict[str, Any]) -> None:
-        """Keep to what the old process leaves of the descriptors."""
-        clients, flows, stopping = int(held["clients"]), int(held["flows"]), bool(held["stopping"])
-        self.room.most = parts(self.both(self.for_clients), clients, stopping)[1]
-        self.pool.planner.room = max(1, parts(self.both(self.for_flows), flows, False)[1])
-
-    def old_ended(self) -> None:
-        self.room.most, self.pool.planner.room = self.for_clients, self.for_flows
-        assert self.new is not None
-        passed = self.new.clients
-        say(
-            log,
-            logging.INFO,
-            "old_ended",
-            "the old process has ended; %(passed)d clients' connections came",
-            passed=passed,
-        )
-        self.new = None
+        self.look_on(began)
 
     def serve_in_its_place(self) -> None:
-        """Once this process can serve, take the name over, and say so to the old process."""
+        """Once this process can serve, say so to the one whose place it takes."""
+        if self.replacement is None:
+            return
         if not self.clients.ready() and self.lifecycle.stage is Stage.READY:
             self.later(CHECK, self.serve_in_its_place)
-            return
-        if self.new is not None:
-            self.new.serves()
-        if self.old is not None:
-            self.old.listen()
+        else:
+            self.replacement.serves()
 
     def share(self, buffers: Buffers) -> None:
         """Share knowledge with peers, or with the next start by a file."""
@@ -301,11 +203,11 @@
     def run(self) -> int:
         """Serve until SIGTERM or SIGINT and until all is answered then."""
         self.catch_signals()
-        taken = take(self.old.path) if self.old else None
+        taken = self.replacement.take() if self.replacement else None
         self.take_known(taken)
         self.transactions.begin()
-        if taken is not None:
-            self.succeed(taken)
+        if self.replacement and taken is not None:
+            self.replacement.succeed(taken)
         if self.control and self.config.control:
             self.control.listen(self.config.control)
         given = taken.listeners if taken is not None else {}
@@ -317,8 +219,7 @@
         if self.peers:
             self.clients.warming = True
             self.peers.start(self.warm)
-        if self.old:
-            self.serve_in_its_place()
+        self.serve_in_its_place()
         self.agent.connect()
         gc.collect()
         gc.freeze()  # what is here stays: later collections need not look at it
@@ -380,9 +281,8 @@
             self.figures.close()
             dropped = self.figures.sink.dropped
             say(log, logging.INFO, "figures_ended", "figures: %(dropped)d batches dropped", dropped=dropped)
-        if self.old:
-            say(log, logging.INFO, "passed_on", "%(passed)d connections passed on", passed=self.old.passed)
-            self.old.close()
+        if self.replacement:
+            self.replacement.close()
         self.outlet.close()
         return 0
 
@@ -463,9 +363,9 @@
             self.agent.move(config.discovery)
 
     def say_ready(self) -> Reply:
-        return (
-            (200, b"ready\n") if self.clients.ready() else (503, self.lifecycle.stage.value.encode() + b"\n")
-        )
+        if self.clients.ready() and not (self.replacement and self.replacement.awaited):
+            return 200, b"ready\n"
+        return 503, self.lifecycle.stage.value.encode() + b"\n"
 
     def say_figures(self) -> Reply:
         assert self.tally is not None
@@ -520,8 +420,8 @@
             say(log, logging.INFO, "stopping_already", "stopping already")
             return
         settings = self.config.settings
-        heir = self.old if self.old is not None and self.old.serves else None
-        longest, alone = max(c.deadline for c in settings.classes), settings.proxies <= 1 and heir is None
+        handed = self.replacement is not None and self.replacement.handed
+        longest, alone = max(c.deadline for c in settings.classes), settings.proxies <= 1 and not handed
         least = self.transactions.balancer.margin + RESERVE  # the module refuses at once what has less
         plan = Farewell(self.told_at or clock(), longest, self.config.cores, least, alone)
         self.farewell = self.admission.farewell = plan
@@ -537,9 +437,8 @@
         )
         for front, _ in self.fronts:
             front.told()
-            if heir is not None:
-                front.hand_over(heir.pass_on)
-        self.divide()
+        if self.replacement:
+            self.replacement.stop()
         self.later(CHECK, partial(self.attend, plan, clock() + CHECK))
 
     def attend(self, plan: Farewell, due: float) -> None:
@@ -583,5 +482,5 @@
                 front.stop_accepting()
         self.later(CHECK, partial(self.attend, plan, clock() + CHECK))
 
-    def later(self, span: float, action: Callable[[], None]) -> Entry:
-        return self.deadlines.add(clock() + span, action)
+    def later(self, span: float, action: Callable[[], None]) -> None:
+        self.loop.deadlines.add(clock() + span, action)
--- a/brackenusher/fronts/listener.py
+++ b/brackenusher/fronts/listener.py
@@ -68,7 +68,8 @@
         self.loop, self.room = loop, room
         room.listeners.append(self)
         self.shut = False  # the door is closed
-        self.handed = False  # another process accepts at the same door
+        self.shared = False  # another process has the same listening socket
+        self.handed = False  # it accepts there in the place of this one
         self.warned_at = -WARN_AGAIN
         self.task: Task  # the listener's
 
@@ -173,6 +174,7 @@
 
     def take_back(self) -> None:
         """That process has gone: accept again."""
+        self.shared = False
         if self.handed and not self.shut:
             self.handed = False
             self.task.wake()
@@ -187,7 +189,7 @@
         """
         if self.shut:
             return
-        if self.handed:  # the other process listens on the very same socket
+        if self.shared:  # what shuts the door here would shut it there
             self.shut = True
             return self.task.stop()
         keep_out(self.task.sock)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -295,6 +295,7 @@
     # guards against a garbled word, or a second caller, that costs the old process something
     with succession(tmp_path, TurnServer()) as (old, follow):
         path = path_for("n0", {"TMPDIR": str(tmp_path)})
+        until(path.exists, "the meeting place")
         for word in (b"nonsense", messages.word(messages.Kind.SERVES), b'[9,"hello",null]'):
             with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
                 sock.connect(str(path))
