Crowds: room is given by progress, so that slow writers outlast who says nothing

Cause: Clients.spare closed the oldest request that was not whole after 200 ms, moving or not, before connections at rest; a head written in 2 s is always among the oldest. Seen: 14 of 503 slow requests cut off, 10 new connections closed unserved. Ruled out: the accept queue (0 requests not sent again, all connections accepted) and the time limits (no 408).

Change: barleybarrow/giveway, a table without I/O; the lists are in order of the last move. Figure clients_gave_way.

--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -191,6 +191,7 @@
                 config.settings,
             )
             self.figures.also.append(self.upstream.figures)
+            self.figures.also.append(self.clients.figures)
             self.figures.also.append(Insight(self.transactions.balancer, clock).figures)
         looking = [each for each in (self.capture, self.figures, self.tally) if each]
         self.transactions.observers = Observers(
@@ -281,6 +282,9 @@
             self.figures.close()
             dropped = self.figures.sink.dropped
             say(log, logging.INFO, "figures_ended", "figures: %(dropped)d batches dropped", dropped=dropped)
+        gave_way = ", ".join(f"{place.value} {count}" for place, count in self.clients.gave_way.items())
+        text = "clients' connections that gave way: %(gave_way)s"
+        say(log, logging.INFO, "gave_way", text, gave_way=gave_way or "none")
         if self.replacement:
             self.replacement.close()
         self.outlet.close()
--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -1,8 +1,11 @@
 """The driver toward clients: the listener, and sockets round the virtual server's machines."""
 
 import socket
+from collections import Counter
 from collections.abc import Generator
+from itertools import islice
 
+from barleybarrow.giveway import Place, choose
 from barleybarrow.lifecycle import Lifecycle
 from brackenusher.core.admission import Admission, Request, Verdict
 from brackenusher.core.message import Content
@@ -19,7 +22,7 @@
 
 IDLE_TIME = 2_050.0  # a connection between requests is kept so long: some clients ask once and stay
 REQUEST_TIME = 2_500.0  # a request must be whole in this time, the first one counted from the connect
-PARTIAL_TIME = 200.0  # where there is no room left, a request is waited for no longer than this
+LOOKS = 8  # connections of each place that are looked at for one that gives way
 PACE = 48.0  # bytes a millisecond: a body that comes no slower has as much time more as it takes
 BODY_TIME = 3_000.0  # a body that is passed on in pieces goes on in this time
 ANSWER_TIME = 10_000.0  # an answer must be taken by the client in this time, or some more of it
@@ -50,8 +53,18 @@
         self.links: set[ClientLink] = set()
         self.silent: dict[ClientLink, None] = {}  # between requests, none answered yet; the oldest first
         self.kept: dict[ClientLink, None] = {}  # between requests; the one that was used last stands last
-        self.partial: dict[ClientLink, None] = {}  # with a request that is not whole; the oldest first
+        self.partial: dict[
+            ClientLink, None
+        ] = {}  # with a request that is not whole; who moved last stands last
         self.spent: dict[ClientLink, None] = {}  # with their last answer written, the rest is read away
+        self.places = {
+            Place.SPENT: self.spent,
+            Place.SILENT: self.silent,
+            Place.PARTIAL: self.partial,
+            Place.RESTING: self.kept,
+        }
+        self.gave_way: Counter[Place] = Counter()
+        self.told_away: Counter[Place] = Counter()  # as it was told last
         self.stopping = False  # each answer ends its connection
         self.heir: Heir | None = None  # who takes connections between requests once this process is to stop
         self.warming = False  # what others know is still awaited, for a fraction of a second
@@ -64,20 +77,25 @@
         return ClientLink(self, sock, address)
 
     def spare(self) -> bool:
-        """Close a connection on which nothing is owed; False where there is none.
-
-        Those that had their last answer go first, then those that never asked or do not finish asking, lest
-        many of them push out the clients that do.
-        """
-        link = next(iter(self.spent), None)
-        link = link or next((link for link in self.silent if link.unheard()), None)
-        if link is None and self.partial:
-            oldest = next(iter(self.partial))
-            link = oldest if clock() >= oldest.since + PARTIAL_TIME else None
-        link = link or next((link for link in self.kept if link.unheard()), None)
-        if link is not None:
-            link.task.stop()
-        return link is not None
+        """Close a connection on which nothing is owed, as `giveway` says; False where there is none."""
+        now, heads = clock(), {}
+        for place, links in self.places.items():
+            for link in islice(links, LOOKS):
+                if place is Place.SPENT or link.unheard():  # else it moves, and this process has not looked
+                    heads[place] = link
+                    break
+        goes = choose({place: now - link.moved_at for place, link in heads.items()})
+        if goes is None:
+            return False
+        self.gave_way[goes] += 1
+        heads[goes].task.stop()
+        return True
+
+    def figures(self) -> list[tuple[str, int, str, list[tuple[str, str]]]]:
+        """How many connections gave way since the last call, by where they stood."""
+        news = self.gave_way - self.told_away
+        self.told_away = self.gave_way.copy()
+        return [("clients_gave_way", count, "c", [("place", place.value)]) for place, count in news.items()]
 
     def last_call(self) -> None:
         self.drain(idle=True)
@@ -119,7 +137,7 @@
         """Answer those who are still sending their request; it has not been taken."""
         young = clock() - FIRST_TIME
         for link in [link for link in self.partial if link.since < young]:
-            link.too_late()
+            link.give_up()
 
 
 class ClientLink:
@@ -132,7 +150,8 @@
         self.answer: Answer | None = None
         self.limit: Entry | None = None
         self.late, self.seen = False, 0  # bytes of a body that had come when it was looked last
-        self.opened_at, self.resting, self.since = clock(), False, 0.0
+        self.opened_at = self.moved_at = clock()
+        self.resting, self.since = False, 0.0
         self.stands: dict[ClientLink, None] | None = None  # where it is counted just now
         self.place = clients.silent  # among which it counts between requests
         clients.links.add(self)
@@ -210,6 +229,7 @@
         if self.stands is not None:
             self.stands.pop(self, None)
         self.stands, self.since = where, clock()
+        self.moved_at = self.since
         if where is not None:
             where[self] = None
         if where is self.clients.kept and len(where) > self.clients.most_kept and not self.stays:
@@ -306,7 +326,11 @@
         try:
             self.clients.buffers.receive(self.sock, self.machine.receive)
         except BlockingIOError:
-            pass
+            return
+        if self.stands is self.clients.partial:
+            self.moved_at = clock()
+            self.stands.pop(self)
+            self.stands[self] = None
 
     def write(self, data: bytes) -> Generator[int, int, bool]:
         """Write all of it; False if the client took too long."""
@@ -352,6 +376,12 @@
         if self.late:
             self.task.wake()
 
+    def give_up(self) -> None:
+        """Wait no longer for what it is writing."""
+        self.time()
+        self.late = True
+        self.task.wake()
+
     def due(self) -> float:
         """When what is waited for is really too late: a body that goes on has more time."""
         machine = self.machine
