--- a/brackenusher/handover/replacement.py
+++ b/brackenusher/handover/replacement.py
@@ -49,6 +49,7 @@
     ) -> None:
         self.loop, self.fronts, self.room, self.pool, self.agent = loop, fronts, room, pool, agent
         self.owner, self.for_clients, self.for_flows, self.own = owner, room.most, for_flows, own
+        self.part = self.for_clients, self.for_flows  # what the process before leaves of both
         self.stopping = False  # the word to stop has come
         self.dividing: Entry | None = None  # when it is next looked how the descriptors are divided
         self.told: dict[str, Any] = {}  # what the successor was last told of them
@@ -99,12 +100,16 @@
     def leave_to_old(self, held: dict[str, Any]) -> None:
         """Keep to what the old process leaves of the descriptors."""
         clients, flows, stopping = int(held["clients"]), int(held["flows"]), bool(held["stopping"])
-        self.room.most = parts(self.both(self.for_clients), clients, stopping)[1]
-        self.pool.planner.room = max(1, parts(self.both(self.for_flows), flows, False)[1])
+        self.part = (
+            parts(self.both(self.for_clients), clients, stopping)[1],
+            max(1, parts(self.both(self.for_flows), flows, False)[1]),
+        )
+        self.keep_to_part()
 
     def old_ended(self) -> None:
         assert self.new is not None
-        self.room.most, self.pool.planner.room = self.for_clients, self.for_flows
+        self.part = self.for_clients, self.for_flows
+        self.keep_to_part()
         text = "the old process has ended; %(passed)d clients' connections came"
         say(log, logging.INFO, "old_ended", text, passed=self.new.clients)
         self.new, self.awaited = None, False
@@ -156,14 +161,21 @@
         if self.old is None or self.old.link is None:
             return
         held = self.holding()
-        self.room.most = parts(self.both(self.for_clients), held["clients"], held["stopping"])[0]
-        self.pool.planner.room = max(1, parts(self.both(self.for_flows), held["flows"], False)[0])
+        self.keep_to_part()
         if held != self.told:
             self.told = held
             self.old.tell(Kind.HELD, held)
         self.loop.deadlines.remove(self.dividing)
         self.dividing = self.loop.deadlines.add(clock() + DIVIDE, self.divide)
 
+    def keep_to_part(self) -> None:
+        """Hold no more than the process before leaves, and leave the one after its own."""
+        clients, flows = self.part
+        if self.old is not None and self.old.link is not None:
+            clients = parts(self.both(clients), self.room.held, self.stopping)[0]
+            flows = parts(self.both(flows), self.pool.planner.total, False)[0]
+        self.room.most, self.pool.planner.room = clients, max(1, flows)
+
     def both(self, part: int) -> int:
         """What two processes have for a purpose that one has `part` for: each needs its own beside."""
         whole = self.for_clients + self.for_flows
@@ -173,7 +185,7 @@
         """The new process has gone: serve on, in the end as well, as if it had never come."""
         assert self.old is not None
         self.loop.deadlines.remove(self.dividing)
-        self.room.most, self.pool.planner.room = self.for_clients, self.for_flows
+        self.keep_to_part()
         for front, _ in self.fronts:
             front.take_back()
         if not self.stopping:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -234,6 +234,33 @@
             assert again.ask(read_request(3))[0] == 200
 
 
+def test_a_second_upgrade_may_come_while_the_first_old_process_still_ends(tmp_path):
+    # guards against connections that are lost on their way through a process that is itself to end
+    hold = threading.Event()
+
+    def behave(server, message):
+        if "slow" in message[0]:
+            hold.wait(1.5)
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nboard"
+
+    with succession(tmp_path, TurnServer(behave)) as (first, follow):
+        kept, slow = first.connect(), first.connect()
+        assert first.ask(read_request(1), kept)[0] == 200
+        slow.sendall(read_request(2, "/board-read?k=slow"))
+        until(lambda: len(first.servers[0].requests) == 2, "the slow request")
+        second = follow("second")
+        first.process.send_signal(signal.SIGTERM)
+        until(lambda: "stopping" in first.log, "the end's beginning")
+        third = follow("third")
+        second.process.send_signal(signal.SIGTERM)
+        until(lambda: "stopping" in second.log, "the end's beginning")
+        hold.set()
+        assert slow.recv(1000).startswith(b"HTTP/1.1 200")
+        assert first.process.wait(timeout=10) == second.process.wait(timeout=10) == 0
+        for number, sock in enumerate((kept, slow), 10):
+            assert third.ask(read_request(number), sock)[0] == 200
+
+
 class Odd:
     """Stands at the meeting place and speaks oddly."""
 
--- a/tests/test_transaction.py
+++ b/tests/test_transaction.py
@@ -2,15 +2,20 @@
 
 import logging
 
+import hypothesis
 import pytest
 from helpers import KEYED, settings
+from hypothesis import strategies as st
 
 from barleybarrow import interface as face
 from barleybarrow.brain import Balancer
 from barleybarrow.interface import ListScope, Outcome, State
+from brackenusher.core.admission import Request
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.core.message import Content, Message
-from brackenusher.core.transaction import RESERVE, Failed, Refused, Served, Transactions
+from brackenusher.core.pipe import Budget, End, Pipe
+from brackenusher.core.transaction import RESERVE, Failed, Observers, Refused, Served, Transactions
+from brackenusher.records.tally import Tally
 
 
 class Carrier:
@@ -167,3 +172,50 @@
         world.deadlines.sweep(world.now + 800.0)
     assert world.answers[0] == Failed()
     assert first.over is (where == "carrier")
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("arrive"), st.sampled_from([0, 1, 2])),
+        st.tuples(st.just("away"), st.sampled_from([" refused", " rejected"])),
+        st.tuples(st.just("finish"), st.sampled_from([*Outcome])),
+        st.tuples(st.just("leave"), st.integers(0, 50)),
+        st.tuples(st.just("wait"), st.integers(1, 900)),
+        st.tuples(st.just("drip"), st.sampled_from([*End])),
+    ),
+    max_size=60,
+)
+
+
+@hypothesis.given(STEPS)
+def test_the_figures_add_up_at_every_moment(steps):
+    # guards against a request counted twice, or never: what came is what ended and what is in hand
+    world = World()
+    world.owner.balancer.conf.classes[0].name = "c"
+    tally = Tally(settings(), lambda: world.now, lambda now: (1, 0), lambda: world.owner.taken, lambda: 0)
+    world.owner.observers = Observers(answered=(tally.answered,), turned_away=(tally.turned_away,))
+    pipes, taken, away = [], [], 0
+    for what, how in steps:
+        out = [attempt for attempt in world.carrier.started if attempt.outcome is None]
+        if what == "arrive":
+            taken.append(world.arrive(klass=how))
+        elif what == "away":
+            away += 1
+            world.owner.turn_away(Request(b"x", 0, 1.0, 0, False, Message(b"GET", b"/")), "door" + how)
+        elif what == "finish" and out:
+            served = Served(Content(b"board")) if how is Outcome.SERVED else None
+            world.owner.finished(out[0], how, served)
+        elif what == "drip" and out:
+            pipes.append((Pipe(Budget(1)), how))
+            world.owner.finished(out[0], Outcome.SERVED, Served(Content(b"", rest=pipes[-1][0])))
+        elif what == "leave" and taken:
+            world.owner.left(taken[how % len(taken)])
+        elif what == "wait":
+            world.pass_time(how)
+        ended = sum(tally.success) + sum(tally.busy) + sum(tally.failure) + sum(tally.abandoned)
+        assert world.owner.taken + away == ended + tally.inflight
+        pouring = sum(pipe.end is None for pipe, _ in pipes)
+        assert tally.inflight == sum(not t.over for t in taken) + pouring
+    for pipe, end in pipes:
+        pipe.stop(end)
+    assert tally.inflight == sum(not t.over for t in taken)
