--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -2,8 +2,9 @@
 
     python benchmarks/fleet.py [--quick] [--seeds 1..6] [--sizes 3x9,40x60,200x300] [--base REV] [--cores N]
 
-Three scenarios (most proxies restarted at once with discovery overbooked; a zone lost and back cold; six in
-ten servers replaced within seconds), paired by seed. `before` is the module of REV, whose files are taken out
+Six scenarios (most proxies restarted at once with discovery overbooked; a zone lost and back cold; six in
+ten servers replaced within seconds; no fault; planned restarts during a release; a zone out of reach and
+answers lost), paired by seed. `before` is the module of REV, whose files are taken out
 of git and played by the testbed as it is. Prints goodput, p99, attempts and connects a request, the greatest
 peak of what a cold server was sent (as a multiple of what it could do then; the rule's is 3), and the seconds
 until goodput is back at nine tenths of what it was before. Exit 1 where the module loses to random choice
@@ -34,7 +35,7 @@
 from testbed.scenario import Scenario, ScenarioError
 
 ROOT = Path(__file__).resolve().parent.parent
-NAMES = ["herd", "lost_zone", "mass_replacement"]
+NAMES = ["herd", "lost_zone", "mass_replacement", "steady_fleet", "rolling_fleet", "split_fleet"]
 BASE = "d2ca9ad"  # the last one before many proxies were looked at
 RIVALS = ["random", "peak_ewma"]  # uniform, and the power of two choices
 BACK = 0.9  # of the goodput before the trouble, for two seconds in a row
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -14,13 +14,27 @@
     return experiments.play(Job(resized(scenario.load(name), *size), policy, 5))
 
 
-@pytest.mark.parametrize(("name", "least"), [("herd", 0.7), ("lost_zone", 0.75), ("mass_replacement", 0.75)])
+LEAST = [
+    ("herd", 0.7),
+    ("lost_zone", 0.75),
+    ("mass_replacement", 0.75),
+    ("rolling_fleet", 0.85),
+    ("split_fleet", 0.9),
+]
+
+
+@pytest.mark.parametrize(("name", "least"), LEAST)
 def test_a_fleet_in_trouble_keeps_its_promises_and_does_better_than_random_choice(name, least):
     own, random = played(name), played(name, "random")
     assert own.breaches == [] and own.cold_peak < 3.0
     assert own.goodput() >= least and own.goodput() > random.goodput() + 0.05
 
 
+def test_a_fleet_without_a_fault_carries_a_burst():
+    result = played("steady_fleet")
+    assert result.breaches == [] and result.goodput() >= 0.9
+
+
 @pytest.mark.parametrize("size", [(1, 60), (40, 9)])
 def test_one_proxy_before_sixty_servers_and_forty_before_nine(size):
     result = played("mass_replacement", size=size)
