Core: what a request held goes with its end, and waits for no collection of cycles

Seen: benchmarks/transfer.py, bodies of 8 MB one after the other: memory 27 -> 66 MB. Checked: with the collector off, a weak reference to each message stays alive, and goes with a collection. Ruled out: the budget (counted down to 0), pipes (none open), the machines.

At fault: Transaction.attempts names attempts that name the transaction, and Transaction.guard holds the entry whose call names it. Both circles were there before; a kept body of 1 MiB makes them cost. They are cut at the end of a transaction.

The test fails without either cut.

--- a/benchmarks/transfer.py
+++ b/benchmarks/transfer.py
@@ -75,7 +75,7 @@
             if head.startswith(b"POST"):
                 await drain(reader, head)
             await give(writer, b"HTTP/1.1 200 OK\r\n", int(size), framing == b"chunked")
-    except (OSError, asyncio.IncompleteReadError):
+    except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
         writer.close()
 
 
--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -72,7 +72,7 @@
                 self.keys[head.lower().partition(b"idempotency-key: ")[2].split()[0]] += 1
                 await asyncio.sleep(WORK)
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nboard")
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             writer.close()
 
     async def tell(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -86,7 +86,7 @@
                         await asyncio.sleep(1.0)
                 size = b"%d" % len(self.listing)
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: " + size + b"\r\n\r\n" + self.listing)
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             writer.close()
 
 
@@ -135,7 +135,7 @@
             head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3.0)
             size = int(head.lower().partition(b"content-length: ")[2].split()[0])
             await asyncio.wait_for(reader.readexactly(size), 3.0)
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             self.seen["reset"] += 1
             writer.close()
             return
--- a/brackenusher/core/transaction.py
+++ b/brackenusher/core/transaction.py
@@ -287,6 +287,7 @@
     def close(self, transaction: Transaction) -> None:
         transaction.over = True
         self.deadlines.remove(transaction.guard)
+        transaction.guard = None  # it names the transaction in turn
         self.forget(transaction)
 
     def forget(self, transaction: Transaction) -> None:
@@ -296,6 +297,7 @@
         elif transaction.over and not transaction.out and transaction.id in self.open:
             del self.open[transaction.id]
             self.names.discard(transaction.name)
+            transaction.attempts.clear()  # they name it: a long body would stay until a collection of cycles
 
     def answer_all(self) -> int:
         """The program ends: answer what is open still as failed, and say how much that was."""
--- a/tests/test_transaction.py
+++ b/tests/test_transaction.py
@@ -1,6 +1,8 @@
 """The owner of transactions, with a real module or a scripted one and a carrier that keeps notes."""
 
+import gc
 import logging
+import weakref
 
 import hypothesis
 import pytest
@@ -174,6 +176,25 @@
     assert first.over is (where == "carrier")
 
 
+class Weighed(Message):
+    __slots__ = ("__weakref__",)
+
+
+def test_what_a_request_held_goes_with_its_end_and_waits_for_no_collection():
+    # guards against long bodies kept in a circle of transaction and attempts: dozens of MB until it is looked
+    world = World()
+    gc.disable()
+    try:
+        message = Weighed(b"POST", b"/r", body=b"move")
+        seen = weakref.ref(message)
+        world.owner.arrive(b"x", 0, 800.0, message, world.answers.append)
+        world.owner.finished(world.carrier.started.pop(), Outcome.SERVED, Served(Content(b"board")))
+        del message
+        assert seen() is None
+    finally:
+        gc.enable()
+
+
 STEPS = st.lists(
     st.one_of(
         st.tuples(st.just("arrive"), st.sampled_from([0, 1, 2])),
