Second address: answers carry a reason phrase, as tried with curl

Seen when docs/oncall.md was tried line by line as a new user would: 'HTTP/1.1 200 ' with nothing behind it.

--- a/brackenusher/fronts/control/machine.py
+++ b/brackenusher/fronts/control/machine.py
@@ -7,6 +7,8 @@
 
 import h11
 
+from brackenusher.fronts.http import REASONS
+
 LONGEST_HEAD = 16 * 1024  # bytes
 LONGEST_BODY = 64 * 1024  # bytes: no call needs one, and whoever brings one is heard out so far
 
@@ -96,5 +98,5 @@
         ]
         if self.request is not None and self.request.method == b"HEAD":
             body = b""
-        head = h11.Response(status_code=status, headers=fields)
+        head = h11.Response(status_code=status, headers=fields, reason=REASONS[status])
         self.out = (self.machine.send(head) or b"") + body
