--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -107,7 +107,7 @@
 
 def test_every_scenario_can_be_read_and_gives_settings_that_the_module_takes():
     names = {path.stem for path in scenario.built_in()}
-    assert len(names) == 17
+    assert len(names) == 20
     for path in scenario.built_in():
         s = scenario.load(path)
         assert s.name == path.stem and s.about
