Tests: a successor that dies before it serves, a drain with a long answer to a slow reader

Need: two hard cases that no test caused: the new process gone at each step between its first word and its last, and a drain and resume while an answer is passed on slowly.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -324,6 +324,28 @@
         assert new.ask(read_request(1))[0] == 200
 
 
+@pytest.mark.parametrize("packets", [1, 2, 9])
+def test_a_new_process_that_dies_before_it_serves_leaves_the_old_one_as_it_was(tmp_path, packets):
+    # guards against an old process that gives its door away to one who never opened it
+    with succession(tmp_path, TurnServer()) as (old, follow):
+        path = path_for("n0", {"TMPDIR": str(tmp_path)})
+        until(path.exists, "the meeting place")
+        with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
+            sock.connect(str(path))
+            sock.send(messages.word(messages.Kind.HELLO))
+            for _ in range(packets):
+                data, fds, _, _ = socket.recv_fds(sock, 65536, 16)
+                for fd in fds:
+                    os.close(fd)
+                if messages.read(data)[0] is messages.Kind.READY:
+                    break
+        until(lambda: "gone from the handover" in old.log, "the word of it")
+        assert old.ask(read_request(1))[0] == 200
+        new = follow()
+        end(old)
+        assert new.ask(read_request(2))[0] == 200
+
+
 def test_a_stranger_at_the_socket_changes_nothing(tmp_path):
     # guards against a garbled word, or a second caller, that costs the old process something
     with succession(tmp_path, TurnServer()) as (old, follow):
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -279,6 +279,21 @@
         assert [(status, len(got), whole) for status, got, whole in results] == [(200, len(body), True)] * 12
 
 
+def test_a_drain_waits_for_a_long_answer_to_a_slow_reader(tmp_path):
+    # guards against a drain, or a resume after it, that cuts off what is being passed on
+    body = bytes(4 * MB)
+    server = Server(say(b"Content-Length: %d\r\n" % len(body), body))
+    with Program(tmp_path, server, control=True) as program, program.connect() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        sock.sendall(read_request())
+        until(lambda: program.figures()["inflight"] == 1, "the request")
+        assert program.call("POST", "/-/drain")[0] == 200
+        time.sleep(1.7)
+        assert program.call("POST", "/-/resume")[0] == 200
+        assert read_answer(sock) == (200, body, True)
+        until(lambda: program.figures()["calls"]["board-read"]["success"] == 1, "the end")
+
+
 def test_a_client_that_leaves_within_its_body_runs_nothing(tmp_path):
     # guards against a body cut by its client that a turn server takes for whole
     with Program(tmp_path, Server(say(b"Content-Length: 0\r\n", b"")), control=True) as program:
