Connections: one place for the end of an answer, whole or passed on in pieces

Seen on reading the whole change: what happens to a connection after its answer stood twice, and the copy for answers in pieces left out how long the server says it keeps an idle connection. It stands once now, as does the watch's next look.

--- a/brackenusher/upstream/connections.py
+++ b/brackenusher/upstream/connections.py
@@ -259,11 +259,16 @@
             return self.broken()
         if self.flow.rest is not None:
             return (yield from self.pass_on())
+        reply, keep = self.reply, self.renew()
+        return self.done(reply.outcome, reply.served, keep, Cause.TOLD)
+
+    def renew(self) -> bool:
+        """An answer has come whole; whether the connection can carry another."""
         self.planner.answered(self.held, clock())
-        reply, keep = self.reply, self.flow.renew()
+        keep = self.flow.renew()
         if self.flow.promised is not None:
             self.planner.promised(self.held, self.flow.promised * 1000.0)
-        return self.done(reply.outcome, reply.served, keep, Cause.TOLD)
+        return keep
 
     def send(self, attempt: "Attempt | Probe") -> Generator[int, int, bool]:
         """Write a request with all of its body, however that comes; False if it was not written whole.
@@ -326,13 +331,7 @@
             pipe.to_writer = nothing
             if not flow.done:
                 flow.end(whole=False)
-        self.planner.answered(self.held, clock())
-        keep = pipe.whole and flow.renew()
-        ends = self.planner.done(self.held, clock()) if keep else Cause.TOLD
-        if ends is not None:
-            self.cause = ends
-            self.planner.closed(self.held, clock(), ends)
-        return ends is None
+        return self.kept(pipe.whole and self.renew(), Cause.TOLD)
 
     def read(self) -> None:
         try:
@@ -348,16 +347,16 @@
         """Have something called once the peer has not moved for a span of milliseconds."""
         self.unwatch()
         self.moved_at = clock()
-        self.stall = self.upstream.loop.deadlines.add(
-            self.moved_at + span, partial(self.look, span, late, self.moved_at)
-        )
+        self.look_later(span, late)
+
+    def look_later(self, span: float, late: Callable[[], None]) -> None:
+        look = partial(self.look, span, late, self.moved_at)
+        self.stall = self.upstream.loop.deadlines.add(self.moved_at + span, look)
 
     def look(self, span: float, late: Callable[[], None], since: float) -> None:
         self.stall = None
         if self.moved_at > since:
-            due = max(self.moved_at + span, clock())
-            again = partial(self.look, span, late, self.moved_at)
-            self.stall = self.upstream.loop.deadlines.add(due, again)
+            self.look_later(span, late)
         else:
             late()
 
@@ -413,12 +412,17 @@
         It is offered before the outcome is told, as the module may send the next attempt on hearing of it.
         """
         attempt = self.release()
+        kept = self.kept(keep, cause)
+        if attempt is not None:  # none was waiting for a connection opened ahead
+            attempt.ended(attempt, outcome, served)
+        return kept
+
+    def kept(self, keep: bool, cause: Cause) -> bool:
+        """Offer the connection for another request; whether it was kept, else it ends for a cause."""
         ends = self.planner.done(self.held, clock()) if keep else cause
         if ends is not None:
             self.cause = ends
             self.planner.closed(self.held, clock(), ends)
-        if attempt is not None:  # none was waiting for a connection opened ahead
-            attempt.ended(attempt, outcome, served)
         return ends is None
 
     def not_connected(self) -> None:
