--- a/brackenusher/cli.py
+++ b/brackenusher/cli.py
@@ -79,6 +79,18 @@
     return show.diff(options.source, options.other, settings, sys.stdout)
 
 
+def show_members(options: argparse.Namespace) -> int:
+    try:
+        from brackenusher.membership import members  # with msgspec: only for who shares
+    except ImportError as error:
+        needs = "members needs the extra knowledge: pip install 'brackenusher[knowledge]'"
+        raise ConfigError(f"{needs} ({error})") from error
+    try:
+        return members.show(options.address, load_peers(options.properties), sys.stdout, options.watch)
+    except KeyboardInterrupt:
+        return 130
+
+
 def demo(options: argparse.Namespace) -> int:
     try:
         from testbed.sockets.demo import main as play
@@ -134,6 +146,15 @@
             command.add_argument("other", metavar="FILE|ADDRESS")
         command.add_argument("--properties", metavar="FILE", help="the operators' file, with the peers' keys")
         command.set_defaults(call=show_knowledge)
+    command = commands.add_parser("members", help="who belongs to a group of proxies, and which links work")
+    verbs = command.add_subparsers(dest="verb", required=True, metavar="VERB")
+    command = verbs.add_parser("show", help="print it; exit 1 where not all agree and are in touch")
+    command.add_argument("address", metavar="ADDRESS", help="host:port of a proxy, its peers.listen")
+    command.add_argument(
+        "--properties", metavar="FILE", required=True, help="the operators' file, with the peers' keys"
+    )
+    command.add_argument("--watch", action="store_true", help="print it again each second")
+    command.set_defaults(call=show_members)
     command = commands.add_parser(
         "demo", help="play the main job on this machine: emulated servers and clients"
     )
--- a/brackenusher/config/operators.py
+++ b/brackenusher/config/operators.py
@@ -44,6 +44,7 @@
     """Other proxies to share knowledge with: where this one is found, whom it knows, the keys of all."""
 
     listen: Address = ("", 0)  # an IP address and a port, for datagrams and for questions
+    advertise: Address = ("", 0)  # where the others find it; `listen` where that is left out
     seeds: tuple[Address, ...] = ()
     keys: Mapping[str, bytes] = field(default_factory=dict, repr=False)
     sign: str = ""  # the id of the key that seals what this proxy sends
@@ -51,6 +52,10 @@
     warm_ms: int = 300
     ask: int = 3
 
+    @property
+    def known_as(self) -> Address:
+        return self.advertise if self.advertise[0] else self.listen
+
 
 @dataclass(frozen=True)
 class SnapshotSettings:
@@ -267,6 +272,7 @@
         raise entries.error("peers.sign", f"names no key: there is no peers.key.{sign}")
     return PeersSettings(
         listen=entries.take("peers.listen", ip_port, least.listen),
+        advertise=entries.take("peers.advertise", ip_port, least.advertise),
         seeds=entries.take("peers.seeds", ip_ports, least.seeds),
         keys=keys,
         sign=sign,
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -193,6 +193,8 @@
             self.figures.also.append(self.upstream.figures)
             self.figures.also.append(self.clients.figures)
             self.figures.also.append(Insight(self.transactions.balancer, clock).figures)
+            if self.peers:
+                self.figures.also.append(self.peers.figures)
         looking = [each for each in (self.capture, self.figures, self.tally) if each]
         self.transactions.observers = Observers(
             handled=tuple(each.handled for each in (self.capture, self.peers) if each),
--- a/brackenusher/membership/frames.py
+++ b/brackenusher/membership/frames.py
@@ -63,9 +63,44 @@
     records: Annotated[list[Record], Meta(max_length=MOST_TOLD)] = []
 
 
+class Who(Struct, array_like=True, frozen=True, tag="who"):
+    """A question for who belongs, and how things stand."""
+
+    nonce: Nonce
+
+
+class Line(Struct, array_like=True, frozen=True):
+    """One member or newcomer, as the one that tells sees it. Spans are in milliseconds."""
+
+    name: Name
+    life: Number
+    host: str
+    port: int
+    belongs: bool
+    state: int
+    way: str  # of the link: "both", "in" (heard, not answered), "none", "new" (not tried yet)
+    answered: float  # since its last answer; below zero where there was none
+
+
+class Members(Struct, array_like=True, frozen=True, tag="members"):
+    """Its answer."""
+
+    nonce: Nonce
+    name: Name
+    life: Number
+    group: Number
+    number: Number
+    cut_off: bool
+    dazed: bool
+    flaps: int
+    lines: Annotated[list[Line], Meta(max_length=2048)] = []
+    counts: dict[str, int] = {}
+
+
+Frame = Asked | Told | Who | Members
 ENCODER = msgspec.msgpack.Encoder()
 PIECES = msgspec.msgpack.Decoder(Piece)
-FRAMES = msgspec.msgpack.Decoder(Asked | Told)
+FRAMES = msgspec.msgpack.Decoder(Frame)
 AFTER_SERIAL = [f.name for f in fields(Evidence)][6:]  # those that stand in a piece as they are
 
 
@@ -87,13 +122,13 @@
     return Evidence(p.backend, p.born, p.origin, p.epoch, p.serial, now - p.age, *rest)
 
 
-def pack(message: Asked | Told, key: bytes, kid: str) -> bytes:
+def pack(message: Frame, key: bytes, kid: str) -> bytes:
     """A frame, length and all."""
     body = seal(key, kid, FRAME, ENCODER.encode(message))
     return len(body).to_bytes(4, "big") + body
 
 
-def unpack(keys: Mapping[str, bytes], body: bytes) -> Asked | Told:
+def unpack(keys: Mapping[str, bytes], body: bytes) -> Frame:
     """Raises Broken."""
     try:
         return FRAMES.decode(unseal(keys, FRAME, body))
--- a/brackenusher/membership/peers.py
+++ b/brackenusher/membership/peers.py
@@ -3,6 +3,7 @@
 What is sent and decided is in `swim`, `frames`, `snapshot` and `keeper`; here are their sockets.
 """
 
+import contextlib
 import errno
 import logging
 import os
@@ -20,8 +21,11 @@
     MOST_TOLD,
     Asked,
     Broken,
+    Line,
+    Members,
     Reader,
     Told,
+    Who,
     encode,
     pack,
     unpack,
@@ -45,6 +49,7 @@
 LONGEST_QUESTION = 1024  # bytes
 ROOM = snapshot.MOST + 1024  # bytes of snapshots that wait to be written: one of the greatest
 NEXT_PART = 5.0  # milliseconds between two parts of what takes long
+DAZED = 100.0  # milliseconds between two looks at whether the group was heard again
 LEAST_WAIT = 1.0  # milliseconds between two looks at what membership has to do
 
 
@@ -74,13 +79,15 @@
         self.handled = self.keeper.handled
         self.swim: Swim | None = None
         if peers is not None:
-            ask = (name, peers.listen, self.epoch, peers.keys, peers.sign, peers.seeds)
+            ask = (name, peers.known_as, self.epoch, peers.keys, peers.sign, peers.seeds)
             self.swim = Swim(*ask, float(peers.period_ms), self.rng, clock())
         self.channel = outlet.channel(self.write_snapshot, ROOM, ROOM) if saved else None
         self.anew: Entry | None = None
         self.due: Entry | None = None
         self.askers = self.turned_away = self.unsent = self.snapshots = 0
-        self.conflicts = 0
+        self.conflicts = self.slept = 0
+        self.held: frozenset[str] = frozenset()
+        self.cut = False
         self.asking: dict[Address, Task] = {}
         self.then: Callable[[], None] | None = None
         self.datagrams: socket.socket | None = None
@@ -100,7 +107,7 @@
             asked = self.rng.sample(settings.seeds, min(settings.ask, len(settings.seeds)))
             if settings.warm_ms:
                 for address in asked:
-                    if address != settings.listen:
+                    if address not in (settings.listen, settings.known_as):
                         self.ask(address, settings)
             self.later(settings.warm_ms, self.late)
             self.work()
@@ -135,7 +142,11 @@
             self.anew = self.later(0.0, self.advise)
 
     def advise(self) -> None:
-        """Have the module told what others say, a part at a time."""
+        """Have the module told what others say, a part at a time; after a pause once one is heard."""
+        if self.swim is not None and self.swim.dazed:
+            self.loop.deadlines.remove(self.anew)
+            self.anew = self.later(DAZED, self.advise)
+            return
         self.loop.deadlines.remove(self.anew)
         self.anew = self.later(NEXT_PART, self.advise) if self.keeper.advise(clock()) else None
 
@@ -156,7 +167,9 @@
         assert self.swim is not None
         self.due = None
         try:
-            self.send(self.swim.tick(clock()))
+            now = clock()
+            self.send(self.swim.tick(now))
+            self.watch(now)
         finally:
             self.again()
 
@@ -213,13 +226,92 @@
         for name, state in changes:
             text, members = "peers: %(peer)s is %(state)s, %(members)d members", len(swim.alive()) + 1
             say(log, logging.INFO, "peer_changed", text, peer=name, state=STATES[state], members=members)
-        if swim.epoch != self.keeper.epoch:
-            self.keeper.epoch = swim.epoch
+        self.watch(now)
         if swim.counts["name"] and not self.conflicts:
             text = "peers: a name is used by two, or a peer has moved: its datagrams are left aside"
             say(log, logging.WARNING, "peer_name_taken", text)
         self.conflicts = swim.counts["name"]
 
+    def watch(self, now: float) -> None:
+        """Log what became of the view, and whether this process is cut off."""
+        swim = self.swim
+        assert swim is not None
+        assembly = swim.assembly
+        if swim.epoch != self.keeper.epoch:
+            self.keeper.epoch = swim.epoch
+        views, swim.views = swim.views, []
+        for life, view in views:
+            if view is None:
+                text = "peers: taken out of the group: life %(life)d is over, and it joins anew"
+                say(log, logging.WARNING, "view_lost", text, life=life)
+                continue
+            names = frozenset(view.by_name)
+            came, left = sorted(names - self.held), sorted(self.held - names)
+            facts = {"number": view.number, "group": f"{view.group:08x}", "members": len(names)}
+            text = (
+                "peers: view %(number)d of group %(group)s, %(members)d members; came %(came)s; left %(gone)s"
+            )
+            some = {"came": " ".join(came[:20]) or "-", "gone": " ".join(left[:20]) or "-"}
+            say(log, logging.INFO, "view_changed", text, **facts, **some)
+            lives = " ".join(f"{m.name}@{m.life}" for m in view.members)
+            text = "peers: at %(at).3f life %(life)d holds view %(number)d of %(group)s: %(lives)s"
+            whole = {"at": now, "life": life, "lives": lives, "number": view.number, "group": view.group}
+            say(log, logging.DEBUG, "view_held", text, **whole)
+            self.held = names
+        if assembly.cut_off != self.cut:
+            self.cut = assembly.cut_off
+            if self.cut:
+                heard = sum(now - link.heard_at < swim.period * 5 for link in assembly.links.values())
+                text = "peers: cut off: no majority of the %(members)d answers; %(heard)d are heard"
+                size = len(assembly.view.members) if assembly.view else 0
+                say(log, logging.WARNING, "cut_off", text, members=size, heard=heard)
+            else:
+                say(log, logging.INFO, "in_touch", "peers: in touch with a majority")
+        if swim.counts["slept"] != self.slept:
+            self.slept = swim.counts["slept"]
+            text = "peers: stood still for over a period: what it knew counts once the group is heard again"
+            say(log, logging.WARNING, "stood_still", text)
+
+    def members(self, nonce: int) -> Members:
+        """Who belongs and how things stand, as this process sees it."""
+        swim, now = self.swim, clock()
+        assert swim is not None
+        assembly, view, lines = swim.assembly, swim.assembly.view, []
+        lives = {m.name: m for m in view.members} if view is not None else {}
+        for name in sorted(lives.keys() | swim.members.keys()):
+            m, belongs, link = swim.members.get(name), lives.get(name), assembly.links.get(name)
+            host, port = m.address if m is not None else belongs.address if belongs is not None else ("", 0)
+            life = belongs.life if belongs is not None else m.epoch if m is not None else 0
+            way = "new"
+            if name == swim.name:
+                way = "both"
+            elif link is not None and assembly.down(name):
+                way = "in" if now - link.heard_at < 5 * swim.period else "none"
+            elif link is not None and link.answered_at > 0:
+                way = "both"
+            since = now - link.answered_at if link is not None and link.answered_at > 0 else -1.0
+            state = m.state if m is not None else 0
+            lines.append(Line(name, life, host, port, belongs is not None, state, way, since))
+        group, number = (view.group, view.number) if view is not None else (0, 0)
+        counts = dict(swim.counts + assembly.counts)
+        facts = (group, number, assembly.cut_off, swim.dazed, assembly.flaps)
+        return Members(nonce, swim.name, swim.epoch, *facts, lines, counts)
+
+    def figures(self) -> list[tuple[str, int, str, list[tuple[str, str]]]]:
+        """Gauges for a collector."""
+        swim = self.swim
+        if swim is None:
+            return []
+        assembly, now = swim.assembly, clock()
+        found = {
+            "members": len(assembly.view.members) if assembly.view is not None else 0,
+            "view": assembly.number,
+            "cut_off": int(assembly.cut_off),
+            "flaps": assembly.flaps,
+            "links_one_way": len(assembly.one_way(now)),
+        }
+        return [(name, value, "g", []) for name, value in found.items()]
+
     def send(self, datagrams: list[tuple[bytes, Address]]) -> None:
         for data, address in datagrams:
             try:
@@ -256,11 +348,15 @@
                 yield READ
                 body = self.read(sock, reader)
             asked = unpack(settings.keys, body)
+            answer: Told | Members | None = None
             if isinstance(asked, Asked):
                 keeper, now = self.keeper, clock()
                 records = keeper.dump(now, min(asked.most, MOST_TOLD))
-                told = Told(asked.nonce, keeper.name, keeper.epoch, records)
-                rest = pack(told, settings.keys[settings.sign], settings.sign)
+                answer = Told(asked.nonce, keeper.name, keeper.epoch, records)
+            elif isinstance(asked, Who):
+                answer = self.members(asked.nonce)
+            if answer is not None:
+                rest = pack(answer, settings.keys[settings.sign], settings.sign)
                 while rest:
                     rest = write(sock, rest)
                     if rest:
@@ -289,6 +385,8 @@
         """Ask one peer what it knows."""
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
+        with contextlib.suppress(OSError):
+            sock.bind((settings.listen[0], 0))  # so that the others see one address of it for everything
         code = sock.connect_ex(address)
         if code not in (0, errno.EINPROGRESS):
             sock.close()
@@ -350,7 +448,7 @@
         if held.epoch >= self.epoch:  # the clock went back: what comes must count as later all the same
             self.keeper.epoch = self.epoch = held.epoch + 1
             if self.swim is not None:
-                self.swim.epoch = self.epoch
+                self.swim.live(self.epoch)
         news = self.keeper.take(clock() - age, held.records)
         facts = {"file": path, "age_s": age / 1000.0, "news": len(news), "pieces": len(held.records)}
         text = "snapshot: %(file)s is %(age_s).1f s old, %(news)d pieces of %(pieces)d count"
--- a/brackenusher/membership/show.py
+++ b/brackenusher/membership/show.py
@@ -12,7 +12,17 @@
 from brackenusher.config.operators import PeersSettings
 from brackenusher.config.platform import ConfigError, read_address
 from brackenusher.membership import snapshot
-from brackenusher.membership.frames import Asked, Broken, Reader, Told, decode, pack, unpack
+from brackenusher.membership.frames import (
+    Asked,
+    Broken,
+    Frame,
+    Reader,
+    Told,
+    Who,
+    decode,
+    pack,
+    unpack,
+)
 
 WAIT = 2.0  # seconds that a proxy may take for its answer
 DIFFERENT = 1.1  # times slower or faster: below this two speeds are printed as one in a comparison
@@ -22,14 +32,14 @@
 )
 
 
-def fetch(address: str, settings: PeersSettings) -> tuple[str, list[bytes]]:
-    """Ask a running proxy: its name and what it holds. Raises ConfigError."""
+def ask(address: str, settings: PeersSettings, question: Asked | Who) -> Frame:
+    """Put a question to a running proxy. Raises ConfigError."""
     if not settings.keys or not settings.sign:
         raise ConfigError("peers.key.<kid> and peers.sign are needed to ask a proxy")
-    nonce, reader, body = secrets.randbits(64), Reader(), None
+    reader, body = Reader(), None
     try:
         with closing(socket.create_connection(read_address(address, "the proxy"), timeout=WAIT)) as sock:
-            sock.sendall(pack(Asked(nonce), settings.keys[settings.sign], settings.sign))
+            sock.sendall(pack(question, settings.keys[settings.sign], settings.sign))
             while body is None:
                 data = sock.recv(65_536)
                 if not data:
@@ -38,7 +48,15 @@
         told = unpack(settings.keys, body)
     except (OSError, Broken) as error:
         raise ConfigError(f"{address}: {error}") from error
-    if not isinstance(told, Told) or told.nonce != nonce:
+    if isinstance(told, Asked | Who) or told.nonce != question.nonce:
+        raise ConfigError(f"{address}: not an answer to what was asked")
+    return told
+
+
+def fetch(address: str, settings: PeersSettings) -> tuple[str, list[bytes]]:
+    """What a running proxy holds, and its name. Raises ConfigError."""
+    told = ask(address, settings, Asked(secrets.randbits(64)))
+    if not isinstance(told, Told):
         raise ConfigError(f"{address}: not an answer to what was asked")
     return told.name, told.records
 
--- a/brackenusher/membership/swim.py
+++ b/brackenusher/membership/swim.py
@@ -1,12 +1,10 @@
-"""Who else is there: SWIM with Lifeguard, a state machine fed datagrams and told the time, without a socket.
+"""Who else is there: SWIM's pings and gossip, a state machine fed datagrams and told the time.
 
 Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership Protocol"
 (DSN 2002): each period a member pings one other, chosen by a shuffled round; without an answer it has a few
 others ping that one; without an answer still it suspects it, and tells so on whatever it sends. A suspect
-refutes by a greater incarnation; one that does not is dead after a while. Dadgar, Phillips and Currey,
-"Lifeguard: Local Health Awareness for More Accurate Failure Detection" (DSN-W 2018): one that gets no answers
-from others doubts itself and waits longer; suspicion shortens as others confirm it; a ping tells a suspect
-that it is one.
+refutes by a greater incarnation. Here a suspicion kills nobody: it calls the suspect's observers, and a
+majority of the view decides (`barleybarrow.assembly`, whose messages travel in these datagrams).
 
 Each datagram is sealed (`seal`) and numbered by its sender. The numbers count in a window as in RFC 4303,
 3.4.3, and only for a life of the sender that has answered a random nonce of ours: an old recording proves
@@ -17,34 +15,31 @@
 import random
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from heapq import nsmallest
 from ipaddress import ip_address
-from math import ceil, inf, log, log10
+from math import ceil, inf, log
 from typing import Annotated
 
 import msgspec
 from msgspec import Meta, Struct
 
+from barleybarrow.assembly import Assembly, Body
+from barleybarrow.views import ALIVE, DEAD, LEFT, MOST_MEMBERS, SUSPECT, Stamp, View
 from brackenusher.membership.seal import DATAGRAM, Refused, overhead, seal, unseal
 
 Address = tuple[str, int]
 
 LONGEST = 1400  # bytes of a datagram: it fits one packet on every usual link
-MOST_MEMBERS = 1024  # names held, the dead among them
 MOST_WAITING = 256  # pings and pings on behalf of others whose answer is awaited
 MOST_RECORDS = 512  # opaque records that wait to be passed on
 RATE, BURST = 2000.0, 400.0  # datagrams a second looked at, and at once: 1,000 members send each some 4
 INDIRECT = 3  # others that ping on one's behalf; the paper's k
 ANSWER = 0.4  # of the period, until others are asked: the rest is theirs
 GOSSIP, FANOUT = 0.2, 3  # of the period, how often news goes to so many others (as memberlist does)
-NACK = 0.8  # of that, until one that pings on another's behalf says that it got no answer
-SUSPICION = (
-    4.0  # periods that a confirmed suspicion lasts, times the log10 of the group (as memberlist has it)
-)
-UNCONFIRMED = 6.0  # times as long while nobody confirms it
-CONFIRMATIONS = 3  # after which it is at its shortest
-DOUBT = 8  # worst health of one's own, on which all waits are 9 times as long
+BEHALF = 0.8  # of that, one that pings on another's behalf waits
+SOUNDING = 0.27  # of the period, a ping that the assembly wants waits for its answer
+STRANGE = 10  # periods, after which one that does not belong and does not answer is forgotten
 SPREAD = 3  # times the ln of the group: how often each piece of news is passed on
 FORGOTTEN = 300_000.0  # milliseconds for which a dead member is remembered, and looked for
 LOOK_FOR = 10  # periods between looks for the dead, and for seeds that nobody knows
@@ -55,9 +50,8 @@
 AT_ONCE = 32  # pieces of news that one datagram may carry
 WINDOW = 256  # numbers behind the greatest of which it is remembered whether they came
 
-ALIVE, SUSPECT, DEAD, LEFT = range(4)
 STATES = ("alive", "suspect", "dead", "left")
-PING, ACK, PING_FOR, NONE, PAGE = range(5)
+PING, ACK, PING_FOR, PAGE, VIEW = 0, 1, 2, 4, 5
 
 LONGEST_NAME = 64  # characters: two of them, in updates and outside, always fit a datagram
 
@@ -97,6 +91,8 @@
     joins: bool = False  # the sender knows nobody yet
     updates: Annotated[list[Update], Meta(max_length=MOST_UPDATES)] = []
     records: Annotated[list[bytes], Meta(max_length=MOST_UPDATES)] = []
+    stamp: Stamp = Stamp()
+    body: Body | None = None  # of VIEW
 
 
 @dataclass(slots=True)
@@ -114,7 +110,6 @@
     heard_at: float = -inf
     top: int = -1  # greatest number that came, and which of those behind it did
     came: int = 0
-    told_by: set[str] = field(default_factory=set)  # who suspects it
     paged_at: float = -inf
 
     def update(self, by: str = "") -> Update:
@@ -142,6 +137,7 @@
     until: float
     behalf: tuple[Address, int] | None = None  # whose ping it is, and their nonce
     pages: bool = False  # it asked for the whole list, and gets it once it has answered
+    counted: bool = False  # that it stays unanswered
 
 
 @dataclass(slots=True)
@@ -153,7 +149,6 @@
     ask_at: float  # when others are asked
     ends_at: float
     asked: int = 0
-    nones: int = 0
 
 
 @dataclass(slots=True)
@@ -180,13 +175,13 @@
         now: float,
     ) -> None:
         self.name, self.address, self.epoch, self.keys, self.kid = name, address, epoch, keys, kid
+        self.seeds_all = seeds
         self.seeds, self.period, self.rng = [s for s in seeds if s != address], period, rng
-        self.incarnation = self.serial = self.doubt = 0
+        self.incarnation = self.serial = 0
         self.members: dict[str, Member] = {}
         self.round: list[str] = []
         self.probe: Probe | None = None
         self.waiting: dict[int, Waiting] = {}
-        self.suspicions: dict[str, float] = {}  # when each began
         self.news: dict[str, News] = {}
         self.records: dict[bytes, News] = {}
         self.heard: list[bytes] = []  # records that came; whoever drives this takes them
@@ -199,7 +194,10 @@
         self.decoder = msgspec.msgpack.Decoder(Message)
         self.out: list[tuple[bytes, Address]] = []
         self.left = False
+        self.views: list[tuple[int, View | None]] = []  # that came to hold; whoever drives this takes them
         self.living: int | None = None  # members alive or suspect, where that is known
+        self.dazed = False  # it stood still, and nobody has answered it since
+        self.assembly = Assembly(name, epoch, address, self.seeds_all, self.members, period, rng, now)
         self.probes = self.failures = 0  # pings of its own, and those without an answer on any way
 
     # What it is asked
@@ -210,13 +208,12 @@
 
     def next(self) -> float:
         """When it next has something to do."""
-        ends = [self.next_probe, self.next_look]
+        ends = [self.next_probe, self.next_look, self.assembly.next_look]
         if self.news or self.records:
             ends.append(self.next_gossip)
         if self.probe is not None:
             ends.append(self.probe.ask_at if not self.probe.asked else self.probe.ends_at)
         ends += [w.until for w in self.waiting.values()]
-        ends += [self.ends(name) for name in self.suspicions]
         return min(ends)
 
     def tell(self, key: bytes, record: bytes) -> None:
@@ -227,6 +224,10 @@
             self.counts["records"] += 1
         self.records[key] = News(record)
 
+    def live(self, epoch: int) -> None:
+        """Take a later life, before anything was sent."""
+        self.epoch = self.assembly.life = epoch
+
     def leave(self) -> list[tuple[bytes, Address]]:
         """The last word."""
         self.left = True
@@ -246,11 +247,8 @@
         self.last = now
         for nonce in [n for n, w in self.waiting.items() if w.until <= now]:
             w = self.waiting.pop(nonce)
-            if w.behalf is not None:
-                self.send(w.behalf[0], NONE, w.behalf[1])
-        for name in [name for name in self.suspicions if self.ends(name) <= now]:
-            m = self.members[name]
-            self.take(now, dead(m))
+            if w.name and not w.counted:
+                self.assembly.missed(now, w.name)
         probe = self.probe
         if probe is not None:
             if not probe.asked and now >= probe.ask_at:
@@ -263,20 +261,59 @@
             self.look(now)
         if (self.news or self.records) and now >= self.next_gossip:
             self.gossip(now)
+        self.assembly.tick(now)
+        self.follow(now)
         return self.flush()
 
+    def follow(self, now: float) -> None:
+        """Carry out what the assembly wants."""
+        assembly = self.assembly
+        pings, assembly.pings = assembly.pings, []
+        for name in pings:
+            m = self.members.get(name)
+            if m is not None:
+                about = m.update() if m.state != ALIVE else None
+                self.knock(now, Waiting(name, m.address, now + SOUNDING * self.period), about)
+        while assembly.turned:
+            life, before, after = assembly.turned.pop(0)
+            self.views.append((life, after))
+            self.turned(now, before, after)
+        out, assembly.out = assembly.out, []
+        for address, body in out:
+            self.write(address, VIEW, 0, "", False, [], [], body)
+
+    def turned(self, now: float, before: View | None, after: View | None) -> None:
+        """Another view is there, or this life is over."""
+        if self.epoch != self.assembly.life:
+            self.epoch, self.incarnation = self.assembly.life, 0
+            for m in self.members.values():
+                m.trusts = False
+            self.note(self.own())
+        if after is None:
+            return
+        self.round = []  # drawn anew: who was met first would be left until the last
+        for b in after.members:
+            known = self.members.get(b.name)
+            if b.name != self.name and (known is None or known.epoch < b.life):
+                self.meet(now, Update(b.name, b.host, b.port, b.life, 0, ALIVE), known)
+        for b in before.members if before is not None else ():
+            known = self.members.get(b.name)
+            if known is None or after.has(b.name, b.life):
+                continue
+            if known.epoch == b.life and known.state <= SUSPECT:
+                self.changed(known.name, DEAD)
+                known.state, known.since = DEAD, now
+                self.news.pop(known.name, None)
+
     def slept(self, now: float, late: float) -> None:
         """This process stood still: what it did not hear meanwhile says nothing of others."""
         self.counts["slept"] += 1
-        self.worse(1)
+        self.dazed = True
         self.probe = None
         self.waiting.clear()
-        self.next_probe = now
-        for name in self.suspicions:
-            self.suspicions[name] += late
-
-    def worse(self, by: int) -> None:
-        self.doubt = min(max(self.doubt + by, 0), DOUBT)
+        self.next_probe = now + self.rng.uniform(0.1, 1.0) * self.period  # no burst with others that wake
+        self.next_gossip = max(self.next_gossip, now)
+        self.assembly.slept(now)
 
     def group(self) -> int:
         if self.living is None:
@@ -288,18 +325,8 @@
         self.changes.append((name, state))
         self.living = None
 
-    def ends(self, name: str) -> float:
-        """When a suspicion ends with the suspect's death."""
-        shortest = SUSPICION * max(1.0, log10(self.group())) * self.period
-        needed = min(CONFIRMATIONS, self.group() - 2)
-        if needed < 1:
-            return self.suspicions[name] + shortest
-        confirmed = min(len(self.members[name].told_by) - 1, needed)
-        share = log(max(confirmed, 0) + 1) / log(needed + 1)
-        return self.suspicions[name] + shortest * (UNCONFIRMED - (UNCONFIRMED - 1) * share)
-
     def begin_probe(self, now: float) -> None:
-        span = self.period * (1 + self.doubt)
+        span = self.period
         self.next_probe = now + span
         while self.round or self.shuffle():
             m = self.members.get(self.round.pop())
@@ -365,25 +392,34 @@
         probe.asked = len(chosen) or -1
         kept = self.waiting.get(probe.nonce)
         if kept is not None:
-            kept.until = probe.ends_at
+            kept.until, kept.counted = probe.ends_at, True
+        self.assembly.missed(now, probe.name)
 
     def failed(self, now: float, probe: Probe) -> None:
-        """Neither it nor those asked have answered; Lifeguard holds silence of the latter against us."""
+        """Neither it nor those asked have answered. Who is cut off itself accuses nobody."""
         self.probe = None
         self.failures += 1
         self.waiting.pop(probe.nonce, None)
-        self.worse(max(probe.asked - probe.nones, 0) if probe.asked > 0 else 1)
+        self.assembly.probed(now, False)
         m = self.members.get(probe.name)
-        if m is not None and m.state <= SUSPECT:
+        cut = self.assembly.view is not None and self.assembly.cut_off
+        if m is not None and m.state <= SUSPECT and not cut:
             self.take(now, Update(m.name, *m.address, m.epoch, m.incarnation, SUSPECT, self.name))
 
     def look(self, now: float) -> None:
         """Forget who has long been dead; look for one of the others, and for a seed that nobody knows."""
         alone = not any(m.proved and m.state <= SUSPECT for m in self.members.values())
-        self.next_look = now + self.period * (1 if alone else LOOK_FOR)
-        for m in [m for m in self.members.values() if m.state > SUSPECT and now - m.since > FORGOTTEN]:
-            del self.members[m.name]
-            self.news.pop(m.name, None)
+        outside = self.assembly.view is None
+        self.next_look = now + self.period * (1 if alone or outside else LOOK_FOR)
+        view, strange = self.assembly.view, now - STRANGE * self.period
+        for m in list(self.members.values()):
+            belongs = view is not None and m.name in view.by_name
+            vanished = m.state == SUSPECT and m.since < strange and not belongs
+            if vanished or (m.state > SUSPECT and now - m.since > FORGOTTEN):
+                if m.state == SUSPECT:
+                    self.changed(m.name, DEAD)
+                del self.members[m.name]
+                self.news.pop(m.name, None)
         gone = [m for m in self.members.values() if m.state == DEAD]
         if gone:
             self.ping(now, self.rng.choice(gone), self.period)
@@ -461,8 +497,7 @@
             if m.epoch != message.epoch:
                 m.incarnation = 0
             m.epoch, m.address, m.state, m.since = message.epoch, source, ALIVE, now
-            self.suspicions.pop(m.name, None)
-            m.paged_at, m.told_by, m.trusts = -inf, set(), False
+            m.paged_at, m.trusts = -inf, False
             self.note(m.update())
         m.proved, m.top, m.came = True, message.serial, 1
         return True
@@ -471,6 +506,11 @@
         """What a credible message asks for and tells."""
         sender = self.members[message.sender]
         sender.heard_at = now
+        self.assembly.heard(now, sender.name)
+        if message.serial == sender.top:  # one that comes late says nothing of how things stand
+            self.assembly.compare(now, sender, message.stamp)
+        if message.kind == VIEW and message.body is not None:
+            self.assembly.receive(now, sender, message.stamp, message.body)
         for update in message.updates:
             self.take(now, update)
         self.heard += message.records
@@ -483,10 +523,7 @@
         elif message.kind == PING_FOR:
             m = self.members.get(message.target)
             if m is not None:
-                self.ping(now, m, ANSWER * NACK * self.period, (source, message.nonce))
-        elif message.kind == NONE:
-            if self.probe is not None and self.probe.nonce == message.nonce:
-                self.probe.nones += 1
+                self.ping(now, m, ANSWER * BEHALF * self.period, (source, message.nonce))
         elif message.kind == ACK:
             self.answered(now, message, sender, source)
 
@@ -496,6 +533,8 @@
             return
         if w.address == source and w.name in ("", sender.name):
             del self.waiting[message.nonce]
+            self.dazed = False
+            self.assembly.answered(now, sender.name)
             if w.pages:
                 self.page(now, sender)
             if w.behalf is not None:
@@ -505,24 +544,24 @@
         if probe is not None and probe.nonce == message.nonce:
             self.waiting.pop(message.nonce, None)
             self.probe = None
-            self.worse(-1)
+            self.assembly.probed(now, True)
 
     # News
 
     def take(self, now: float, update: Update) -> None:
         """Take up what is said of a member."""
         if update.name == self.name:
-            self.refute(update)
+            self.refute(now, update)
             return
         m = self.members.get(update.name)
         if m is None:
             self.meet(now, update)
             return
-        if update.state == SUSPECT == m.state and update.rank == (m.epoch, m.incarnation, SUSPECT):
-            if update.by and update.by not in m.told_by and len(m.told_by) <= CONFIRMATIONS:
-                m.told_by.add(update.by)
-                self.note(update)  # Lifeguard passes each of the first few confirmations on
+        if update.state == SUSPECT and not self.accuses(update.by):
             return
+        belongs = self.assembly.view is not None and self.assembly.view.has(m.name, m.epoch)
+        if update.epoch == m.epoch and DEAD in (update.state, m.state) and (belongs or m.state == DEAD):
+            return  # a view decides who is gone, and a life that is over does not come back
         if update.rank <= (m.epoch, m.incarnation, m.state):
             return
         if not usable(update):
@@ -531,21 +570,21 @@
         if update.epoch != m.epoch:
             m.proved = m.trusts = False
         m.epoch, m.incarnation, m.address = update.epoch, update.incarnation, (update.host, update.port)
-        self.suspicions.pop(m.name, None)
-        m.told_by = set()
-        if update.state == SUSPECT:
-            self.suspicions[m.name] = now
-            m.told_by = {update.by}
         if m.state != update.state:
             self.changed(m.name, update.state)
             m.state, m.since = update.state, now
         self.note(update)
 
-    def meet(self, now: float, update: Update) -> None:
-        """Somebody new, by hearsay: it still has to prove itself."""
+    def accuses(self, by: str) -> bool:
+        """Whether a suspicion of somebody's counts: not of one that is under suspicion or gone itself."""
+        m = self.members.get(by)
+        return by == self.name or (m is not None and m.state == ALIVE)
+
+    def meet(self, now: float, update: Update, known: Member | None = None) -> None:
+        """Somebody new, or a new life, by hearsay: it still has to prove itself."""
         if update.state > SUSPECT:
             return
-        if len(self.members) >= MOST_MEMBERS:
+        if known is None and len(self.members) >= MOST_MEMBERS:
             self.counts["members"] += 1
         elif not usable(update) or (update.host, update.port) == self.address:
             self.counts["garbage"] += 1
@@ -553,21 +592,23 @@
             address = (update.host, update.port)
             m = Member(update.name, address, update.epoch, update.incarnation, ALIVE, now)
             self.members[m.name] = m
-            self.round.insert(self.rng.randrange(len(self.round) + 1), m.name)  # as the paper has it
+            if known is None:
+                self.round.insert(self.rng.randrange(len(self.round) + 1), m.name)  # as the paper
             self.changed(m.name, ALIVE)
             self.note(m.update())
 
-    def refute(self, update: Update) -> None:
+    def refute(self, now: float, update: Update) -> None:
         """Contradict what is said of this member."""
         if update.epoch > self.epoch:
             if (update.host, update.port) == self.address:
-                self.epoch, self.incarnation, self.serial = update.epoch + 1, 0, 0  # the clock went back
+                self.assembly.life = update.epoch  # the clock went back
+                self.assembly.reborn(now)
+                self.follow(now)
             else:
                 self.counts["name"] += 1
         elif update.epoch == self.epoch and update.state != ALIVE and update.incarnation >= self.incarnation:
             if not self.left:
                 self.incarnation = update.incarnation + 1
-                self.worse(1)
                 self.note(self.own())
 
     def own(self) -> Update:
@@ -604,7 +645,7 @@
         updates = nsmallest(AT_ONCE, self.news.items() if news else (), key=lambda item: item[1].sent)
         records = nsmallest(AT_ONCE, self.records.items() if news else (), key=lambda item: item[1].sent)
         first = [self.encoder.encode(u) for u in (self.own(), about) if u is not None]
-        room = LONGEST - overhead(self.kid) - 64 - len(self.name.encode()) - len(target.encode())
+        room = LONGEST - overhead(self.kid) - 96 - len(self.name.encode()) - len(target.encode())
         room -= sum(map(len, first))
         parts: list[bytes] = []
         told: list[bytes] = []
@@ -635,9 +676,10 @@
         joins: bool,
         updates: list[bytes],
         records: list[bytes],
+        body: Body | None = None,
     ) -> list[bytes]:
         """Seal a datagram; return the updates that did not fit."""
-        room, count = LONGEST - overhead(self.kid) - 64 - len(self.name.encode()) - len(target.encode()), 0
+        room, count = LONGEST - overhead(self.kid) - 96 - len(self.name.encode()) - len(target.encode()), 0
         room -= sum(len(r) + 3 for r in records)
         for update in updates[:MOST_UPDATES]:
             room -= len(update)
@@ -646,8 +688,9 @@
             count += 1
         self.serial += 1
         raw = [msgspec.Raw(update) for update in updates[:count]]
-        body = [self.name, self.epoch, self.serial, kind, nonce, target, joins, raw, records]
-        data = seal(self.keys[self.kid], self.kid, DATAGRAM, self.encoder.encode(body))
+        whole = [self.name, self.epoch, self.serial, kind, nonce, target, joins, raw, records]
+        whole += [self.assembly.stamp(), body] if body is not None else [self.assembly.stamp()]
+        data = seal(self.keys[self.kid], self.kid, DATAGRAM, self.encoder.encode(whole))
         self.out.append((data, address))
         return updates[max(count, 1) :]
 
@@ -656,10 +699,6 @@
         return out
 
 
-def dead(m: Member) -> Update:
-    return Update(m.name, *m.address, m.epoch, m.incarnation, DEAD)
-
-
 def usable(update: Update) -> bool:
     """Whether an update names an address that can be sent to; names would have to be looked up."""
     try:
--- a/testbed/group.py
+++ b/testbed/group.py
@@ -9,7 +9,10 @@
 from heapq import heappop, heappush
 from typing import Any
 
-from brackenusher.membership.swim import ALIVE, DEAD, SUSPECT, Address, Swim
+from barleybarrow.views import ALIVE, DEAD, SUSPECT, View
+from brackenusher.membership.swim import Address, Swim
+from testbed import oracle_views as oracle
+from testbed.schedule import Act, LinkFault, Schedule
 
 KEYS = {"k1": b"testbed-testbed!"}
 PERIOD = 1000.0  # milliseconds
@@ -35,6 +38,16 @@
     state: int
 
 
+@dataclass(slots=True)
+class Held:
+    """A process has come to hold a view; None where its life in the group is over."""
+
+    at: float
+    by: int
+    life: int
+    view: View | None
+
+
 class Group:
     """Members by number; times are milliseconds of virtual time."""
 
@@ -44,6 +57,7 @@
         self.serial = self.datagrams = 0
         self.first = tuple(address(i) for i in range(min(seeds, size)))
         self.numbers = {address(i): i for i in range(size)}
+        self.addresses = [address(i) for i in range(size)]
         self.offsets = [START + self.rng.uniform(-CLOCKS, CLOCKS) for _ in range(size)]
         self.sent = [0] * size  # bytes
         self.longest = 0
@@ -51,7 +65,10 @@
         self.up, self.paused_until = [False] * size, [0.0] * size
         self.queues: list[list[tuple[bytes, Address]]] = [[] for _ in range(size)]
         self.cut: Callable[[int, int], bool] = lambda a, b: False
+        self.faults: list[LinkFault] = []
+        self.origin = 0.0
         self.changes: list[Change] = []
+        self.views: list[Held] = []
         self.swims: list[Swim] = []
         for i in range(size):
             self.swims.append(self.machine(i))
@@ -85,6 +102,7 @@
 
     def restart(self, i: int) -> None:
         """A new process at the same address, under the same name."""
+        self.queues[i], self.paused_until[i] = [], 0.0
         self.swims[i] = self.machine(i)
         self.start(i)
 
@@ -124,13 +142,61 @@
         for name, state in swim.changes:
             self.changes.append(Change(self.now, i, name, state))
         swim.changes.clear()
+        for life, view in swim.views:
+            self.views.append(Held(self.now, i, life, view))
+        swim.views.clear()
         for data, to in out:
             self.sent[i] += len(data)
             self.datagrams += 1
             self.longest = max(self.longest, len(data))
             j = self.numbers.get(to)
             if j is not None and not self.cut(i, j) and self.rng.random() >= self.loss:
-                self.at(self.now + self.rng.uniform(*DELAY), self.arrive, (j, data, address(i)))
+                for delay in self.fate(i, j):
+                    self.at(self.now + delay, self.arrive, (j, data, self.addresses[i]))
+
+    def fate(self, i: int, j: int) -> list[float]:
+        """How long a datagram takes, for each time it arrives; none where it is lost."""
+        delays = [self.rng.uniform(*DELAY)]
+        for fault in self.faults:
+            if fault.carries == "stream" or not fault.concerns((self.now - self.origin) / PERIOD, i, j):
+                continue
+            if fault.lost and self.rng.random() < fault.lost:
+                return []
+            if fault.doubled and self.rng.random() < fault.doubled:
+                delays.append(self.rng.uniform(*DELAY) + self.rng.uniform(0.0, PERIOD))
+            late = fault.late and self.rng.random() < fault.late
+            more = (fault.delay + (fault.late_by if late else 0.0)) * PERIOD
+            delays = [delay + more for delay in delays]
+        return delays
+
+    def play(self, schedule: Schedule) -> None:
+        """Play a schedule from now on, to its end."""
+        self.origin, self.faults = self.now, list(schedule.links)
+        for act in schedule.acts:
+            for n, i in enumerate(act.who):
+                when = self.origin + (act.at + act.spread * n / len(act.who)) * PERIOD
+                self.at(when, self.do, (act, i))
+                if act.do in ("kill", "leave") and act.lasts:
+                    self.at(when + act.lasts * PERIOD, self.back, i)
+        self.run(self.origin + schedule.periods * PERIOD)
+        self.faults = []
+
+    def do(self, what: tuple[Act, int]) -> None:
+        act, i = what
+        if not self.up[i]:
+            if act.do == "start":
+                self.restart(i)
+        elif act.do == "pause":
+            self.pause(i, act.lasts * PERIOD)
+        elif act.do == "kill":
+            self.crash(i)
+        elif act.do == "leave":
+            self.carry(i, self.swims[i].leave())
+            self.crash(i)
+
+    def back(self, i: int) -> None:
+        if not self.up[i]:
+            self.restart(i)
 
     def arrive(self, what: tuple[int, bytes, Address]) -> None:
         j, data, source = what
@@ -156,6 +222,43 @@
         size = sum(self.up)
         return all(self.known(i) == size - 1 for i in range(len(self.swims)) if self.up[i])
 
+    def history(self) -> list[oracle.Held]:
+        """What processes came to hold, for the oracle."""
+        found = []
+        for h in self.views:
+            by = self.swims[h.by].name, h.life
+            v = h.view
+            members = frozenset((m.name, m.life) for m in v.members) if v is not None else frozenset()
+            numbers = (v.group, v.number) if v is not None else (0, 0)
+            found.append(oracle.Held(h.at / PERIOD, by, *numbers, members))
+        return found
+
+    def unsettled(self) -> str:
+        """Why those that are up do not hold one view of just themselves; empty where they do."""
+        holds, alive = {}, set[oracle.Member]()
+        for i, swim in enumerate(self.swims):
+            if self.up[i]:
+                v, me = swim.assembly.view, (swim.name, swim.epoch)
+                alive.add(me)
+                held = (v.group, v.number, frozenset((m.name, m.life) for m in v.members)) if v else None
+                holds[me] = held
+        return oracle.settled(holds, alive)
+
+    def hopeless(self) -> bool:
+        """Whether no view can follow, by what is promised: half of the last, or of the seeds, is gone."""
+        held = [h for h in self.views if h.view is not None]
+        if not held or self.agreed():
+            return False
+        if 2 * sum(self.up[self.numbers[seed]] for seed in self.first) <= len(self.first):
+            return True
+        last = max(held, key=lambda h: h.at).view
+        assert last is not None
+        down = {s.name for i, s in enumerate(self.swims) if not self.up[i]}
+        return len(last.members) - sum(m.name in down for m in last.members) < last.majority
+
+    def agreed(self) -> bool:
+        return not self.unsettled()
+
     def told(self, of: int, state: int, since: float, by: set[int]) -> list[float]:
         """When each of these members first saw another in a state, since a time."""
         first: dict[int, float] = {}
