--- a/testbed/cli.py
+++ b/testbed/cli.py
@@ -13,15 +13,15 @@
 from rich.console import Console
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
 
-from testbed import experiments, results, scenario
+from testbed import experiments, results, scenario, words
 from testbed.experiments import FIGURES, RANDOM, Job, aligned, difference, play_all
 from testbed.policies import POLICIES
+from testbed.processes import commands as processes
 from testbed.reference import table
 from testbed.results import Result
 from testbed.scenario import ScenarioError
 from testbed.sockets import commands as sockets
 
-BREACHES = 20  # printed in full of one run; the rest is counted
 UNUSABLE, BROKEN = 2, 1  # exit codes: cannot be played; a promise was broken
 
 log = structlog.get_logger()
@@ -98,44 +98,13 @@
     several(storm_, "1..100")
 
     sockets.register(commands)
+    processes.register(commands)
 
     command("list", list_, "scenarios and policies")
     command("settings", settings, "the settings of a scenario, with defaults and ranges, as a table")
     return top
 
 
-def keep(path: str | None, found: list[Result]) -> None:
-    if path:
-        try:
-            results.save(found, path)
-        except OSError as error:
-            raise ScenarioError(f"{path}: {error.strerror}") from None
-
-
-def figures(result: Result) -> str:
-    """The last lines of a run, one figure each."""
-    return "\n".join(
-        [
-            f"goodput {result.goodput():.4f}",
-            f"p50 {result.percentile(0.5):.1f} ms",
-            f"p99 {result.percentile(0.99):.1f} ms",
-            f"refusals {result.total('refused'):.0f}",
-            f"breaches {len(result.breaches) + result.breaches_dropped}",
-            f"digest {result.digest}",
-        ]
-    )
-
-
-def breaches(result: Result) -> Iterator[str]:
-    """A line for each breach, with what finds it again."""
-    for b in result.breaches[:BREACHES]:
-        where = f"proxy {b.proxy} request {b.request}"
-        yield f"breach {b.promise}: seed {result.seed} at {b.at:.3f} ms {where}: {b.text}"
-    more = len(result.breaches) - BREACHES + result.breaches_dropped
-    if more > 0:
-        yield f"breaches not shown: {more}"
-
-
 def simulate(args: argparse.Namespace) -> int:
     """One run; 1 where the oracle found a promise broken."""
     job = Job(experiments.find(args.scenario), experiments.known(args.policy), args.seed, args.until)
@@ -143,7 +112,7 @@
     result = experiments.play(job)
     cost = result.cost
     log.info("ran", wall_s=round(cost.wall_s, 2), events=cost.events, memory_mb=round(cost.memory_mb))
-    keep(args.json, [result])
+    words.keep(args.json, [result])
     head = ["class", "tenant", "asked", "in aim", "late", "refused", "failed", "left", "goodput"]
     rows = [head]
     for t in result.tallies:
@@ -153,11 +122,11 @@
     print(aligned(rows))
     for fault in result.acted:
         print(f"fault {fault.kind}: {fault.at:.0f} to {fault.until:.0f} ms {fault.text}".rstrip())
-    for line in breaches(result):
+    for line in words.breaches(result):
         print(line)
     attempts, wasted = result.attempts_a_request(), result.wasted()
     print(f"attempts a request {attempts:.3f}, work wasted {wasted:.3f}, virtual {result.seconds:.1f} s")
-    print(figures(result))
+    print(words.figures(result))
     return BROKEN if result.breaches else 0
 
 
@@ -189,7 +158,7 @@
     cases = [(v, experiments.altered(base, path, v), p) for v in values for p in policies]
     jobs = [Job(changed, p, seed) for _, changed, p in cases for seed in seeds]
     found = play_shown("sweep", jobs, args.cores)
-    keep(args.json, found)
+    words.keep(args.json, found)
     rows = [[path, "policy", *FIGURES, "refused", "breaches"]]
     for n, (value, _, policy) in enumerate(cases):
         runs = found[n * len(seeds) : (n + 1) * len(seeds)]
@@ -218,7 +187,7 @@
             sides.append(play_shown(side, jobs, args.cores))
         else:
             sides.append(read(side))
-    keep(args.json, sides[0] + sides[1])
+    words.keep(args.json, sides[0] + sides[1])
     pairs = experiments.paired(*sides)
     if not pairs:
         raise ScenarioError(f"{args.a} and {args.b}: no scenario and seed in common")
@@ -255,7 +224,7 @@
     found += play_shown("report", jobs, args.cores)
     if not found:
         raise ScenarioError("report: --from FILE or --scenario NAME is wanted")
-    keep(args.json, found)
+    words.keep(args.json, found)
     try:
         Path(args.out).write_text(page(found), encoding="utf-8")
     except OSError as error:
@@ -269,10 +238,10 @@
     policy, seeds = experiments.known(args.policy), experiments.seeds(args.seeds)
     jobs = [Job(experiments.find(f"{RANDOM}{seed}"), policy, seed) for seed in seeds]
     found = play_shown("storm", jobs, args.cores)
-    keep(args.json, found)
+    words.keep(args.json, found)
     broken = [r for r in found if r.breaches]
     for r in broken:
-        for line in breaches(r):
+        for line in words.breaches(r):
             print(line)
         before = min(b.at for b in r.breaches)
         print(f"  simulate {RANDOM}{r.seed} --seed {r.seed} --policy {policy} --until {before:.3f}")
--- a/testbed/parts.py
+++ b/testbed/parts.py
@@ -1,14 +1,17 @@
 """What a world is made of: places and the servers that run there, and what clients want of them."""
 
+from bisect import bisect_left
 from collections import deque
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterable
+from math import inf
+from typing import Any, Protocol
 
-from brackenusher.core.transaction import Answer, Transaction
+from barleybarrow.interface import Outcome
+from brackenusher.core.transaction import Answer, Attempt, Transaction
+from testbed import scenario as config
 from testbed.model import server as model
 from testbed.model.arrivals import Asked
-
-if TYPE_CHECKING:
-    from testbed.proxy import Carry, Link, Proxy
+from testbed.model.network import Network
 
 
 class Place:
@@ -53,7 +56,7 @@
         self.name, self.place, self.server = name, place, server
         self.zone, self.cell = place.zone, place.cell
         self.life = 0
-        self.links: dict[Link, None] = {}
+        self.links: dict[Any, None] = {}  # the proxies' connections to it
         self.wake: int | None = None  # when the loop next looks at its server
         self.health = "ready"  # as discovery knows it
         self.listed_at = self.told_born_at = 0  # the versions that told of this life, and when it began
@@ -133,7 +136,7 @@
         "over",
     )
 
-    def __init__(self, op: Op, number: int, proxy: "Proxy", sent: int, due: int, now: int) -> None:
+    def __init__(self, op: Op, number: int, proxy: "Front", sent: int, due: int, now: int) -> None:
         self.op, self.number, self.number_of_op, self.proxy = op, number, op.tries, proxy
         self.name = b"%d" % number
         self.sent, self.due = sent, due
@@ -146,3 +149,100 @@
     def reply(self, answer: Answer) -> None:
         """The proxy's final answer."""
         self.proxy.world.answered(self, answer)
+
+
+class Told:
+    """What one life of a proxy was told of the list: versions and when."""
+
+    __slots__ = ("seqs", "times")
+
+    def __init__(self) -> None:
+        self.seqs: list[int] = []
+        self.times: list[int] = []
+
+    def when(self, seq: int) -> float:
+        """When it was told of a version; infinity if it was not."""
+        i = bisect_left(self.seqs, seq)
+        return self.times[i] if i < len(self.seqs) else inf
+
+    def knows(self, host: Host) -> bool:
+        """Whether it was told of a server, and not that it leaves."""
+        known = self.seqs[-1] if self.seqs else 0
+        return host.listed_at <= known and host.health == "ready"
+
+
+class Around(Protocol):
+    """The world, as what is in it sees it."""
+
+    scenario: config.Scenario
+    seed: int
+    now: int
+    network: Network
+    oracle: Any
+    trace: bytearray
+    names: dict[str, Host]
+    indices: dict[str, int]
+    addresses: dict[tuple[str, int], Host]
+    places: list[Place]
+    cuts: dict[int, dict[int, int]]
+    clocks: list[tuple[float, float]]
+    away: dict[str, list[tuple[int, str]]]
+
+    def at(self, when: int, call: Callable[[Any], None], what: Any) -> None: ...
+
+    def cut(self, proxy: Any, host: Host) -> bool: ...
+
+    def sight(self, proxy: Any) -> Any: ...
+
+    def watch(self, proxy: Any) -> None: ...
+
+    def probe(self, proxy: Any, backend: str) -> None: ...
+
+    def end_proxy(self, proxy: Any) -> None: ...
+
+    def count_attempt(self, t: Try) -> None: ...
+
+    def reach(self, carry: Any) -> None: ...
+
+    def given_up(self, carry: Any) -> None: ...
+
+    def outcome_of(self, carry: Any) -> Outcome: ...
+
+    def answered(self, t: Try, answer: Answer) -> None: ...
+
+
+class Front(Protocol):
+    """One life of a proxy, as the oracle and a request see it."""
+
+    number: int
+    zone: int
+    told: Told
+    idle_since: int | None
+
+    @property
+    def world(self) -> Around: ...
+
+    def spared(self, since: int) -> Iterable[Host]: ...
+
+    def left(self, t: Try) -> None: ...
+
+
+class Carry(Protocol):
+    """One attempt on its way, as the oracle sees it."""
+
+    started: int
+
+    @property
+    def proxy(self) -> Front: ...
+
+    @property
+    def attempt(self) -> Attempt: ...
+
+    @property
+    def t(self) -> Try: ...
+
+    @property
+    def host(self) -> Host | None: ...
+
+    @property
+    def job(self) -> model.Job | None: ...
--- a/testbed/processes/several.py
+++ b/testbed/processes/several.py
@@ -87,6 +87,10 @@
         if self.links is not None:
             self.links.close()
 
+    def __enter__(self) -> "Several":
+        super().__enter__()
+        return self
+
     def begin(self) -> None:
         assert self.keep is not None
         self.links = Links(self.size, self.links_port, self.period_ms, self.seed)
--- a/testbed/proxy.py
+++ b/testbed/proxy.py
@@ -7,7 +7,7 @@
 import struct
 from collections.abc import Sequence
 from math import ceil
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from barleybarrow import interface as face
 from barleybarrow.connections import Cause
@@ -20,13 +20,9 @@
 from brackenusher.upstream.listing import Listing
 from brackenusher.upstream.pool import Member, Pool
 from testbed.model.server import Job
-from testbed.oracle import Told
+from testbed.parts import Around, Host, Told, Try
 from testbed.policies import POLICIES
 
-if TYPE_CHECKING:
-    from testbed.parts import Host, Try
-    from testbed.world import World
-
 ROOM = 1 << 30  # connections: descriptors are not counted here
 LOCAL_START = (
     3_600_000.0  # milliseconds on a proxy's clock when the run begins: a start time must not be under 0
@@ -195,7 +191,7 @@
     """One life of one proxy, with its own clock. It is the daemon's carrier as well."""
 
     def __init__(
-        self, world: "World", number: int, life: int, settings: dict[str, Any], policy: str, listing: Listing
+        self, world: Around, number: int, life: int, settings: dict[str, Any], policy: str, listing: Listing
     ) -> None:
         scenario = world.scenario
         self.world, self.number, self.life = world, number, life
--- a/testbed/sight.py
+++ b/testbed/sight.py
@@ -1,18 +1,12 @@
 """The servers' true state, for the policies that may see it."""
 
-from typing import TYPE_CHECKING
-
-from testbed.parts import Host
-
-if TYPE_CHECKING:
-    from testbed.proxy import Proxy
-    from testbed.world import World
+from testbed.parts import Around, Front, Host
 
 
 class Sight:
     """The servers' true state as one proxy may be shown it; a `testbed.policies.View`."""
 
-    def __init__(self, world: "World", proxy: "Proxy") -> None:
+    def __init__(self, world: Around, proxy: Front) -> None:
         self.world, self.proxy = world, proxy
 
     def host(self, server: str) -> Host | None:
--- a/testbed/sockets/agents.py
+++ b/testbed/sockets/agents.py
@@ -1,22 +1,40 @@
 """Discovery's agents behind listeners: one beside each proxy, which tells it what the model's agent says."""
 
 import asyncio
-from typing import TYPE_CHECKING, cast
+from collections.abc import Callable
+from typing import Any, Protocol, cast
 
-from testbed.model.discovery import Agent
-from testbed.oracle import Told
+from brackenusher.upstream.listing import Host as Listed
+from testbed.model.discovery import Agent, Registry
+from testbed.parts import Told
+from testbed.scenario import Scenario
 from testbed.sockets import http
 
-if TYPE_CHECKING:
-    from testbed.sockets.fleet import Fleet
-
 KEEP_ALIVE_S = 2.0  # an empty line of a watch, while nothing changes
 
 
+class Fleet(Protocol):
+    """What an agent wants of the fleet that it speaks for."""
+
+    scenario: Scenario
+    loop: asyncio.AbstractEventLoop
+    registry: Registry
+    notice: Callable[[], float]
+    silent: int
+    wholes: int
+    stale: list[float]
+
+    def now(self) -> int: ...
+
+    def after(self, span: int, call: Callable[..., None], *arguments: Any) -> asyncio.TimerHandle: ...
+
+    def word(self, seq: int, whole: bool, hosts: list[Listed], proxy: int) -> bytes: ...
+
+
 class AgentServer:
     """Discovery's agent beside one proxy."""
 
-    def __init__(self, fleet: "Fleet", proxy: int, agent: Agent) -> None:
+    def __init__(self, fleet: Fleet, proxy: int, agent: Agent) -> None:
         self.fleet, self.proxy, self.agent = fleet, proxy, agent
         self.told = Told()
         self.watchers: set[Watcher] = set()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -70,6 +70,32 @@
     assert "barleybarrow.brain" in seen
 
 
+def test_no_two_modules_import_each_other_on_whatever_way():
+    # for type hints or inside a function too: a circle is one room with two doors
+    paths = {
+        ".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__"): path
+        for folder in ("barleybarrow", "brackenusher", "testbed")
+        for path in (ROOT / folder).rglob("*.py")
+    }
+    graph = {}
+    for module, path in paths.items():
+        package = module if path.name == "__init__.py" else module.rpartition(".")[0]
+        names = imports(path.read_text(encoding="utf-8"), package)
+        found = {name if name in paths else name.rpartition(".")[0] for name in names}
+        graph[module] = {name for name in found & paths.keys() if name != module and (module, name) != DEMO}
+    done: set[str] = set()
+
+    def walk(module: str, way: tuple[str, ...]) -> None:
+        assert module not in way, " -> ".join((*way[way.index(module) :], module))
+        if module not in done:
+            for name in graph[module]:
+                walk(name, (*way, module))
+            done.add(module)
+
+    for module in graph:
+        walk(module, ())
+
+
 def test_serving_imports_nothing_of_the_testbed():
     # guards against the demo's import at the top of the command line: the daemon would need the extra
     text = "import sys, brackenusher.cli; print(sorted({m.split('.')[0] for m in sys.modules}))"
