--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -2,8 +2,8 @@
 
     python benchmarks/policy.py [--quick] [--sizes 3,9] [--changes 30] [--schedules N]
 
-Exit 1 where an aim is missed: p99 of 300 ms at 9 processes and 2 s at 200, a lease and 1 s more with one that
-is silent under `fence`, 3 s with a dead leader, 1 us a request; or where a schedule by chance breaks a promise.
+Exit 1 where an aim is missed: p99 of 300 ms at 9 processes and 2 s at 200, a lease and 1 s more with one
+silent under `fence`, 3 s with a dead leader, 1 us a request; or where a schedule by chance breaks a promise.
 """
 
 import argparse
--- a/testbed/ballots.py
+++ b/testbed/ballots.py
@@ -28,15 +28,13 @@
 
 
 @dataclass
-class Machine:
-    """One process, its disk, and what it wants stored and has not yet."""
+class Disk:
+    """What outlives a process."""
 
-    agreement: Agreement
     term: int = 0
     vote: str = ""
     snapshot: Snapshot | None = None
     entries: list[Entry] = field(default_factory=list)
-    waiting: list[Ready] = field(default_factory=list)
 
     def keep(self, ready: Ready) -> None:
         if ready.hard is not None:
@@ -48,6 +46,20 @@
             del self.entries[ready.first - base - 1 :]
             self.entries += ready.entries
 
+    def compact(self, snapshot: Snapshot) -> None:
+        base = self.snapshot.index if self.snapshot is not None else 0
+        del self.entries[: snapshot.index - base]
+        self.snapshot = snapshot
+
+
+@dataclass
+class Machine:
+    """One process, its disk, and what it wants stored and has not yet."""
+
+    agreement: Agreement
+    disk: Disk = field(default_factory=Disk)
+    waiting: list[Ready] = field(default_factory=list)
+
 
 class Table:
     """All machines, what is on its way between them, and what has been seen."""
@@ -102,7 +114,7 @@
         if not m.waiting:
             return
         ready = m.waiting.pop(0)
-        m.keep(ready)
+        m.disk.keep(ready)
         self.carry(name, ready)
         for index, entry in ready.apply:
             held = self.log.setdefault(index, (entry.term, entry.data))
@@ -126,7 +138,7 @@
     def crash(self, name: str) -> None:
         """It loses what was not stored, and starts anew."""
         m = self.machines[name]
-        kept = (m.term, m.vote, m.snapshot, list(m.entries))
+        kept = (m.disk.term, m.disk.vote, m.disk.snapshot, list(m.disk.entries))
         m.waiting.clear()
         m.agreement = self.machine(name, *kept)
 
@@ -145,9 +157,7 @@
         m = self.machines[name]
         made = m.agreement.compact(m.agreement.applied, b"")
         if made is not None and not m.waiting:
-            base = m.snapshot.index if m.snapshot is not None else 0
-            del m.entries[: made.index - base]
-            m.snapshot = made
+            m.disk.compact(made)
 
 
 def storm(seed: int, size: int = 3, steps: int = 400) -> Table:
@@ -232,6 +242,8 @@
         a, m = table.machines[name].agreement, table.machines[name]
         votes, entries = sorted(a.votes), [(e.term, e.data) for e in a.entries]
         progress = sorted((n, p.next, p.match) for n, p in a.progress.items())
-        parts.append((a.role, a.term, a.vote, a.leader, entries, a.commit, votes, progress, m.term, m.vote))
+        parts.append(
+            (a.role, a.term, a.vote, a.leader, entries, a.commit, votes, progress, m.disk.term, m.disk.vote)
+        )
     on_way = sorted((s, t, repr(m)) for s, t, m in table.on_way)
     return hash(repr((parts, on_way, table.proposed)))
--- a/testbed/council.py
+++ b/testbed/council.py
@@ -5,15 +5,14 @@
 """
 
 import random
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from heapq import heappop, heappush
 from typing import Any
 
-from barleybarrow.agreement import Entry, Message, Ready, Snapshot
+from barleybarrow.agreement import Entry, Message, Ready
 from barleybarrow.governed import Governed
 from barleybarrow.taking_up import FORCE, Propose
 from testbed import oracle_policy as oracle
+from testbed.ballots import Disk
+from testbed.clockwork import Clockwork
 from testbed.schedule import Act, LinkFault, Schedule
 
 PERIOD = 200.0  # milliseconds: the schedules' unit
@@ -23,46 +22,21 @@
 TENANTS = ("a", "b", "c")
 
 
-@dataclass
-class Disk:
-    """What outlives a process."""
-
-    term: int = 0
-    vote: str = ""
-    snapshot: Snapshot | None = None
-    entries: list[Entry] = field(default_factory=list)
-
-    def keep(self, ready: Ready) -> None:
-        if ready.hard is not None:
-            self.term, self.vote = ready.hard
-        if ready.snapshot is not None:
-            self.snapshot, self.entries = ready.snapshot, []
-        if ready.entries:
-            base = self.snapshot.index if self.snapshot is not None else 0
-            del self.entries[ready.first - base - 1 :]
-            self.entries += ready.entries
-
-    def compact(self, snapshot: Snapshot) -> None:
-        base = self.snapshot.index if self.snapshot is not None else 0
-        del self.entries[: snapshot.index - base]
-        self.snapshot = snapshot
-
-
 def document(number: int) -> str:
     """Lets one tenant in, another with each number: whoever is served shows which version let it pass."""
     return "".join(f"[door.tenants.{t}]\nrate = 0\n" for i, t in enumerate(TENANTS) if i != number % 3)
 
 
-class Council:
+class Council(Clockwork):
     """Members 0 to size - 1, the first of them voters; times in milliseconds."""
 
     def __init__(
         self, size: int, voters: int, seed: int, fence: bool = False, within: float = 30_000.0
     ) -> None:
         self.size, self.fence, self.within = size, fence, within
-        self.rng, self.now, self.serial = random.Random(seed), 0.0, 0
+        super().__init__()
+        self.rng = random.Random(seed)
         self.voters = [f"n{i}" for i in range(voters)]
-        self.heap: list[tuple[float, int, Callable[[Any], None], Any]] = []
         self.faults: list[LinkFault] = []
         self.origin = 0.0
         self.up = [False] * size
@@ -95,16 +69,6 @@
         rng = random.Random(self.rng.random())
         return Governed(f"n{i}", self.voters, rng, self.clock(i), self.fence, self.within, *kept)
 
-    def at(self, when: float, call: Callable[[Any], None], what: Any) -> None:
-        self.serial += 1
-        heappush(self.heap, (when, self.serial, call, what))
-
-    def run(self, until: float) -> None:
-        while self.heap and self.heap[0][0] <= until:
-            self.now, _, call, what = heappop(self.heap)
-            call(what)
-        self.now = until
-
     # Processes
 
     def start(self, i: int) -> None:
--- a/testbed/group.py
+++ b/testbed/group.py
@@ -6,12 +6,11 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from heapq import heappop, heappush
-from typing import Any
 
 from barleybarrow.views import ALIVE, DEAD, SUSPECT, View
 from brackenusher.membership.swim import Address, Swim
 from testbed import oracle_views as oracle
+from testbed.clockwork import Clockwork
 from testbed.schedule import Act, LinkFault, Schedule
 
 KEYS = {"k1": b"testbed-testbed!"}
@@ -48,13 +47,13 @@
     view: View | None
 
 
-class Group:
+class Group(Clockwork):
     """Members by number; times are milliseconds of virtual time."""
 
     def __init__(self, size: int, seed: int, loss: float = 0.0, seeds: int = 3) -> None:
-        self.rng, self.loss, self.now = random.Random(seed), loss, 0.0
-        self.heap: list[tuple[float, int, Callable[[Any], None], Any]] = []
-        self.serial = self.datagrams = 0
+        super().__init__()
+        self.rng, self.loss = random.Random(seed), loss
+        self.datagrams = 0
         self.first = tuple(address(i) for i in range(min(seeds, size)))
         self.numbers = {address(i): i for i in range(size)}
         self.addresses = [address(i) for i in range(size)]
@@ -83,16 +82,6 @@
     def clock(self, i: int) -> float:
         return self.offsets[i] + self.now
 
-    def at(self, when: float, call: Callable[[Any], None], what: Any) -> None:
-        self.serial += 1
-        heappush(self.heap, (when, self.serial, call, what))
-
-    def run(self, until: float) -> None:
-        while self.heap and self.heap[0][0] <= until:
-            self.now, _, call, what = heappop(self.heap)
-            call(what)
-        self.now = until
-
     def start(self, i: int) -> None:
         self.up[i] = True
         self.turn(i)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -18,7 +18,7 @@
 from barleybarrow.taking_up import FORCE, Book, Conductor, Drop, Join, Propose, Step, Version, Word
 from brackenusher.group.store import NAME, Damaged, Store
 from testbed import ballots, oracle_policy
-from testbed.ballots import Machine, Table, search, storm
+from testbed.ballots import Disk, Table, search, storm
 from testbed.council import Council
 from testbed.schedule import Act, LinkFault, Schedule, by_chance
 
@@ -105,14 +105,14 @@
 
 
 def forgets_its_vote(monkeypatch):
-    right = Machine.keep
+    right = Disk.keep
 
     def keep(self, ready):
         term, vote = self.term, self.vote
         right(self, ready)
         self.vote = vote if self.term == term else ""
 
-    monkeypatch.setattr(Machine, "keep", keep)
+    monkeypatch.setattr(Disk, "keep", keep)
 
 
 def takes_half(monkeypatch):
