Streams: a peer is answered once what it said of its store is on disk

Cause: opened() answered a peer before the count of its store's starts was durable here, so that after a crash an old copy of that peer's store could go unnoticed; seen on reading the change once more. Change: the answer waits for the store's thread, and there is none where the disk fails.

--- a/brackenusher/group/node.py
+++ b/brackenusher/group/node.py
@@ -67,6 +67,7 @@
             self.kept = kept
         self.lives = kept.lives
         self.met = kept.met
+        self.meets = dict(kept.met)  # what is to be on disk of it
         self.cleared: set[str] = {name}
         self.governed = Governed(
             name,
@@ -222,15 +223,25 @@
     def refused(self, name: str, began: float) -> None:
         self.governed.found_down(clock(), name, began)
 
-    def opened(self, name: str, lives: int) -> int:
-        """A peer opens a stream and says how often its store was opened: what was known of that before."""
+    def opened(self, name: str, lives: int, then: Callable[[int | None], None]) -> None:
+        """A peer opens a stream and says how often its store was opened.
+
+        `then` is told what was known of that before, once this is on disk; None where it cannot be.
+        """
         before = self.met.get(name, 0)
-        if lives > before:
-            self.met[name] = lives
-            if self.store is not None and self.worker is not None:
-                store, met = self.store, dict(self.met)
-                self.worker.put(lambda: store.facts(met=met), lambda why: None)
-        return before
+        if lives <= before or self.store is None or self.worker is None:
+            then(before)
+            return
+        store = self.store
+        self.meets[name] = max(lives, self.meets.get(name, 0))
+        meets = dict(self.meets)
+
+        def kept(why: str) -> None:
+            if not why:
+                self.met[name] = max(lives, self.met.get(name, 0))
+            then(None if why else before)
+
+        self.worker.put(lambda: store.facts(met=meets), kept)
 
     def known(self, name: str, lives: int) -> None:
         """A peer says how often it knew this one's store to have been opened."""
--- a/brackenusher/group/streams.py
+++ b/brackenusher/group/streams.py
@@ -89,7 +89,7 @@
         where: Callable[[str], Address | None],
         heard: Callable[[str, bytes], None],
         refused: Callable[[str, float], None],
-        opened: Callable[[str, int], int],
+        opened: Callable[[str, int, Callable[[int | None], None]], None],
         known: Callable[[str, int], None],
     ) -> None:
         self.loop, self.buffers, self.settings, self.name = loop, buffers, settings, name
@@ -220,7 +220,22 @@
         self.taken += 1
         settings, number, count, frames = self.settings, os.urandom(16), 0, Frames()
         try:
-            opened = Opened(number, self.opened(said.name, said.lives))
+            told: list[int | None] = []
+            task = self.loop.tasks.get(sock.fileno())
+
+            def then(lives: int | None) -> None:
+                told.append(lives)
+                if waits and task is not None:  # one that does not wait must not be woken later
+                    task.wake()
+
+            waits = False
+            self.opened(said.name, said.lives, then)
+            waits = True
+            while not told:  # what it says of itself is on disk here before it hears an answer
+                yield 0
+            if told[0] is None:
+                raise Broken("the disk fails here")
+            opened = Opened(number, told[0])
             rest = pack(opened, settings.keys[settings.sign], settings.sign)
             while rest:
                 rest = write(sock, rest)
