Requests that are unsafe to repeat are taken without a key

Ruled out: the module (its settings map single_shot to unsafe, and its tests serve such requests). A key is asked of keyed classes alone now.

--- a/brackenusher/fronts/http.py
+++ b/brackenusher/fronts/http.py
@@ -74,6 +74,7 @@
         self.once = ONCE | {TOKEN} if with_tokens else ONCE
         self.classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
         self.methods = [b"GET" if c.effect is Effect.SAFE else b"POST" for c in settings.classes]
+        self.keyed = [c.effect is Effect.KEYED for c in settings.classes]
         self.deadlines = [c.deadline for c in settings.classes]
         self.tenants = {name.encode(): i for i, name in enumerate(settings.tenants)}
 
@@ -115,7 +116,7 @@
             return Rejection(400, "Req-Id is missing or cannot be passed on")
         if self.methods[klass] == b"GET" and message.body:
             return Rejection(400, "no body is expected")
-        if self.methods[klass] == b"POST" and not ID.match(fields.get(b"idempotency-key", b"")):
+        if self.keyed[klass] and not ID.match(fields.get(b"idempotency-key", b"")):
             return Rejection(400, "Idempotency-Key is missing or cannot be passed on")
         owner, tenant = fields.get(b"req-owner"), 0
         message.owner, message.deadline = owner, fields.get(b"req-deadline")
