A descriptor's news of this turn are not given to the next connection that has it

Where a task was stopped within the turn and another began on the same descriptor, that one was given the first one's news: a connect was taken for done, a client for gone. A task remembers the turn it was begun in, and has no news of that.

--- a/brackenusher/runtime/loop.py
+++ b/brackenusher/runtime/loop.py
@@ -33,11 +33,12 @@
 class Task:
     """A running coroutine with its socket."""
 
-    __slots__ = ("loop", "epoll", "coroutine", "sock", "fd", "mask", "woken", "stopped", "ended")
+    __slots__ = ("loop", "epoll", "coroutine", "sock", "fd", "mask", "woken", "stopped", "ended", "since")
 
     def __init__(self, loop: "Loop", coroutine: Coroutine, sock: socket.socket, epoll: select.epoll) -> None:
         self.loop, self.coroutine, self.sock, self.fd = loop, coroutine, sock, sock.fileno()
         self.epoll = epoll  # where it is registered
+        self.since = loop.turns  # news of this turn is of another that had the same descriptor before
         self.mask, self.woken, self.stopped, self.ended = 0, False, False, False
 
     def wake(self) -> None:
@@ -64,6 +65,7 @@
         self.tasks: dict[int, Task] = {}
         self.woken: deque[Task] = deque()
         self.running = True
+        self.turns = 0
         self.first: select.epoll | None = None  # what comes first in each turn; made for the first such task
 
     def spawn(self, coroutine: Coroutine, sock: socket.socket, first: bool = False) -> Task:
@@ -106,6 +108,7 @@
 
     def turn(self) -> None:
         """Wait for news, resume whom it concerns, then sweep the deadlines."""
+        self.turns += 1
         due = self.deadlines.next()
         wait = LONGEST_WAIT if due is None else min(max(due - clock(), 0.0), LONGEST_WAIT)
         news = self.epoll.poll(0 if self.woken else wait / 1000.0, MOST_EVENTS)
@@ -113,7 +116,7 @@
             news = self.first.poll(0) + news
         for fd, events in news:
             task = self.tasks.get(fd)
-            if task is not None:
+            if task is not None and task.since != self.turns:
                 self.resume(task, events)
         self.resume_woken()
         self.deadlines.sweep(clock())
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -7,11 +7,16 @@
 import socket
 import subprocess
 import sys
+from functools import partial
 from pathlib import Path
 
 from barleybarrow import interface as face
 from barleybarrow.brain import Balancer
 from barleybarrow.interface import Effect, Group, ListScope, Outcome, State
+from brackenusher.config.operators import Operator
+from brackenusher.config.platform import load, load_again
+from brackenusher.daemon import Daemon
+from brackenusher.runtime.loop import clock
 from testbed.sockets.ports import free_port
 from testbed.standins import (
     WAIT,
@@ -240,9 +245,7 @@
         return self.log_path.read_text(encoding="utf-8")
 
     def connect(self):
-        sock = socket.create_connection(("127.0.0.1", self.port), timeout=WAIT)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return sock
+        return connect(self.port)
 
     def call(self, method, path, body=b""):
         """Call the second address: status, headers, body."""
@@ -271,6 +274,105 @@
                 own.close()
 
 
+class Stepped:
+    """The daemon in this process, on real sockets: the test says when its loop takes a turn, and so what has
+    queued up before it.
+    """
+
+    def __init__(self, tmp_path, *servers, settings=None, agent=None, known=True, sockets=256):
+        self.servers = servers
+        hosts = [host(f"s{n}", server) for n, server in enumerate(servers)]
+        self.agent = agent or DiscoveryAgent(hosts)
+        self.port = free_port()
+        path = write_config(
+            tmp_path,
+            listen=f"127.0.0.1:{self.port}",
+            discovery=self.agent.address,
+            limits={"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            known={"seq": 1, "whole": True, "hosts": hosts if known else []},
+            settings=SETTINGS | (settings or {}),
+        )
+        self.environ = {"GW_CONFIG": path}
+        self.daemon = Daemon(load(self.environ), partial(load_again, self.environ), Operator())
+        self.loop = self.daemon.loop
+
+    def __enter__(self):
+        self.daemon.start()
+        self.turn_until(lambda: self.agent.calls, "the call")
+        return self
+
+    def __exit__(self, *_):
+        self.loop.running = False
+        for task in list(self.loop.tasks.values()):
+            task.stop()
+        for listener in (*self.servers, self.agent):
+            listener.close()
+
+    def turn_until(self, condition, what="the event"):
+        """Take turns until something is so; none comes later than the next 20 ms."""
+
+        def turned():
+            if not (value := condition()):
+                self.loop.deadlines.add(clock() + 20.0, lambda: None)
+                self.loop.turn()
+            return value
+
+        return until(turned, what)
+
+    def turns(self, span):
+        """Take turns for some milliseconds."""
+        end = clock() + span
+        self.turn_until(lambda: clock() >= end)
+
+    def connect(self):
+        return connect(self.port)
+
+    def hear(self, sock):
+        """One whole answer, with turns meanwhile: status, headers, body."""
+        sock.setblocking(False)
+        data = bytearray()
+
+        def read():
+            with contextlib.suppress(BlockingIOError):
+                part = sock.recv(65536)
+                data.extend(part)
+                return not part or answer_in(data)
+            return None
+
+        self.turn_until(read, "the answer")
+        return answer_in(data)
+
+    def ask(self, request):
+        with self.connect() as sock:
+            sock.sendall(request)
+            return self.hear(sock)
+
+
+def answer_in(data):
+    """Status, headers and body of the first answer in some bytes; None where it is not whole."""
+    head, _, rest = bytes(data).partition(b"\r\n\r\n")
+    if b"\r\n\r\n" not in data:
+        return None
+    first, *lines = head.decode().split("\r\n")
+    headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
+    status, body = int(first.split()[1]), b""
+    if "content-length" in headers:
+        whole = len(rest) >= int(headers["content-length"])
+        return (status, headers, rest[: int(headers["content-length"])]) if whole else None
+    while rest:
+        size, _, rest = rest.partition(b"\r\n")
+        if size and not int(size, 16):
+            return status, headers, body
+        body, rest = body + rest[: int(size or b"0", 16)], rest[int(size or b"0", 16) + 2 :]
+    return None
+
+
+def connect(port):
+    sock = socket.create_connection(("127.0.0.1", port), timeout=WAIT)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
 def read_request(number=1, target="/board-read?k=m1", extra="", span="1400m"):
     return (
         f"GET {target} HTTP/1.1\r\nHost: service.internal\r\nReq-Id: id{number}\r\nReq-Kind: board-read\r\n"
