Discovery: what came is kept, some bytes are no word, and a break asks for the whole list

Read for races, against the term that a change counts as told 6 s after it could be had: - Discovery.receive raised Broken after it had parsed lists of the same read (the watch ends, a spoilt line behind): they were thrown away, and lost where discovery went down just then. Broken brings them now. - Agent.take put the limit of silence off for any bytes, also for a line that never ends. Only whole lines and lists do now, after the first byte of a connection. - After a silent watch the next one went on from what is held; it says nothing while nothing changes, so that one could be silent for another 3.5 s, and so on. It wakes the coroutine, which looks once more before it gives up. Seven new cases on real sockets fail without the change. Daemon.start is cut out of run, so that tests can step it.

--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -250,6 +250,12 @@
     def run(self) -> int:
         """Serve until SIGTERM or SIGINT and until all is answered then."""
         self.catch_signals()
+        self.start()
+        self.loop.run()
+        return self.end()
+
+    def start(self) -> None:
+        """Take up what is known, listen, and ask discovery; from then on the loop's turns do all."""
         taken = self.replacement.take() if self.replacement else None
         self.take_known(taken)
         self.transactions.begin()
@@ -286,7 +292,9 @@
                 host=host,
                 port=port,
             )
-        self.loop.run()
+
+    def end(self) -> int:
+        """Say how it went, and let go of what is held."""
         say(
             log,
             logging.INFO,
--- a/brackenusher/membership/agent.py
+++ b/brackenusher/membership/agent.py
@@ -3,6 +3,7 @@
 import logging
 import random
 import socket
+from collections.abc import Sequence
 from functools import partial
 
 from barleybarrow import interface as face
@@ -13,11 +14,12 @@
 from brackenusher.runtime.log import say
 from brackenusher.runtime.loop import READ, WRITE, Coroutine, Loop, Task, clock
 from brackenusher.runtime.timers import Entry
+from brackenusher.upstream.listing import Listing
 from brackenusher.upstream.pool import Pool
 
 log = logging.getLogger(__name__)
 
-SILENCE = 3500.0  # discovery sends a line every 2 s
+SILENCE = 3500.0  # discovery sends a line every 2 s; bytes that end no line are no word of it
 FIRST_WORD = 250.0  # the agent is on this machine and answers at once, if at all: what it has counts as told
 SLOW_WORD, SLOW_EACH = 1500.0, 40  # one call in so many waits longer, should the agent be a slow one
 ASKED_WORD = 0.5  # of what the settings allow between two calls: where it must be asked, calls wait in turn,
@@ -44,7 +46,9 @@
         self.must_ask = settings.must_ask  # then the module says when: its waits grow, and spread
         self.asked_word = max(SLOW_WORD, ASKED_WORD * settings.ask_within)
         self.failures = 0  # calls in a row
+        self.spoke = False  # a byte has come on the present connection
         self.limit: Entry | None = None
+        self.late = False  # the limit is reached, and it is looked once more
         self.retry: Entry | None = None
         self.machine: Discovery | None = None  # that of the connection which counts
         self.task: Task  # and its coroutine
@@ -67,9 +71,14 @@
         except OSError as error:
             self.again(str(error))
             return
-        self.machine = Discovery(f"{self.address[0]}:{self.address[1]}", self.seq)
+        self.machine, self.spoke = Discovery(f"{self.address[0]}:{self.address[1]}", self.seq), False
         self.task = self.loop.spawn(self.run(sock, self.machine), sock)
-        self.limit = self.loop.deadlines.add(clock() + self.patience(), self.silent)
+        self.wait(self.patience())
+
+    def wait(self, span: float) -> None:
+        """Give the agent so many milliseconds for its next word."""
+        self.loop.deadlines.remove(self.limit)
+        self.late, self.limit = False, self.loop.deadlines.add(clock() + span, self.silent)
 
     def patience(self) -> float:
         """Milliseconds until the first word of a call.
@@ -84,7 +93,8 @@
     def run(self, sock: socket.socket, machine: Discovery) -> Coroutine:
         why = "ended"
         try:
-            yield WRITE
+            if not (yield WRITE):
+                raise Broken("silent")
             rest, self.call = machine.start(), b""
             while True:
                 if rest:
@@ -92,14 +102,13 @@
                 yield READ | (WRITE if rest else 0)
                 try:
                     self.buffers.receive(sock, partial(self.take, machine))
+                    rest += self.call
                 except BlockingIOError:
-                    continue
-                rest += self.call
+                    pass
+                if self.late:
+                    raise Broken("silent")
         except (OSError, Broken) as error:
             why = str(error)
-        except GeneratorExit:
-            why = "silent"
-            raise
         finally:
             self.loop.deadlines.remove(self.limit)
             if self.loop.running and machine is self.machine:
@@ -107,20 +116,35 @@
 
     def take(self, machine: Discovery, data: memoryview) -> None:
         """Feed the machine, and tell the module of each list."""
-        self.loop.deadlines.remove(self.limit)
-        self.limit = self.loop.deadlines.add(clock() + SILENCE, self.silent)
-        listings, self.call = machine.receive(data)
-        self.failures = 0
-        for listing in listings:
-            self.seq = listing.seq
-            self.owner.post(self.pool.take(listing))
+        before = machine.heard if self.spoke else -1  # the first bytes show that it is there
+        listings: Sequence[Listing] = ()
+        try:
+            listings, self.call = machine.receive(data)
+        except Broken as error:
+            listings = error.listings
+            raise
+        finally:
+            for listing in listings:
+                self.seq = listing.seq
+                self.owner.post(self.pool.take(listing))
+        self.spoke, self.failures = True, 0
+        if machine.heard > before:
+            self.wait(SILENCE)
 
     def silent(self) -> None:
-        self.task.stop()
+        """Its time is up; but a word of it may have come that nobody has read yet."""
+        self.limit, self.late = None, True
+        self.task.wake()
 
     def again(self, why: str) -> None:
-        """Try again after a while; where the list must be asked for, when the module says."""
+        """Try again after a while; where the list must be asked for, when the module says.
+
+        A watch that goes on from what is held says nothing while nothing changes, and may be silent in its
+        turn; a whole list comes at once, or the call has failed. Where asking is dear, it goes on so.
+        """
         self.failures += 1
+        if not self.must_ask:
+            self.seq = None
         if self.must_ask or self.failures & (self.failures - 1) == 0:  # the first, second, fourth, ...
             say(log, logging.WARNING, "discovery_lost", "discovery: %(why)s", why=why)
         if self.must_ask:
--- a/brackenusher/membership/discovery.py
+++ b/brackenusher/membership/discovery.py
@@ -1,6 +1,7 @@
 """Discovery's side: reads lists, and speaks to the agent as a state machine that is fed bytes."""
 
 import logging
+from collections.abc import Sequence
 from typing import Any
 
 import h11
@@ -17,7 +18,11 @@
 
 
 class Broken(Exception):
-    """Discovery's answer cannot be used; the connection is of no further use."""
+    """Discovery's answer cannot be used; the connection is of no further use. What came before counts."""
+
+    def __init__(self, why: str, listings: Sequence[Listing] = ()) -> None:
+        super().__init__(why)
+        self.listings = listings
 
 
 def read_host(entry: dict[str, Any]) -> Host:
@@ -78,6 +83,7 @@
         self.authority, self.seq = authority, seq
         self.machine = h11.Connection(h11.CLIENT)
         self.watching, self.text = False, bytearray()
+        self.heard = 0  # lists and lines that came whole: some bytes and no more of one are silence
 
     def start(self) -> bytes:
         """The bytes of the next call."""
@@ -88,7 +94,10 @@
         return self.machine.send(call) + self.machine.send(h11.EndOfMessage())
 
     def receive(self, data: bytes | memoryview) -> tuple[list[Listing], bytes]:
-        """Take bytes, b"" at the end of the stream; return the lists they hold and what to send in turn."""
+        """Take bytes, b"" at the end of the stream; return the lists they hold and what to send in turn.
+
+        Broken brings the lists that came before it in the same bytes.
+        """
         listings: list[Listing] = []
         reply = b""
         try:
@@ -106,8 +115,8 @@
                     reply = self.ended(listings)
                 elif isinstance(event, h11.ConnectionClosed):
                     raise Broken("closed")
-        except h11.RemoteProtocolError as error:
-            raise Broken(str(error)) from error
+        except (Broken, h11.RemoteProtocolError) as error:
+            raise Broken(str(error), listings) from error
 
     def lines(self, listings: list[Listing]) -> None:
         """Read the whole lines of a watch; an empty one says only that the agent is there."""
@@ -118,6 +127,7 @@
         *whole, rest = bytes(self.text).split(b"\n")
         self.text = bytearray(rest)
         for line in whole:
+            self.heard += 1
             if line.strip():
                 listings.append(parse(line))
                 self.seq = listings[-1].seq
@@ -127,7 +137,7 @@
         if self.watching:
             raise Broken("the watch ended")
         listings.append(parse(bytes(self.text)))
-        self.seq = listings[-1].seq
+        self.seq, self.heard = listings[-1].seq, self.heard + 1
         if self.machine.our_state is not h11.DONE or self.machine.their_state is not h11.DONE:
             return b""  # it closes; the next connection watches
         self.machine.start_next_cycle()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -94,3 +94,94 @@
     loop.turn()
     assert got == [READ]
 
+
+# discovery
+
+
+class Watched(Listener):
+    """An agent whose watches do as a test says; a call for the whole list is answered as it should be."""
+
+    def __init__(self, hosts, watch):
+        self.hosts, self.watch, self.seq = hosts, watch, 1
+        self.calls, self.down = [], False
+        super().__init__()
+
+    def listing(self, whole, hosts):
+        return json.dumps({"seq": self.seq, "whole": whole, "hosts": hosts}).encode()
+
+    def serve(self, sock):
+        file = sock.makefile("rb")
+        while message := read_message(file):
+            if self.down:
+                return
+            self.calls.append(message[0])
+            if "watch=1" in message[0]:
+                self.watch(self, sock)
+            else:
+                sock.sendall(response(200, self.listing(True, self.hosts)))
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+@pytest.mark.parametrize("end", [b"0\r\n\r\n", chunk(b"{spoilt\n"), b"nonsense\r\n"])
+def test_a_change_that_comes_in_one_piece_with_the_end_of_its_watch_is_told(tmp_path, end):
+    # guards against throwing away what was received: discovery may be down when it is asked for again
+    servers = TurnServer(), TurnServer()
+    hosts = [host(f"s{n}", server) for n, server in enumerate(servers)]
+
+    def watch(agent, sock):
+        agent.down, agent.seq = True, 2
+        change = agent.listing(False, [host("s0", servers[0], "draining")])
+        sock.sendall(HEAD + chunk(change + b"\n") + end)
+
+    with Stepped(tmp_path, *servers, agent=Watched(hosts, watch)) as stepped:
+        stepped.turn_until(lambda: stepped.daemon.agent.failures, "the end of the watch")
+        assert {stepped.ask(read_request(n))[0] for n in range(8)} == {200}
+        assert not servers[0].requests and len(servers[1].requests) == 8
+
+
+@pytest.mark.parametrize("word", [b"", b" ", b"{"])
+def test_a_watch_that_ends_no_line_is_silent_whatever_bytes_come_of_it(tmp_path, word, monkeypatch):
+    # guards against bytes that put the limit off for ever; and against another watch that is silent as well
+    monkeypatch.setattr(agent_driver, "SILENCE", 300.0)
+    servers = TurnServer(), TurnServer()
+    hosts = [host(f"s{n}", server) for n, server in enumerate(servers)]
+    stopped = threading.Event()
+
+    def watch(agent, sock):
+        sock.sendall(HEAD)
+        agent.seq, agent.hosts = 2, [host("s0", servers[0], "draining"), hosts[1]]
+        while not stopped.wait(0.02):
+            sock.sendall(chunk(word) if word else b"")
+
+    agent = Watched(hosts, watch)
+    with Stepped(tmp_path, *servers, agent=agent) as stepped:
+        began = time.monotonic()
+        stepped.turn_until(lambda: stepped.daemon.pool.members["s0"].left_at, "the drain")
+        assert time.monotonic() - began < 2
+        assert {stepped.ask(read_request(n))[0] for n in range(4)} == {200}
+        assert not servers[0].requests
+        stopped.set()
+
+
+def test_a_word_that_came_in_time_counts_though_nobody_had_read_it_at_the_limit(tmp_path, monkeypatch):
+    # guards against a call given up for want of a turn, again and again: the answer is there already
+    servers = (TurnServer(),)
+    agent = DiscoveryAgent([host("s0", servers[0])])
+    with Stepped(tmp_path, *servers, agent=agent, known=False) as stepped, stepped.connect() as sock:
+        driver = stepped.daemon.agent
+        until(lambda: readable(driver.task.sock), "the list")
+        sock.sendall(read_request(target="/nowhere"))
+        monkeypatch.setattr(runtime, "MOST_EVENTS", 1)
+        driver.silent()
+        stepped.turn_until(lambda: stepped.daemon.pool.members or driver.failures, "the list")
+        assert not driver.failures
+
+
+def readable(sock):
+    return select.select([sock], [], [], 0)[0]
