A long answer that ends while its last piece is written gets its end

At fault: ClientLink.pour asked twice whether the pipe is over, before and after a write that may wait. An answer that came to its end in between left the loop without the last chunk; the client waited until the connection was closed as idle (2.05 s). It is asked once. The test holds the client's socket full until the end is there; it fails without.

--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -298,14 +298,15 @@
             while True:
                 if pipe.parts:
                     data += self.machine.piece(pipe.take())
-                if pipe.over and pipe.whole:
+                over = pipe.over  # as it is now: it may come to be so while this is written
+                if over and pipe.whole:
                     data += self.machine.end()
                 if not (yield from self.write(data)):
                     return None
                 data = b""
-                if pipe.over:
+                if over:
                     break
-                if not pipe.parts and (yield HANGUP):
+                if not pipe.parts and not pipe.over and (yield HANGUP):
                     return None  # the client has gone
             if pipe.whole:
                 pipe.stop(End.WHOLE)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -61,6 +61,49 @@
         assert ["idempotency-key" in each for each in requests] == [False, False, True]
 
 
+# answers in pieces
+
+
+class Ending(TurnServer):
+    """Gives a long answer that does not say how long it is: its last byte and its end when it is told to."""
+
+    def __init__(self, body):
+        self.body, self.last, self.end = body, threading.Event(), threading.Event()
+        super().__init__()
+
+    def serve(self, sock):
+        self.requests.append(read_message(sock.makefile("rb")))
+        sock.sendall(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + self.body[:-1])
+        self.last.wait(20)
+        sock.sendall(self.body[-1:])
+        self.end.wait(20)
+        sock.shutdown(socket.SHUT_WR)
+
+
+def test_a_long_answer_that_ends_while_the_client_takes_the_last_of_it_gets_its_end(tmp_path, monkeypatch):
+    # guards against an answer without its last chunk: the client waits on, and is cut off as an idle one
+    write, full = clients.write, []
+
+    def take_nothing(sock, data):
+        return data if full else write(sock, data)
+
+    monkeypatch.setattr(clients, "write", take_nothing)
+    server = Ending(os.urandom(100_000))
+    with Stepped(tmp_path, server) as stepped, stepped.connect() as sock:
+        sock.sendall(read_request())
+        transactions = stepped.daemon.transactions
+        stepped.turn_until(lambda: transactions.taken and not transactions.open, "the answer's begin")
+        pipe = next(iter(stepped.daemon.clients.links)).answer.content.rest
+        stepped.turn_until(lambda: pipe.came == 99_999 and not pipe.parts, "the first pieces")
+        full.append(True)
+        server.last.set()
+        stepped.turn_until(lambda: pipe.came == 100_000 and not pipe.parts, "the last piece")
+        server.end.set()
+        stepped.turn_until(lambda: pipe.whole, "the end")
+        full.clear()
+        assert stepped.hear(sock)[::2] == (200, server.body)
+
+
 # the loop
 
 
