An attempt begins only for a client that is there, in its time, and within the window

Read for races, against the terms on clients that have left and on repeats: - What a client did was known once its events were read; a member's answer or a connect handled before that, in the same turn or with over 64 events queued, sent a request of a client that had gone. Right before an attempt is written (ServerLink.exchange, the one place) the transaction asks its client's socket (a peek; poll for the end behind unread bytes). One that has gone is told of at once, so no further attempt is chosen either. - The same place asks whether the attempt's time or the window for repeats passed while the connection came up: Balancer.may_send looks when it decides, and a connect may take up to the time-out more. - A request sent ahead on a connection had its full span from when its turn came; its client counts from its last byte. Request.came holds when that was read. - An answer that was found to take its time and then reset before it was passed on left its pipe in the budget.

--- a/brackenusher/core/admission.py
+++ b/brackenusher/core/admission.py
@@ -16,7 +16,7 @@
 from barleybarrow.farewell import Farewell
 from barleybarrow.interface import Effect
 from brackenusher.core.message import Content, Message
-from brackenusher.core.transaction import Answer, Served, Transaction, Transactions
+from brackenusher.core.transaction import Answer, Served, Transaction, Transactions, stays
 
 
 @dataclass(slots=True)
@@ -31,6 +31,8 @@
     message: Message
     token: bytes | None = field(default=None, repr=False)
     address: str = ""  # the client's
+    came: float = 0.0  # when its last byte was read: it may have waited behind others of its connection
+    gone: Callable[[], bool] = stays  # whether its client has closed its connection meanwhile
     beyond: bool = False  # on a connection beyond the proxy's share of descriptors, taken only to be refused
     free: int | None = None  # connections between requests, where clients need one each and may open no other
 
@@ -126,6 +128,7 @@
                 None if before is NOTHING else before.server,
                 before.until,
                 before.answer,
+                request.gone,
             )
             if transaction is not None:
                 return transaction
--- a/brackenusher/core/transaction.py
+++ b/brackenusher/core/transaction.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -13,8 +14,8 @@
 from typing import Any, Protocol
 
 from barleybarrow import interface as face
-from barleybarrow.brain import Balancer
-from barleybarrow.interface import Outcome
+from barleybarrow.brain import PROVEN, Balancer
+from barleybarrow.interface import Effect, Outcome
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.core.message import Content, Message
 from brackenusher.runtime.log import fault, say
@@ -47,6 +48,11 @@
 Answer = Served | Refused | Failed
 
 
+def stays() -> bool:
+    """A client that never closes its connection while it waits, or of whom that is not known."""
+    return False
+
+
 @dataclass(slots=True, eq=False)
 class Transaction:
     """A request that was taken, until it is answered and none of its attempts is out."""
@@ -60,6 +66,7 @@
     arrived: float
     deadline: float
     span: float = 0.0  # milliseconds that its client waits, from the last byte of its request
+    gone: Callable[[], bool] = stays  # whether its client has closed, though nobody was told of it yet
     guard: Entry | None = None
     over: bool = False  # answered, or nobody is there to be answered
     attempts: list["Attempt"] = field(default_factory=list)
@@ -145,6 +152,7 @@
         bound: str | None = None,
         window_end: float = 0.0,
         known: Content | None = None,
+        gone: Callable[[], bool] = stays,
     ) -> Transaction | None:
         """Take a request whose client waits for `span` milliseconds; `reply` gets its final answer.
 
@@ -158,7 +166,7 @@
         self.taken += 1
         self.names.add(name)
         deadline = now + max(0.0, span - RESERVE)
-        transaction = Transaction(self.taken, name, message, reply, klass, tenant, now, deadline, span)
+        transaction = Transaction(self.taken, name, message, reply, klass, tenant, now, deadline, span, gone)
         transaction.guard = self.deadlines.add(now + span, partial(self.overdue, transaction))
         self.open[transaction.id] = transaction
         if known is not None:
@@ -259,6 +267,21 @@
             fault(log, "attempt_failed", "an attempt could not be started")
             self.finished(attempt, Outcome.NOT_SENT)
 
+    def wanted(self, attempt: Attempt) -> bool:
+        """Asked when an attempt is to begin: whether it still may, and its client is there to be answered.
+
+        The module saw to that when it decided, but the connection may have come up late.
+        """
+        transaction, now = attempt.transaction, self.clock()
+        if not transaction.over and transaction.gone():
+            self.left(transaction)
+        if transaction.over or transaction.message.rest is None and now >= attempt.deadline:
+            return False  # the time of one with a body in pieces counts from the last byte of that
+        conf = self.balancer.conf.classes[transaction.klass]
+        before = transaction.attempts[: attempt.number] if conf.effect is Effect.KEYED else ()
+        sent = (each.sent_at for each in before if each.outcome not in PROVEN)
+        return now < min(sent, default=math.inf) + conf.window  # its repeats are dropped so long
+
     def cancel(self, action: face.Cancel) -> None:
         transaction = self.open.get(action.request)
         if transaction is None or action.attempt >= len(transaction.attempts):
--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -1,5 +1,6 @@
 """The driver toward clients: the listener, and sockets round the virtual server's machines."""
 
+import select
 import socket
 from collections import Counter
 from collections.abc import Callable, Generator
@@ -160,6 +161,19 @@
         self.beyond = clients.enter()  # taken only to be refused
         self.task = clients.loop.spawn(self.run(), sock)
 
+    def gone(self) -> bool:
+        """Whether the client has closed, as far as the kernel knows; what it sent before may be unread."""
+        try:
+            if not self.sock.recv(1, socket.MSG_PEEK):
+                return True
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        ends = select.poll()  # the end stands behind what is unread
+        ends.register(self.sock, select.POLLRDHUP)
+        return bool(ends.poll(0))
+
     def unheard(self) -> bool:
         """Whether nothing has come that is not read yet; asked of one that stands between requests."""
         try:
@@ -247,6 +261,9 @@
         request.address, request.beyond, self.answer = self.address, self.beyond, None
         fresh = self.place is clients.silent  # a first request shows that new connections come still
         request.free = None if fresh else len(clients.kept)
+        request.gone = self.gone
+        if request.message.rest is None:  # else its time counts from the last byte of its body
+            request.span = max(0.0, request.span - (clock() - request.came))
         taken = clients.admission.admit(request, self.reply)
         if isinstance(taken, Verdict):
             return self.machine.reject(worded(taken), self.closing)
@@ -328,10 +345,14 @@
         self.task.wake()
 
     def read(self) -> None:
+        before = len(self.machine.items)
         try:
             self.clients.buffers.receive(self.sock, self.machine.receive)
         except BlockingIOError:
             return
+        for item, *_ in islice(self.machine.items, before, None):
+            if isinstance(item, Request):
+                item.came = clock()
         if self.stands is self.clients.partial:
             self.moved_at = clock()
             self.stands.pop(self)
--- a/brackenusher/upstream/connections.py
+++ b/brackenusher/upstream/connections.py
@@ -230,6 +230,9 @@
             return self.elsewhere(self.cause)
         attempt, self.reply = self.attempt, None
         assert attempt is not None
+        if isinstance(attempt, Attempt) and not self.upstream.owner.wanted(attempt):
+            # it is none of this connection's; where it was cancelled on that account, this one is closed
+            return self.attempt is not None and self.done(Outcome.NOT_SENT, keep=True)
         try:
             whole = yield from self.send(attempt)
         except OSError:
@@ -387,6 +390,8 @@
         """The connection ended under a request that was written whole: it may have run."""
         if self.wrote is not None and not self.flow.begun:
             self.planner.lost(self.held, clock(), self.wrote, reset=True)
+        if self.flow.rest is not None:  # it had just been found to take its time, and nobody has it yet
+            self.flow.rest.stop()
         return self.done(Outcome.RESET, cause=Cause.RESET)
 
     def release(self) -> "Attempt | Probe | None":
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -104,6 +104,111 @@
         assert stepped.hear(sock)[::2] == (200, server.body)
 
 
+# clients that have left
+
+
+class MembersFirst:
+    """Has a turn take one event, those of members before those of clients: these queue up as under a load."""
+
+    def __init__(self, loop):
+        self.loop, self.epoll = loop, loop.epoll
+        self.register, self.modify, self.unregister = (
+            self.epoll.register,
+            self.epoll.modify,
+            self.epoll.unregister,
+        )
+
+    def poll(self, wait, most):
+        return sorted(self.epoll.poll(wait, most), key=lambda news: not self.of_member(news[0]))[:1]
+
+    def of_member(self, fd):
+        return fd in self.loop.tasks and "ServerLink" in self.loop.tasks[fd].coroutine.__qualname__
+
+
+@pytest.mark.parametrize("ahead", [0, 1, 40])
+def test_nothing_is_begun_for_a_client_that_left_while_the_connection_came_up(tmp_path, ahead):
+    # guards against work for nobody: the member's news come first in the turn in which the client has gone
+    server = TurnServer()
+    with Stepped(tmp_path, server) as stepped:
+        sock = stepped.connect()
+        sock.sendall(b"".join(read_request(n) for n in range(ahead + 1)))
+        stepped.turn_until(lambda: stepped.daemon.upstream.planner.opened, "the connect")
+        stepped.loop.epoll = MembersFirst(stepped.loop)
+        sock.close()
+        stepped.turn_until(lambda: not stepped.daemon.clients.links, "the end")
+        assert stepped.ask(read_request("-other"))[0] == 200
+        assert names(server) == ["id-other"]
+        assert not stepped.daemon.transactions.open
+
+
+def test_nothing_is_begun_for_a_client_that_left_while_it_waited_for_a_server(tmp_path):
+    # guards against sending on what is held for one who has gone, when a server comes free in that moment
+    release = threading.Event()
+
+    def slow(server, message):
+        if message[1]["req-id"] != "id-other":
+            release.wait(20)
+        return response(200, b"board")
+
+    server = TurnServer(slow)
+    with Stepped(tmp_path, server) as stepped, contextlib.ExitStack() as stack:
+        daemon, socks = stepped.daemon, []
+        while not (daemon.transactions.balancer.held or len(socks) > 10):  # until one has to wait
+            socks.append(stack.enter_context(stepped.connect()))
+            socks[-1].sendall(read_request(len(socks)))
+            stepped.turn_until(lambda: daemon.transactions.taken == len(socks))
+        held = f"id{len(socks)}"
+        until(lambda: len(server.requests) == len(socks) - 1, "the others")
+        stepped.loop.epoll = first = MembersFirst(stepped.loop)
+        poll = select.poll()
+        for fd in filter(first.of_member, stepped.loop.tasks):
+            poll.register(fd, select.POLLIN)
+        release.set()
+        until(lambda: len(poll.poll(0)) == len(socks) - 1, "the answers")
+        socks[-1].close()  # and behind them, in the same turn, the end of the one who waits
+        stepped.turn_until(lambda: len(daemon.clients.links) == len(socks) - 1, "the end")
+        assert stepped.ask(read_request("-other"))[0] == 200
+        assert held not in names(server)
+
+
+def test_what_was_sent_ahead_is_waited_for_no_longer_than_its_client_waits(tmp_path):
+    # guards against a full span from the moment at which its turn comes: its client has counted all the time
+    def slow(server, message):
+        if message[1]["req-id"] == "id1":
+            time.sleep(0.5)
+        return response(200, b"board")
+
+    server, patient = TurnServer(slow), {**SETTINGS["classes"][0], "slo": 1400.0}
+    with Stepped(tmp_path, server, settings={"classes": [patient]}) as stepped, stepped.connect() as sock:
+        sent = time.monotonic()
+        sock.sendall(read_request(1) + read_request(2))
+        stepped.turn_until(lambda: len(server.requests) == 2, "the second")
+        waited = (time.monotonic() - sent) * 1000
+        told = [int(headers["req-deadline"][:-1]) for _, headers, _ in server.requests]
+        assert told[0] > 1300 and told[1] <= 1400 - 500 and told[1] > 1400 - waited - 200
+
+
+# retries
+
+
+def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_begun(tmp_path):
+    # guards against a move that runs twice: who dropped its repeats drops them no longer
+    keyed = {**SETTINGS["classes"][1], "window": 300.0}
+    settings = {
+        "classes": [SETTINGS["classes"][0], keyed],
+        "limits": {**SETTINGS["limits"], "connectTimeout": 5000.0},
+    }
+    servers = [TurnServer(lambda server, message: response(500, b"no")) for _ in range(2)]
+    with Stepped(tmp_path, *servers, settings=settings) as stepped, stepped.connect() as sock:
+        planner = stepped.daemon.upstream.planner
+        sock.sendall(submit_request())
+        stepped.turn_until(lambda: planner.opened == 2, "the second connect")
+        assert sum(len(server.requests) for server in servers) == 1
+        time.sleep(0.35)  # the window passes, and no turn is taken
+        assert stepped.hear(sock)[0] in (502, 503)
+        assert sum(len(server.requests) for server in servers) == 1
+
+
 # the loop
 
 
