A connection is ended after a last look, by half-close; an answer unread at the limit counts

Read for races: a connection between requests was peeked at (unheard) and closed; what came between the two lines was closed over, which resets the connection and takes an unread answer with it. Also at the idle limit. Now it is told to part: its coroutine reads once more, serves what came, or half-closes and reads away what crosses for 0.5 s, as the last answer always did. One that never had an answer is closed at once, as before. Room that is needed now (spare) still closes at once. An attempt's limit was swept while its answer stood unread (over 64 news in a turn): given up, though it had an answer, and one of a class unsafe to repeat failed for it. The driver looks once more before it gives up. Four new cases on real sockets, the bytes sent at the very shutdown or close; all fail without the change.

--- a/brackenusher/core/admission.py
+++ b/brackenusher/core/admission.py
@@ -31,10 +31,10 @@
     message: Message
     token: bytes | None = field(default=None, repr=False)
     address: str = ""  # the client's
-    came: float = 0.0  # when its last byte was read: it may have waited behind others of its connection
-    gone: Callable[[], bool] = stays  # whether its client has closed its connection meanwhile
     beyond: bool = False  # on a connection beyond the proxy's share of descriptors, taken only to be refused
     free: int | None = None  # connections between requests, where clients need one each and may open no other
+    came: float = 0.0  # when its last byte was read: it may have waited behind others of its connection
+    gone: Callable[[], bool] = stays  # whether its client has closed its connection meanwhile
 
 
 class Bar(Enum):
--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -133,8 +133,8 @@
         """Close the connections between requests."""
         young = clock() - FIRST_TIME
         for link in [*self.silent, *self.kept]:
-            if (link.place is self.kept or link.opened_at < young) and link.unheard():
-                link.task.stop()
+            if link.place is self.kept or link.opened_at < young:
+                link.part()
 
     def hurry(self) -> None:
         """Answer those who are still sending their request; it has not been taken."""
@@ -155,12 +155,18 @@
         self.late, self.seen = False, 0  # bytes of a body that had come when it was looked last
         self.opened_at = self.moved_at = clock()
         self.resting, self.since = False, 0.0
+        self.parting = False  # it is to end once no request has begun to come in
         self.stands: dict[ClientLink, None] | None = None  # where it is counted just now
         self.place = clients.silent  # among which it counts between requests
         clients.links.add(self)
         self.beyond = clients.enter()  # taken only to be refused
         self.task = clients.loop.spawn(self.run(), sock)
 
+    def part(self) -> None:
+        """End it in good order, unless a request has come that is not read yet: that one is served first."""
+        self.parting = True
+        self.task.wake()
+
     def gone(self) -> bool:
         """Whether the client has closed, as far as the kernel knows; what it sent before may be unread."""
         try:
@@ -194,6 +200,10 @@
                     heir = self.clients.heir
                     if heir is not None and machine.between and heir([self.sock]):
                         return
+                    if self.parting and machine.between:
+                        if self.place is self.clients.silent:
+                            return  # it has had no answer that a reset could take away
+                        break
                     self.rest(machine.between)
                     if not (yield from self.write(machine.go_on())):
                         return
@@ -202,7 +212,8 @@
                     if not self.late or self.resting and not machine.between:
                         continue
                     if self.resting:
-                        return
+                        self.parting = True
+                        continue
                     item = Rejection(408, "the request took too long", fatal=True)
                 self.rest(None)
                 if isinstance(item, Request):
@@ -251,9 +262,7 @@
         if where is not None:
             where[self] = None
         if where is self.clients.kept and len(where) > self.clients.most_kept and not self.stays:
-            oldest = next(iter(where))
-            if oldest.unheard():
-                oldest.task.stop()
+            next(iter(where)).part()
 
     def serve(self, request: Request) -> Generator[int, int, bytes | None]:
         """Have a request answered; None if the connection is to end at once, as the client left."""
--- a/brackenusher/upstream/connections.py
+++ b/brackenusher/upstream/connections.py
@@ -185,6 +185,7 @@
         self.expiry: Entry | None = None
         self.stall: Entry | None = None
         self.wrote: float | None = None  # when the present request was written whole
+        self.looked = False  # its time was up, and it was looked once more for an answer
         self.cause = Cause.FAULT
         self.flow = Flow(f"{member.address[0]}:{member.address[1]}".encode(), upstream.budget)
         self.moved_at = 0.0  # when the peer last took or gave something
@@ -196,7 +197,7 @@
 
     def carry(self, attempt: "Attempt | Probe") -> None:
         """Take on an attempt."""
-        self.attempt, self.wrote, attempt.carriage = attempt, None, self
+        self.attempt, self.wrote, self.looked, attempt.carriage = attempt, None, False, self
         if attempt.message.rest is None:  # else its time counts from the last byte of its body
             self.expiry = self.upstream.loop.deadlines.add(attempt.deadline, self.expired)
         self.task.wake()
@@ -435,7 +436,14 @@
         self.close(Cause.REFUSED)
 
     def expired(self) -> None:
-        """The attempt's time is up; it has not run unless it was written whole."""
+        """The attempt's time is up; it has not run unless it was written whole.
+
+        What came in time may be unread: then it is read first, and the limit waits for the next sweep.
+        """
+        if self.wrote is not None and not self.looked and not self.healthy():
+            self.looked, self.expiry = True, self.upstream.loop.deadlines.add(clock(), self.expired)
+            self.task.wake()
+            return
         if self.wrote is not None and not self.flow.begun:
             self.planner.lost(self.held, clock(), self.wrote, reset=False)
         self.done(Outcome.TIMEOUT if self.wrote is not None else Outcome.NOT_SENT, cause=Cause.GIVEN_UP)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -188,6 +188,56 @@
         assert told[0] > 1300 and told[1] <= 1400 - 500 and told[1] > 1400 - waited - 200
 
 
+# closing a connection
+
+
+class Crossed:
+    """A client's socket: what the client sends is there just before the proxy shuts or closes it."""
+
+    def __init__(self, sock, client, data):
+        self.sock, self.client, self.data, self.crossed = sock, client, data, False
+
+    def __getattr__(self, name):
+        return getattr(self.sock, name)
+
+    def cross(self):
+        if not self.crossed:
+            self.crossed = True
+            self.client.send(self.data)
+            until(lambda: readable(self.sock), "the request")
+
+    def shutdown(self, how):
+        self.cross()
+        self.sock.shutdown(how)
+
+    def close(self):
+        self.cross()
+        self.sock.close()
+
+
+@pytest.mark.parametrize("how", ["limit", "last call", "most kept"])
+def test_a_request_that_comes_as_its_connection_is_ended_meets_no_reset(tmp_path, how, monkeypatch):
+    # guards against a close over what has just come: that is a reset, which takes an unread answer with it
+    server = TurnServer()
+    with Stepped(tmp_path, server) as stepped, stepped.connect() as sock:
+        sock.sendall(read_request(1))
+        assert stepped.hear(sock)[0] == 200
+        (link,) = stepped.daemon.clients.kept
+        link.task.sock = Crossed(link.sock, sock, read_request(2))
+        link.sock = link.task.sock
+        if how == "limit":
+            link.resting and link.time(0.0)
+        elif how == "last call":
+            stepped.daemon.clients.last_call()
+        else:
+            monkeypatch.setattr(stepped.daemon.clients, "most_kept", 0)
+            link.stand(stepped.daemon.clients.kept)
+        stepped.turn_until(lambda: link.sock.crossed, "the end")
+        stepped.turns(50)
+        assert sock.recv(1) == b""  # its end, and no reset
+        assert names(server) == ["id1"]
+
+
 # retries
 
 
@@ -209,6 +259,19 @@
         assert sum(len(server.requests) for server in servers) == 1
 
 
+def test_an_answer_that_came_in_time_counts_though_nobody_had_read_it_at_the_limit(tmp_path):
+    # guards against an attempt given up, and one that may have run sent again, for want of a turn
+    server = TurnServer()
+    with Stepped(tmp_path, server) as stepped, stepped.connect() as sock:
+        sock.sendall(read_request())
+        stepped.turn_until(lambda: stepped.daemon.upstream.written, "the attempt")
+        (attempt,) = next(iter(stepped.daemon.transactions.open.values())).attempts
+        link = attempt.carriage
+        until(lambda: readable(link.sock), "the answer")
+        link.expired()
+        assert stepped.hear(sock)[::2] == (200, b"board") and len(server.requests) == 1
+
+
 # the loop
 
 
