--- a/brackenusher/membership/agent.py
+++ b/brackenusher/membership/agent.py
@@ -112,6 +112,8 @@
         finally:
             self.loop.deadlines.remove(self.limit)
             if self.loop.running and machine is self.machine:
+                if machine.watching and not self.must_ask:
+                    self.seq = None  # the whole list is asked for, see `again`
                 self.again(why)
 
     def take(self, machine: Discovery, data: memoryview) -> None:
@@ -139,12 +141,11 @@
     def again(self, why: str) -> None:
         """Try again after a while; where the list must be asked for, when the module says.
 
-        A watch that goes on from what is held says nothing while nothing changes, and may be silent in its
-        turn; a whole list comes at once, or the call has failed. Where asking is dear, it goes on so.
+        After a watch the whole list is asked for: a watch that goes on from what is held says nothing while
+        nothing changes, and may be silent in its turn; a list comes at once, or the call has failed. Where
+        asking is dear, it goes on from what is held.
         """
         self.failures += 1
-        if not self.must_ask:
-            self.seq = None
         if self.must_ask or self.failures & (self.failures - 1) == 0:  # the first, second, fourth, ...
             say(log, logging.WARNING, "discovery_lost", "discovery: %(why)s", why=why)
         if self.must_ask:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -380,6 +380,26 @@
         stopped.set()
 
 
+def test_an_agent_that_closes_after_the_list_is_watched_all_the_same(tmp_path):
+    # guards against the whole list again and again: a connection that ends in good order has told all it had
+    class Closing(Watched):
+        def serve(self, sock):
+            message = read_message(sock.makefile("rb"))
+            self.calls.append(message[0])
+            if "watch=1" in message[0]:
+                return self.watch(self, sock)
+            sock.sendall(response(200, self.listing(True, self.hosts), "Connection: close"))
+            return sock.shutdown(socket.SHUT_WR)
+
+    server, stopped = TurnServer(), threading.Event()
+    agent = Closing([host("s0", server)], lambda agent, sock: (sock.sendall(HEAD), stopped.wait(20)))
+    with Stepped(tmp_path, server, agent=agent, known=False) as stepped:
+        stepped.turn_until(lambda: len(agent.calls) == 2, "the watch")
+        stepped.turns(300)
+        assert ["from=1 " in call for call in agent.calls] == [False, True]
+        stopped.set()
+
+
 def test_a_word_that_came_in_time_counts_though_nobody_had_read_it_at_the_limit(tmp_path, monkeypatch):
     # guards against a call given up for want of a turn, again and again: the answer is there already
     servers = (TurnServer(),)
