A member whose clock went back at a restart is told of its later life, and joins again

From the logs: all others hold n1's later life in the view and have proved its new, lower one. At fault: where its answer to a nonce (Swim.prove) comes before it hears of its later life, nobody says that any more, and Assembly.newcomers leaves it out for ever. It is now told by Over, with the life that counts, and goes on after that.

--- a/barleybarrow/assembly.py
+++ b/barleybarrow/assembly.py
@@ -127,7 +127,10 @@
 
 
 class Over(Struct, array_like=True, frozen=True, tag=8):
-    """This life of yours was taken out, though it may never have heard that it belonged."""
+    """This life of yours is over, or one that counts as later than yours: go on as a later one.
+
+    It may never have heard that it belonged.
+    """
 
     life: Number
 
@@ -427,8 +430,7 @@
         for k in self.known.values():
             if k.state != ALIVE or not k.proved or (view is not None and view.has(k.name, k.epoch)):
                 continue
-            held = view.by_name.get(k.name) if view is not None else None
-            if held is not None and held.life > k.epoch:
+            if self.outlived(k):
                 continue
             stamp = self.stamps.get(k.name)
             if stamp is None or stamp[0].group or stamp[1] != k.epoch:
@@ -603,7 +605,8 @@
         elif isinstance(body, Want):
             self.tell(now, source, stamp)
         elif isinstance(body, Over):
-            if self.view is None and body.life == self.life:
+            if self.view is None and body.life >= self.life:
+                self.life = body.life  # later than its own where its clock went back
                 self.reborn(now)
         elif stamp.group == 0 and isinstance(body, Poll | Say):
             self.founding(now, source, body)
@@ -794,9 +797,16 @@
             self.tell(now, source, stamp)
         elif stamp.group == 0 and source.epoch <= self.removed.get(source.name, (0.0, -1))[1]:
             self.send(source.address, Over(source.epoch))
+        elif stamp.group == 0 and self.outlived(source):
+            self.send(source.address, Over(mine.by_name[source.name].life))
         elif stamp.group not in (0, mine.group):
             self.foreign(now, source, stamp)
 
+    def outlived(self, source: Known) -> bool:
+        """Whether a life that counts as later than this one belongs, as its clock went back at a restart."""
+        held = self.view.by_name.get(source.name) if self.view is not None else None
+        return held is not None and held.life > source.epoch
+
     def tell(self, now: float, source: Known, stamp: Stamp) -> None:
         """Send one that is behind what it lacks."""
         view, link = self.view, self.link(source.name)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,6 +4,7 @@
 import json
 import os
 import select
+import signal
 import socket
 import threading
 import time
@@ -238,6 +239,72 @@
         assert names(server) == ["id1"]
 
 
+# shutdown and reload
+
+
+@pytest.mark.parametrize("event", ["stop", "stop twice", "reload", "bad file"])
+@pytest.mark.parametrize("step", range(7))
+def test_a_signal_between_any_two_steps_of_a_request_changes_nothing_for_it(tmp_path, step, event):
+    # guards against a request that is read and not answered, or answered twice, as the end or a file comes
+    first, second = threading.Event(), threading.Event()
+
+    def failing(server, message):
+        first.wait(20)
+        return response(500, b"no")
+
+    def serving(server, message):
+        second.wait(20)
+        return response(200, b"board")
+
+    servers = TurnServer(failing), TurnServer(serving)
+    agent = DiscoveryAgent([host("s0", servers[0])])  # the other comes while the first attempt is out
+    with Stepped(tmp_path, *servers, agent=agent, known=False) as stepped:
+        daemon, pool, path = stepped.daemon, stepped.daemon.pool, tmp_path / "config.json"
+
+        def act():
+            daemon.note(signal.SIGTERM, None) if "stop" in event else None
+            if event == "bad file":
+                path.write_text("{broken", encoding="utf-8")
+            for _ in range(2 if event == "stop twice" else 1):
+                daemon.stop() if "stop" in event else daemon.reload()
+            stepped.turns(30)
+
+        data, sock = submit_request(), None
+        steps = [
+            lambda: stepped.turn_until(lambda: pool.members and agent.watchers, "the list"),
+            lambda: stepped.turn_until(lambda: daemon.clients.links, "the connection"),
+            lambda: (sock.sendall(data[:40]), stepped.turn_until(lambda: daemon.clients.partial, "the head")),
+            lambda: (sock.sendall(data[40:-2]), stepped.turns(5)),
+            lambda: (sock.sendall(data[-2:]), stepped.turn_until(lambda: servers[0].requests, "the attempt")),
+            lambda: stepped.agent.tell([host("s1", servers[1])]),
+            lambda: (first.set(), stepped.turn_until(lambda: servers[1].requests, "the repeat")),
+        ]
+        for number, take in enumerate(steps):
+            if number == 1:
+                sock = stepped.connect()
+            take()
+            if number == step:
+                act()
+        second.set()
+        assert stepped.hear(sock)[::2] == (200, b"board")
+        assert [len(server.requests) for server in servers] == [1, 1]
+        assert daemon.transactions.taken == 1 and not daemon.transactions.open
+        sock.close()
+
+
+def test_a_bad_file_at_a_reload_is_one_line_and_the_old_settings_stay(tmp_path, caplog):
+    server = TurnServer()
+    with Stepped(tmp_path, server) as stepped:
+        text = (tmp_path / "config.json").read_text(encoding="utf-8")
+        for bad in ("{", text.replace('"slo": 580.0', '"slo": "soon"'), text.replace('"listen"', '"lissen"')):
+            (tmp_path / "config.json").write_text(bad, encoding="utf-8")
+            caplog.clear()
+            stepped.daemon.reload()
+            assert len(caplog.records) == 1 and caplog.records[0].levelname == "ERROR"
+            assert len(caplog.records[0].getMessage().splitlines()) == 1
+            assert stepped.ask(read_request())[0] == 200
+
+
 # retries
 
 
