An attempt's last look takes no peek, as a reset met by one reads as a whole end after it

A peek that meets a reset takes the error with it, and the read after it says end of stream (seen with two sockets alone: poll HUP, peek ECONNRESET, read b''). Other peeks were read through: none is followed by a read whose end would mean something else. More crossings: a reset as an answer is chosen to be passed on (its pipe stayed in the budget before), kills at five moments of a start, watches that end in any way in any cut (with a planted bug that is found).

--- a/brackenusher/upstream/connections.py
+++ b/brackenusher/upstream/connections.py
@@ -438,9 +438,10 @@
     def expired(self) -> None:
         """The attempt's time is up; it has not run unless it was written whole.
 
-        What came in time may be unread: then it is read first, and the limit waits for the next sweep.
+        What came in time may be unread: it is read first, and the limit waits for the next sweep. No peek is
+        taken here: one that met a reset would have the read after it see a whole end.
         """
-        if self.wrote is not None and not self.looked and not self.healthy():
+        if self.wrote is not None and not self.looked:
             self.looked, self.expiry = True, self.upstream.loop.deadlines.add(clock(), self.expired)
             self.task.wake()
             return
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,11 +1,13 @@
 """Narrow moments on real sockets: an event that comes between two others. Each is forced, not awaited."""
 
 import contextlib
+import itertools
 import json
 import os
 import select
 import signal
 import socket
+import struct
 import threading
 import time
 
@@ -23,12 +25,16 @@
     submit_request,
     until,
 )
+from hypothesis import given
+from hypothesis import strategies as st
 
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.fronts.http1 import clients
 from brackenusher.membership import agent as agent_driver
+from brackenusher.membership.discovery import Broken, Discovery
 from brackenusher.runtime import loop as runtime
 from brackenusher.runtime.loop import READ, Loop
+from testbed.sockets.ports import free_port
 from testbed.standins import read_message
 
 UNSAFE = {**SETTINGS["classes"][1], "repeat": "single_shot"}
@@ -105,6 +111,41 @@
         assert stepped.hear(sock)[::2] == (200, server.body)
 
 
+@pytest.mark.parametrize("moment", ["hurry", "expired"])
+def test_a_reset_in_the_moment_of_a_limit_is_no_end_and_leaves_no_pipe(tmp_path, moment):
+    # guards against a part that is served as the whole, as a peek takes the reset from the read after it, and
+    # against a budget that shrinks for good; the request goes elsewhere, as nobody had anything of it
+    reset = threading.Event()
+
+    def breaking(server, message):
+        sock = server.connections[-1]
+        sock.sendall(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nboa")
+        reset.wait(20)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
+        raise ConnectionError  # with no orderly end before
+
+    server, other = TurnServer(breaking), TurnServer()
+    agent = DiscoveryAgent([host("s0", server)])
+    with Stepped(tmp_path, server, agent=agent, known=False) as stepped, stepped.connect() as sock:
+        stepped.turn_until(lambda: agent.watchers, "the watch")
+        sock.sendall(read_request())
+        stepped.turn_until(lambda: stepped.daemon.upstream.written, "the attempt")
+        agent.tell([host("s1", other)])
+        link = next(iter(stepped.daemon.transactions.open.values())).attempts[0].carriage
+        stepped.turn_until(lambda: link.flow.begun and "s1" in stepped.daemon.pool.members, "its begin")
+        poll = select.poll()
+        poll.register(link.sock, select.POLLHUP)
+        reset.set()
+        until(lambda: poll.poll(0), "the reset")
+        link.upstream.loop.deadlines.remove(link.stall)
+        getattr(link, moment)()
+        assert (link.flow.rest is not None) == (moment == "hurry")
+        assert stepped.hear(sock)[::2] == (200, b"board")
+        assert stepped.daemon.upstream.budget.pipes == 0
+        other.close()
+
+
 # clients that have left
 
 
@@ -373,9 +414,80 @@
     assert got == [READ]
 
 
+# the start
+
+
+@pytest.mark.parametrize("moment", ["starting", "listening", "accepted", "half a request", "asked"])
+def test_a_process_killed_at_any_moment_is_ready_again_soon_and_serves(tmp_path, moment):
+    # guards against a start that hangs on what the one before left: its address, its list, its clients
+    port, server = free_port(), TurnServer()
+    first = Program(tmp_path, server, port=port)
+    with contextlib.ExitStack() as stack:
+        if moment != "starting":
+            until(first.ready, "readiness")
+        if moment not in ("starting", "listening"):
+            sock = stack.enter_context(first.connect())
+            sock.sendall({"half a request": read_request()[:40], "asked": read_request()}.get(moment, b""))
+        first.process.kill()
+        first.process.wait()
+        first.agent.close()
+        began = time.monotonic()
+        with Program(tmp_path, server, port=port) as again:
+            assert time.monotonic() - began < 10
+            assert again.ask(read_request(2))[::2] == (200, b"board")
+
+
 # discovery
 
 
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def heard(data, cuts, make=Discovery):
+    """Versions of the lists that a watch tells, fed in pieces until it breaks."""
+    machine, got = make("a:1", 1), []
+    machine.start()
+    pieces = [data[a:b] for a, b in itertools.pairwise([0, *sorted(cuts), len(data)])]
+    for piece in filter(None, [*pieces, b"\0"]):
+        try:
+            got += machine.receive(piece)[0]
+        except Broken as error:
+            return got + list(error.listings)
+    return got
+
+
+ENDS = [b"0\r\n\r\n", b"5\r\n{bad\n\r\n", b"nonsense\r\n", b"5\r\n[1]\n\n\r\n", b"-1\r\n"]
+
+
+def a_watch(lines, end):
+    """The bytes of a watch that tells so many changes, and ends or is spoilt in some way."""
+    texts = [json.dumps({"seq": n, "whole": False, "hosts": []}).encode() + b"\n" for n in range(lines)]
+    return HEAD + b"".join(chunk(text) for text in texts) + end
+
+
+@given(st.integers(0, 4), st.sampled_from(ENDS), st.lists(st.integers(0, 300), max_size=6))
+def test_whatever_way_a_watch_ends_and_is_cut_what_came_before_counts_once(lines, end, cuts):
+    data = a_watch(lines, end)
+    assert [listing.seq for listing in heard(data, [cut for cut in cuts if cut < len(data)])] == [
+        *range(lines)
+    ]
+
+
+def test_lists_thrown_away_at_the_end_of_a_watch_would_be_found():
+    class Forgetful(Discovery):
+        def receive(self, data):
+            try:
+                return super().receive(data)
+            except Broken as error:
+                raise Broken(str(error)) from error
+
+    assert all(heard(a_watch(2, end), [], Forgetful) == [] for end in ENDS)
+
+
 class Watched(Listener):
     """An agent whose watches do as a test says; a call for the whole list is answered as it should be."""
 
@@ -399,13 +511,6 @@
                 sock.sendall(response(200, self.listing(True, self.hosts)))
 
 
-HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-
-
-def chunk(data):
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
 @pytest.mark.parametrize("end", [b"0\r\n\r\n", chunk(b"{spoilt\n"), b"nonsense\r\n"])
 def test_a_change_that_comes_in_one_piece_with_the_end_of_its_watch_is_told(tmp_path, end):
     # guards against throwing away what was received: discovery may be down when it is asked for again
