Names: farewell is graceful shutdown, its last call is draining

barleybarrow.farewell is graceful_shutdown, Farewell GracefulShutdown, its phase LAST_CALL is DRAINING. Listener.last_call was the same as drain(idle=True) for HTTP/1.1 and HTTP/2 alike and is gone.

--- a/barleybarrow/farewell.py
+++ b/barleybarrow/graceful_shutdown.py
@@ -1,4 +1,4 @@
-"""The orderly end: how long to serve on after the word to stop, what comes when, and how much time is left.
+"""The graceful shutdown: how long to serve on after the word to stop, what comes when, how much time is left.
 
 It decides and does no I/O; it is told the time. Every time is in milliseconds on one monotonic clock. It must
 never plan an answer for later than `answered_by`, which lies before the earliest time of the kill.
@@ -6,7 +6,7 @@
 Phases come in order, and none comes back:
 
     SERVING    as ever, but what comes in late has its time cut, or is refused at once
-    LAST_CALL  each answer ends its connection, connections between requests are closed, new ones still come
+    DRAINING   each answer ends its connection, connections between requests are closed, new ones still come
     CLOSING    all is answered; what waits at the door is taken in and refused, then the door is closed
     ENDED      nobody is left, or only those who do not take their answers and whom the kill would cut off
 """
@@ -30,12 +30,12 @@
     """What is to be done now."""
 
     SERVING = 0
-    LAST_CALL = 1
+    DRAINING = 1
     CLOSING = 2
     ENDED = 3
 
 
-class Farewell:
+class GracefulShutdown:
     """The plan of one program's end, made when the word to stop comes and tightened by what is seen since.
 
     `told_at` is when the word came, `longest` the longest deadline of the settings, `share` the part of a
@@ -56,7 +56,7 @@
         return self.limit - WORK - 2 * self.stall
 
     @property
-    def last_call(self) -> float:
+    def draining_from(self) -> float:
         """From when on nothing is worth starting."""
         return max(self.answered_by - self.enough, self.told_at + DOOR)
 
@@ -114,4 +114,4 @@
             return Phase.ENDED
         if now >= self.answered_by or now >= self.told_at + DOOR and not clients:
             return Phase.CLOSING
-        return Phase.LAST_CALL if now >= self.last_call else Phase.SERVING
+        return Phase.DRAINING if now >= self.draining_from else Phase.SERVING
--- a/barleybarrow/lifecycle.py
+++ b/barleybarrow/lifecycle.py
@@ -1,7 +1,7 @@
 """The stages of the process, and what a call to drain, to resume or to end does in each.
 
-It decides and does no I/O; it is told the time, in milliseconds on one monotonic clock. `farewell` plans
-what comes within the last stage. A stage and a call give the next stage, or no:
+It decides and does no I/O; it is told the time, in milliseconds on one monotonic clock. What comes within the
+last stage is planned by `graceful_shutdown`. A stage and a call give the next stage, or no:
 
     stage       drain      resume   end      in time
     STARTING    DRAINING   READY    ENDING   READY once it serves
@@ -17,7 +17,7 @@
 
 from enum import Enum
 
-from barleybarrow.farewell import DOOR
+from barleybarrow.graceful_shutdown import DOOR
 
 IDLE_FROM = 1500.0  # ms after the call: then connections between requests are closed; at 4 s none may stand
 SETTLED = 4000.0  # ms after the call in which the front takes the drain for done
--- a/brackenusher/core/admission.py
+++ b/brackenusher/core/admission.py
@@ -13,7 +13,7 @@
 from barleybarrow import interface as face
 from barleybarrow import tokens
 from barleybarrow.door import LONGEST_KEY, Door
-from barleybarrow.farewell import Farewell
+from barleybarrow.graceful_shutdown import GracefulShutdown
 from barleybarrow.interface import Effect
 from brackenusher.core.message import Content, Message
 from brackenusher.core.transaction import Answer, Served, Transaction, Transactions, stays
@@ -107,7 +107,7 @@
         self.most_wait = settings.max_retry_after
         self.gates: list[tuple[Bar, Gate]] = []  # where proxies agree on a policy, or hold marks of staff
         self.past: Past | None = None  # where proxies tell each other the fates of keyed requests
-        self.farewell: Farewell | None = None  # once the program is to stop: the plan of its end
+        self.shutdown: GracefulShutdown | None = None  # once the program is to stop: the plan of its end
         self.at_the_end = 0  # requests refused because the end was near
 
     def admit(self, request: Request, reply: Callable[[Answer], None]) -> Transaction | Verdict:
@@ -138,8 +138,8 @@
 
     def answered(self, transaction: Transaction, answer: Answer) -> None:
         """A front has the final answer of a request that was taken; at the end it counts how long it took."""
-        if self.farewell is not None and isinstance(answer, Served):
-            self.farewell.answered(self.owner.clock() - transaction.arrived)
+        if self.shutdown is not None and isinstance(answer, Served):
+            self.shutdown.answered(self.owner.clock() - transaction.arrived)
 
     def whole(self, transaction: Transaction) -> None:
         """The rest of the body of a request that was taken before has come."""
@@ -156,9 +156,9 @@
         """
         if request.beyond:
             return Verdict(Bar.ROOM, retry_after=self.most_wait)
-        if self.farewell is not None and not self.fits(request, self.farewell):
+        if self.shutdown is not None and not self.fits(request, self.shutdown):
             self.at_the_end += 1
-            wait = self.farewell.come_back(self.owner.clock(), self.most_wait)
+            wait = self.shutdown.come_back(self.owner.clock(), self.most_wait)
             return Verdict(Bar.END, retry_after=wait)
         if self.tokens is not None:
             why = tokens.verdict(self.tokens, request.token, self.needs[request.klass], self.wall())
@@ -177,7 +177,7 @@
                 return Verdict(Bar.DOOR, retry_after=wait)
         return None
 
-    def fits(self, request: Request, plan: Farewell) -> bool:
+    def fits(self, request: Request, plan: GracefulShutdown) -> bool:
         """Whether a request can still be taken, with its time cut to what is left."""
         now, in_hand = self.owner.clock(), len(self.owner.open)
         span = plan.cut(now, request.span, in_hand)
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -13,7 +13,7 @@
 
 from barleybarrow.brain import Balancer
 from barleybarrow.door import Door
-from barleybarrow.farewell import Farewell, Phase
+from barleybarrow.graceful_shutdown import GracefulShutdown, Phase
 from barleybarrow.lifecycle import Lifecycle, Stage
 from brackenusher.config.operators import Operator, doubts, read_subset
 from brackenusher.config.platform import Config, ConfigError
@@ -72,7 +72,7 @@
     def __init__(self, config: Config, load: Callable[[], Config], operator: Operator) -> None:
         self.load = load  # reads the configuration anew
         self.told_at: float | None = None  # when the first signal to stop came
-        self.farewell: Farewell | None = None
+        self.shutdown: GracefulShutdown | None = None
         self.lifecycle = Lifecycle()
         settings = config.settings
         deadlines, buffers = Deadlines(), Buffers()
@@ -483,15 +483,15 @@
 
     def stop(self) -> None:
         """Serve on as long as the deployment allows, then end with all answered; asked again, go on so."""
-        if self.farewell is not None:
+        if self.shutdown is not None:
             say(log, logging.INFO, "stopping_already", "stopping already")
             return
         settings = self.config.settings
         handed = self.replacement is not None and self.replacement.handed
         longest, alone = max(c.deadline for c in settings.classes), settings.proxies <= 1 and not handed
         least = self.transactions.balancer.margin + RESERVE  # the module refuses at once what has less
-        plan = Farewell(self.told_at or clock(), longest, self.config.cores, least, alone)
-        self.farewell = self.admission.farewell = plan
+        plan = GracefulShutdown(self.told_at or clock(), longest, self.config.cores, least, alone)
+        self.shutdown = self.admission.shutdown = plan
         self.lifecycle.end()
         say(
             log,
@@ -508,7 +508,7 @@
             self.replacement.stop()
         self.later(CHECK, partial(self.attend, plan, clock() + CHECK))
 
-    def attend(self, plan: Farewell, due: float) -> None:
+    def attend(self, plan: GracefulShutdown, due: float) -> None:
         """Do what the plan of the end says."""
         now, before = clock(), plan.phase
         phase = plan.step(now, now - due, self.connections, all(front.shut for front, _ in self.fronts))
@@ -531,9 +531,9 @@
             return
         for front, _ in self.fronts:
             front.pass_idle()
-        if phase >= Phase.LAST_CALL:
+        if phase >= Phase.DRAINING:
             for front, _ in self.fronts:
-                front.last_call()
+                front.drain(idle=True)
         if phase is Phase.CLOSING:
             given_up = self.transactions.answer_all()
             if given_up:
--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -100,9 +100,6 @@
         self.told_away = self.gave_way.copy()
         return [("clients_gave_way", count, "c", [("place", place.value)]) for place, count in news.items()]
 
-    def last_call(self) -> None:
-        self.drain(idle=True)
-
     def drain(self, idle: bool) -> None:
         self.stopping = True
         if idle:
@@ -432,4 +429,4 @@
     @property
     def stays(self) -> bool:
         """Whether it is kept however long it rests: once the program stops, clients can open no other."""
-        return self.clients.admission.farewell is not None and self.place is self.clients.kept
+        return self.clients.admission.shutdown is not None and self.place is self.clients.kept
--- a/brackenusher/fronts/http2/clients.py
+++ b/brackenusher/fronts/http2/clients.py
@@ -61,15 +61,12 @@
             link.machine.announce(clock())
             link.task.wake()
 
-    def last_call(self) -> None:
+    def drain(self, idle: bool) -> None:
         for link in self.links:
             if not link.machine.closing:
-                link.machine.close(clock())
+                link.machine.close(clock())  # GOAWAY: what was taken is answered, others open a connection
                 link.task.wake()
 
-    def drain(self, idle: bool) -> None:
-        self.last_call()  # GOAWAY: what was taken is answered, and the client opens another connection
-
     def resume(self) -> None:
         pass  # who was told to go away goes; newcomers are served as ever
 
--- a/brackenusher/fronts/listener.py
+++ b/brackenusher/fronts/listener.py
@@ -86,10 +86,6 @@
     def told(self) -> None:
         """The word to stop has come; requests go on being taken."""
 
-    def last_call(self) -> None:
-        """Nothing new is worth starting any more; called again and again until the end."""
-        raise NotImplementedError
-
     def drain(self, idle: bool) -> None:
         """Have answers end their connections, and with `idle` close those between requests; called again."""
         raise NotImplementedError
--- a/testbed/proxy.py
+++ b/testbed/proxy.py
@@ -28,7 +28,7 @@
     3_600_000.0  # milliseconds on a proxy's clock when the run begins: a start time must not be under 0
 )
 UNIX_START = 1_764_547_200_000.0  # and in Unix time, which all machines share
-FAREWELL = 450_000  # microseconds after the word to stop in which requests are still taken, as in the daemon
+ACCEPTING = 450_000  # microseconds after the word to stop in which requests are still taken, as in the daemon
 GRACE = 250_000  # and beyond the longest deadline after that in which it may still answer
 
 RECORD = struct.Struct("<qHHqid")  # microseconds, proxy, what, request, attempt or server, a figure
@@ -515,7 +515,7 @@
     def stop(self) -> None:
         """The word to stop: it goes on for a while, then takes nothing more."""
         self.stopping = True
-        self.world.at(self.world.now + FAREWELL, self.close_the_door, None)
+        self.world.at(self.world.now + ACCEPTING, self.close_the_door, None)
 
     def close_the_door(self, _: None) -> None:
         self.takes = False
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -20,7 +20,7 @@
     write_config,
 )
 
-from barleybarrow.farewell import DOOR
+from barleybarrow.graceful_shutdown import DOOR
 from barleybarrow.lifecycle import IDLE_FROM, SETTLED, Lifecycle, Stage
 from brackenusher.fronts.control.driver import MOST_CALLERS
 from brackenusher.fronts.control.machine import Call
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -257,7 +257,7 @@
         self.sock.close()
 
 
-@pytest.mark.parametrize("how", ["limit", "last call", "most kept"])
+@pytest.mark.parametrize("how", ["limit", "draining", "most kept"])
 def test_a_request_that_comes_as_its_connection_is_ended_meets_no_reset(tmp_path, how, monkeypatch):
     # guards against a close over what has just come: that is a reset, which takes an unread answer with it
     server = TurnServer()
@@ -269,8 +269,8 @@
         link.sock = link.task.sock
         if how == "limit":
             link.resting and link.time(0.0)
-        elif how == "last call":
-            stepped.daemon.clients.last_call()
+        elif how == "draining":
+            stepped.daemon.clients.drain(idle=True)
         else:
             monkeypatch.setattr(stepped.daemon.clients, "most_kept", 0)
             link.stand(stepped.daemon.clients.kept)
--- a/tests/test_farewell.py
+++ b/tests/test_graceful_shutdown.py
@@ -24,7 +24,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from barleybarrow.farewell import DOOR, DOOR_FROM, EACH, Farewell, Phase
+from barleybarrow.graceful_shutdown import DOOR, DOOR_FROM, EACH, GracefulShutdown, Phase
 
 SPAN = 400.0  # ms, the longest deadline here: the kill comes 1,100 ms after SIGTERM
 QUICK = {
@@ -35,8 +35,8 @@
 
 
 def test_the_kill_is_counted_from_the_longest_deadline_but_no_more_than_three_seconds():
-    assert Farewell(1000.0, 1900.0, 1.0, 50.0, True).limit == 3600.0
-    assert Farewell(1000.0, 60_000.0, 1.0, 50.0, True).limit == 4700.0
+    assert GracefulShutdown(1000.0, 1900.0, 1.0, 50.0, True).limit == 3600.0
+    assert GracefulShutdown(1000.0, 60_000.0, 1.0, 50.0, True).limit == 4700.0
 
 
 @settings(max_examples=300, deadline=None, derandomize=True)
@@ -53,7 +53,7 @@
     """Nobody answers; the word is noticed late, and the program stands still at the worst moment."""
     stall = 100.0 * (1.0 - share)
     sent_at = 1000.0
-    plan = Farewell(sent_at + first * stall, longest, share, 50.0, True)
+    plan = GracefulShutdown(sent_at + first * stall, longest, share, 50.0, True)
     kill = sent_at + min(longest, 3000.0) + 700.0
     now, open_until = plan.answered_by - 700.0, []
     for gap in gaps:
@@ -70,16 +70,16 @@
 
 
 def test_a_stall_that_is_seen_brings_the_end_forward_and_phases_never_go_back():
-    plan = Farewell(0.0, 1900.0, 1.0, 50.0, True)
+    plan = GracefulShutdown(0.0, 1900.0, 1.0, 50.0, True)
     assert plan.cut(2400.0, 800.0, 0) == plan.answered_by - 2400.0 and plan.cut(10.0, 800.0, 0) == 800.0
     before = plan.answered_by
-    assert plan.step(2300.0, 120.0, 9, False) is Phase.LAST_CALL
+    assert plan.step(2300.0, 120.0, 9, False) is Phase.DRAINING
     assert plan.answered_by == before - 240.0 and plan.cut(2300.0, 800.0, 0) == 0.0
-    assert plan.step(2000.0, 0.0, 9, False) is Phase.LAST_CALL
+    assert plan.step(2000.0, 0.0, 9, False) is Phase.DRAINING
 
 
 def test_with_nobody_left_it_ends_once_nobody_can_come_and_the_door_is_closed():
-    plan = Farewell(0.0, 1900.0, 1.0, 50.0, True)
+    plan = GracefulShutdown(0.0, 1900.0, 1.0, 50.0, True)
     assert plan.step(DOOR - 1, 0.0, 0, False) is Phase.SERVING
     assert plan.step(DOOR, 0.0, 0, False) is Phase.CLOSING
     assert plan.step(DOOR + 10, 0.0, 2, True) is Phase.CLOSING  # they had waited at the door
@@ -87,7 +87,7 @@
 
 
 def test_what_takes_longer_than_what_is_left_is_not_begun():
-    plan = Farewell(0.0, 1900.0, 1.0, 50.0, True)
+    plan = GracefulShutdown(0.0, 1900.0, 1.0, 50.0, True)
     for _ in range(50):
         plan.answered(400.0)
     assert plan.cut(plan.answered_by - 190.0, 800.0, 0) == 0.0
@@ -95,10 +95,10 @@
 
 
 def test_connections_are_spared_only_when_no_new_ones_may_come_and_there_are_enough():
-    plan = Farewell(0.0, 1900.0, 1.0, 50.0, True)
+    plan = GracefulShutdown(0.0, 1900.0, 1.0, 50.0, True)
     assert not plan.crowded(DOOR_FROM - 1, 0, 30) and plan.crowded(DOOR_FROM, 3, 28)
     assert not plan.crowded(DOOR_FROM, 4, 27) and not plan.crowded(DOOR_FROM, 0, 6)
-    assert not Farewell(0.0, 1900.0, 1.0, 50.0, False).crowded(DOOR_FROM, 0, 30)
+    assert not GracefulShutdown(0.0, 1900.0, 1.0, 50.0, False).crowded(DOOR_FROM, 0, 30)
 
 
 class Caller(threading.Thread):
