Names: giveway is eviction, succession is descriptor split

Modules, the figure clients_evicted (clients_gave_way before), the log's event evicted, and their pages, in one move. Behaviour stays; tests of crowds, handover, program, figures, log, second address and layers pass (196).

--- a/barleybarrow/giveway.py
+++ b/barleybarrow/eviction.py
@@ -1,4 +1,4 @@
-"""Which client connection gives way where there is no room for another.
+"""Which client connection is evicted where there is no room for another.
 
 It decides and does no I/O; it is told for how many milliseconds nothing has moved on the connection that
 moved longest ago, in each place where connections stand. What is owed an answer stands in none of them.
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -344,10 +344,10 @@
             self.figures.close()
             dropped = self.figures.sink.dropped
             say(log, logging.INFO, "figures_ended", "figures: %(dropped)d batches dropped", dropped=dropped)
-        gave_way = ", ".join(f"{place.value} {count}" for place, count in self.clients.gave_way.items())
-        if gave_way:
-            text = "clients' connections that gave way: %(gave_way)s"
-            say(log, logging.INFO, "gave_way", text, gave_way=gave_way)
+        evicted = ", ".join(f"{place.value} {count}" for place, count in self.clients.evicted.items())
+        if evicted:
+            text = "clients' connections evicted: %(evicted)s"
+            say(log, logging.INFO, "evicted", text, evicted=evicted)
         if self.replacement:
             self.replacement.close()
         self.outlet.close()
--- a/brackenusher/fronts/http1/clients.py
+++ b/brackenusher/fronts/http1/clients.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Generator
 from itertools import islice
 
-from barleybarrow.giveway import Place, choose
+from barleybarrow.eviction import Place, choose
 from barleybarrow.lifecycle import Lifecycle
 from brackenusher.core.admission import Admission, Request, Verdict
 from brackenusher.core.message import Content
@@ -64,7 +64,7 @@
             Place.PARTIAL: self.partial,
             Place.RESTING: self.kept,
         }
-        self.gave_way: Counter[Place] = Counter()
+        self.evicted: Counter[Place] = Counter()
         self.told_away: Counter[Place] = Counter()  # as it was told last
         self.stopping = False  # each answer ends its connection
         self.heir: Heir | None = None  # who takes connections between requests once this process is to stop
@@ -80,7 +80,7 @@
         return ClientLink(self, sock, address)
 
     def spare(self) -> bool:
-        """Close a connection on which nothing is owed, as `giveway` says; False where there is none."""
+        """Close a connection on which nothing is owed, as `eviction` says; False where there is none."""
         now, heads = clock(), {}
         for place, links in self.places.items():
             for link in islice(links, LOOKS):
@@ -90,15 +90,15 @@
         goes = choose({place: now - link.moved_at for place, link in heads.items()})
         if goes is None:
             return False
-        self.gave_way[goes] += 1
+        self.evicted[goes] += 1
         heads[goes].task.stop()
         return True
 
     def figures(self) -> list[tuple[str, int, str, list[tuple[str, str]]]]:
-        """How many connections gave way since the last call, by where they stood."""
-        news = self.gave_way - self.told_away
-        self.told_away = self.gave_way.copy()
-        return [("clients_gave_way", count, "c", [("place", place.value)]) for place, count in news.items()]
+        """How many connections were evicted since the last call, by where they stood."""
+        news = self.evicted - self.told_away
+        self.told_away = self.evicted.copy()
+        return [("clients_evicted", count, "c", [("place", place.value)]) for place, count in news.items()]
 
     def drain(self, idle: bool) -> None:
         self.stopping = True
--- a/brackenusher/handover/replacement.py
+++ b/brackenusher/handover/replacement.py
@@ -1,6 +1,6 @@
 """What a process does for the one that takes its place, and for the one whose place it took.
 
-It carries out what `barleybarrow.succession` and `barleybarrow.memo` say; the sockets are in `old` and `new`.
+It carries out what `descriptor_split` and `memo` of `barleybarrow` say; the sockets are in `old` and `new`.
 """
 
 import logging
@@ -9,7 +9,7 @@
 from typing import Any
 
 from barleybarrow import memo
-from barleybarrow.succession import parts
+from barleybarrow.descriptor_split import parts
 from brackenusher.core.transaction import Transactions
 from brackenusher.fronts.listener import Listener, Room
 from brackenusher.handover.messages import Kind, word, worded
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from barleybarrow.giveway import TURNS, Place, choose
+from barleybarrow.eviction import TURNS, Place, choose
 
 
 @pytest.mark.parametrize(
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -24,7 +24,7 @@
 from hypothesis import strategies as st
 
 from barleybarrow import memo
-from barleybarrow.succession import parts
+from barleybarrow.descriptor_split import parts
 from brackenusher.handover import messages
 from brackenusher.handover.old import path_for
 
