--- a/barleybarrow/drill.py
+++ b/barleybarrow/simulator_adapter.py
@@ -1,6 +1,6 @@
 """Wire adapter: reads batches of events, lets the instances decide, writes their actions.
 
-Run as ``python -m barleybarrow.drill``. It translates and decides nothing.
+Run as ``python -m barleybarrow.simulator_adapter``. It translates and decides nothing.
 """
 
 import json
@@ -93,7 +93,7 @@
 }
 
 
-class Drill:
+class SimulatorAdapter:
     """Hosts the instances and carries their events and actions."""
 
     def __init__(self, out: TextIO) -> None:
@@ -173,9 +173,9 @@
 def main() -> int:
     """Serve standard input until it ends."""
     try:
-        Drill(sys.stdout).run(sys.stdin)
+        SimulatorAdapter(sys.stdout).run(sys.stdin)
     except Malformed as error:
-        print(f"drill: {error}", file=sys.stderr)
+        print(f"simulator adapter: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/tests/test_drill.py
+++ b/tests/test_simulator_adapter.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from barleybarrow import drill
+from barleybarrow import simulator_adapter
 
 HERE = Path(__file__).parent
 TRANSCRIPT = (HERE / "transcript.txt").read_text(encoding="utf-8")
@@ -17,7 +17,7 @@
 def run(text, hash_seed="0"):
     """Run the adapter as a process."""
     return subprocess.run(
-        [sys.executable, "-m", "barleybarrow.drill"],
+        [sys.executable, "-m", "barleybarrow.simulator_adapter"],
         input=text,
         capture_output=True,
         text=True,
@@ -74,7 +74,7 @@
 def test_malformed_input_gets_one_plain_line_and_a_failing_exit(text):
     done = run(text)
     assert done.returncode == 1
-    assert done.stderr.startswith("drill: ") and done.stderr.count("\n") == 1
+    assert done.stderr.startswith("simulator adapter: ") and done.stderr.count("\n") == 1
     assert "Traceback" not in done.stderr
 
 
@@ -87,9 +87,11 @@
     def broken(self, now, event):
         raise RuntimeError("out of\nideas")
 
-    monkeypatch.setattr(drill.Balancer, "handle", broken)
+    monkeypatch.setattr(simulator_adapter.Balancer, "handle", broken)
     out = io.StringIO()
-    drill.Drill(out).run(io.StringIO("".join(TRANSCRIPT.splitlines(keepends=True)[:7])))
+    simulator_adapter.SimulatorAdapter(out).run(
+        io.StringIO("".join(TRANSCRIPT.splitlines(keepends=True)[:7]))
+    )
     assert "GIVE_IN 0 RuntimeError: out of ideas\n" in out.getvalue()
 
 
