--- a/brackenusher/handover/replacement.py
+++ b/brackenusher/handover/replacement.py
@@ -1,6 +1,6 @@
 """What a process does for the one that takes its place, and for the one whose place it took.
 
-It carries out what `descriptor_split` and `memo` of `barleybarrow` say; the sockets are in `old` and `new`.
+It carries out what `descriptor_split` and `warm_state` say; the sockets are in `old` and `new`.
 """
 
 import logging
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 from typing import Any
 
-from barleybarrow import memo
+from barleybarrow import warm_state
 from barleybarrow.descriptor_split import parts
 from brackenusher.core.transaction import Transactions
 from brackenusher.fronts.listener import Listener, Room
@@ -74,7 +74,7 @@
 
     def succeed(self, taken: Taken) -> None:
         """Go on where the old process stands; the list has been taken up."""
-        learned = memo.take(self.owner.balancer, taken.learned, clock())
+        learned = warm_state.take(self.owner.balancer, taken.learned, clock())
         self.leave_to_old(taken.state)
         first = self.fronts[0][0]
         self.new = New(self.loop, taken.link, self.leave_to_old, first.take_over, self.old_ended)
@@ -127,7 +127,7 @@
         fds = [front.task.fd for front, _ in self.fronts]
         packets = [
             *worded(Kind.LIST, [word_host(host) for host in self.pool.hosts]),
-            *worded(Kind.LEARNED, memo.write(self.owner.balancer)),
+            *worded(Kind.LEARNED, warm_state.write(self.owner.balancer)),
             word(Kind.READY, {"seq": self.agent.seq or 0, **self.holding()}),
         ]
         for front, _ in self.fronts:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -23,7 +23,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from barleybarrow import memo
+from barleybarrow import warm_state
 from barleybarrow.descriptor_split import parts
 from brackenusher.handover import messages
 from brackenusher.handover.old import path_for
@@ -69,8 +69,8 @@
     old, new = Proxy(kinds=["plain"]), Proxy(seed=2, kinds=["plain"])
     old.warm_up(60, {"a": 90.0, "c": 12.0})
     new.now = old.now
-    taken = memo.take(new.brain, memo.write(old.brain), new.now)
-    assert taken == len(memo.write(old.brain))
+    taken = warm_state.take(new.brain, warm_state.write(old.brain), new.now)
+    assert taken == len(warm_state.write(old.brain))
     assert [b.name for _, _, b in new.brain.idle.orders[0]] == [
         b.name for _, _, b in old.brain.idle.orders[0]
     ]
@@ -82,13 +82,15 @@
     # guards against one bad entry that spoils the rest, or a module that it leaves half set
     old, new = Proxy(kinds=["plain"]), Proxy(backends=("a", "b"), kinds=["plain"])
     old.warm_up()
-    entries = memo.write(old.brain)
+    entries = warm_state.write(old.brain)
     backend = next(e for e in entries if e["of"] == "backend" and e["backend"] == "a")
     bad = [{**backend, "mean": float("nan")}, {**backend, "lost": [0.5]}, {"of": "all"}, {}, {"of": "moon"}]
     before = new.brain.fleet.mean
-    assert memo.take(new.brain, bad, new.now) == 0
+    assert warm_state.take(new.brain, bad, new.now) == 0
     assert new.brain.fleet.mean == before
-    assert memo.take(new.brain, entries, new.now) == len(entries) - 1  # the backend that is not listed here
+    assert (
+        warm_state.take(new.brain, entries, new.now) == len(entries) - 1
+    )  # the backend that is not listed here
 
 
 def test_no_meeting_place_without_a_usable_folder():
