--- /dev/null
+++ b/brackenusher/cluster/links.py
@@ -0,0 +1,275 @@
+"""Links between processes of the fleet: TCP connections that carry framed messages, kept up while wanted.
+
+A process names its peers by the address of their internal listener. A link may have been opened by either
+side; messages go over the newest one. A link that is silent for `SILENCE_S` is ended: both sides send a
+keep-alive frame often enough. Nothing is retried here: a message is handed to the socket once, or `send` says False.
+"""
+
+import asyncio
+import logging
+import random
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import betterproto
+
+from brackenusher.cluster import messages
+from brackenusher.cluster.frames import FrameError, FrameReader, encode_frame
+
+log = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S = 1.0  # a cut swallows the first packet; the next try must come soon after it heals
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.8  # a healed cut must be used well within ContactMs
+KEEP_ALIVE_S = 0.5
+SILENCE_S = 1.6  # three keep-alives missed
+MAX_QUEUED_BYTES = 24 * 1024 * 1024  # a snapshot for a slow link and some more; a peer further behind is cut
+USER_TIMEOUT_MS = 2000  # unacknowledged bytes for so long end the connection (a cut says nothing)
+HELLO_TIMEOUT_S = 2.0
+KEEP_ALIVE_FRAME = encode_frame(messages.KeepAlive())
+
+MessageHandler = Callable[[str, betterproto.Message], None]
+ChangeHandler = Callable[[str, messages.Hello | None], None]
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """The host and port of "ip:port"."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class LinkConnection(asyncio.Protocol):
+    """One connection; tells its owner what comes."""
+
+    def __init__(self, links: "Links", expected: str = "") -> None:
+        self.links = links
+        self.peer = expected  # internal address of the other side; empty until its Hello came
+        self.hello: messages.Hello | None = None
+        self.transport: asyncio.Transport | None = None
+        self.reader = FrameReader()
+        self.heard_at = links.loop.time()
+        self.ended = links.loop.create_future()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        except OSError:
+            pass  # keep-alive frames find a dead link as well
+        self.heard_at = self.links.loop.time()
+        self.links.connections.add(self)
+        self.write(encode_frame(self.links.own))
+
+    def data_received(self, data: bytes) -> None:
+        self.heard_at = self.links.loop.time()
+        try:
+            for message in self.reader.feed(data):
+                self.links.received(self, message)
+        except FrameError as error:
+            log.warning("link ended: peer=%s error=%s", self.peer, error)
+            self.abort()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.links.connections.discard(self)
+        self.links.lost(self)
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+    def write(self, frame: bytes) -> bool:
+        """Hand a frame to the socket; False, and the end of the link, where too much waits already."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        if self.transport.get_write_buffer_size() > MAX_QUEUED_BYTES:
+            log.warning("link ended: peer=%s error=its queue is full", self.peer)
+            self.abort()
+            return False
+        self.transport.write(frame)
+        return True
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+@dataclass(slots=True)
+class Wanted:
+    """A peer that a link is kept to."""
+
+    task: asyncio.Task[None] | None = None
+
+
+@dataclass(slots=True)
+class LinkCounters:
+    """Figures of all links of the process since its start."""
+
+    frames_sent: int = 0
+    bytes_sent: int = 0
+    frames_received: int = 0
+    dropped: int = 0
+    connects: int = 0
+    failures: int = 0
+    bytes_by_kind: dict[str, int] = field(default_factory=dict)
+
+
+class Links:
+    """All links of this process. Needs a running event loop."""
+
+    def __init__(self, own: messages.Hello, rng: random.Random | None = None) -> None:
+        self.own = own
+        self.loop = asyncio.get_running_loop()
+        self.rng = rng or random.Random()
+        self.connections: set[LinkConnection] = set()
+        self.counters = LinkCounters()
+        self._current: dict[str, LinkConnection] = {}
+        self._wanted: dict[str, Wanted] = {}
+        self._handlers: dict[type[betterproto.Message], list[MessageHandler]] = {}
+        self._change_handlers: list[ChangeHandler] = []
+        self._server: asyncio.Server | None = None
+        self._keeper: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen at the own address. Raises OSError."""
+        host, port = split_address(self.own.address)
+        self._server = await self.loop.create_server(
+            lambda: LinkConnection(self), host, port, reuse_address=True, backlog=512
+        )
+        self._keeper = self.loop.create_task(self._keep_alive())
+
+    async def stop(self) -> None:
+        """End all links and the listener."""
+        for address in list(self._wanted):
+            self.disconnect(address)
+        if self._keeper is not None:
+            self._keeper.cancel()
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.abort()
+
+    # What the owner calls
+
+    def connect(self, address: str) -> None:
+        """Keep a link to this peer, from now until `disconnect`."""
+        if address in self._wanted or address == self.own.address:
+            return
+        wanted = self._wanted[address] = Wanted()
+        wanted.task = self.loop.create_task(self._keep_connected(address))
+
+    def disconnect(self, address: str) -> None:
+        """Keep no link to this peer any more, and end the one that was opened from here."""
+        wanted = self._wanted.pop(address, None)
+        if wanted is not None and wanted.task is not None:
+            wanted.task.cancel()
+
+    def wanted(self) -> set[str]:
+        """The peers that links are kept to."""
+        return set(self._wanted)
+
+    def send(self, address: str, message: betterproto.Message) -> bool:
+        """Hand a message to the link of a peer; False where there is none or its queue is full."""
+        connection = self._current.get(address)
+        if connection is None:
+            self.counters.dropped += 1
+            return False
+        frame = encode_frame(message)
+        self.counters.frames_sent += 1
+        self.counters.bytes_sent += len(frame)
+        kind = type(message).__name__
+        self.counters.bytes_by_kind[kind] = self.counters.bytes_by_kind.get(kind, 0) + len(frame)
+        return connection.write(frame)
+
+    def connected(self) -> dict[str, messages.Hello]:
+        """Who can be reached now, by address."""
+        return {address: c.hello for address, c in self._current.items() if c.hello is not None}
+
+    def on_message(self, kind: type[betterproto.Message], handler: MessageHandler) -> None:
+        """Have messages of a kind handed over with the address of their sender."""
+        self._handlers.setdefault(kind, []).append(handler)
+
+    def on_change(self, handler: ChangeHandler) -> None:
+        """Have links told that come up (with the peer's Hello) and go down (with None)."""
+        self._change_handlers.append(handler)
+
+    # What connections tell
+
+    def received(self, connection: LinkConnection, message: betterproto.Message) -> None:
+        self.counters.frames_received += 1
+        if isinstance(message, messages.Hello):
+            self._greeted(connection, message)
+            return
+        if not connection.peer or connection.hello is None:
+            connection.abort()
+            return
+        for handler in self._handlers.get(type(message), ()):
+            try:
+                handler(connection.peer, message)
+            except Exception:
+                log.exception("handler failed: kind=%s peer=%s", type(message).__name__, connection.peer)
+
+    def _greeted(self, connection: LinkConnection, hello: messages.Hello) -> None:
+        if connection.peer and hello.address != connection.peer:
+            log.warning("link ended: peer=%s error=it says that it is %s", connection.peer, hello.address)
+            connection.abort()
+            return
+        connection.peer, connection.hello = hello.address, hello
+        self._current[hello.address] = connection
+        for handler in self._change_handlers:
+            handler(hello.address, hello)
+
+    def lost(self, connection: LinkConnection) -> None:
+        address = connection.peer
+        if connection.hello is None or self._current.get(address) is not connection:
+            return
+        del self._current[address]
+        for other in self.connections:
+            if other.peer == address and other.hello is not None:
+                self._current[address] = other
+                return
+        for handler in self._change_handlers:
+            handler(address, None)
+
+    # Tasks
+
+    async def _keep_connected(self, address: str) -> None:
+        pause = FIRST_PAUSE_S
+        connection: LinkConnection | None = None
+        try:
+            while True:
+                if address not in self._current:
+                    connection = await self._connect_once(address)
+                    if connection is not None:
+                        pause = FIRST_PAUSE_S
+                        await connection.ended
+                    else:
+                        pause = min(pause * 2, LONGEST_PAUSE_S)
+                await asyncio.sleep(pause * (0.5 + self.rng.random()))
+        finally:
+            if connection is not None:
+                connection.abort()
+
+    async def _connect_once(self, address: str) -> LinkConnection | None:
+        host, port = split_address(address)
+        self.counters.connects += 1
+        try:
+            _, connection = await asyncio.wait_for(
+                self.loop.create_connection(lambda: LinkConnection(self, address), host, port),
+                CONNECT_TIMEOUT_S,
+            )
+        except (OSError, TimeoutError):
+            self.counters.failures += 1
+            return None
+        return connection
+
+    async def _keep_alive(self) -> None:
+        while True:
+            await asyncio.sleep(KEEP_ALIVE_S)
+            now = self.loop.time()
+            for connection in list(self.connections):
+                if now - connection.heard_at > SILENCE_S:
+                    connection.abort()
+                elif connection.hello is not None:
+                    connection.write(KEEP_ALIVE_FRAME)
