--- /dev/null
+++ b/barleybarrow/limits/tenants.py
@@ -0,0 +1,55 @@
+"""Who holds which API key: the table of tenants of the configuration in force.
+
+Pure: no I/O and no time. It is replaced whole at each configuration that changes a tenant.
+"""
+
+from collections.abc import Iterable
+
+from barleybarrow.documents import QuotaUnit, Tenant
+
+REQUEST_COST = 1.0  # requests, for tenants whose quota counts requests
+
+
+class TenantTable:
+    """Finds the tenant of a key and of a name."""
+
+    def __init__(self) -> None:
+        self.by_name: dict[str, Tenant] = {}
+        self.by_key: dict[str, Tenant] = {}
+
+    def replace(self, tenants: Iterable[Tenant]) -> set[str]:
+        """Take the tenants of a new configuration; the names of those whose quota differs from before."""
+        previous = self.by_name
+        self.by_name = {tenant.name: tenant for tenant in tenants}
+        self.by_key = {key: tenant for tenant in self.by_name.values() for key in tenant.api_keys}
+        changed = {name for name in previous if name not in self.by_name}
+        for name, tenant in self.by_name.items():
+            before = previous.get(name)
+            if before is None or quota_of(before) != quota_of(tenant):
+                changed.add(name)
+        return changed
+
+    def authenticate(self, key: str | None) -> Tenant | None:
+        """The tenant that holds the key; None where nobody does."""
+        return self.by_key.get(key) if key is not None else None
+
+
+def quota_of(tenant: Tenant) -> tuple[str, float, float]:
+    """Unit, rate a second and burst of a tenant's quota; a rate of 0 means no limit."""
+    return tenant.unit, tenant.rate_per_s, tenant.burst
+
+
+def request_cost(tenant: Tenant, token_counts: str | None) -> float:
+    """What one request takes from its tenant's quota.
+
+    `token_counts` is the value of X-Brackenusher-Token-Counts (two whole numbers with a comma), None where
+    the request has none. One that can't be read counts as absent.
+    """
+    if tenant.unit != QuotaUnit.TOKENS:
+        return REQUEST_COST
+    prompt, separator, generated = (token_counts or "").partition(",")
+    try:
+        cost = int(prompt) + int(generated)
+    except ValueError:
+        return float(tenant.plain_tokens)
+    return float(cost) if separator and cost >= 0 else float(tenant.plain_tokens)
