Routing: a first dispatcher, fastest idle server by estimated time to its first event

The fleet's data plane needs a decision for each request. Servers are weighed by the wait seen there, time beyond reading, and the part of the prompt not believed kept; near-ties go by rendezvous of the last shared part, so that proxies agree without talking. Failures eject servers; only what did not run, or may be resumed, goes on elsewhere.

--- a/barleybarrow/routing/actions.py
+++ b/barleybarrow/routing/actions.py
@@ -88,7 +88,11 @@
 
 @dataclass(slots=True)
 class Send:
-    """Send the request to this server now."""
+    """Send the request to this server now.
+
+    An attempt that is still out elsewhere is given up first; no event of it is told any more. A stream that
+    has begun goes on at the new server after the last event that reached the client.
+    """
 
     request_id: RequestId
     server_id: str
--- /dev/null
+++ b/barleybarrow/routing/dispatcher.py
@@ -0,0 +1,255 @@
+"""Picks the server of each request and decides what follows a failure; one for each proxy.
+
+A request goes to the fastest idle server by estimated time to its first event: the wait this proxy sees
+there, what the server takes beyond reading, and the part of the prompt that it is not believed to keep.
+Servers that are not idle are used once no idle one is left. Near-ties go by rendezvous of the prompt's last
+shared part, so that proxies agree without talking, else by chance. It does no I/O and is told the time in
+milliseconds.
+"""
+
+import random
+from collections.abc import Callable, Mapping, Sequence
+from math import inf
+
+from barleybarrow.documents import Route, RouteKind, Service
+from barleybarrow.routing import admission
+from barleybarrow.routing.actions import (
+    Action,
+    Counters,
+    DispatchRequest,
+    DispatchSettings,
+    Fail,
+    FailureReason,
+    Outcome,
+    RefusalReason,
+    RequestId,
+    Send,
+    ServerInfo,
+)
+from barleybarrow.routing.exchange import Exchange
+from barleybarrow.routing.pool import ServerRecord, ServicePool
+from barleybarrow.routing.selection import Selector
+
+BAD_GATEWAY, GATEWAY_TIMEOUT = 502, 504
+MISDIRECTED = 421
+FOREMOST, LAST = 0, 9  # priorities that a server knows
+FULL_SHARE_OF_AIM = 1 / 4  # a server that said it is full is busy for this share of the aim of the request
+CONNECTION_TRIES = 3  # servers to which no connection could be opened; nothing was sent to them
+
+
+def _no_repeats(_service: str) -> bool:
+    return False
+
+
+class Dispatcher:
+    """The routing decisions of one proxy."""
+
+    def __init__(
+        self,
+        settings: DispatchSettings,
+        rng: random.Random,
+        now: float,
+        may_repeat: Callable[[str], bool] = _no_repeats,
+    ) -> None:
+        self.settings = settings
+        self.counters = Counters()
+        self._rng = rng
+        self._may_repeat = may_repeat
+        self._pools: dict[str, ServicePool] = {}
+        self._lists: dict[str, list[ServerInfo]] = {}
+        self._exchanges: dict[RequestId, Exchange] = {}
+        self._selector = Selector(settings, rng)
+
+    def configure(self, now: float, services: Mapping[str, Service], routes: Sequence[Route]) -> None:
+        """Take a new configuration."""
+        for name in [name for name in self._pools if name not in services]:
+            del self._pools[name]
+        for name, service in services.items():
+            pool = self._pools.get(name)
+            if pool is None:
+                pool = self._pools[name] = ServicePool(service)
+                pool.update(now, self._lists.get(name, ()), self.settings.proxies)
+            pool.service = service
+
+    def servers(self, now: float, service: str, servers: Sequence[ServerInfo]) -> None:
+        """Take a new list of the servers of a service."""
+        self._lists[service] = list(servers)
+        if pool := self._pools.get(service):
+            pool.update(now, servers, self.settings.proxies)
+
+    def arrived(self, now: float, request: DispatchRequest) -> list[Action]:
+        """Send a new request to a server, or refuse it."""
+        exchange = self._exchanges[request.id] = Exchange(request)
+        return self._send(now, exchange, RefusalReason.NO_SERVER)
+
+    def connection_failed(self, now: float, request_id: RequestId, server_id: str) -> list[Action]:
+        """No connection could be had, so nothing was sent: another server may be tried."""
+        found = self._take(request_id, server_id)
+        if found is None:
+            return []
+        exchange, server = found
+        self._broke(now, exchange, server)
+        exchange.attempts -= 1
+        exchange.unreached += 1
+        if exchange.unreached >= CONNECTION_TRIES:
+            return self._refuse(now, exchange, RefusalReason.ATTEMPTS_SPENT)
+        return self._send(now, exchange, RefusalReason.ALL_EJECTED)
+
+    def rejected(
+        self, now: float, request_id: RequestId, server_id: str, status: int, retry_after_ms: float | None
+    ) -> list[Action]:
+        """The server said that it did not run the request."""
+        found = self._take(request_id, server_id)
+        if found is None:
+            return []
+        exchange, server = found
+        request = exchange.request
+        if status == MISDIRECTED:  # another server has its address, or it carries other weights
+            server.health.eject(now)
+        else:
+            pause_ms = retry_after_ms or request.route.target_latency_ms * FULL_SHARE_OF_AIM
+            server.health.full_until = now + pause_ms
+        self.counters.add("rejected")
+        if exchange.attempts >= max(request.route.max_attempts, 1) or not self._may_repeat(request.service):
+            return self._refuse(now, exchange, RefusalReason.ATTEMPTS_SPENT)
+        return self._send(now, exchange, RefusalReason.OVERLOADED)
+
+    def first_event(self, now: float, request_id: RequestId, server_id: str) -> list[Action]:
+        """The head of the answer, or the first event of its stream, has come."""
+        exchange = self._exchanges.get(request_id)
+        if exchange is None or exchange.server is None or exchange.server.info.id != server_id:
+            return []
+        if exchange.first_event_at is None:
+            exchange.first_event_at = exchange.last_event_at = now
+            self._learn(now, exchange, exchange.server)
+        return []
+
+    def event(self, now: float, request_id: RequestId, server_id: str, tokens: int) -> list[Action]:
+        """A further event of a stream has come."""
+        exchange = self._exchanges.get(request_id)
+        if exchange is not None:
+            exchange.last_event_at = now
+        return []
+
+    def finished(self, now: float, request_id: RequestId, server_id: str, outcome: Outcome) -> list[Action]:
+        """The attempt at this server has ended."""
+        exchange = self._exchanges.get(request_id)
+        if exchange is not None and outcome in (Outcome.SERVED, Outcome.ERROR_STATUS):
+            self.first_event(now, request_id, server_id)
+        found = self._take(request_id, server_id)
+        if found is None:
+            return []
+        exchange, server = found
+        if outcome in (Outcome.SERVED, Outcome.ERROR_STATUS):
+            failed = outcome is Outcome.ERROR_STATUS
+            server.health.answered(now, failed)
+            self.counters.add(outcome.value)
+            del self._exchanges[request_id]
+            return []
+        if outcome is Outcome.CANCELLED:
+            del self._exchanges[request_id]
+            return []
+        self._broke(now, exchange, server)
+        if self._may_move(exchange):
+            return self._send(now, exchange, RefusalReason.ALL_EJECTED)
+        return self._fail(exchange, outcome)
+
+    def abandoned(self, now: float, request_id: RequestId) -> list[Action]:
+        """The client has left."""
+        exchange = self._exchanges.pop(request_id, None)
+        if exchange is not None and exchange.server is not None:
+            self._release(exchange, exchange.server)
+        return []
+
+    def tick(self, now: float) -> list[Action]:
+        """Do what has fallen due."""
+        return []
+
+    def next_wakeup(self) -> float:
+        """When `tick` is to be called; infinity: not at all."""
+        return inf
+
+    def _send(self, now: float, exchange: Exchange, reason: RefusalReason) -> list[Action]:
+        """Send to the best server that has not been tried, or give the request up."""
+        request = exchange.request
+        if now >= request.deadline_at:
+            return self._give_up(now, exchange, RefusalReason.DEADLINE)
+        pool = self._pools.get(request.service)
+        choice = self._selector.pick(now, pool, exchange) if pool else None
+        if pool is None or choice is None:
+            return self._give_up(now, exchange, reason)
+        server = choice.server
+        exchange.start(now, choice)
+        server.in_flight += 1
+        server.reading_until = max(now, server.reading_until) + choice.reading_ms
+        server.cache.sent(request.prompt_parts)
+        priority = min(max(request.priority, FOREMOST), LAST) if pool.service.engine else None
+        self.counters.add("sent")
+        return [Send(request.id, server.info.id, priority)]
+
+    def _give_up(self, now: float, exchange: Exchange, reason: RefusalReason) -> list[Action]:
+        if exchange.may_have_run:
+            return self._fail(exchange, Outcome.BROKEN)
+        return self._refuse(now, exchange, reason)
+
+    def _refuse(self, now: float, exchange: Exchange, reason: RefusalReason) -> list[Action]:
+        del self._exchanges[exchange.request.id]
+        self.counters.add(f"refused_{reason.value}")
+        return [admission.refuse(now, exchange.request, reason.value, self._rng)]
+
+    def _fail(self, exchange: Exchange, outcome: Outcome) -> list[Action]:
+        del self._exchanges[exchange.request.id]
+        reason = FailureReason.CONNECTION_BROKEN
+        status = BAD_GATEWAY
+        if outcome is Outcome.BROKEN_STREAM:
+            reason = FailureReason.STREAM_BROKEN
+        elif outcome is Outcome.TIMED_OUT:
+            reason, status = FailureReason.SERVER_SILENT, GATEWAY_TIMEOUT
+        self.counters.add(f"failed_{reason.value}")
+        return [Fail(exchange.request.id, status, reason.value)]
+
+    def _may_move(self, exchange: Exchange) -> bool:
+        """Whether a request that may have run may be sent to another server."""
+        exchange.may_have_run = True
+        route = exchange.request.route
+        if not route.resumable and route.kind != RouteKind.SAFE:
+            return False
+        if exchange.attempts >= max(route.max_attempts, 1):
+            return False
+        return self._may_repeat(exchange.request.service)
+
+    def _take(self, request_id: RequestId, server_id: str) -> tuple[Exchange, ServerRecord] | None:
+        """The exchange and its server, with the attempt ended; None if it is no longer out there."""
+        exchange = self._exchanges.get(request_id)
+        if exchange is None or exchange.server is None or exchange.server.info.id != server_id:
+            return None
+        server = exchange.server
+        self._release(exchange, server)
+        return exchange, server
+
+    def _release(self, exchange: Exchange, server: ServerRecord) -> None:
+        server.in_flight -= 1
+        if exchange.first_event_at is not None:
+            server.streams -= 1
+        exchange.server = None
+
+    def _broke(self, now: float, exchange: Exchange, server: ServerRecord) -> None:
+        self.counters.add("broke")
+        if server.health.broke(now):
+            server.health.eject(now)
+            self.counters.add("ejected")
+
+    def _learn(self, now: float, exchange: Exchange, server: ServerRecord) -> None:
+        """Take the time to a first event into the estimates."""
+        server.streams += 1
+        server.health.answered(now, failed=False)
+        pool = self._pools.get(exchange.request.service)
+        if pool is None:
+            return
+        taken_ms = now - exchange.sent_at
+        pool.reading.learn(exchange.tokens_to_read, taken_ms - exchange.backlog_ms)
+        excess_ms = taken_ms - exchange.backlog_ms - exchange.reading_ms
+        server.speed.learn(now, excess_ms, pool.excess.value)
+        pool.excess.learn(excess_ms)
+        aim_ms = exchange.request.route.target_latency_ms
+        server.idle.learn(now, exchange.sent_at, server.in_flight, taken_ms, exchange.expected_ms, aim_ms)
