Limits: the warden's lease stands by itself, apart from the parts it hands out

Cause: grants of credit to proxies need the same lease as the parts of barleybarrow.shares; it must not stand twice. Change: WardenLease holds the lease of a majority, Shares is one subclass; spans are given by LeaseTimes. No behaviour changes.

--- a/barleybarrow/limits/retries.py
+++ b/barleybarrow/limits/retries.py
@@ -7,7 +7,7 @@
   requests, the sum keeps to the sum. A proxy that lives shorter than a window counts from its start;
 - this proxy's part of RetryBudgetMin. Parts add up to one.
 
-Both are used only to MARGIN, for requests are counted here when they are read, at the rule when they are sent.
+Both are used only to MARGIN, for requests are counted here when they are read and by the rule when sent.
 """
 
 from collections import deque
--- a/barleybarrow/shares.py
+++ b/barleybarrow/shares.py
@@ -5,17 +5,12 @@
 is for a span that each proxy counts from its own question; who gets nothing new falls back to its own part,
 one of as many as there are proxies. No request waits for any of this.
 
-| role | what it does | leaves it |
-| --- | --- | --- |
-| PROXY | reports demand to the warden, uses its parts | a keeper that hears of no warden: SEEKING |
-| SEEKING | asks all keepers for a lease | a majority says yes: WARDEN; it is late, or one is heard: PROXY |
-| WARDEN | hands out parts, renews its lease | it is not renewed in time: PROXY |
+A process is one that asks (PROXY); a keeper that seeks the lease or holds it is the warden: `WardenLease`.
 """
 
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum
 from math import inf
 from random import Random
 from typing import Annotated
@@ -23,15 +18,22 @@
 from msgspec import Meta, Struct
 
 from barleybarrow.door import LONGEST_KEY, Bucket, Door, DoorSettings, Limit
+from barleybarrow.limits.warden_lease import (
+    DRIFT,
+    Here,
+    LeaseTimes,
+    Promise,
+    Role,
+    Seek,
+    Token,
+    WardenLease,
+)
+
+__all__ = ["Here", "Parts", "Promise", "Report", "Role", "Seek", "SharedDoor", "Shares"]
 
 LEASE = 3000.0  # milliseconds that a keeper promises itself to one warden
-RENEW = 1000.0
-SEEK = 600.0  # until a seeker gives up
-HERE = 300.0  # between two words of a warden
-NO_WARDEN = 1200.0  # of silence, until a keeper seeks
 GRANT = 2000.0  # a part counts so long, from the question
 FALL = 2.5  # times GRANT more, until one falls back to its own part: others have given it up by then
-DRIFT = 1.05  # two monotonic clocks do not differ by more over such spans
 REPORT, REPORT_EACH = 100.0, 5.0  # between two reports, and more for each proxy
 SILENT = 3.0  # reports missed
 FORGET = 10_000.0  # one that is silent for so long, and not reached, is no longer counted
@@ -46,29 +48,9 @@
 MOST_SAID = 32
 
 Key = Annotated[str, Meta(max_length=64)]
-Token = Annotated[int, Meta(ge=0, lt=2**62)]
 Part = Annotated[float, Meta(ge=0.0, le=1.0)]
 
 
-class Seek(Struct, array_like=True, frozen=True, tag=1):
-    """Promise to take nobody else for the warden for LEASE; with `give`, take that back."""
-
-    run: Token  # of the process; its tokens grow
-    token: Token
-    give: bool = False
-
-
-class Promise(Struct, array_like=True, frozen=True, tag=2):
-    token: Token
-    good: bool
-
-
-class Here(Struct, array_like=True, frozen=True, tag=3):
-    """I am the warden; each time that one becomes it has a term of its own."""
-
-    term: Token
-
-
 class Report(Struct, array_like=True, frozen=True, tag=4):
     """What is asked for here, in requests a second."""
 
@@ -92,12 +74,6 @@
 Message = Seek | Promise | Here | Report | Parts
 
 
-class Role(Enum):
-    PROXY = "proxy"
-    SEEKING = "seeking"
-    WARDEN = "warden"
-
-
 @dataclass(slots=True)
 class Said:
     """A word of the warden's to a proxy."""
@@ -127,7 +103,7 @@
     issued: dict[str, list["Issued"]] = field(default_factory=dict)  # by key, from the last it has applied
 
 
-class Shares:
+class Shares(WardenLease):
     """One proxy's part. Times are milliseconds on its own monotonic clock."""
 
     def __init__(
@@ -139,13 +115,10 @@
         proxies: int,
         rate_of: Callable[[str], float],
     ) -> None:
-        self.name, self.keepers, self.rng, self.rate_of = name, keepers, rng, rate_of
+        super().__init__(name, keepers, rng, now, LeaseTimes(lease=LEASE))
+        self.rate_of = rate_of
         self.base = self.first_base = 1.0 / max(1, proxies)
-        self.reach: list[str] = []
-        self.out: list[tuple[str, Message]] = []
-        self.counts: Counter[str] = Counter()
         # as one that asks
-        self.warden, self.term, self.warden_at = "", 0, now
         self.number = 0
         self.sent: dict[int, float] = {}
         self.applied, self.applied_at = 0, -inf  # the last word that came, and when it was asked for
@@ -153,26 +126,15 @@
         self.asked: Counter[str] = Counter()
         self.rates: dict[str, float] = {}
         self.report_at, self.reported_at = now, now
-        # as a keeper
-        self.promised, self.promised_until = "", now + LEASE * DRIFT  # it may have promised before it started
-        self.promised_for = (0, 0)  # run and token of the question
         # as the warden
-        self.role = Role.PROXY
-        self.run, self.token, self.token_at = rng.getrandbits(60), rng.getrandbits(40), -inf
-        self.promises: set[str] = set()
-        self.lease_end = -inf
         self.grants_from = inf
-        self.here_at = self.renew_at = self.table_at = -inf
-        self.seek_at = now + self.patience()
+        self.table_at = -inf
         self.serial = 0
         self.members: dict[str, Member] = {}
         self.targets: dict[str, dict[str, float]] = {}
         self.counted: dict[str, dict[str, float]] = {}  # by key and proxy: what it may be using
         self.totals: dict[str, float] = {}  # their sums
 
-    def patience(self) -> float:
-        return NO_WARDEN + self.rng.uniform(0.0, NO_WARDEN)
-
     # What the door asks
 
     def part(self, key: str, now: float) -> float:
@@ -191,117 +153,39 @@
     # Time
 
     def next(self) -> float:
-        ends = [self.report_at, self.seek_at]
-        if self.role is Role.WARDEN:
-            ends += [self.here_at, self.renew_at, self.lease_end]
-        return min(ends)
-
-    @property
-    def majority(self) -> int:
-        return len(self.keepers) // 2 + 1
+        return min(self.report_at, self.next_of_lease())
 
     def tick(self, now: float) -> None:
-        if self.role is Role.WARDEN:
-            if now >= self.lease_end:
-                self.counts["leases_lost"] += 1
-                self.step_down(now)
-            else:
-                if now >= self.renew_at:
-                    self.renew_at = now + RENEW
-                    self.ask_keepers(now)
-                if now >= self.here_at:
-                    self.here_at = now + HERE
-                    for name in self.reach:
-                        self.out.append((name, Here(self.term)))
-        if now >= self.seek_at:
-            self.seek_at = now + self.patience()
-            if self.role is Role.SEEKING:
-                self.step_down(now)
-            elif self.role is Role.PROXY and self.name in self.keepers:
-                if now - self.warden_at >= NO_WARDEN:
-                    self.role = Role.SEEKING
-                    self.seek_at = now + SEEK
-                    self.ask_keepers(now)
+        self.tick_lease(now)
         if now >= self.report_at:
             self.report(now)
 
-    def step_down(self, now: float) -> None:
-        if self.role is Role.SEEKING:
-            for name in self.keepers:
-                if name != self.name:
-                    self.out.append((name, Seek(self.run, self.token, True)))
-        if self.promised == self.name:
-            self.promised_until = now
-        self.role, self.warden = Role.PROXY, ""
-        self.seek_at = now + self.patience()
+    def stepped_down(self, now: float) -> None:
         self.members.clear()
         self.targets.clear()
         self.totals.clear()
 
-    # The lease
-
-    def ask_keepers(self, now: float) -> None:
-        self.token, self.token_at = self.token + 1, now
-        self.promises = set()
-        if self.promise(now, self.name, (self.run, self.token)):
-            self.promises.add(self.name)
-        for name in self.keepers:
-            if name != self.name:
-                self.out.append((name, Seek(self.run, self.token)))
-        self.count(now)
-
-    def promise(self, now: float, name: str, what: tuple[int, int]) -> bool:
-        """As a keeper: whether this one is promised to nobody else; an old question changes nothing."""
-        old = self.promised == name and self.promised_for[0] == what[0] and what[1] <= self.promised_for[1]
-        if old or (now < self.promised_until and self.promised != name):
-            return False
-        self.promised, self.promised_for, self.promised_until = name, what, now + LEASE * DRIFT
-        return True
-
-    def count(self, now: float) -> None:
-        if len(self.promises) < self.majority or self.role is Role.PROXY:
-            return
-        self.lease_end = self.token_at + LEASE
-        if self.role is Role.SEEKING and now < self.lease_end:
-            self.role, self.warden = Role.WARDEN, self.name
-            self.term, self.applied, self.serial = self.token, 0, 0
-            self.counts["elected"] += 1
-            self.renew_at, self.here_at = self.token_at + RENEW, now
-            self.grants_from = now + GRANT * DRIFT  # by then nothing counts that another has handed out
-            self.members.clear()
-            self.targets.clear()
-            self.totals.clear()
-
-    # Messages
+    def elected(self, now: float) -> None:
+        self.applied, self.serial = 0, 0
+        self.grants_from = now + GRANT * DRIFT  # by then nothing counts that another has handed out
+        self.members.clear()
+        self.targets.clear()
+        self.totals.clear()
+
+    def warden_changed(self, now: float) -> None:
+        self.applied = 0
+        self.sent.clear()
+        self.report_at = now
 
     def receive(self, now: float, sender: str, m: Message) -> None:
-        if isinstance(m, Seek):
-            if self.name not in self.keepers or sender not in self.keepers:
-                return
-            if m.give:
-                if self.promised == sender and self.promised_for == (m.run, m.token):
-                    self.promised_until = now
-            else:
-                good = self.promise(now, sender, (m.run, m.token))
-                self.out.append((sender, Promise(m.token, good)))
-        elif isinstance(m, Promise):
-            if m.token == self.token and m.good and sender in self.keepers:
-                self.promises.add(sender)
-                self.count(now)
-        elif isinstance(m, Here):
-            if self.role is Role.SEEKING:
-                self.step_down(now)
-            if self.role is Role.PROXY:
-                if (sender, m.term) != (self.warden, self.term):
-                    self.warden, self.term, self.applied = sender, m.term, 0
-                    self.sent.clear()
-                    self.report_at = now
-                self.warden_at = now
-        elif isinstance(m, Report):
+        if isinstance(m, Report):
             if self.role is Role.WARDEN and now < self.lease_end and m.term == self.term:
                 self.out.append((sender, self.answer(now, sender, m)))
-        elif sender == self.warden:
-            self.parts(now, m)
+        elif isinstance(m, Parts):
+            if sender == self.warden:
+                self.parts(now, m)
+        else:
+            self.receive_lease(now, sender, m)
 
     # As one that asks
 
