--- /dev/null
+++ b/brackenusher/assembly/process.py
@@ -0,0 +1,94 @@
+"""What both roles do alike: read the settings, run one event loop, end in order at SIGTERM or SIGINT."""
+
+import asyncio
+import logging
+import os
+import random
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from returns.result import Failure, Success
+
+from brackenusher.cluster import messages
+from brackenusher.settings.local import LocalSettings
+from brackenusher.settings.reading import load_settings
+
+SETTINGS_VARIABLE = "BRACKENUSHER_CONFIG"
+EXIT_BAD_SETTINGS = 2
+
+log = logging.getLogger(__name__)
+
+
+class Runnable(Protocol):
+    """A role that was put together."""
+
+    async def start(self) -> None:
+        """Open what is served. Raises OSError where an address can't be listened on."""
+
+    async def stop(self) -> None:
+        """End in order; returns when nothing is left to be done."""
+
+    def reload(self, settings: LocalSettings) -> None:
+        """Take up a settings file that changed."""
+
+
+def read_settings() -> LocalSettings | None:
+    """The settings of this process; None, and one line on standard error, where they can't be used."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        print(f"brackenusher: {SETTINGS_VARIABLE} is not set: name the settings file", file=sys.stderr)
+        return None
+    match load_settings(path):
+        case Success(settings):
+            return settings
+        case Failure(error):
+            print(f"brackenusher: {error}", file=sys.stderr)
+    return None
+
+
+def greeting(settings: LocalSettings, role: str, port: int, rng: random.Random) -> messages.Hello:
+    """How this process introduces itself to its peers."""
+    return messages.Hello(
+        address=f"{settings.ip}:{port}",
+        role=role,
+        node_name=settings.node_name,
+        zone=settings.zone,
+        incarnation=rng.getrandbits(53),
+        counts_for_quorum=settings.counts_for_quorum,
+        has_disk=bool(settings.data_dir),
+        control_address=settings.listen.control,
+    )
+
+
+async def _serve(make: Callable[[LocalSettings], Awaitable[Runnable]], settings: LocalSettings) -> None:
+    loop = asyncio.get_running_loop()
+    ending = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ending.set)
+    role = await make(settings)
+
+    def reload() -> None:
+        changed = read_settings()
+        if changed is not None:
+            role.reload(changed)
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    await role.start()
+    await ending.wait()
+    log.info("event=ending role=%s", settings.role)
+    await role.stop()
+
+
+def run(make: Callable[[LocalSettings], Awaitable[Runnable]]) -> int:
+    """Run a role until it is told to end. Returns the exit code."""
+    settings = read_settings()
+    if settings is None:
+        return EXIT_BAD_SETTINGS
+    try:
+        asyncio.run(_serve(make, settings))
+    except OSError as error:
+        print(f"brackenusher: {error}: is another process at that address?", file=sys.stderr)
+        return 1
+    return 0
--- a/brackenusher/cluster/links.py
+++ b/brackenusher/cluster/links.py
@@ -2,7 +2,8 @@
 
 A process names its peers by the address of their internal listener. A link may have been opened by either
 side; messages go over the newest one. A link that is silent for `SILENCE_S` is ended: both sides send a
-keep-alive frame often enough. Nothing is retried here: a message is handed to the socket once, or `send` says False.
+keep-alive frame often enough. Nothing is retried here: a message is handed to the socket once, or `send`
+says False.
 """
 
 import asyncio
--- a/brackenusher/control_plane/__init__.py
+++ b/brackenusher/control_plane/__init__.py
@@ -1,1 +1,4 @@
-"""Drivers of the control plane: the configuration shard, the service shards, feeds and the HTTP interface for servers and operators."""
+"""Drivers of the control plane: configuration shard, service shards, feeds, the interface over HTTP.
+
+They decide nothing: what holds is decided in `barleybarrow`.
+"""
