Registry service, feeds to proxies and membership: a first version

Cause: servers register with the fleet itself, and proxies need its list and the configuration. Ruled out: one order of records for liveness and details. Not run yet beyond type checks; tests follow.

--- a/barleybarrow/replication/registry.py
+++ b/barleybarrow/replication/registry.py
@@ -1,18 +1,18 @@
-"""The registry of servers: merges what heartbeats and peers tell of each incarnation. No I/O; time in milliseconds.
+"""The registry of servers: merges what heartbeats and peers tell of each incarnation.
 
-Each entry is a join of independent parts, so that records may come in any order, twice, or late:
+No I/O; times are milliseconds of a monotonic clock. Each entry is a join of independent parts, so that
+records may come in any order, twice, or late:
 
 | part | merged by |
 | --- | --- |
 | finality: READY or SILENT < DRAINING < GONE | the greatest |
 | heard: sequence of the newest heartbeat known of | the greatest |
-| silent_at: sequence after which an owner missed heartbeats | the greatest; holds while `silent_at >= heard` |
-| details: address, slots, models | those told by the server itself before those told with a silence, then the newest |
+| silent_at: sequence after which heartbeats were missed | the greatest; holds while `silent_at >= heard` |
+| details: address, slots, models | the server's own words before those told with a silence, then the newest |
 
 Nothing may bring a drained or deregistered incarnation back: such entries stay for `FINAL_KEPT_MS`.
 """
 
-from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
 from barleybarrow.replication.records import FINALITY, InstanceRecord, InstanceState, Renewal
@@ -49,7 +49,7 @@
         return InstanceState.SILENT if self.silent_at >= self.heard else InstanceState.READY
 
     def record(self, now: float) -> InstanceRecord:
-        """The entry as one record. Its sequence is that of its details; of a silence, that after which it began."""
+        """The entry as one record. Its sequence is that of its details; of a silence, the last one heard."""
         state = self.state
         sequence = self.heard if state is InstanceState.SILENT else self.details_at[1]
         cold = max(0, int(self.cold_until - now))
@@ -138,11 +138,9 @@
             dropped += self._oldest_ended(set(dropped), excess)
         return {shard_of(self.entries.pop(i).details.service) for i in dropped}
 
-    def records(self, shard: int, now: float) -> Iterator[InstanceRecord]:
-        """All records of a shard."""
-        for entry in self.entries.values():
-            if shard_of(entry.details.service) == shard:
-                yield entry.record(now)
+    def ids(self, shard: int) -> list[str]:
+        """The ids of a shard."""
+        return [i for i, entry in self.entries.items() if shard_of(entry.details.service) == shard]
 
     def by_shard(self, now: float) -> list[list[InstanceRecord]]:
         """All records, by shard."""
--- a/barleybarrow/replication/rendezvous.py
+++ b/barleybarrow/replication/rendezvous.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing (Thaler and Ravishankar, 1998): who is responsible for a key, without a word between members.
+"""Rendezvous hashing (Thaler and Ravishankar, 1998): who is responsible for a key.
 
 All processes that know the same names come to the same answer; a member more or less moves its own keys only.
 """
--- /dev/null
+++ b/brackenusher/cluster/monitor.py
@@ -0,0 +1,204 @@
+"""Membership: pings between peers by datagram, reports to the control plane, and its view of all members.
+
+Runs in every process. Control processes learn of members by their links, bring the reports of monitors
+together and tell each member what has changed. Pings carry the addresses of the voters, so that a process that
+comes back while its seeds are down finds the control plane again.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+import betterproto
+
+from barleybarrow.replication.monitoring import Member, MemberTable, PeerMonitor, Report, View
+from barleybarrow.replication.rendezvous import ranked
+from brackenusher.cluster import messages
+from brackenusher.cluster.frames import FrameError, FrameReader, encode_frame
+from brackenusher.cluster.links import Links, split_address
+from brackenusher.settings.local import LocalSettings
+
+log = logging.getLogger(__name__)
+
+CONTROL = "control"
+PROXY = "proxy"
+TELL_PERIOD_MS = 1000.0  # between two looks of a control process at what has changed
+TELLERS = 2  # control processes that tell one member: one may be cut off
+MAX_DATAGRAM_BYTES = 1400  # pings are far shorter
+MAX_VOTERS = 7
+
+
+class Monitor(asyncio.DatagramProtocol):
+    """The part of one process in membership. Times are milliseconds of the loop's clock."""
+
+    def __init__(self, settings: LocalSettings, links: Links, rng: random.Random) -> None:
+        self.members: dict[str, messages.MemberView] = {}  # as told by control, by internal address
+        self.on_members: list[Callable[[list[messages.MemberView]], None]] = []  # all, at each change
+        self.on_controls: list[Callable[[list[str]], None]] = []  # voters that a peer's ping names
+        self._links = links
+        self._own = links.own.address
+        self._is_control = links.own.role == CONTROL
+        self._loop = asyncio.get_running_loop()
+        self._pings = PeerMonitor(self._own)
+        self._table = MemberTable()
+        if self._is_control:
+            self._table.linked(self._own, _member(links.own))
+        self._voters: list[str] = []
+        self._voters_index = -1
+        self._told_at = self._now() - rng.random() * TELL_PERIOD_MS
+        self._transport: asyncio.DatagramTransport | None = None
+        links.on_message(messages.Members, self._take_members)
+        links.on_message(messages.MemberViews, self._take_views)
+        links.on_message(messages.PeerReport, self._take_report)
+        links.on_change(self._link_changed)
+
+    async def start(self) -> None:
+        """Listen for pings at the internal address. Raises OSError."""
+        host, port = split_address(self._own)
+        await self._loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
+
+    async def stop(self) -> None:
+        """Listen no more."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def tick(self) -> None:
+        """Do what is due; call it every 100 ms or more often."""
+        now = self._now()
+        for order in self._pings.tick(now):
+            ping = messages.Ping(number=order.number, sender=self._own, controls=self._voters[:MAX_VOTERS])
+            self._send(order.target, ping)
+        for report in self._pings.take_reports():
+            self._report(report, now)
+        if self._is_control and now - self._told_at >= TELL_PERIOD_MS:
+            self._told_at = now
+            self._tell_changes(now)
+
+    def proxies(self) -> int:
+        """How many proxies there are, as far as known; this one counts."""
+        count = sum(view.role == PROXY for view in self.members.values())
+        return count if self._is_control or self._own in self.members else count + 1
+
+    # Datagrams
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.DatagramTransport)
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        if len(data) > MAX_DATAGRAM_BYTES:
+            return
+        try:
+            for message in FrameReader().feed(data):
+                self._take_datagram(message)
+        except FrameError as error:
+            log.warning("datagram ignored: sender=%s error=%s", addr, error)
+
+    def error_received(self, exc: Exception) -> None:
+        """A port is closed: the ping has no answer, which is noticed anyway."""
+
+    def _take_datagram(self, message: betterproto.Message) -> None:
+        if isinstance(message, messages.Ping):
+            self._send(message.sender, messages.PingAck(number=message.number, sender=self._own))
+            self._hear_of_controls(message.controls)
+        elif isinstance(message, messages.PingAck):
+            self._pings.answered(message.sender, message.number, self._now())
+
+    def _send(self, address: str, message: betterproto.Message) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        try:
+            self._transport.sendto(encode_frame(message), split_address(address))
+        except (OSError, ValueError) as error:
+            log.warning("datagram not sent: peer=%s error=%s", address, error)
+
+    def _hear_of_controls(self, addresses: list[str]) -> None:
+        if not addresses:
+            return
+        for handler in self.on_controls:
+            handler(list(addresses))
+        if self._is_control and not self._control_peers():
+            for address in addresses:
+                self._links.connect(address)
+
+    # Reports and views
+
+    def _control_peers(self) -> list[str]:
+        return [a for a, hello in self._links.connected().items() if hello.role == CONTROL and a != self._own]
+
+    def _report(self, report: Report, now: float) -> None:
+        if self._is_control:
+            self._table.reported(self._own, report, now)
+        message = messages.PeerReport(address=report.address, reachable=report.reachable)
+        for peer in self._control_peers():
+            self._links.send(peer, message)
+
+    def _take_report(self, sender: str, message: betterproto.Message) -> None:
+        assert isinstance(message, messages.PeerReport)
+        self._table.reported(sender, Report(message.address, message.reachable), self._now())
+
+    def _link_changed(self, address: str, hello: messages.Hello | None) -> None:
+        if not self._is_control:
+            return
+        if hello is None:
+            self._table.unlinked(address, self._now())
+            return
+        self._table.linked(address, _member(hello))
+        if self._tells(address):
+            self._send_views(address, self._table.views(self._now()))
+
+    def _tell_changes(self, now: float) -> None:
+        changed = self._table.changes(now)
+        if not changed:
+            return
+        for address in self._links.connected():
+            if self._tells(address):
+                self._send_views(address, changed)
+        self._apply([to_message(view) for view in changed])
+
+    def _tells(self, address: str) -> bool:
+        """Whether it is this control process that tells a member: each is told by few."""
+        return not self._voters or self._own in ranked(address, self._voters)[:TELLERS]
+
+    def _send_views(self, address: str, views: list[View]) -> None:
+        self._links.send(address, messages.MemberViews([to_message(view) for view in views]))
+
+    def _take_views(self, sender: str, message: betterproto.Message) -> None:
+        assert isinstance(message, messages.MemberViews)
+        if not self._is_control:
+            self._apply(message.members)
+
+    def _apply(self, views: list[messages.MemberView]) -> None:
+        for view in views:
+            if view.incarnation == 0:
+                self.members.pop(view.address, None)
+            else:
+                self.members[view.address] = view
+        self._pings.set_members(self.members)
+        for handler in self.on_members:
+            handler(list(self.members.values()))
+
+    def _take_members(self, sender: str, message: betterproto.Message) -> None:
+        assert isinstance(message, messages.Members)
+        if message.voters and message.voters_index > self._voters_index:
+            self._voters, self._voters_index = list(message.voters), message.voters_index
+
+    def _now(self) -> float:
+        return self._loop.time() * 1000.0
+
+
+def _member(hello: messages.Hello) -> Member:
+    return Member(hello.role, hello.node_name, hello.zone, hello.incarnation)
+
+
+def to_message(view: View) -> messages.MemberView:
+    """A view as a message; a removed member has no incarnation."""
+    return messages.MemberView(
+        address=view.address,
+        role=view.role,
+        node_name=view.node_name,
+        zone=view.zone,
+        incarnation=0 if view.removed else view.incarnation,
+        suspected=view.suspected,
+    )
