Interface: settings, checked documents, the Control server and calls, command line

A first working version of what operators and servers reach: the settings file is read by a small reader of our own (pyserde takes 250 ms or more to import, and every process reads settings); documents are checked item by item with pyserde, imported at the first check; an HTTP/1.1 server on h11 with bounds on everything; calls of PROTOCOL; roles are dispatched before typer is imported. Ruled out: refusing an order here for its validity or version, since a repeat of an order that was taken must not be refused; the shard decides.

--- a/brackenusher/__main__.py
+++ b/brackenusher/__main__.py
@@ -1,8 +1,32 @@
-"""``python -m brackenusher``."""
+"""``python -m brackenusher``: the one binary. Runs a role or a command of the fleet, or the older program.
+
+The first argument decides, before anything heavy is imported: a role must start quickly on a small machine.
+"""
 
 import sys
+from collections.abc import Sequence
+
+ROLES = ("proxy", "control")
+FLEET_COMMANDS = ("status", "config", "members", "servers", "explain", "check-settings")
+OLD_MEMBERS = ("show", "-h", "--help")  # `members show` belongs to the older program
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run what the first argument names; the exit code."""
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    first = given[0] if given else ""
+    if first in ROLES:
+        from brackenusher.commands.roles import run_role
+
+        return run_role(first)
+    if first in FLEET_COMMANDS and not (first == "members" and given[1:2] and given[1] in OLD_MEMBERS):
+        from brackenusher.commands.application import run_command
+
+        return run_command(given)
+    from brackenusher.cli import main as run_program
+
+    return run_program(given)
 
-from brackenusher.cli import main
 
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/brackenusher/commands/difference.py
@@ -0,0 +1,60 @@
+"""What differs between two configuration documents, item by item. Pure; reads raw documents."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+NAMED_SECTIONS = ("Routes", "Services", "Tenants")
+SECRET_KEYS = frozenset({"ApiKeys"})  # shown as counts, never in the clear
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One item that differs; `fields` are "Key: old -> new" where both have it."""
+
+    sign: str  # "+" only in the second, "-" only in the first, "~" in both
+    item: str  # "Routes r-1", "Generation"
+    fields: tuple[str, ...] = ()
+
+    def __str__(self) -> str:
+        return f"{self.sign} {self.item}" + (f" ({'; '.join(self.fields)})" if self.fields else "")
+
+
+def differences(first: dict[str, Any], second: dict[str, Any]) -> list[Change]:
+    """The changes that turn the first document into the second."""
+    changes: list[Change] = []
+    for section in [*first, *(key for key in second if key not in first)]:
+        old, new = first.get(section), second.get(section)
+        if section in NAMED_SECTIONS:
+            changes.extend(_named_changes(section, old or [], new or []))
+        elif old != new:
+            changes.append(Change("~", section, (f"{_shown(section, old)} -> {_shown(section, new)}",)))
+    return changes
+
+
+def _named_changes(section: str, old: list[Any], new: list[Any]) -> Iterator[Change]:
+    before, after = _by_name(old), _by_name(new)
+    for name in before:
+        if name not in after:
+            yield Change("-", f"{section} {name}")
+    for name, item in after.items():
+        if name not in before:
+            yield Change("+", f"{section} {name}")
+        elif before[name] != item:
+            yield Change("~", f"{section} {name}", tuple(_field_changes(before[name], item)))
+
+
+def _by_name(items: list[Any]) -> dict[str, dict[str, Any]]:
+    return {str(item.get("Name")): item for item in items if isinstance(item, dict)}
+
+
+def _field_changes(old: dict[str, Any], new: dict[str, Any]) -> Iterator[str]:
+    for key in [*old, *(key for key in new if key not in old)]:
+        if old.get(key) != new.get(key):
+            yield f"{key}: {_shown(key, old.get(key))} -> {_shown(key, new.get(key))}"
+
+
+def _shown(key: str, value: object) -> str:
+    if key in SECRET_KEYS and isinstance(value, list):
+        return f"{len(value)} keys"
+    return "absent" if value is None else repr(value)
--- /dev/null
+++ b/brackenusher/control_plane/api.py
@@ -0,0 +1,108 @@
+"""The calls at the Control address: finds who carries a call out. It never decides and never keeps anything.
+
+POST /-/Instances.Heartbeat/ID, /-/Instances.Deregister/ID, /-/Config.Replace, /-/Config.Patch; GET
+/-/Config.Get; and for the command line GET /-/status/TOPIC, with the topics summary, members, servers,
+history and explain/REQUEST-ID.
+"""
+
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+from brackenusher.control_plane.config_api import ConfigApi, ConfigurationShard
+from brackenusher.control_plane.heartbeat_api import HeartbeatApi, InstanceRegistry
+from brackenusher.control_plane.http_server import HttpRequest, HttpResponse
+from brackenusher.control_plane.responses import error_response, unavailable
+
+TOPICS = ("summary", "members", "servers", "history")
+EXPLAIN = "explain/"
+
+# Answers a topic ("summary", ..., "explain:REQUEST-ID") with what is to be shown as JSON; None: not known.
+StatusProvider = Callable[[str], Awaitable[object | None]]
+# Told the name of the call and the status of its answer, for the figures.
+Observer = Callable[[str, int], None]
+
+
+class Api:
+    """Handles each request at the Control address; a handler of `HttpServer`."""
+
+    def __init__(
+        self,
+        config_shard: ConfigurationShard,
+        registry: InstanceRegistry,
+        status: StatusProvider | None = None,
+        observe: Observer | None = None,
+    ) -> None:
+        self.config = ConfigApi(config_shard)
+        self.instances = HeartbeatApi(registry)
+        self.status = status
+        self.observe = observe
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """The answer to any request; never raises for what a caller sent."""
+        call = _find_call(request.path)
+        if call is None:
+            name, response = "unknown", error_response(404, "no such call: see the page of the protocol")
+        elif request.method != call.method and (request.method, call.method) != ("HEAD", "GET"):
+            name, response = call.name, error_response(405, f"{call.name} is called with {call.method}")
+            response.headers.append(("Allow", call.method))
+        else:
+            name, response = call.name, await self._carry_out(call, request)
+        if self.observe is not None:
+            self.observe(name, response.status)
+        return response
+
+    async def _carry_out(self, call: "_Call", request: HttpRequest) -> HttpResponse:
+        match call.name:
+            case "heartbeat":
+                return await self.instances.heartbeat(call.argument, request)
+            case "deregister":
+                return await self.instances.deregister(call.argument)
+            case "replace" | "patch":
+                return await self.config.order(call.name, request)
+            case "get":
+                return await self.config.get()
+        return await self._tell_status(call.argument)
+
+    async def _tell_status(self, topic: str) -> HttpResponse:
+        known = topic in TOPICS or (topic.startswith(EXPLAIN) and topic != EXPLAIN)
+        if not known:
+            return error_response(404, f"no such topic: ask for {', '.join(TOPICS)} or {EXPLAIN}REQUEST-ID")
+        if self.status is None:
+            return unavailable("the status is not told here: ask again later")
+        document = await self.status(topic.replace(EXPLAIN, "explain:", 1))
+        if document is None:
+            return error_response(404, f"nothing is known of {topic}: ask another process, or sooner")
+        return HttpResponse(200, json.dumps(document, separators=(",", ":")).encode())
+
+
+@dataclass(slots=True, frozen=True)
+class _Call:
+    """What a path asks for; the argument is the rest of the path, decoded."""
+
+    name: str
+    method: str
+    argument: str = ""
+
+
+_EXACT = {
+    "/-/Config.Replace": _Call("replace", "POST"),
+    "/-/Config.Patch": _Call("patch", "POST"),
+    "/-/Config.Get": _Call("get", "GET"),
+}
+_WITH_ARGUMENT = (
+    ("/-/Instances.Heartbeat/", "heartbeat", "POST"),
+    ("/-/Instances.Deregister/", "deregister", "POST"),
+    ("/-/status/", "status", "GET"),
+)
+
+
+def _find_call(path: str) -> _Call | None:
+    exact = _EXACT.get(path)
+    if exact is not None:
+        return exact
+    for prefix, name, method in _WITH_ARGUMENT:
+        if path.startswith(prefix):
+            return _Call(name, method, unquote(path.removeprefix(prefix)))
+    return None
--- /dev/null
+++ b/brackenusher/settings/document_fields.py
@@ -0,0 +1,138 @@
+"""Reads items of a configuration document with pyserde into the values of `barleybarrow.documents`.
+
+Import this late: with pyserde it costs a small machine a second or more. `documents.check_document` calls it.
+"""
+
+import math
+from collections.abc import Callable
+from dataclasses import fields
+from functools import partial
+from types import MappingProxyType
+from typing import Any, get_args, get_origin
+
+from serde import SerdeError, deserialize, disabled, from_dict
+
+from barleybarrow.documents import (
+    ClientLimits,
+    Engine,
+    EngineModel,
+    Route,
+    Service,
+    Tenant,
+    WeightedService,
+)
+
+LOWER_CASE_KEYS = frozenset({"gap_aim_ms", "stride"})  # as they are; others are in Pascal case
+LONGEST_SHOWN_VALUE = 60  # characters of a wrong value in a message
+
+
+class FieldError(Exception):
+    """A value that its field can't hold, or that is missing; with the remedy."""
+
+    def __init__(self, problem: str, remedy: str) -> None:
+        super().__init__(problem)
+        self.remedy = remedy
+
+
+def _wrong(key: str, value: object, remedy: str) -> FieldError:
+    shown = ascii(value)
+    shown = shown if len(shown) <= LONGEST_SHOWN_VALUE else shown[:LONGEST_SHOWN_VALUE] + "..."
+    return FieldError(f"{key} is {shown}", remedy)
+
+
+def read_item(kind: type[Any], raw: dict[str, Any]) -> Any:
+    """One item as a dataclass of `barleybarrow.documents`. Raises FieldError."""
+    try:
+        return from_dict(kind, _present(raw))
+    except SerdeError as error:
+        cause: BaseException = error
+        while isinstance(cause, SerdeError) and cause.args and isinstance(cause.args[0], BaseException):
+            cause = cause.args[0]
+        if isinstance(cause, FieldError):
+            raise cause from None
+        raise FieldError(str(cause).partition(" while ")[0], "add it") from None
+
+
+def _present(raw: dict[str, Any]) -> dict[str, Any]:
+    """Without nulls: they say the same as absence."""
+    return {key: value for key, value in raw.items() if value is not None}
+
+
+# Readers of fields. Each is told the key, for its message.
+
+
+def _read_text(key: str, value: object) -> str:
+    if not isinstance(value, str):
+        raise _wrong(key, value, "make it a string")
+    return value
+
+
+def _read_flag(key: str, value: object) -> bool:
+    if not isinstance(value, bool):
+        raise _wrong(key, value, "make it true or false")
+    return value
+
+
+def _read_number(key: str, value: object) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise _wrong(key, value, "make it a number")
+    return float(value)
+
+
+def _read_whole(key: str, value: object) -> int:
+    number = _read_number(key, value)
+    if number != int(number):
+        raise _wrong(key, value, "make it a whole number")
+    return int(number)
+
+
+def _read_parts(kind: type[Any], key: str, value: object) -> list[Any]:
+    if not isinstance(value, list):
+        raise _wrong(key, value, "make it a list")
+    return [_read_part(kind, key, item) for item in value]
+
+
+def _read_part(kind: type[Any], key: str, value: object) -> Any:
+    reader = _PLAIN_READERS.get(kind)
+    if reader is not None:
+        return reader(key, value)
+    if not isinstance(value, dict):
+        raise _wrong(key, value, "make it an object")
+    return from_dict(kind, _present(value))
+
+
+_PLAIN_READERS: dict[Any, Callable[[str, object], Any]] = {
+    str: _read_text,
+    bool: _read_flag,
+    float: _read_number,
+    int: _read_whole,
+}
+
+
+def _reader_of(kind: Any, key: str) -> Callable[[object], Any]:
+    """The reader of a field of that type: plain, a list, or a part that may be absent."""
+    if kind in _PLAIN_READERS:
+        return partial(_PLAIN_READERS[kind], key)
+    if get_origin(kind) is list:
+        return partial(_read_parts, get_args(kind)[0], key)
+    present = [part for part in get_args(kind) if part is not type(None)] or [kind]
+    return partial(_read_part, present[0], key)
+
+
+def _document_key(name: str) -> str:
+    if name in LOWER_CASE_KEYS:
+        return name
+    return "".join(part.capitalize() for part in name.split("_"))
+
+
+def _make_readable(kind: type[Any]) -> None:
+    """Have pyserde read a dataclass of `barleybarrow.documents`, which must not know of pyserde itself."""
+    for field in fields(kind):
+        key = _document_key(field.name)
+        hints = {"serde_rename": key, "serde_deserializer": _reader_of(field.type, key)}
+        field.metadata = MappingProxyType(hints)
+    deserialize(kind, type_check=disabled)
+
+
+for _kind in (WeightedService, Route, EngineModel, Engine, Service, ClientLimits, Tenant):
+    _make_readable(_kind)
--- /dev/null
+++ b/brackenusher/settings/reading.py
@@ -0,0 +1,176 @@
+"""Reads the settings file (TOML) of a process into `LocalSettings`. All processes import this: keep it cheap.
+
+Unknown keys are ignored. A key that is wrong or missing gives a `SettingsError` of one line that names the
+key, the value and the remedy; the caller prints it and exits with `EXIT_BAD_SETTINGS`.
+"""
+
+import dataclasses
+import math
+import tomllib
+from pathlib import Path
+from typing import Any, get_args, get_origin
+
+from returns.result import Failure, Result, Success
+
+from brackenusher.settings.local import LocalSettings
+
+EXIT_BAD_SETTINGS = 2
+SETTINGS_VARIABLE = "BRACKENUSHER_CONFIG"
+DEFAULT_PATH = "/etc/brackenusher/local.toml"
+MAX_PORT = 65535
+LOWER_CASE_KEYS = frozenset({"pass_ms", "again_s"})  # as they are; others are in Pascal case
+LONGEST_SHOWN_VALUE = 60  # characters of a wrong value in a message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsError:
+    """Why the settings can't be used; `str` gives one line."""
+
+    path: str
+    key: str  # empty: the file as a whole
+    value: str
+    remedy: str
+
+    def __str__(self) -> str:
+        key = f" {self.key} = {self.value}:" if self.key else f" {self.value}:" if self.value else ""
+        return f"{self.path}:{key} {self.remedy}"
+
+
+class _WrongKeyError(Exception):
+    """A key that can't be read; becomes a `SettingsError` of the file."""
+
+    def __init__(self, key: str, value: object, remedy: str) -> None:
+        super().__init__(key, value, remedy)
+        self.key, self.remedy = key, remedy
+        shown = "(missing)" if value is dataclasses.MISSING else ascii(value)
+        self.value = shown if len(shown) <= LONGEST_SHOWN_VALUE else shown[:LONGEST_SHOWN_VALUE] + "..."
+
+
+def load_settings(path: str) -> Result[LocalSettings, SettingsError]:
+    """Read and check a settings file."""
+    try:
+        text = Path(path).read_bytes().decode("utf-8")
+    except OSError as error:
+        remedy = f"can't be read ({error.strerror}): name a readable file in {SETTINGS_VARIABLE}"
+        return Failure(SettingsError(path, "", "", remedy))
+    except UnicodeDecodeError:
+        return Failure(SettingsError(path, "", "", "is not UTF-8: write the file anew"))
+    return read_settings(text, path)
+
+
+def read_settings(text: str, path: str = "settings") -> Result[LocalSettings, SettingsError]:
+    """Read and check the text of a settings file; the path is for messages only."""
+    try:
+        table = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return Failure(SettingsError(path, "", "", f"is not TOML ({error}): mend that line"))
+    try:
+        settings = _read_table(LocalSettings, table, "")
+        _check(settings)
+    except _WrongKeyError as wrong:
+        return Failure(SettingsError(path, wrong.key, wrong.value, wrong.remedy))
+    return Success(settings)
+
+
+def file_key(name: str) -> str:
+    """The key in the file of a field of `LocalSettings` and of its parts."""
+    if name in LOWER_CASE_KEYS:
+        return name
+    return "".join(part.capitalize() for part in name.split("_"))
+
+
+def _read_table(kind: type, table: dict[str, Any], prefix: str) -> Any:
+    """A dataclass of a table; keys that are not fields are ignored."""
+    values: dict[str, Any] = {}
+    for field in dataclasses.fields(kind):
+        key = file_key(field.name)
+        value = table.get(key, dataclasses.MISSING)
+        optional = not _required(field)
+        if optional and (value is dataclasses.MISSING or value == "" or value == []):
+            continue  # keys that don't matter in a deployment may be empty
+        if value is dataclasses.MISSING:
+            raise _WrongKeyError(prefix + key, value, "add this key")
+        values[field.name] = _read_value(field.type, value, prefix + key)
+    return kind(**values)
+
+
+def _required(field: "dataclasses.Field[Any]") -> bool:
+    return field.default is dataclasses.MISSING and field.default_factory is dataclasses.MISSING
+
+
+def _read_value(kind: Any, value: object, key: str) -> Any:
+    if dataclasses.is_dataclass(kind) and isinstance(kind, type):
+        if not isinstance(value, dict):
+            raise _WrongKeyError(key, value, f"make it a table [{key}]")
+        return _read_table(kind, value, key + ".")
+    origin = get_origin(kind)
+    if origin is list:
+        return _read_list(get_args(kind)[0], value, key)
+    if origin is dict:
+        return _read_names(value, key)
+    return _read_plain(kind, value, key)
+
+
+def _read_list(kind: type, value: object, key: str) -> list[Any]:
+    if not isinstance(value, list):
+        raise _WrongKeyError(key, value, "make it a list")
+    for item in value:
+        if type(item) is not kind:
+            raise _WrongKeyError(key, item, f"make each item {_ARTICLES[kind]}")
+    return list(value)
+
+
+def _read_names(value: object, key: str) -> dict[str, str]:
+    if not isinstance(value, dict) or not all(isinstance(item, str) for item in value.values()):
+        raise _WrongKeyError(key, value, f"make it a table [{key}] of strings")
+    return dict(value)
+
+
+_ARTICLES: dict[type, str] = {
+    str: "a string",
+    bool: "true or false",
+    int: "a whole number",
+    float: "a number",
+}
+
+
+def _read_plain(kind: Any, value: object, key: str) -> Any:
+    if kind in (int, float):
+        if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+            raise _WrongKeyError(key, value, f"make it {_ARTICLES[kind]}")
+        if value < 0:
+            raise _WrongKeyError(key, value, "make it 0 or more")
+        return kind(value)  # a fraction of a unit is dropped
+    if type(value) is not kind:
+        raise _WrongKeyError(key, value, f"make it {_ARTICLES[kind]}")
+    return value
+
+
+def _check(settings: LocalSettings) -> None:
+    """What must hold between keys; raises _WrongKeyError."""
+    ports = settings.internal_port_range
+    if len(ports) != 2 or not 0 < ports[0] < ports[1] <= MAX_PORT:
+        raise _WrongKeyError("InternalPortRange", ports, "give the first and last of two or more ports")
+    for key, address in _addresses(settings):
+        if not _is_address(address):
+            raise _WrongKeyError(key, address, 'write "IP:PORT"')
+    for key, name in (("NodeName", settings.node_name), ("Ip", settings.ip), ("Zone", settings.zone)):
+        if not name:
+            raise _WrongKeyError(key, name, "give it a value")
+
+
+def _addresses(settings: LocalSettings) -> list[tuple[str, str]]:
+    listen = settings.listen
+    named = [
+        ("Listen.Front", listen.front),
+        ("Listen.Ready", listen.ready),
+        ("Listen.Control", listen.control),
+    ]
+    return [(key, address) for key, address in named if address] + [
+        ("SeedNodes", address) for address in settings.seed_nodes
+    ]
+
+
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    return bool(host) and port.isascii() and port.isdecimal() and 0 < int(port) <= MAX_PORT
