--- a/barleybarrow/brain.py
+++ b/barleybarrow/brain.py
@@ -95,7 +95,7 @@
     def handle(self, now: float, event: face.Event) -> list[Action]:
         """Take one event, return the actions it calls for."""
         if (handler := self.handlers.get(type(event))) is None:
-            raise face.UnknownEvent(type(event).__name__)
+            raise face.UnknownEventError(type(event).__name__)
         self.now, self.actions, self.news = now, [], self.news + 1
         span = now - self.swept
         if span >= self.sweep_every and (4 * self.news >= min(len(self.live), SLICE) or span > self.aim):
--- a/barleybarrow/interface.py
+++ b/barleybarrow/interface.py
@@ -57,7 +57,7 @@
     """The settings cannot be worked with."""
 
 
-class UnknownEvent(TypeError):
+class UnknownEventError(TypeError):
     """The event is of no type that this interface names."""
 
 
--- a/barleybarrow/knowledge.py
+++ b/barleybarrow/knowledge.py
@@ -43,7 +43,7 @@
 NEVER = -1.0  # for a lag: it has not happened
 
 
-class Absurd(ValueError):
+class InvalidEvidenceError(ValueError):
     """Evidence that cannot be true."""
 
 
@@ -71,10 +71,10 @@
         return self.born, self.origin
 
     def check(self, now: float) -> None:
-        """Raise Absurd where a field is out of its range, or its time has not come yet."""
+        """Raise InvalidEvidenceError where a field is out of its range, or its time has not come yet."""
         for name, text in (("backend", self.backend), ("origin", self.origin)):
             if not 0 < len(text) <= MOST_NAME or not text.isprintable():
-                raise Absurd(name)
+                raise InvalidEvidenceError(name)
         for name, value, least, most in (
             ("born", self.born, 0.0, 1e15),
             ("epoch", self.epoch, 0, MOST_COUNT),
@@ -90,7 +90,7 @@
             ("silent", self.silent, NEVER, 1e12),
         ):
             if not isfinite(value) or not least <= value <= most:
-                raise Absurd(name)
+                raise InvalidEvidenceError(name)
 
     def worth(self, now: float) -> float:
         """What is left of its weight."""
@@ -138,7 +138,7 @@
         """Take up a piece of evidence; whether it was news. What is absurd or too old is not kept."""
         try:
             evidence.check(now)
-        except Absurd:
+        except InvalidEvidenceError:
             self.absurd += 1
             return False
         if now - evidence.at > OLDEST:
--- a/barleybarrow/simulator_adapter.py
+++ b/barleybarrow/simulator_adapter.py
@@ -32,7 +32,7 @@
 REPEATED = 2
 
 
-class Malformed(Exception):
+class MalformedLineError(Exception):
     """A line that cannot be read."""
 
 
@@ -108,11 +108,11 @@
                 continue
             head = line.split()
             if head[0] != "TICK" or len(head) < 3:
-                raise Malformed(f"TICK expected: {line.strip()[:80]}")
+                raise MalformedLineError(f"TICK expected: {line.strip()[:80]}")
             try:
                 now = float(head[1])
             except ValueError as error:
-                raise Malformed(f"no clock time: {line.strip()[:80]}") from error
+                raise MalformedLineError(f"no clock time: {line.strip()[:80]}") from error
             reply = self.batch(now, source)
             reply.append(f"NEXT {head[2]}\n")
             self.out.write("".join(reply))
@@ -128,8 +128,8 @@
             try:
                 self.event(now, name, line, source, reply)
             except (ValueError, KeyError, IndexError, TypeError, StopIteration) as error:
-                raise Malformed(f"cannot read: {line.strip()[:80]} ({error})") from error
-        raise Malformed("input ended inside a batch")
+                raise MalformedLineError(f"cannot read: {line.strip()[:80]} ({error})") from error
+        raise MalformedLineError("input ended inside a batch")
 
     def event(self, now: float, name: str, line: str, source: Iterable[str], reply: list[str]) -> None:
         """Read one event and let its instance act on it."""
@@ -174,7 +174,7 @@
     """Serve standard input until it ends."""
     try:
         SimulatorAdapter(sys.stdout).run(sys.stdin)
-    except Malformed as error:
+    except MalformedLineError as error:
         print(f"simulator adapter: {error}", file=sys.stderr)
         return 1
     return 0
--- a/barleybarrow/tokens.py
+++ b/barleybarrow/tokens.py
@@ -19,7 +19,7 @@
 SHAPE = re.compile(rb"([!-\-/-~]+)\.[!-\-/-~]+\.([!-\-/-~]+)\.([0-9]{1,15})\.([A-Za-z0-9_-]{43})\Z")
 
 
-class NoToken(ValueError):
+class TokenError(ValueError):
     """A token cannot be issued like this."""
 
 
@@ -38,13 +38,13 @@
 def issue(settings: TokenSettings, kid: str, holder: str, rights: str, expiry: int) -> str:
     """Make a token that counts until a time in Unix seconds."""
     if kid not in settings.keys:
-        raise NoToken(f"there is no key {kid!r}")
+        raise TokenError(f"there is no key {kid!r}")
     if not HOLDER.match(holder):
-        raise NoToken(f"the holder must be printable, without blank or dot, not {holder!r}")
+        raise TokenError(f"the holder must be printable, without blank or dot, not {holder!r}")
     if not RIGHTS.match(rights):
-        raise NoToken(f"the rights must be {READ}, {SUBMIT} or {READ}+{SUBMIT}, not {rights!r}")
+        raise TokenError(f"the rights must be {READ}, {SUBMIT} or {READ}+{SUBMIT}, not {rights!r}")
     if not 0 <= expiry < 10**15:
-        raise NoToken("the expiry is out of range")
+        raise TokenError("the expiry is out of range")
     fields = f"{kid}.{holder}.{rights}.{expiry}"
     return f"{fields}.{sign(settings.keys[kid], fields.encode()).decode()}"
 
--- a/brackenusher/cli.py
+++ b/brackenusher/cli.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from barleybarrow.interface import SettingsError
-from barleybarrow.tokens import NoToken, issue
+from barleybarrow.tokens import TokenError, issue
 from brackenusher import __version__
 from brackenusher.config.operators import (
     doubts,
@@ -22,7 +22,7 @@
 from brackenusher.config.platform import ConfigError, load, load_again
 from brackenusher.daemon import Daemon
 from brackenusher.records.replay import replay_capture
-from brackenusher.runtime.log import TEXT, NoFormat, take_form
+from brackenusher.runtime.log import TEXT, LogFormatError, take_form
 
 LEVELS = ("debug", "info", "warning", "error")
 
@@ -32,7 +32,7 @@
     logging.basicConfig(level=options.log_level.upper(), format=TEXT)
     try:
         take_form(operator.log_format)
-    except NoFormat as error:
+    except LogFormatError as error:
         raise ConfigError(f"{options.operator}: log.format: {error}") from error
     try:
         return Daemon(config, partial(load_again, os.environ), operator).run()
@@ -63,7 +63,7 @@
     settings, expiry = load_tokens(options.properties), int(time.time()) + options.ttl
     try:
         print(issue(settings, options.kid, options.holder, options.rights, expiry))
-    except NoToken as error:
+    except TokenError as error:
         raise ConfigError(f"{options.properties}: {error}") from error
     return 0
 
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -29,7 +29,7 @@
 from brackenusher.handover.new import Taken
 from brackenusher.handover.replacement import Replacement
 from brackenusher.membership.agent import Agent
-from brackenusher.membership.discovery import Broken, read_listing
+from brackenusher.membership.discovery import DiscoveryError, read_listing
 from brackenusher.records.capture import Capture
 from brackenusher.records.figures import Figures
 from brackenusher.records.insight import Insight
@@ -362,7 +362,7 @@
             return
         try:
             listing = read_listing(known)
-        except Broken as error:
+        except DiscoveryError as error:
             text = "the known list is left aside: %(why)s"
             say(log, logging.WARNING, "known_list_unusable", text, why=error)
             return
--- a/brackenusher/fronts/http1/virtual_server.py
+++ b/brackenusher/fronts/http1/virtual_server.py
@@ -12,7 +12,7 @@
 from brackenusher.core.pipe import Budget, Pipe
 from brackenusher.core.transaction import Answer, Served
 from brackenusher.fronts.http import AUTHORITY, REASONS, Fields, Front, Headers, Rejection, final
-from brackenusher.upstream.flow import FRAMING, LONGEST_HEAD, LONGEST_STREAM, SLACK, Spoilt
+from brackenusher.upstream.flow import FRAMING, LONGEST_HEAD, LONGEST_STREAM, SLACK, UnreadableAnswerError
 
 MOST_AHEAD = 16  # requests that a client may send ahead of the answer it waits for
 USUAL = frozenset((b"keep-alive", b"close"))  # options of Connection that name no header
@@ -104,7 +104,7 @@
                 data = self.feed(data)
             if self.coming:  # where others came before it, how much is its own is not known
                 self.weigh(size if self.begun <= before else 0)
-        except (HttpParserError, Spoilt) as error:
+        except (HttpParserError, UnreadableAnswerError) as error:
             self.reject_stream(self.rejection or Rejection(400, str(error), fatal=True))
 
     def feed(self, data: bytes | memoryview) -> bytes | memoryview:
@@ -146,7 +146,7 @@
     def spoilt(self, rejection: Rejection) -> NoReturn:
         """Have the parser stop where it is."""
         self.rejection = rejection
-        raise Spoilt
+        raise UnreadableAnswerError
 
     # what the parser calls
 
--- a/brackenusher/fronts/http2/connection.py
+++ b/brackenusher/fronts/http2/connection.py
@@ -37,7 +37,7 @@
 from brackenusher.core.admission import Request
 from brackenusher.core.message import LONGEST_BODY
 from brackenusher.fronts.http import Front, Headers, Rejection
-from brackenusher.fronts.http2.frames import END_STREAM, PREFACE, Fault, Frame, Gate, Kind
+from brackenusher.fronts.http2.frames import END_STREAM, PREFACE, Frame, Gate, Http2Error, Kind
 from brackenusher.fronts.http2.heads import (
     USUAL_URGENCY,
     Head,
@@ -225,7 +225,7 @@
         try:
             for frame in self.gate.feed(data, now):
                 self.take(frame, now)
-        except Fault as fault:
+        except Http2Error as fault:
             self.fail(fault.code, fault.why)
         except ProtocolError as error:  # h2 has made its GOAWAY already
             self.collect()
@@ -262,7 +262,7 @@
             self.parting = True
             return
         if kind == Kind.RST_STREAM and self.idle(number):
-            raise Fault(ErrorCodes.PROTOCOL_ERROR, "a stream that never was is reset")
+            raise Http2Error(ErrorCodes.PROTOCOL_ERROR, "a stream that never was is reset")
         if kind == Kind.WINDOW_UPDATE and number and not int.from_bytes(frame.payload, "big") & HIGHEST:
             self.stream_error(number, ErrorCodes.PROTOCOL_ERROR)
             return
@@ -281,7 +281,7 @@
     def surplus(self, now: float) -> None:
         """Count a DATA frame on a stream that is gone, which h2 answers with RST_STREAM."""
         if not self.gate.allowance.take(now):
-            raise Fault(ErrorCodes.ENHANCE_YOUR_CALM, "too much comes on streams that are gone")
+            raise Http2Error(ErrorCodes.ENHANCE_YOUR_CALM, "too much comes on streams that are gone")
 
     def act(self, event: LibraryEvent, now: float) -> None:
         if isinstance(event, RequestReceived):
@@ -384,7 +384,7 @@
         """PRIORITY_UPDATE (RFC 9218 7.1)."""
         number = int.from_bytes(payload[:4], "big") & HIGHEST
         if number == 0 or number % 2 == 0:
-            raise Fault(ErrorCodes.PROTOCOL_ERROR, "a PRIORITY_UPDATE names no stream of the client's")
+            raise Http2Error(ErrorCodes.PROTOCOL_ERROR, "a PRIORITY_UPDATE names no stream of the client's")
         stream = self.streams.get(number)
         if stream is not None:
             queued = self.queues[stream.urgency].pop(number, None)
@@ -542,7 +542,7 @@
 
     def stream_error(self, number: int, code: ErrorCodes) -> None:
         if self.idle(number):
-            raise Fault(code, "a frame on a stream that never was")
+            raise Http2Error(code, "a frame on a stream that never was")
         try:
             self.h2.reset_stream(number, code)
         except StreamClosedError:
--- a/brackenusher/fronts/http2/frames.py
+++ b/brackenusher/fronts/http2/frames.py
@@ -47,7 +47,7 @@
 MOST_TABLE = 4096  # bytes of our encoder's table, whatever the client allows: RFC 7541 lets us use less
 
 
-class Fault(Exception):
+class Http2Error(Exception):
     """The connection must end (RFC 9113 5.4.1)."""
 
     def __init__(self, code: int, why: str) -> None:
@@ -71,12 +71,12 @@
 
 def protocol(condition: bool, why: str) -> None:
     if not condition:
-        raise Fault(ErrorCodes.PROTOCOL_ERROR, why)
+        raise Http2Error(ErrorCodes.PROTOCOL_ERROR, why)
 
 
 def sized(condition: bool, why: str) -> None:
     if not condition:
-        raise Fault(ErrorCodes.FRAME_SIZE_ERROR, why)
+        raise Http2Error(ErrorCodes.FRAME_SIZE_ERROR, why)
 
 
 class Allowance:
@@ -114,7 +114,7 @@
         return not self.buffer and not self.block and self.greeted
 
     def feed(self, data: bytes | memoryview, now: float) -> Iterator[Frame]:
-        """Take bytes and give the frames that are whole; `Fault` where the stream cannot go on."""
+        """Take bytes and give the frames that are whole; `Http2Error` where the stream cannot go on."""
         self.buffer += data
         if not self.greeted:
             have = min(len(self.buffer), len(PREFACE))
@@ -136,7 +136,7 @@
                 frame = Frame(kind, flags, stream, bytes(buffer[start + HEAD : end]))
                 start = end
                 if self.costs(frame) and not self.allowance.take(now):
-                    raise Fault(ErrorCodes.ENHANCE_YOUR_CALM, "too many frames that ask for nothing")
+                    raise Http2Error(ErrorCodes.ENHANCE_YOUR_CALM, "too many frames that ask for nothing")
                 yield from self.check(frame)
         finally:
             del buffer[:start]
@@ -186,7 +186,7 @@
         elif kind == Kind.CONTINUATION:
             self.size, self.count = self.size + len(frame.payload), self.count + 1
             if self.size > self.longest_block or self.count > MOST_CONTINUED:
-                raise Fault(ErrorCodes.ENHANCE_YOUR_CALM, "a header block does not end")
+                raise Http2Error(ErrorCodes.ENHANCE_YOUR_CALM, "a header block does not end")
             if frame.flags & END_HEADERS:
                 self.block = 0
         elif kind == Kind.SETTINGS:
--- a/brackenusher/fronts/rpc/picture.py
+++ b/brackenusher/fronts/rpc/picture.py
@@ -19,7 +19,7 @@
 from brackenusher.fronts.rpc.lines import Line, Lines
 from brackenusher.fronts.rpc.metrics import Metrics, look_on, look_on_attempts
 from brackenusher.fronts.rpc.watch import Watch
-from brackenusher.membership.discovery import Broken, read_listing
+from brackenusher.membership.discovery import DiscoveryError, read_listing
 from brackenusher.upstream.listing import Listing
 from brackenusher.upstream.pool import Member, Pool
 
@@ -74,7 +74,7 @@
         elif isinstance(members, Mapping):
             try:
                 listing = read_listing(dict(members))
-            except Broken as error:
+            except DiscoveryError as error:
                 raise ConfigError(f"members: {error}") from error
         else:
             listing = plain(members, self.seq + 1)
--- a/brackenusher/fronts/rpc/watch.py
+++ b/brackenusher/fronts/rpc/watch.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 
-from brackenusher.membership.discovery import Broken, Discovery
+from brackenusher.membership.discovery import Discovery, DiscoveryError
 from brackenusher.runtime.driver import Address
 from brackenusher.runtime.log import fault, say
 from brackenusher.upstream.listing import Listing
@@ -49,7 +49,7 @@
                 why = "closed"
             except TimeoutError:
                 why = "silent"
-            except (OSError, Broken) as error:
+            except (OSError, DiscoveryError) as error:
                 why = str(error)
             except asyncio.CancelledError:
                 raise
--- a/brackenusher/group/database.py
+++ b/brackenusher/group/database.py
@@ -23,7 +23,7 @@
 log = logging.getLogger(__name__)
 
 
-class Damaged(Exception):
+class DatabaseDamagedError(Exception):
     """The file does not hold together; the text says where."""
 
 
@@ -56,19 +56,19 @@
         return db
 
     def whole(self) -> dict[str, Any]:
-        """The facts, of a file that holds together. Raises Damaged."""
+        """The facts, of a file that holds together. Raises DatabaseDamagedError."""
         try:
             if self.db.execute("PRAGMA quick_check").fetchone()[0] != "ok":
-                raise Damaged("the file's own check fails")
+                raise DatabaseDamagedError("the file's own check fails")
             facts = {}
             for name, value, found in self.db.execute("SELECT name, value, sum FROM facts"):
                 if check(name, value) != found:
-                    raise Damaged(f"the check sum of {name}")
+                    raise DatabaseDamagedError(f"the check sum of {name}")
                 facts[name] = msgpack.decode(value)
         except (sqlite3.Error, DecodeError, ValueError, TypeError) as error:
-            raise Damaged(str(error)) from error
+            raise DatabaseDamagedError(str(error)) from error
         if facts.get("form", self.FORM) != self.FORM:
-            raise Damaged(f"form {facts['form']}, and this release reads {self.FORM}")
+            raise DatabaseDamagedError(f"form {facts['form']}, and this release reads {self.FORM}")
         return facts
 
     def set_aside(self) -> str:
@@ -127,7 +127,7 @@
         else:
             try:
                 return file, load(file)
-            except Damaged as error:
+            except DatabaseDamagedError as error:
                 why, aside = str(error), file.set_aside()
     except (OSError, sqlite3.Error) as error:
         raise ValueError(f"{what}.folder: {folder}: {error}") from error
--- a/brackenusher/group/house.py
+++ b/brackenusher/group/house.py
@@ -9,7 +9,7 @@
 from brackenusher.membership.frames import Granted, Wish
 
 
-class Unwilling(ValueError):
+class CommandRefusedError(ValueError):
     """Why a wish is not carried out; one line."""
 
 
@@ -28,7 +28,8 @@
         deed = self.deeds.get(wish.verb)
         try:
             if deed is None:
-                raise Unwilling(f"{wish.verb}: is not on at this proxy, or not known to this release")
+                reason = "is not on at this proxy, or not known to this release"
+                raise CommandRefusedError(f"{wish.verb}: {reason}")
             return Granted(wish.nonce, True, json.encode(deed(wish)))
         except ValueError as error:
             return Granted(wish.nonce, False, json.encode(str(error)))
--- a/brackenusher/group/policies.py
+++ b/brackenusher/group/policies.py
@@ -25,18 +25,18 @@
 MORE_S = 5.0  # beyond `within`, until what became of it is unknown
 
 
-class Unwilling(ConfigError):
+class CommandRefusedError(ConfigError):
     """What a proxy says against a wish; asking again changes nothing."""
 
 
 def wish(address: str, settings: PeersSettings, verb: str, **facts: Any) -> Any:
-    """Have a proxy do or say something. Raises ConfigError; Unwilling with what it says against it."""
+    """Have a proxy do or say something. Raises ConfigError, or CommandRefusedError with its reason."""
     told = ask(address, settings, Wish(secrets.randbits(64), verb, **facts))
     if not isinstance(told, Granted):
         raise ConfigError(f"{address}: not an answer to what was asked")
     body = json.decode(told.body)
     if not told.good:
-        raise Unwilling(f"{address}: {body}")
+        raise CommandRefusedError(f"{address}: {body}")
     return body
 
 
@@ -141,7 +141,7 @@
                 if found["asked"] is None and time.monotonic() - told_at >= AGAIN_S:
                     told_at = time.monotonic()
                     wish(address, settings, "propose", id=id, who=who, why=why, at=time.time(), text=text)
-            except Unwilling:
+            except CommandRefusedError:
                 raise
             except ConfigError as error:
                 found = {"asked": None}
@@ -189,7 +189,7 @@
             if s["electorate"] != wanted and time.monotonic() - told_at >= AGAIN_S:
                 told_at = time.monotonic()
                 wish(address, settings, "voters", text=" ".join(wanted), who=who)
-        except Unwilling:
+        except CommandRefusedError:
             raise
         except ConfigError as error:
             s, line = None, str(error)
--- a/brackenusher/group/recovery.py
+++ b/brackenusher/group/recovery.py
@@ -20,7 +20,7 @@
 from barleybarrow.replica import Ready
 from brackenusher.config.operators import Operator, PeersSettings, load_operator
 from brackenusher.config.platform import ConfigError
-from brackenusher.group.database import Damaged, F, K
+from brackenusher.group.database import DatabaseDamagedError, F, K
 from brackenusher.group.policies import wish
 from brackenusher.group.shelf import Shelf
 from brackenusher.group.store import Store
@@ -74,7 +74,7 @@
             file = kind(str(folder))
             with closing(file.db):
                 return load(file)
-        except (Damaged, sqlite3.Error) as error:
+        except (DatabaseDamagedError, sqlite3.Error) as error:
             raise ConfigError(f"{path}: does not hold together: {error}") from error
 
 
--- a/brackenusher/group/replicas.py
+++ b/brackenusher/group/replicas.py
@@ -7,7 +7,7 @@
 from barleybarrow.marks import MarkError, key_of
 from brackenusher.config.operators import PeersSettings
 from brackenusher.config.platform import ConfigError
-from brackenusher.group.policies import Unwilling, wish
+from brackenusher.group.policies import CommandRefusedError, wish
 
 ACKNOWLEDGED, DIFFERENT, UNKNOWN = 0, 1, 4  # exit codes
 LOOK_S = 0.03  # seconds between two looks at what became of a write
@@ -108,4 +108,4 @@
     return verbs[options.verb]()
 
 
-__all__ = ["Unwilling", "run", "written"]
+__all__ = ["CommandRefusedError", "run", "written"]
--- a/brackenusher/group/replicator.py
+++ b/brackenusher/group/replicator.py
@@ -26,7 +26,7 @@
 from brackenusher.core.admission import Request
 from brackenusher.core.transaction import Transactions
 from brackenusher.group.database import Worker, opened
-from brackenusher.group.house import House, Unwilling
+from brackenusher.group.house import CommandRefusedError, House
 from brackenusher.group.inorder import InOrder
 from brackenusher.group.pasts import Pasts
 from brackenusher.group.shelf import Shelf
@@ -318,13 +318,14 @@
     # What staff want
 
     def write(self, key: str, value: bytes | None) -> int:
-        """Raises Unwilling."""
+        """Raises CommandRefusedError."""
         why = self.machine.may_write()
         if why:
-            raise Unwilling(f"{self.name} {why}")
+            raise CommandRefusedError(f"{self.name} {why}")
         self.token += 1
         if not self.machine.write(clock(), self.token, key, value):
-            raise Unwilling(f"{key}: is not marked" if value is None else f"{key}: there is no room")
+            reason = "is not marked" if value is None else "there is no room"
+            raise CommandRefusedError(f"{key}: {reason}")
         self.outcomes[self.token] = "on its way"
         self.pump()
         self.again()
@@ -350,7 +351,7 @@
         slot = self.machine.state.slots.get(key, ())
         marked = [e for e in slot if e.value is not None]
         if key not in self.effect.conflicts:
-            raise Unwilling(f"{key}: is not in conflict")
+            raise CommandRefusedError(f"{key}: is not in conflict")
         return {"token": self.write(key, marked[0].value)}
 
     def outcome(self, wish: Wish) -> Any:
--- a/brackenusher/group/shelf.py
+++ b/brackenusher/group/shelf.py
@@ -6,7 +6,7 @@
 
 from barleybarrow.causal import Entry
 from barleybarrow.replica import Kept, Ready
-from brackenusher.group.database import Damaged, File
+from brackenusher.group.database import DatabaseDamagedError, File
 from brackenusher.runtime.points import reach
 
 ENTRIES = msgpack.Decoder(list[Entry])
@@ -23,17 +23,17 @@
     TABLES = ("CREATE TABLE IF NOT EXISTS slots (key TEXT PRIMARY KEY, data BLOB, sum BLOB)",)
 
     def load(self) -> Kept:
-        """Raises Damaged."""
+        """Raises DatabaseDamagedError."""
         facts, kept = self.whole(), Kept()
         try:
             if "kept" in facts:
                 kept = msgpack.decode(facts["kept"], type=Kept)
             for key, data, found in self.db.execute("SELECT key, data, sum FROM slots"):
                 if sum_of(key, data) != found:
-                    raise Damaged(f"the entries of {key}")
+                    raise DatabaseDamagedError(f"the entries of {key}")
                 kept.entries += ENTRIES.decode(data)
         except (DecodeError, ValueError, TypeError) as error:
-            raise Damaged(str(error)) from error
+            raise DatabaseDamagedError(str(error)) from error
         return kept
 
     def keep(self, ready: Ready) -> None:
--- a/brackenusher/group/store.py
+++ b/brackenusher/group/store.py
@@ -7,7 +7,7 @@
 
 from barleybarrow.agreement import Entry, Ready, Snapshot
 from barleybarrow.lives import Life
-from brackenusher.group.database import Damaged, File, check
+from brackenusher.group.database import DatabaseDamagedError, File, check
 from brackenusher.runtime.points import reach
 
 
@@ -33,12 +33,12 @@
     )
 
     def load(self) -> Kept:
-        """Raises Damaged."""
+        """Raises DatabaseDamagedError."""
         facts = self.whole()
         try:
             return self.read(facts)
         except (DecodeError, ValueError, TypeError) as error:
-            raise Damaged(str(error)) from error
+            raise DatabaseDamagedError(str(error)) from error
 
     def read(self, facts: dict[str, Any]) -> Kept:
         kept = Kept(facts.get("term", 0), facts.get("vote", ""), facts.get("lives", 0))
@@ -52,7 +52,7 @@
         ):
             place += 1
             if at != place or check(at, term, kind, data) != found:
-                raise Damaged(f"entry {at} of the log")
+                raise DatabaseDamagedError(f"entry {at} of the log")
             kept.entries.append(Entry(term, kind, data))
         return kept
 
--- a/brackenusher/group/streams.py
+++ b/brackenusher/group/streams.py
@@ -17,8 +17,8 @@
 from msgspec import DecodeError, Meta, Struct, ValidationError, msgpack
 
 from brackenusher.config.operators import PeersSettings
-from brackenusher.membership.frames import MOST_FRAME, Broken, Open, Opened, pack, unpack
-from brackenusher.membership.seal import Refused, seal, unseal
+from brackenusher.membership.frames import MOST_FRAME, FrameError, Open, Opened, pack, unpack
+from brackenusher.membership.seal import SealError, seal, unseal
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import Address, write
 from brackenusher.runtime.log import say
@@ -51,15 +51,15 @@
         self.buffer = bytearray()
 
     def feed(self, data: memoryview) -> list[bytes]:
-        """The bodies that are whole by now. Raises Broken."""
+        """The bodies that are whole by now. Raises FrameError."""
         if not data:
-            raise Broken("cut short")
+            raise FrameError("cut short")
         self.buffer += data
         found = []
         while len(self.buffer) >= 4:
             length = int.from_bytes(self.buffer[:4], "big")
             if length > MOST_FRAME:
-                raise Broken(f"a frame of {length} bytes")
+                raise FrameError(f"a frame of {length} bytes")
             if len(self.buffer) < 4 + length:
                 break
             found.append(bytes(self.buffer[4 : 4 + length]))
@@ -184,7 +184,7 @@
                     self.buffers.receive(sock, lambda data: bodies.extend(frames.feed(data)))
             told = unpack(settings.keys, bodies[0])
             if not isinstance(told, Opened):
-                raise Broken("not an answer to what was said")
+                raise FrameError("not an answer to what was said")
             self.loop.deadlines.remove(limit)
             self.known(out.name, told.lives)
             count, rest = 0, b""
@@ -203,8 +203,8 @@
                         yield WRITE
                 events = yield READ
                 if events & READ and not sock.recv(1):
-                    raise Broken("closed")
-        except (OSError, Broken) as error:
+                    raise FrameError("closed")
+        except (OSError, FrameError) as error:
             code = error.errno or 0 if isinstance(error, OSError) else 0
             say(
                 log,
@@ -252,7 +252,7 @@
             while not told:  # what it says of itself is on disk here before it hears an answer
                 yield 0
             if told[0] is None:
-                raise Broken("the disk fails here")
+                raise FrameError("the disk fails here")
             opened = Opened(number, told[0])
             rest = pack(opened, settings.keys[settings.sign], settings.sign)
             while rest:
@@ -266,11 +266,11 @@
                 for sealed in bodies:
                     body = msgpack.decode(unseal(settings.keys, STREAM, sealed), type=Body)
                     if body.number != number or body.count != count + 1:
-                        raise Broken("another's words")
+                        raise FrameError("another's words")
                     count = body.count
                     if body.data:
                         self.hand(said.name, body.data)
-        except (OSError, Broken, Refused, DecodeError, ValidationError, BlockingIOError) as error:
+        except (OSError, FrameError, SealError, DecodeError, ValidationError, BlockingIOError) as error:
             say(
                 log,
                 logging.DEBUG,
--- a/brackenusher/handover/messages.py
+++ b/brackenusher/handover/messages.py
@@ -38,7 +38,7 @@
     CLIENTS = "clients"
 
 
-class Garbled(ValueError):
+class HandoverMessageError(ValueError):
     """A packet that cannot be used."""
 
 
@@ -46,19 +46,19 @@
     """A packet."""
     data = ujson.dumps([VERSION, kind.value, body], escape_forward_slashes=False).encode()
     if len(data) > LONGEST:
-        raise Garbled(f"{kind.value}: {len(data)} bytes are too many for a packet")
+        raise HandoverMessageError(f"{kind.value}: {len(data)} bytes are too many for a packet")
     return data
 
 
 def read(data: bytes) -> tuple[Kind, Any]:
-    """Read a packet; raises Garbled."""
+    """Read a packet; raises HandoverMessageError."""
     try:
         version, name, body = ujson.loads(data)
         kind = Kind(name)
     except (ValueError, TypeError) as error:
-        raise Garbled(f"a packet cannot be read: {error}") from error
+        raise HandoverMessageError(f"a packet cannot be read: {error}") from error
     if version != VERSION:
-        raise Garbled(f"version {version!r} is spoken there, {VERSION} here")
+        raise HandoverMessageError(f"version {version!r} is spoken there, {VERSION} here")
     return kind, body
 
 
--- a/brackenusher/handover/new.py
+++ b/brackenusher/handover/new.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from brackenusher.handover.messages import LONGEST, MOST_PASSED, Garbled, Kind, read, word
+from brackenusher.handover.messages import LONGEST, MOST_PASSED, HandoverMessageError, Kind, read, word
 from brackenusher.handover.old import ours
 from brackenusher.runtime.log import say
 from brackenusher.runtime.loop import READ, Coroutine, Loop, clock
@@ -46,7 +46,7 @@
         link.settimeout(PATIENCE / 1000.0)
         link.connect(str(path))
         if not ours(link):
-            raise Garbled("the old process is another user's")
+            raise HandoverMessageError("the old process is another user's")
         link.send(word(Kind.HELLO))
         while True:
             left = end - clock()
@@ -56,7 +56,7 @@
             if receive(taken):
                 link.setblocking(False)
                 return taken
-    except (OSError, Garbled, ValueError, TypeError, KeyError) as error:
+    except (OSError, HandoverMessageError, ValueError, TypeError, KeyError) as error:
         taken.drop()
         say(log, logging.WARNING, "no_handover", "no handover, an ordinary start: %(why)s", why=error)
         return None
@@ -68,13 +68,13 @@
     socks = [socket.socket(fileno=fd) for fd in fds]
     try:
         if not data:
-            raise Garbled("the old process has gone")
+            raise HandoverMessageError("the old process has gone")
         if flags & socket.MSG_CTRUNC:
-            raise Garbled("descriptors run short")
+            raise HandoverMessageError("descriptors run short")
         kind, body = read(data)
         if kind is Kind.WELCOME and not taken.listeners:
             if len(body) != len(socks) or not socks:
-                raise Garbled("addresses and sockets differ in number")
+                raise HandoverMessageError("addresses and sockets differ in number")
             taken.listeners, socks = dict(zip(body, socks, strict=True)), []
         elif kind is Kind.LIST and taken.listeners:
             taken.hosts += body
@@ -84,7 +84,7 @@
             taken.state = dict(body)
             return True
         else:
-            raise Garbled(f"{kind.value} is out of turn")
+            raise HandoverMessageError(f"{kind.value} is out of turn")
         return False
     finally:
         for sock in socks:
@@ -129,8 +129,8 @@
                 if kind is Kind.HELD:
                     self.held(body)
                 elif kind is not Kind.CLIENTS:
-                    raise Garbled(f"{kind.value} is out of turn")
-        except (OSError, Garbled) as error:
+                    raise HandoverMessageError(f"{kind.value} is out of turn")
+        except (OSError, HandoverMessageError) as error:
             say(log, logging.WARNING, "handover_broken", "handover: %(why)s", why=error)
         finally:
             self.ended()
--- a/brackenusher/handover/old.py
+++ b/brackenusher/handover/old.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Generator, Iterable, Mapping, Sequence
 from pathlib import Path
 
-from brackenusher.handover.messages import LONGEST, MOST_PASSED, Garbled, Kind, read, word
+from brackenusher.handover.messages import LONGEST, MOST_PASSED, HandoverMessageError, Kind, read, word
 from brackenusher.runtime.log import say
 from brackenusher.runtime.loop import READ, WRITE, Coroutine, Loop
 
@@ -99,8 +99,8 @@
                     say(log, logging.INFO, "successor_serves", "a new process serves beside this one")
                     self.came()
                 else:
-                    raise Garbled(f"{kind.value} is out of turn")
-        except (OSError, Garbled) as error:
+                    raise HandoverMessageError(f"{kind.value} is out of turn")
+        except (OSError, HandoverMessageError) as error:
             say(log, logging.WARNING, "handover_broken", "handover: %(why)s", why=error)
         finally:
             self.link, self.given, self.serves = None, False, False
--- a/brackenusher/membership/agent.py
+++ b/brackenusher/membership/agent.py
@@ -8,7 +8,7 @@
 
 from barleybarrow import interface as face
 from brackenusher.core.transaction import Transactions
-from brackenusher.membership.discovery import Broken, Discovery
+from brackenusher.membership.discovery import Discovery, DiscoveryError
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import Address, open_socket, write
 from brackenusher.runtime.log import say
@@ -94,7 +94,7 @@
         why = "ended"
         try:
             if not (yield WRITE):
-                raise Broken("silent")
+                raise DiscoveryError("silent")
             rest, self.call = machine.start(), b""
             while True:
                 if rest:
@@ -106,8 +106,8 @@
                 except BlockingIOError:
                     pass
                 if self.late:
-                    raise Broken("silent")
-        except (OSError, Broken) as error:
+                    raise DiscoveryError("silent")
+        except (OSError, DiscoveryError) as error:
             why = str(error)
         finally:
             self.loop.deadlines.remove(self.limit)
@@ -122,7 +122,7 @@
         listings: Sequence[Listing] = ()
         try:
             listings, self.call = machine.receive(data)
-        except Broken as error:
+        except DiscoveryError as error:
             listings = error.listings
             raise
         finally:
--- a/brackenusher/membership/discovery.py
+++ b/brackenusher/membership/discovery.py
@@ -17,7 +17,7 @@
 LONGEST_LINE = 4 * 1024 * 1024
 
 
-class Broken(Exception):
+class DiscoveryError(Exception):
     """Discovery's answer cannot be used; the connection is of no further use. What came before counts."""
 
     def __init__(self, why: str, listings: Sequence[Listing] = ()) -> None:
@@ -53,12 +53,12 @@
 def read_listing(document: Any) -> Listing:
     """Read a list in discovery's form; an entry that cannot be read is left out and logged."""
     if not isinstance(document, dict):
-        raise Broken("a list is an object")
+        raise DiscoveryError("a list is an object")
     try:
         listing = Listing(int(document["seq"]), bool(document.get("whole")), [])
         entries = list(document["hosts"])
     except (KeyError, TypeError, ValueError) as error:
-        raise Broken(f"not a list: {error!r}") from error
+        raise DiscoveryError(f"not a list: {error!r}") from error
     for entry in entries:
         try:
             listing.hosts.append(read_host(entry))
@@ -73,7 +73,7 @@
     try:
         return read_listing(ujson.loads(text))
     except ValueError as error:
-        raise Broken(f"not JSON: {error}") from error
+        raise DiscoveryError(f"not JSON: {error}") from error
 
 
 class Discovery:
@@ -96,7 +96,7 @@
     def receive(self, data: bytes | memoryview) -> tuple[list[Listing], bytes]:
         """Take bytes, b"" at the end of the stream; return the lists they hold and what to send in turn.
 
-        Broken brings the lists that came before it in the same bytes.
+        DiscoveryError brings the lists that came before it in the same bytes.
         """
         listings: list[Listing] = []
         reply = b""
@@ -107,21 +107,21 @@
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return listings, reply
                 if isinstance(event, h11.Response) and event.status_code != 200:
-                    raise Broken(f"status {event.status_code}")
+                    raise DiscoveryError(f"status {event.status_code}")
                 if isinstance(event, h11.Data):
                     self.text += event.data
                     self.lines(listings)
                 elif isinstance(event, h11.EndOfMessage):
                     reply = self.ended(listings)
                 elif isinstance(event, h11.ConnectionClosed):
-                    raise Broken("closed")
-        except (Broken, h11.RemoteProtocolError) as error:
-            raise Broken(str(error), listings) from error
+                    raise DiscoveryError("closed")
+        except (DiscoveryError, h11.RemoteProtocolError) as error:
+            raise DiscoveryError(str(error), listings) from error
 
     def lines(self, listings: list[Listing]) -> None:
         """Read the whole lines of a watch; an empty one says only that the agent is there."""
         if len(self.text) > LONGEST_LINE:
-            raise Broken("a line without end")
+            raise DiscoveryError("a line without end")
         if not self.watching:
             return
         *whole, rest = bytes(self.text).split(b"\n")
@@ -135,7 +135,7 @@
     def ended(self, listings: list[Listing]) -> bytes:
         """The answer is whole: after the list comes the watch, on the same connection if it is kept."""
         if self.watching:
-            raise Broken("the watch ended")
+            raise DiscoveryError("the watch ended")
         listings.append(parse(bytes(self.text)))
         self.seq, self.heard = listings[-1].seq, self.heard + 1
         if self.machine.our_state is not h11.DONE or self.machine.their_state is not h11.DONE:
--- a/brackenusher/membership/frames.py
+++ b/brackenusher/membership/frames.py
@@ -11,8 +11,8 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from barleybarrow.knowledge import Absurd, Evidence
-from brackenusher.membership.seal import FRAME, Refused, seal, unseal
+from barleybarrow.knowledge import Evidence, InvalidEvidenceError
+from brackenusher.membership.seal import FRAME, SealError, seal, unseal
 
 MOST_FRAME = 1024 * 1024  # bytes: 1,024 pieces of evidence are some 100 KB
 MOST_TOLD = 1024  # pieces of evidence in an answer: to make one takes some 10 ms, in which nothing is served
@@ -24,7 +24,7 @@
 Record = Annotated[bytes, Meta(max_length=LONGEST_RECORD)]
 
 
-class Broken(ValueError):
+class FrameError(ValueError):
     """What came is no frame, or none that was asked for."""
 
 
@@ -147,13 +147,13 @@
 
 
 def decode(record: bytes, now: float) -> Evidence:
-    """Raises Absurd where it is no evidence; what it says is checked where it is merged."""
+    """Raises InvalidEvidenceError where it is no evidence; what it says is checked where it is merged."""
     if len(record) > LONGEST_RECORD:
-        raise Absurd("too long")
+        raise InvalidEvidenceError("too long")
     try:
         p = PIECES.decode(record)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise Absurd("no evidence") from error
+        raise InvalidEvidenceError("no evidence") from error
     rest = (getattr(p, name) for name in AFTER_SERIAL)
     return Evidence(p.backend, p.born, p.origin, p.epoch, p.serial, now - p.age, *rest)
 
@@ -165,11 +165,11 @@
 
 
 def unpack(keys: Mapping[str, bytes], body: bytes) -> Frame:
-    """Raises Broken."""
+    """Raises FrameError."""
     try:
         return FRAMES.decode(unseal(keys, FRAME, body))
-    except (Refused, msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise Broken(str(error)) from error
+    except (SealError, msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise FrameError(str(error)) from error
 
 
 class Reader:
@@ -179,15 +179,15 @@
         self.most, self.buffer = most, bytearray()
 
     def feed(self, data: bytes | memoryview) -> bytes | None:
-        """The body once it is there whole. Raises Broken where it would be too long, or more follows it."""
+        """The body once it is there whole. Raises FrameError where it is too long, or more follows it."""
         self.buffer += data[: self.most + 5 - len(self.buffer)]
         if len(self.buffer) < 4:
             return None
         length = int.from_bytes(self.buffer[:4], "big")
         if length > self.most:
-            raise Broken(f"a frame of {length} bytes")
+            raise FrameError(f"a frame of {length} bytes")
         if len(self.buffer) > 4 + length:
-            raise Broken("more than one frame")
+            raise FrameError("more than one frame")
         return bytes(self.buffer[4:]) if len(self.buffer) == 4 + length else None
 
 
--- a/brackenusher/membership/keeper.py
+++ b/brackenusher/membership/keeper.py
@@ -9,7 +9,16 @@
 from typing import Any
 
 from barleybarrow import interface as face
-from barleybarrow.knowledge import FADE, SOME, Absurd, Book, Evidence, Sightings, Teller, first_hand
+from barleybarrow.knowledge import (
+    FADE,
+    SOME,
+    Book,
+    Evidence,
+    InvalidEvidenceError,
+    Sightings,
+    Teller,
+    first_hand,
+)
 from brackenusher.core.transaction import Transactions
 from brackenusher.membership.frames import MOST_TOLD, decode, encode, worth_most
 from brackenusher.upstream.pool import Pool
@@ -80,7 +89,7 @@
         for record in records:
             try:
                 e = decode(record, now)
-            except Absurd:
+            except InvalidEvidenceError:
                 self.rejected += 1
                 continue
             if e.origin == self.name and e.epoch >= self.epoch:
--- a/brackenusher/membership/peers.py
+++ b/brackenusher/membership/peers.py
@@ -21,7 +21,7 @@
     MOST_FRAME,
     MOST_TOLD,
     Asked,
-    Broken,
+    FrameError,
     Granted,
     Line,
     Members,
@@ -394,19 +394,19 @@
                     rest = write(sock, rest)
                     if rest:
                         yield WRITE
-        except (OSError, Broken) as error:
+        except (OSError, FrameError) as error:
             say(log, logging.DEBUG, "knowledge_not_told", "peers: a question: %(why)s", why=str(error))
         finally:
             self.loop.deadlines.remove(self.limits.pop(sock, None))
             self.askers -= not streaming
 
     def read(self, sock: socket.socket, reader: Reader) -> bytes | None:
-        """Read once; the body of the frame once it is whole. Raises Broken where it never will be."""
+        """Read once; the body of the frame once it is whole. Raises FrameError where it never will be."""
         found: list[bytes | None] = [None]
 
         def feed(data: memoryview) -> None:
             if not data:
-                raise Broken("cut short")
+                raise FrameError("cut short")
             found[0] = reader.feed(data)
 
         try:
@@ -444,10 +444,10 @@
                 body = self.read(sock, reader)
             told = unpack(settings.keys, body)
             if not isinstance(told, Told) or told.nonce != nonce:
-                raise Broken("an answer to something else")
+                raise FrameError("an answer to something else")
             news = self.keeper.take(clock(), told.records)
             why = f"{len(told.records)} pieces, {len(news)} of them news"
-        except (OSError, Broken) as error:
+        except (OSError, FrameError) as error:
             why = str(error)
         finally:
             self.told(address, why)
@@ -470,7 +470,7 @@
             held = snapshot.read(path, now)
         except FileNotFoundError:
             return
-        except snapshot.Unusable as error:
+        except snapshot.SnapshotError as error:
             try:
                 what = "set aside as " + snapshot.set_aside(path)
             except OSError as stuck:
--- a/brackenusher/membership/seal.py
+++ b/brackenusher/membership/seal.py
@@ -15,7 +15,7 @@
 DATAGRAM, FRAME = b"datagram", b"frame"
 
 
-class Refused(ValueError):
+class SealError(ValueError):
     """What came does not count; the text is one word for a counter: garbage, form, key or mac."""
 
 
@@ -29,20 +29,20 @@
 
 
 def unseal(keys: Mapping[str, bytes], purpose: bytes, data: bytes) -> bytes:
-    """The body; raises Refused. Nothing of it has been looked at before the MAC has held."""
+    """The body; raises SealError. Nothing of it has been looked at before the MAC has held."""
     if len(data) < 4 or data[:2] != MAGIC:
-        raise Refused("garbage")
+        raise SealError("garbage")
     if data[2] != FORM:
-        raise Refused("form")
+        raise SealError("form")
     begin = 4 + data[3]
     if len(data) < begin + MAC:
-        raise Refused("garbage")
+        raise SealError("garbage")
     kid, body = data[4:begin], data[begin + MAC :]
     key = keys.get(kid.decode("ascii", "replace"))
     if key is None:
-        raise Refused("key")
+        raise SealError("key")
     if not hmac.compare_digest(mac(key, purpose, kid, body), data[begin : begin + MAC]):
-        raise Refused("mac")
+        raise SealError("mac")
     return body
 
 
--- a/brackenusher/membership/show.py
+++ b/brackenusher/membership/show.py
@@ -8,14 +8,14 @@
 from math import exp, isfinite
 from typing import TextIO
 
-from barleybarrow.knowledge import NEVER, Absurd, Evidence
+from barleybarrow.knowledge import NEVER, Evidence, InvalidEvidenceError
 from brackenusher.config.operators import PeersSettings
 from brackenusher.config.platform import ConfigError, read_address
 from brackenusher.membership import snapshot
 from brackenusher.membership.frames import (
     Asked,
-    Broken,
     Frame,
+    FrameError,
     Granted,
     Members,
     Reader,
@@ -46,10 +46,10 @@
             while body is None:
                 data = sock.recv(65_536)
                 if not data:
-                    raise Broken("it closed the connection: its keys may be others")
+                    raise FrameError("it closed the connection: its keys may be others")
                 body = reader.feed(data)
         told = unpack(settings.keys, body)
-    except (OSError, Broken) as error:
+    except (OSError, FrameError) as error:
         raise ConfigError(f"{address}: {error}") from error
     if not isinstance(told, Told | Members | Granted) or told.nonce != question.nonce:
         raise ConfigError(f"{address}: not an answer to what was asked")
@@ -73,7 +73,7 @@
     else:
         try:
             held = snapshot.read(source, now)
-        except (snapshot.Unusable, OSError) as error:
+        except (snapshot.SnapshotError, OSError) as error:
             raise ConfigError(f"{source}: {error}") from error
         records = held.records
         head = f"{source}: saved by {held.name} {max(0.0, now - held.saved) / 1000.0:.1f} s ago"
@@ -82,7 +82,7 @@
     for record in records:
         try:
             found.append(decode(record, now))
-        except Absurd:
+        except InvalidEvidenceError:
             continue
     return f"{head}, {len(found)} pieces", sorted(found, key=lambda e: (e.backend, e.born, e.origin))
 
--- a/brackenusher/membership/snapshot.py
+++ b/brackenusher/membership/snapshot.py
@@ -22,7 +22,7 @@
 AHEAD = 300_000.0  # milliseconds that a file's clock may be ahead of ours: it may have been set back since
 
 
-class Unusable(ValueError):
+class SnapshotError(ValueError):
     """The file cannot be used; the text says why."""
 
 
@@ -44,35 +44,35 @@
 
 
 def decode(data: bytes, now: float) -> Snapshot:
-    """Read a file's bytes at a time in Unix milliseconds; raises Unusable."""
+    """Read a file's bytes at a time in Unix milliseconds; raises SnapshotError."""
     head = MAGIC % FORM
     if not data.startswith(head):
         other = data.startswith(MAGIC.split(b"%")[0])
-        raise Unusable("written in another form" if other else "no snapshot")
+        raise SnapshotError("written in another form" if other else "no snapshot")
     begin = len(head) + 2 * DIGEST + 1
     digest, body = data[len(head) : begin], data[begin:]
     if digest != blake2b(body, digest_size=DIGEST).hexdigest().encode() + b"\n":
-        raise Unusable("cut short or changed: its checksum does not hold")
+        raise SnapshotError("cut short or changed: its checksum does not hold")
     try:
         snapshot = DECODER.decode(body)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise Unusable(str(error)) from error
+        raise SnapshotError(str(error)) from error
     if snapshot.saved > now + AHEAD:
-        raise Unusable("written in the future")
+        raise SnapshotError("written in the future")
     return snapshot
 
 
 def read(path: str, now: float) -> Snapshot:
-    """Read a file; raises Unusable, or FileNotFoundError where there is none."""
+    """Read a file; raises SnapshotError, or FileNotFoundError where there is none."""
     try:
         with open(path, "rb") as file:
             data = file.read(MOST + 1)
     except FileNotFoundError:
         raise
     except OSError as error:
-        raise Unusable(str(error)) from error
+        raise SnapshotError(str(error)) from error
     if len(data) > MOST:
-        raise Unusable(f"over {MOST} bytes")
+        raise SnapshotError(f"over {MOST} bytes")
     return decode(data, now)
 
 
--- a/brackenusher/membership/swim.py
+++ b/brackenusher/membership/swim.py
@@ -26,7 +26,7 @@
 
 from barleybarrow.assembly import Assembly, Body
 from barleybarrow.views import ALIVE, DEAD, LEFT, MOST_MEMBERS, SUSPECT, Stamp, View
-from brackenusher.membership.seal import DATAGRAM, Refused, overhead, seal, unseal
+from brackenusher.membership.seal import DATAGRAM, SealError, overhead, seal, unseal
 
 Address = tuple[str, int]
 
@@ -443,7 +443,7 @@
             return []
         try:
             message = self.decoder.decode(unseal(self.keys, DATAGRAM, data))
-        except Refused as why:
+        except SealError as why:
             self.counts[str(why)] += 1
         except (msgspec.MsgspecError, ValueError, RecursionError):
             self.counts["garbage"] += 1
--- a/brackenusher/runtime/log.py
+++ b/brackenusher/runtime/log.py
@@ -15,7 +15,7 @@
 UNNAMED = "note"  # the event of a line that a library logged in its own words
 
 
-class NoFormat(ValueError):
+class LogFormatError(ValueError):
     """The format cannot be had."""
 
 
@@ -42,13 +42,13 @@
 
 
 def take_form(form: str) -> None:
-    """Have every line written in a format from now on. Raises NoFormat where structlog is not installed."""
+    """Have every line written in a format from now on. Raises LogFormatError without structlog."""
     if form == "text":
         return
     try:
         from structlog import processors, stdlib
     except ImportError as error:
-        raise NoFormat(f"{form} needs structlog: pip install 'brackenusher[log]'") from error
+        raise LogFormatError(f"{form} needs structlog: pip install 'brackenusher[log]'") from error
 
     def word(_: Any, __: str, given: MutableMapping[str, Any]) -> MutableMapping[str, Any]:
         record: logging.LogRecord = given["_record"]
--- a/brackenusher/upstream/flow.py
+++ b/brackenusher/upstream/flow.py
@@ -40,7 +40,7 @@
     served: Served | None = None
 
 
-class Spoilt(Exception):
+class UnreadableAnswerError(Exception):
     """Raised to the parser: what follows is not to be read."""
 
 
@@ -116,7 +116,7 @@
             self.parser.feed_data(data)
             if not self.done:  # where others came before it, how much is its own is not known
                 self.weigh(size if self.heads <= before else 0)
-        except (HttpParserError, HttpParserUpgrade, Spoilt):
+        except (HttpParserError, HttpParserUpgrade, UnreadableAnswerError):
             self.usable = False
             if self.rest is not None:
                 self.end(whole=self.done)
@@ -139,21 +139,21 @@
         """Count what the parser told of a head; it tells of a header once that is whole."""
         self.size += size
         if self.size > LONGEST_HEAD:
-            raise Spoilt
+            raise UnreadableAnswerError
 
     def weigh(self, size: int) -> None:
         """Count bytes as they come, lest what the parser does not tell of yet grows without bound."""
         self.come += size
         most = LONGEST_STREAM + (FRAMING * self.rest.came if self.rest is not None else 0)
         if self.come > (most if self.in_body else LONGEST_HEAD + SLACK):
-            raise Spoilt
+            raise UnreadableAnswerError
 
     # what the parser calls
 
     def on_message_begin(self) -> None:
         self.begun, self.heads, self.come = True, self.heads + 1, 0
         if self.done:  # more than belongs to the answer: the next request could be given it
-            raise Spoilt
+            raise UnreadableAnswerError
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.count(len(name) + len(value) + 4)  # with its colon, a space and the line's end
@@ -174,37 +174,37 @@
             self.closing = self.closing or b"close" in options
         elif name == b"transfer-encoding":
             if self.framed or value.lower() != b"chunked":
-                raise Spoilt  # a coding that is not undone here would be taken for the body
+                raise UnreadableAnswerError  # a coding that is not undone here would be taken for the body
             self.framed = True
         elif name == b"content-length":
             self.framed, self.length = True, int(value)
             if self.length > (LONGEST_PASSED if self.streams else LONGEST_BODY):
-                raise Spoilt
+                raise UnreadableAnswerError
 
     def on_headers_complete(self) -> None:
         self.in_body, status, version = True, self.parser.get_status_code(), self.parser.get_http_version()
         if status < 100 or version not in ("1.0", "1.1"):
-            raise Spoilt
+            raise UnreadableAnswerError
         self.sure = version == "1.1" and not (self.framed and status in (204, 304))
         if status < 200:
             self.interim += 1
             if self.interim > MOST_INTERIM:
-                raise Spoilt
+                raise UnreadableAnswerError
         elif not self.framed and status not in (204, 304):
             if not self.closing and version != "1.0":
-                raise Spoilt  # it says neither how long it is nor that it ends with the connection
+                raise UnreadableAnswerError  # neither its length nor its end with the connection is said
             self.to_the_end = True
 
     def on_body(self, part: bytes) -> None:
         if self.rest is not None:
             self.rest.put(part)
             if self.rest.came > LONGEST_PASSED:
-                raise Spoilt
+                raise UnreadableAnswerError
             return
         self.body += part
         if len(self.body) > LONGEST_BODY or (self.length or 0) > LONGEST_BODY:
             if not self.streams or self.parser.get_status_code() != 200:
-                raise Spoilt
+                raise UnreadableAnswerError
             self.pass_on()
 
     def pass_on(self) -> None:
--- a/testbed/policies/base.py
+++ b/testbed/policies/base.py
@@ -161,7 +161,7 @@
                     self.actions.append(face.Watch())
                 self.dispatch()
             case _:
-                raise face.UnknownEvent(type(event).__name__)
+                raise face.UnknownEventError(type(event).__name__)
         at = min(self.watch_at, now + self.sweep if self.again or any(self.queues) else inf)
         if at < self.wake_at:
             self.wake_at = at
--- a/testbed/processes/replicated.py
+++ b/testbed/processes/replicated.py
@@ -56,7 +56,7 @@
             facts |= {"who": "chance", "why": "", "at": time.time(), "number": 0}
         try:
             code = replicas.written(self.address(number), self.peers, verb, io.StringIO(), **facts)
-        except replicas.Unwilling:
+        except replicas.CommandRefusedError:
             return None
         except ConfigError:  # it may have heard of it, or still hear
             self.told(began, key, verb == "mark", False, answered=False)
--- a/testbed/sockets/agents.py
+++ b/testbed/sockets/agents.py
@@ -106,7 +106,7 @@
         fleet, registry = self.agent.fleet, self.agent.fleet.registry
         try:
             messages = self.reader.feed(data)
-        except http.Unreadable:
+        except http.UnreadableMessageError:
             self.transport.abort()
             return
         for first, _, _ in messages:
--- a/testbed/sockets/fleet.py
+++ b/testbed/sockets/fleet.py
@@ -213,7 +213,7 @@
                 return
         try:
             messages = self.reader.feed(data)
-        except http.Unreadable:
+        except http.UnreadableMessageError:
             self.reset()
             return
         for first, head, _ in messages:
--- a/testbed/sockets/http.py
+++ b/testbed/sockets/http.py
@@ -9,7 +9,7 @@
 LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*(\d{1,9})[ \t]*\r\n", re.IGNORECASE)
 
 
-class Unreadable(ValueError):
+class UnreadableMessageError(ValueError):
     """What came is no message that can be read here."""
 
 
@@ -27,13 +27,13 @@
             end = self.bytes.find(b"\r\n\r\n")
             if end < 0:
                 if len(self.bytes) > LONGEST:
-                    raise Unreadable("a head without end")
+                    raise UnreadableMessageError("a head without end")
                 break
             head = bytes(self.bytes[: end + 4])
             length = LENGTH.search(head)
             size = int(length[1]) if length else 0
             if size > LONGEST:
-                raise Unreadable("a body too large")
+                raise UnreadableMessageError("a body too large")
             if len(self.bytes) < end + 4 + size:
                 break
             first, _, rest = head.partition(b"\r\n")
--- a/testbed/sockets/load.py
+++ b/testbed/sockets/load.py
@@ -94,7 +94,7 @@
     def data_received(self, data: bytes) -> None:
         try:
             messages = self.reader.feed(data)
-        except http.Unreadable:
+        except http.UnreadableMessageError:
             self.load.unreadable(self)
             return
         for first, head, body in messages:
--- a/testbed/steps.py
+++ b/testbed/steps.py
@@ -24,6 +24,8 @@
 PASS = 310.0  # milliseconds that go by in one act: some questions are put, and one silence becomes a proof
 WITHIN = 900.0  # until a change is withdrawn: three of them, as many as a proof that one is down takes
 
+Path = tuple[str, ...]  # acts, from the first state on
+
 
 class Steps:
     """All machines, what is on its way between them, and what clients have seen so far."""
@@ -205,8 +207,7 @@
     """
     first = Steps(size)
     first.rest()
-    Way = tuple[str, ...]
-    queue: deque[tuple[Steps, Left, Way]] = deque([(first, Left(faults, proposals, passes), ())])
+    queue: deque[tuple[Steps, Left, Path]] = deque([(first, Left(faults, proposals, passes), ())])
     seen, deepest = {(first.state(), queue[0][1])}, 0
     while queue and len(seen) < most:
         table, left, way = queue.popleft()
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -329,7 +329,7 @@
         Balancer(settings(classes=[]), 1, 0.0)
     with pytest.raises(face.SettingsError):
         Balancer(settings(cold=-1), 1, 0.0)
-    with pytest.raises(face.UnknownEvent):
+    with pytest.raises(face.UnknownEventError):
         Proxy().give("surprise")
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -31,7 +31,7 @@
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.fronts.http1 import clients
 from brackenusher.membership import agent as agent_driver
-from brackenusher.membership.discovery import Broken, Discovery
+from brackenusher.membership.discovery import Discovery, DiscoveryError
 from brackenusher.runtime import loop as runtime
 from brackenusher.runtime.loop import READ, Loop
 from testbed.sockets.ports import free_port
@@ -455,7 +455,7 @@
     for piece in filter(None, [*pieces, b"\0"]):
         try:
             got += machine.receive(piece)[0]
-        except Broken as error:
+        except DiscoveryError as error:
             return got + list(error.listings)
     return got
 
@@ -482,8 +482,8 @@
         def receive(self, data):
             try:
                 return super().receive(data)
-            except Broken as error:
-                raise Broken(str(error)) from error
+            except DiscoveryError as error:
+                raise DiscoveryError(str(error)) from error
 
     assert all(heard(a_watch(2, end), [], Forgetful) == [] for end in ENDS)
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -51,7 +51,7 @@
     ],
 )
 def test_a_packet_that_cannot_be_used_is_garbled(data):
-    with pytest.raises(messages.Garbled):
+    with pytest.raises(messages.HandoverMessageError):
         messages.read(data)
 
 
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -19,8 +19,18 @@
 from brackenusher.config.operators import read_operator
 from brackenusher.config.platform import ConfigError
 from brackenusher.membership import frames, snapshot
-from brackenusher.membership.frames import Asked, Broken, Piece, Reader, Told, decode, encode, pack, unpack
-from brackenusher.membership.snapshot import Snapshot, Unusable
+from brackenusher.membership.frames import (
+    Asked,
+    FrameError,
+    Piece,
+    Reader,
+    Told,
+    decode,
+    encode,
+    pack,
+    unpack,
+)
+from brackenusher.membership.snapshot import Snapshot, SnapshotError
 
 KEYS = {"k1": b"0123456789abcdef"}
 NOW = 1_000_000.0
@@ -244,9 +254,9 @@
     assert isinstance(answer, Told) and decode(answer.records[0], NOW) == BASE
     longer = frames.ENCODER.encode([*frames.msgspec.msgpack.decode(record), "of a later form"])
     assert decode(longer, NOW) == BASE
-    with pytest.raises(Broken, match="key"):
+    with pytest.raises(FrameError, match="key"):
         unpack({"k2": KEYS["k1"]}, body)
-    with pytest.raises(Broken, match="mac"):
+    with pytest.raises(FrameError, match="mac"):
         unpack({"k1": b"another key"}, body)
 
 
@@ -262,24 +272,24 @@
             body = reader.feed(text)
             if body is not None:
                 assert unpack(KEYS, body) == Asked(5)
-        except Broken:
+        except FrameError:
             pass
         assert len(reader.buffer) <= 1029
     head = snapshot.encode(Snapshot(NOW, "p1", 1, []))
     for text in (data, head[:place], head + data, head[:place] + data):
         try:
             assert snapshot.decode(text, NOW).name == "p1"
-        except Unusable:
+        except SnapshotError:
             pass
     try:
         Book().merge(decode(data, NOW), NOW)
-    except known.Absurd:
+    except known.InvalidEvidenceError:
         pass
 
 
 def test_a_frame_of_4_gb_is_refused_by_its_announcement():
     reader = Reader()
-    with pytest.raises(Broken, match="4294967295"):
+    with pytest.raises(FrameError, match="4294967295"):
         reader.feed(b"\xff\xff\xff\xff" + b"x" * 100_000)
 
 
@@ -299,7 +309,7 @@
     assert snapshot.read(str(path), NOW).records == [encode(BASE, NOW)]
     assert [p.name for p in tmp_path.iterdir()] == ["knowledge"]  # nothing is left aside
     path.write_bytes(spoil(path.read_bytes()))
-    with pytest.raises(Unusable, match=why):
+    with pytest.raises(SnapshotError, match=why):
         snapshot.read(str(path), NOW)
     snapshot.set_aside(str(path))
     with pytest.raises(FileNotFoundError):
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -14,7 +14,7 @@
 from brackenusher.core.transaction import Failed, Refused, Served
 from brackenusher.fronts.http import Front
 from brackenusher.fronts.http1.virtual_server import VirtualServer
-from brackenusher.membership.discovery import Broken, Discovery, read_listing
+from brackenusher.membership.discovery import Discovery, DiscoveryError, read_listing
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.upstream.flow import Flow
 from brackenusher.upstream.pool import Pool
@@ -205,7 +205,7 @@
 def test_what_discovery_must_not_say_ends_the_connection(data):
     machine = Discovery("a:1", None)
     machine.start()
-    with pytest.raises(Broken):
+    with pytest.raises(DiscoveryError):
         machine.receive(data)
 
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -36,7 +36,7 @@
 from brackenusher.config.operators import PeersSettings
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.group.acting import FULL_WAIT, REPEAT_WAIT, Acting
-from brackenusher.group.database import Damaged
+from brackenusher.group.database import DatabaseDamagedError
 from brackenusher.group.store import Store
 from brackenusher.group.streams import Streams
 from brackenusher.runtime.buffers import Buffers
@@ -707,7 +707,7 @@
         (folder / (Store.NAME + "-wal")).write_bytes(whole[:size])
         try:
             kept = Store(str(folder)).load()
-        except Damaged:
+        except DatabaseDamagedError:
             continue
         assert kept.entries == right[: len(kept.entries)]
         seen.add(len(kept.entries))
@@ -718,13 +718,13 @@
     store = Store(str(tmp_path))
     store.keep(ready(1, 1, b"one"))
     store.db.execute("UPDATE log SET data = x'00' WHERE place = 1")
-    with pytest.raises(Damaged, match="entry 1"):
+    with pytest.raises(DatabaseDamagedError, match="entry 1"):
         store.load()
     assert store.set_aside().endswith(".damaged") and store.load().entries == []
     store.keep(ready(1, 1, b"one"))
     store.db.execute("DELETE FROM log")
     store.keep(ready(1, 2, b"two"))
-    with pytest.raises(Damaged, match="entry 2"):
+    with pytest.raises(DatabaseDamagedError, match="entry 2"):
         store.load()
 
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -16,7 +16,7 @@
 from barleybarrow.causal import Entry, State, Taken, covers, range_of, within
 from barleybarrow.marks import Effect, Lapses, MarkError, key_of, read
 from barleybarrow.replica import Kept, Part, Ready, Replica, Stage, Tell
-from brackenusher.group.database import Damaged, opened
+from brackenusher.group.database import DatabaseDamagedError, opened
 from brackenusher.group.shelf import Shelf
 from testbed import oracle_replica as oracle
 from testbed.copies import Copies, Disk
@@ -547,7 +547,7 @@
     assert shelf.load().entries == []
     shelf.keep(Ready(keys={"server a": [entry]}))
     shelf.db.execute("UPDATE slots SET data = ?", (b"\x90",))
-    with pytest.raises(Damaged, match="server a"):
+    with pytest.raises(DatabaseDamagedError, match="server a"):
         shelf.load()
     shelf.db.close()
     again, kept = opened(Shelf, Shelf.load, str(tmp_path), "replica")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -18,7 +18,7 @@
 NAMES = ("a", "b", "c", "d")
 
 
-class Broken(AssertionError):
+class RuleBrokenError(AssertionError):
     """A rule is broken."""
 
 
@@ -63,22 +63,22 @@
     def sent(self, now, action):
         r, entry = self.requests[action.request], self.told[action.backend]
         if r["closed"]:
-            raise Broken("sent after the end")
+            raise RuleBrokenError("sent after the end")
         if entry.state is not State.LIVE:
-            raise Broken("sent to a backend that drains or is gone")
+            raise RuleBrokenError("sent to a backend that drains or is gone")
         running, effect = self.may_have_run(r), r["class"].effect
         if any(a["outcome"] is None for a in running) and not self.conf.parallel:
-            raise Broken("two at once")
+            raise RuleBrokenError("two at once")
         if running and effect is Effect.UNSAFE:
-            raise Broken("unsafe sent twice")
+            raise RuleBrokenError("unsafe sent twice")
         if running and effect is Effect.KEYED:
             first = running[0]
             if now > first["at"] + r["class"].window:
-                raise Broken("keyed sent after its window")
+                raise RuleBrokenError("keyed sent after its window")
             if r["class"].group is Group.ZONE and first["entry"].zone != entry.zone:
-                raise Broken("keyed sent outside its group")
+                raise RuleBrokenError("keyed sent outside its group")
         if len(r["attempts"]) >= self.conf.max_attempts:
-            raise Broken("too many attempts")
+            raise RuleBrokenError("too many attempts")
         r["attempts"].append({"at": now, "entry": entry, "outcome": None})
         age = now - entry.started
         if entry.started and age < self.conf.cold:
@@ -86,7 +86,7 @@
             sends.append(now)
             window = [t for t in sends if t > now - self.conf.tip_after]
             if len(window) > 12:
-                raise Broken("a cold backend is pushed over")
+                raise RuleBrokenError("a cold backend is pushed over")
 
     def answered(self, now, action):
         r = self.requests[action.request]
@@ -95,15 +95,15 @@
         running, effect = self.may_have_run(r), r["class"].effect
         if isinstance(action, face.Refuse) and running:
             if effect is Effect.UNSAFE or effect is Effect.KEYED and r["class"].group is not Group.ALL:
-                raise Broken("refused what may have run")
+                raise RuleBrokenError("refused what may have run")
         r["closed"] = True
         if now > r["deadline"] + SLACK:
-            raise Broken("answered too late")
+            raise RuleBrokenError("answered too late")
 
     def overdue(self, now):
         for r in self.requests.values():
             if not r["closed"] and now > r["deadline"] + SLACK:
-                raise Broken("lost")
+                raise RuleBrokenError("lost")
 
 
 STEPS = st.lists(
@@ -239,7 +239,7 @@
 )
 def test_the_checker_notices_a_rule_that_was_taken_out(monkeypatch, patch, message, steps):
     patch(monkeypatch)
-    with pytest.raises(Broken, match=message):
+    with pytest.raises(RuleBrokenError, match=message):
         drive(steps)
 
 
@@ -248,9 +248,9 @@
     check.listed(0.0, face.ListChanged(ListScope.COMPLETE, [face.Entry("a", State.LIVE, started=1.0)]))
     for n in range(14):
         check.arrived(face.Arrived(n, 0, 800.0))
-    with pytest.raises(Broken, match="pushed over"):
+    with pytest.raises(RuleBrokenError, match="pushed over"):
         for n in range(14):
             check.action(2.0, face.Send(n, "a"))
     check.listed(3.0, face.ListChanged(ListScope.CHANGES, [face.Entry("a", State.DRAINING)]))
-    with pytest.raises(Broken, match="drains"):
+    with pytest.raises(RuleBrokenError, match="drains"):
         check.action(3.0, face.Send(0, "a"))
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -56,7 +56,7 @@
         (b"HTTP/1.1 503 Status", b""),
     ]
     assert http.field(found[0][1], b"x") == b"y" and http.field(found[0][1], b"z") is None
-    with pytest.raises(http.Unreadable):
+    with pytest.raises(http.UnreadableMessageError):
         http.Reader().feed(b"GET / HTTP/1.1\r\n" + b"X: y\r\n" * 60_000)
 
 
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -5,7 +5,7 @@
 import pytest
 from helpers import Program, TurnServer, command, read_request, submit_request, write_config
 
-from barleybarrow.tokens import NoToken, TokenSettings, issue, sign, verdict
+from barleybarrow.tokens import TokenError, TokenSettings, issue, sign, verdict
 from brackenusher.config.operators import load_operator, read_operator
 from brackenusher.config.platform import ConfigError
 
@@ -67,7 +67,7 @@
     ],
 )
 def test_what_could_not_be_read_back_is_not_issued(kid, holder, rights):
-    with pytest.raises(NoToken):
+    with pytest.raises(TokenError):
         issue(KEYS, kid, holder, rights, NOW)
 
 
