Layers: the fleet's packages import downward only

settings, storage, cluster, then control_plane and data_plane beside each other, assembly, commands; the old proxy and the fleet meet only in barleybarrow, runtime, core, upstream and fronts.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,9 +9,21 @@
 import pytest
 
 ROOT = Path(__file__).parent.parent
-# the lowest first; what stands on top of all is cli and daemon, which start and put together
+# the reverse proxy, the lowest first; on top of all are cli and daemon, which start and put together
 FLOORS = ["runtime", "config", "core", "upstream", "membership", "group", "records", "fronts", "handover"]
 TOPS = {"__main__", "cli", "daemon"}
+# the router fleet, the lowest first; packages of one row do not import each other
+FLEET_FLOORS = [
+    {"settings"},
+    {"storage"},
+    {"cluster"},
+    {"control_plane", "data_plane"},
+    {"assembly"},
+    {"commands"},
+]
+SHARED = {"runtime", "core", "upstream", "fronts"}  # of the reverse proxy, what the fleet may use too
+FLEET = {package: row for row, packages in enumerate(FLEET_FLOORS) for package in packages}
+FLEET_MAY_START = {"__main__", "cli"}  # the one binary: a subcommand a role
 APART = {"testbed", "benchmarks"}  # may import anything, and nothing imports them
 DEMO = ("brackenusher.cli", "testbed.sockets.demo.main")  # but this one command, when it is called
 DECISIONS_NEVER = {"socket", "select", "selectors", "ssl", "asyncio", "threading", "time", "datetime"}
@@ -29,6 +41,15 @@
             yield from (f"{name}.{alias.name}" for alias in node.names)
 
 
+def fleet_breach(own: str, other: str) -> str:
+    """Why a package of the router fleet must not import another package; empty where it may."""
+    if own == other or other in SHARED:
+        return ""
+    if other not in FLEET:
+        return f"{own} and {other} belong to different programs"
+    return "" if FLEET[other] < FLEET[own] else f"{own} does not stand above {other}"
+
+
 def breach(module: str, name: str) -> str:
     """Why a module must not import a name; empty where it may."""
     top, *parts = name.split(".")
@@ -38,7 +59,15 @@
     if own[0] == "barleybarrow":
         if top == "brackenusher" or top in DECISIONS_NEVER:
             return "decisions know neither the daemon nor sockets nor the time"
-    if own[0] != "brackenusher" or len(own) < 2 or own[1] in TOPS:
+    if own[0] != "brackenusher" or len(own) < 2 or own[1] in FLEET_MAY_START:
+        return ""
+    if own[1] in FLEET and top == "brackenusher" and parts not in ([], ["__version__"]):
+        return fleet_breach(own[1], parts[0])
+    if own[1] in FLEET:
+        return ""
+    if top == "brackenusher" and parts and parts[0] in FLEET:
+        return "the reverse proxy knows nothing of the fleet"
+    if own[1] in TOPS:
         return ""
     if own[1] == "core" and top in PROTOCOLS:
         return "the core knows no protocol and no socket"
@@ -66,7 +95,8 @@
             seen.add(".".join(module.split(".")[:2]))
             found += breaches(module, path.read_text(encoding="utf-8"), ".".join(parts[:-1]))
     assert not found, "\n".join(found)
-    assert {f"brackenusher.{floor}" for floor in FLOORS} <= seen  # a floor renamed is no longer looked at
+    packages = {*FLOORS, *FLEET}
+    assert {f"brackenusher.{floor}" for floor in packages} <= seen  # a floor renamed is no longer looked at
     assert "barleybarrow.brain" in seen
 
 
@@ -118,6 +148,18 @@
         ("brackenusher.cli", "from testbed.sockets import demo"),
         ("barleybarrow.x", "from time import monotonic"),
         ("barleybarrow.x", "import brackenusher"),
+        ("barleybarrow.routing.x", "import brackenusher.settings.local"),
+        ("brackenusher.settings.x", "from brackenusher.storage import writer"),
+        ("brackenusher.storage.x", "import brackenusher.cluster.links"),
+        ("brackenusher.cluster.x", "from brackenusher.control_plane.api import Api"),
+        ("brackenusher.control_plane.x", "from brackenusher.data_plane.headers import Header"),
+        ("brackenusher.data_plane.x", "from brackenusher.control_plane import config_shard"),
+        ("brackenusher.data_plane.x", "def f():\n    from brackenusher.assembly import proxy"),
+        ("brackenusher.assembly.x", "import brackenusher.daemon"),
+        ("brackenusher.assembly.x", "import brackenusher.commands.roles"),
+        ("brackenusher.data_plane.x", "from brackenusher.membership import swim"),
+        ("brackenusher.group.x", "from brackenusher.storage import writer"),
+        ("brackenusher.daemon", "from brackenusher.assembly import proxy"),
     ],
 )
 def test_the_checker_notices(module, text):
@@ -132,6 +174,11 @@
         ("brackenusher.fronts.http1.x", "from . import virtual_server"),
         ("brackenusher.daemon", "from brackenusher.fronts.http1.clients import Clients"),
         ("testbed.x", "import time\nfrom brackenusher.core import transaction"),
+        ("brackenusher.cli", "from brackenusher.commands import roles"),
+        ("brackenusher.assembly.x", "from brackenusher.data_plane.headers import Header"),
+        ("brackenusher.data_plane.x", "from brackenusher.cluster.links import Links"),
+        ("brackenusher.data_plane.x", "from brackenusher.runtime.log import say"),
+        ("brackenusher.storage.x", "from barleybarrow.consensus import configuration_state"),
     ],
 )
 def test_the_checker_lets_pass(module, text):
