Data plane: rules on answers, streams, clients and the end, with their tests

Cause: servers break off, repeat themselves and reset; clients leave, pipeline and stall. Ruled out: one try of a broken stream only (a resumable one goes on at Last-Event-Id); reading a late extra answer as a break (it is read away once, the true answer follows it). Change: answers cut at each byte in turn, resumption without gap or repeat, bounded pool, idle and header times, graceful end.

--- a/brackenusher/data_plane/exchange.py
+++ b/brackenusher/data_plane/exchange.py
@@ -27,9 +27,11 @@
 )
 from brackenusher.data_plane.headers import (
     NOT_EXECUTED,
+    REQUEST_ID,
     RESPONSE_STAMP,
     Header,
     RequestFacts,
+    end_to_end,
     first_value,
     read_number,
     send_headers,
@@ -174,6 +176,17 @@
         """Whether some server may have run the request."""
         return self.sends > self._rejections
 
+    @property
+    def begun(self) -> bool:
+        """Whether the client has received a part of the answer."""
+        return self.state in (State.RELAYING, State.RESUMING)
+
+    def may_send(self) -> bool:
+        """Whether a further send breaks no promise: nothing runs twice, no answer is mixed of two."""
+        if self.may_have_run and not self.idempotent:
+            return False
+        return not self.begun or (self.route.resumable and self._resume_after() is not None)
+
     # What the proxy does with it
 
     def start_attempt(self, server_id: str, priority: int | None) -> Attempt:
@@ -214,7 +227,7 @@
         if held.status in PROMISES and not self.idempotent:
             self._client.send_own(502, "the server's answer does not say that the request has not run")
         else:
-            self._client.send_whole(held.status, held.headers, b"".join(held.body))
+            self._client.send_whole(held.status, end_to_end(held.headers), b"".join(held.body))
         self._owner.closed(self)
 
     def has_held_answer(self) -> bool:
@@ -311,7 +324,7 @@
         if held is not None and self._is_rejection():
             self._take_rejection(attempt, held)
             return
-        began = self.state is State.RELAYING
+        began = self.begun
         self._attempt_gone()
         self._owner.attempt_over(self, attempt.server_id, Outcome.BROKEN_STREAM if began else Outcome.BROKEN)
 
@@ -332,7 +345,7 @@
     def _end_with_own(self, status: int, reason: str, retry_after_ms: float | None) -> None:
         if self.state is State.ANSWERED:
             return
-        begun = self.state in (State.RELAYING, State.RESUMING)
+        begun = self.begun
         self.drop_attempt()
         self._move(State.ANSWERED)
         if begun:
@@ -355,7 +368,7 @@
         """Why an answer cannot be this request's; empty if it can."""
         if self._events_passed and not self._is_stream:
             return f"status {status} in place of the rest of a stream"
-        if self.request_id is not None and first_value(headers, b"x-brackenusher-request-id") is None:
+        if self.request_id is not None and first_value(headers, REQUEST_ID) is None:
             return "an answer without the request's id"
         if 200 <= status < 300 and first_value(headers, RESPONSE_STAMP) is None:
             return "a success without its stamp"
@@ -379,7 +392,7 @@
 
     def _begin_relaying(self, held: HeldAnswer) -> None:
         self._move(State.RELAYING)
-        self._client.send_head(held.status, held.headers)
+        self._client.send_head(held.status, end_to_end(held.headers))
 
     def _take_stream(self, attempt: Attempt, data: bytes) -> None:
         try:
--- a/brackenusher/data_plane/front_connection.py
+++ b/brackenusher/data_plane/front_connection.py
@@ -7,6 +7,7 @@
 import asyncio
 import logging
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Protocol
 
 import h11
@@ -19,8 +20,10 @@
 DEFAULT_HEAD_BYTES = 64 * 1024  # before a configuration states MaxHeaderBytes
 MAX_PIPELINED_BYTES = 64 * 1024  # of later requests, kept while one is answered; then reading pauses
 WRITE_HIGH_WATER_BYTES = 64 * 1024  # unsent bytes of an answer; above, the server's connection is not read
+FLUSH_S = 5.0  # how long a client may take to read the last bytes of an answer once its connection closes
 LINGER_S = 1.0  # how long what a refused client still sends is read away
 NEVER = float("inf")
+REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
 @dataclass(slots=True)
@@ -107,6 +110,7 @@
         self._client_ended = False
         self._lingering = False
         self._resting = True  # no byte of the next request has come
+        self._closing = False  # no more is written
         self._closed = False
 
     # From the transport
@@ -164,18 +168,22 @@
     @property
     def idle(self) -> bool:
         """Whether no request is being read or answered."""
-        return not self._answering and self._head is None
+        return self._lingering or (self._resting and not self._answering and self._head is None)
 
     def close(self) -> None:
         """Close after what was written."""
-        if self._transport is not None and not self._closed:
+        if self._transport is not None and not self._closed and not self._closing:
+            self._lingering = self._closing = True
             self._transport.close()
+            self.expires_at = self._loop.time() + FLUSH_S
 
     def expire(self) -> None:
         """The time for what the client was to do is over."""
         self.expires_at = NEVER
         begun = self._head is not None or bool(self._http.trailing_data[0])
-        if self._lingering or not begun or self._answering:
+        if self._lingering:
+            self.abort()
+        elif not begun or self._answering:
             self.close()
         else:
             self._refuse_at_once(OwnAnswer(408, "the request was not sent in time"))
@@ -294,6 +302,7 @@
         assert self._head is not None
         head, refusal = self._head, self._refusal
         body = b"".join(self._body)
+        self._body.clear()  # its size stays counted until the answer is whole
         self._answering = True
         self.expires_at = NEVER
         if refusal is not None:
@@ -332,10 +341,13 @@
             headers.append((b"connection", b"close"))
         elif self._limits.idle_timeout_ms >= 1000:
             headers.append((b"keep-alive", b"timeout=%d" % (self._limits.idle_timeout_ms // 1000)))
-        return self._http.send(h11.Response(status_code=status, headers=headers)) or b""
+        return (
+            self._http.send(h11.Response(status_code=status, headers=headers, reason=reason_phrase(status)))
+            or b""
+        )
 
     def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._closed and data:
+        if data and self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
     def _answered(self) -> None:
@@ -369,9 +381,11 @@
             ]
             if answer.retry_after_ms is not None:
                 headers.append((b"retry-after", b"%.3f" % (answer.retry_after_ms / 1000.0)))
-            self._write(self._http.send(h11.Response(status_code=answer.status, headers=headers)) or b"")
-            self._write(self._http.send(h11.Data(data=body)) or b"")
-            self._write(self._http.send(h11.EndOfMessage()) or b"")
+            head = h11.Response(
+                status_code=answer.status, headers=headers, reason=reason_phrase(answer.status)
+            )
+            for part in (head, h11.Data(data=body), h11.EndOfMessage()):
+                self._write(self._http.send(part) or b"")
         self._linger()
 
     def _linger(self) -> None:
@@ -390,3 +404,8 @@
         self._handler.buffered(self._body_size)
         self._body.clear()
         self._body_size = 0
+
+
+def reason_phrase(status: int) -> bytes:
+    """The usual words behind a status."""
+    return REASON_PHRASES.get(status, b"Unknown")
--- a/brackenusher/data_plane/proxy.py
+++ b/brackenusher/data_plane/proxy.py
@@ -69,21 +69,24 @@
 
     def configure(self, configuration: Configuration) -> None:
         """Take a newer configuration; requests that come from now on are handled by it."""
+        if self.configuration is not None and configuration.generation < self.configuration.generation:
+            log.error("configuration %d is older than the one in force", configuration.generation)
+            return
         now = self._now_ms()
         self.configuration = configuration
         self._routes = RouteTable(configuration.routes)
         self._services = {service.name: service for service in configuration.services}
         self._limits.configure(now, configuration.tenants, configuration.services)
-        self._perform(self._dispatcher.configure(now, self._services, configuration.routes))
         for service in list(self._servers):
             self._list_connections(service)
+        self._perform(self._dispatcher.configure(now, self._services, configuration.routes))
 
     def set_servers(self, service: str, servers: list[ServerInfo]) -> None:
         """Take a new list of the servers of a service."""
         before = self._servers.get(service, {})
         self._servers[service] = {server.id: server for server in servers}
-        self._perform(self._dispatcher.servers(self._now_ms(), service, servers))
         self._list_connections(service)
+        self._perform(self._dispatcher.servers(self._now_ms(), service, servers))
         for server_id in before.keys() - self._servers[service].keys():
             self.pool.unlist_server(server_id)
 
@@ -97,6 +100,10 @@
         """How many requests are under way."""
         return len(self._exchanges)
 
+    def busy(self) -> bool:
+        """Whether a request is being read or answered."""
+        return any(not front.idle for front in self.fronts)
+
     def end_all(self) -> None:
         """Give every request its final answer now."""
         for exchange in list(self._exchanges.values()):
@@ -232,8 +239,7 @@
 
     def _deadline_reached(self, exchange: Exchange) -> None:
         now = self._loop.time()
-        begun = exchange.state in (State.RELAYING, State.RESUMING)
-        if begun and now < exchange.deadline_at + STREAM_DEADLINE_SLACK_S:
+        if exchange.begun and now < exchange.deadline_at + STREAM_DEADLINE_SLACK_S:
             later = exchange.deadline_at + STREAM_DEADLINE_SLACK_S
             self._deadlines[exchange.number] = self._loop.call_at(later, self._deadline_reached, exchange)
             return
@@ -277,7 +283,7 @@
         exchange = self._exchanges.get(action.request_id)
         if exchange is None:
             return
-        if exchange.may_have_run and not exchange.idempotent:
+        if not exchange.may_send():
             log.error("request %d may have run and was not sent again", exchange.number)
             exchange.fail(502, "the request may have run")
             return
--- a/brackenusher/data_plane/server.py
+++ b/brackenusher/data_plane/server.py
@@ -15,6 +15,8 @@
 SWEEP_S = 0.25  # how often timeouts of connections are looked at
 NOTICE_S = 2.5  # the platform notices within two missed probes, a second apart, that the proxy is not ready
 END_MARGIN_S = 0.7  # kept free of the grace for closing down
+LAST_WRITES_S = 0.3  # of that margin, for answers that are still in buffers
+DRAIN_STEP_S = 0.05  # how often the end looks whether all is answered
 RESERVED_FDS = 200  # of the descriptors, for files outside the data folder
 FRONT_SHARE_OF_FDS = 0.6  # the rest is for servers and links
 
@@ -62,14 +64,17 @@
         await self._wait_until(min(started + NOTICE_S, end))
         if self._listener is not None:
             self._listener.close()
-        while self._proxy.in_flight() and self._loop.time() < end:
-            self._close_idle()
-            await self._wait_until(min(self._loop.time() + 0.05, end))
+        await self._drain(end, self._proxy.busy)
         self._proxy.end_all()
-        self._close_idle()
-        await asyncio.sleep(0)
+        await self._drain(self._loop.time() + LAST_WRITES_S, lambda: bool(self._proxy.fronts))
         self.close()
 
+    async def _drain(self, end: float, unfinished: Callable[[], bool]) -> None:
+        self._close_idle()
+        while unfinished() and self._loop.time() < end:
+            await self._wait_until(min(self._loop.time() + DRAIN_STEP_S, end))
+            self._close_idle()
+
     def close(self) -> None:
         """End everything at once."""
         if self._sweep_timer is not None:
--- a/brackenusher/data_plane/upstream_connection.py
+++ b/brackenusher/data_plane/upstream_connection.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import select
 import socket
 from collections.abc import Callable
 from typing import Protocol
@@ -61,6 +62,7 @@
         self._on_closed = on_closed
         self._clock = clock
         self._transport: asyncio.Transport | None = None
+        self._poll = select.poll()
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._receiver: AnswerReceiver | None = None
         self._request: h11.Request | None = None
@@ -77,7 +79,9 @@
         """The connection is up."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        configure_socket(transport.get_extra_info("socket"))
+        sock = transport.get_extra_info("socket")
+        configure_socket(sock)
+        self._poll.register(sock.fileno(), select.POLLIN)
 
     def send(
         self, method: bytes, target: bytes, headers: list[Header], body: bytes, receiver: AnswerReceiver
@@ -111,6 +115,10 @@
         if self._transport is not None and not self.closed:
             self._transport.resume_reading()
 
+    def has_unread(self) -> bool:
+        """Whether something has come that the loop has not seen yet, as the end of the connection."""
+        return bool(self._poll.poll(0))
+
     def unused_idle_s(self) -> float:
         """How long it may rest before its first request, in seconds."""
         return self._idle_limit_s - IDLE_MARGIN_S
@@ -157,22 +165,31 @@
             receiver.answer_broken(reason)
 
     def _read_events(self) -> None:
+        """Take what h11 has; the pieces of a body that came together are passed on together."""
+        body: list[bytes] = []
         try:
             while self._receiver is not None:
                 event = self._http.next_event()
+                if type(event) is h11.Data:
+                    body.append(event.data)
+                    continue
+                self._pass_body(body)
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
-                self._take(event)
+                if self._receiver is not None:
+                    self._take(event)
         except h11.RemoteProtocolError as error:
+            self._pass_body(body)
             self._break(f"malformed answer: {error}")
 
+    def _pass_body(self, body: list[bytes]) -> None:
+        if body and self._receiver is not None and not self._skipping:
+            self._receiver.answer_body(bytes(body[0]) if len(body) == 1 else b"".join(body))
+        body.clear()
+
     def _take(self, event: object) -> None:
-        assert self._receiver is not None
         if isinstance(event, h11.Response):
             self._take_head(event)
-        elif isinstance(event, h11.Data):
-            if not self._skipping:
-                self._receiver.answer_body(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._take_end()
         elif isinstance(event, h11.ConnectionClosed):
--- a/brackenusher/data_plane/upstream_pool.py
+++ b/brackenusher/data_plane/upstream_pool.py
@@ -25,7 +25,7 @@
     """Who waits for a connection; is told exactly one of the two, unless it says that it is `cancelled`."""
 
     cancelled: bool
-    settle: bool  # whether a new connection should be watched for a reset before it is handed over
+    settle: bool  # whether a connection must be looked at for its end before it is handed over
 
     def connection_ready(self, connection: UpstreamConnection) -> None:
         """The connection is the taker's."""
@@ -85,7 +85,7 @@
         if server is None:
             taker.connection_failed()
             return
-        connection = self._take_idle(server)
+        connection = self._take_idle(server, careful=taker.settle)
         if connection is not None:
             self._hand_over(server, connection, taker)
             return
@@ -112,11 +112,11 @@
         servers = self._servers.values()
         return sum(len(server.open) for server in servers), sum(len(server.idle) for server in servers)
 
-    def _take_idle(self, server: ServerConnections) -> UpstreamConnection | None:
+    def _take_idle(self, server: ServerConnections, careful: bool) -> UpstreamConnection | None:
         now = self._loop.time()
         while server.idle:
             connection = server.idle.pop()
-            if connection.idle_until > now:
+            if connection.idle_until > now and not (careful and connection.has_unread()):
                 return connection
             connection.close()
         return None
--- a/tests/fleet/data_plane_support.py
+++ b/tests/fleet/data_plane_support.py
@@ -74,6 +74,7 @@
         self.seen: list[SeenRequest] = []
         self.connections = 0
         self.ended = asyncio.Event()  # a connection ended
+        self.arrived = asyncio.Event()  # a request has come
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
 
@@ -101,6 +102,7 @@
             while True:
                 request = await read_request(reader, connection)
                 self.seen.append(request)
+                self.arrived.set()
                 await self.script(request, writer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
@@ -334,6 +336,10 @@
         self.dispatcher = FakeDispatcher()
         self.limits = FakeLimits()
         loop = asyncio.get_running_loop()
+        loop.set_debug(False)  # it warns of time that `advance` lets pass
+        self.skew_s = 0.0
+        real_time = loop.time
+        loop.time = lambda: real_time() + self.skew_s  # type: ignore[method-assign]
         self.proxy = Proxy(loop, self.dispatcher, self.limits, memory_mb=64)
         self.server = DataPlaneServer(self.proxy, max_fds=1024, feed_ready=lambda: True)
         await self.server.start("127.0.0.1:0")
@@ -358,6 +364,10 @@
         self.proxy.set_servers("app", infos)
         return self.upstreams
 
+    def advance(self, seconds: float) -> None:
+        """Let time pass: what is due by then happens at once."""
+        self.skew_s += seconds
+
     async def client(self) -> RawClient:
         """A new client."""
         client = RawClient(*await asyncio.open_connection("127.0.0.1", self.server.port))
