Interface: tests of the command line, log lines and figures

Commands are run in the test's process against a control process that answers as it is told; the client's way round addresses, pauses and redirects is tested without sockets. Ruled out: waiting for the client's pauses (the sleep is handed in).

--- /dev/null
+++ b/tests/fleet/test_commands.py
@@ -0,0 +1,335 @@
+"""The command line of the fleet: what each command asks, shows and exits with; and that roles start light."""
+
+import contextlib
+import io
+import json
+import subprocess
+import sys
+import tempfile
+import threading
+import unittest
+from collections.abc import Callable
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from brackenusher import __main__ as program
+from brackenusher.commands.client import Answer, ControlClient
+from brackenusher.commands.difference import differences
+from brackenusher.commands.errors import CommandError, ExitCode
+from brackenusher.commands.printing import as_text
+from tests.fleet.document_examples import example
+from tests.fleet.test_settings import SETTINGS
+
+Reply = tuple[int, object]
+
+
+class FakeControl:
+    """A control process that answers as it is told, on a port of this machine."""
+
+    def __init__(self) -> None:
+        self.seen: list[tuple[str, str, str | None, bytes]] = []
+        self.replies: dict[str, list[Reply]] = {}  # by path; the last is given again
+        outer = self
+
+        class Handler(BaseHTTPRequestHandler):
+            def answer(self) -> None:
+                body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                base = self.headers.get("X-Brackenusher-Base-Version")
+                outer.seen.append((self.command, self.path, base, body))
+                replies = outer.replies.get(self.path, [(404, {"Error": "no such call"})])
+                status, document = replies.pop(0) if len(replies) > 1 else replies[0]
+                data = document if isinstance(document, bytes) else json.dumps(document).encode()
+                self.send_response(status)
+                if status == 307:
+                    self.send_header("Location", str(document))
+                self.send_header("Content-Length", str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+            do_GET = do_POST = answer  # noqa: N815, the library's names
+
+            def log_message(self, format: str, *args: Any) -> None:  # noqa: A002, the library's name
+                pass
+
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.address = f"127.0.0.1:{self.server.server_address[1]}"
+        self.thread = threading.Thread(target=self.server.serve_forever, args=(0.01,), daemon=True)
+        self.thread.start()
+
+    def stop(self) -> None:
+        self.server.shutdown()
+        self.server.server_close()
+        self.thread.join()
+
+
+class CommandTest(unittest.TestCase):
+    """What these tests share: a control process, a folder, and a way to run a command."""
+
+    def setUp(self) -> None:
+        self.control = FakeControl()
+        self.addCleanup(self.control.stop)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        environment = {"BRACKENUSHER_CONTROL": self.control.address, "BRACKENUSHER_CONFIG": "/nowhere"}
+        patched = mock.patch.dict("os.environ", environment)
+        patched.start()
+        self.addCleanup(patched.stop)
+
+    def run_command(self, *arguments: str) -> tuple[int, str, str]:
+        """Exit code, standard output, standard error."""
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            code = program.main(arguments)
+        return code, out.getvalue(), err.getvalue()
+
+    def file(self, document: object) -> str:
+        path = self.folder / "document.json"
+        path.write_bytes(document if isinstance(document, bytes) else json.dumps(document).encode())
+        return str(path)
+
+    def fails(self, expected: ExitCode, text: str, *arguments: str) -> None:
+        """A command ends with this code and one line that holds the text."""
+        code, out, err = self.run_command(*arguments)
+        self.assertEqual((code, out), (expected, ""), err)
+        self.assertTrue(err.startswith("brackenusher: "), err)
+        self.assertEqual(err.count("\n"), 1, err)
+        self.assertIn(text, err)
+
+
+class LookingTest(CommandTest):
+    """Commands that show how the fleet stands."""
+
+    def test_each_asks_for_its_topic(self) -> None:
+        topics = {
+            ("status",): "summary",
+            ("members",): "members",
+            ("servers",): "servers",
+            ("config", "history"): "history",
+            ("explain", "a/b c"): "explain/a%2Fb%20c",
+        }
+        for command, topic in topics.items():
+            with self.subTest(command):
+                self.control.replies[f"/-/status/{topic}"] = [(200, {"version": 7, "leader": None})]
+                code, out, _ = self.run_command(*command)
+                self.assertEqual((code, out), (0, "version: 7\nleader: -\n"))
+                code, out, _ = self.run_command(*command, "--json")
+                self.assertEqual((code, json.loads(out)), (0, {"version": 7, "leader": None}))
+
+    def test_what_is_not_known(self) -> None:
+        self.fails(ExitCode.REFUSED, "no such call", "explain", "r-1")
+
+    def test_an_answer_that_is_no_json(self) -> None:
+        self.control.replies["/-/status/summary"] = [(200, b"<html>")]
+        self.fails(ExitCode.UNREACHABLE, "is this the Control address", "status")
+
+    def test_addresses_come_from_the_option_first_then_the_settings(self) -> None:
+        self.control.replies["/-/status/summary"] = [(200, {"version": 7})]
+        with mock.patch.dict("os.environ", {"BRACKENUSHER_CONTROL": "127.0.0.1:1"}):
+            self.assertEqual(self.run_command("status", "--control", self.control.address)[0], 0)
+        settings = self.folder / "local.toml"
+        settings.write_text(SETTINGS.replace("10.1.0.14:8665", self.control.address), encoding="utf-8")
+        named = {"BRACKENUSHER_CONTROL": "", "BRACKENUSHER_CONFIG": str(settings)}
+        with mock.patch.dict("os.environ", named):
+            self.assertEqual(self.run_command("status")[0], 0)
+        with mock.patch.dict("os.environ", {"BRACKENUSHER_CONTROL": ""}):
+            self.fails(ExitCode.USAGE, "--control IP:PORT", "status")
+
+
+class ConfigurationTest(CommandTest):
+    """Commands that read and change the configuration."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.control.replies["/-/Config.Get"] = [(200, example())]
+
+    def test_get(self) -> None:
+        code, out, _ = self.run_command("config", "get")
+        self.assertEqual((code, json.loads(out)), (0, example()))
+
+    def test_put_and_patch_build_on_the_current_version(self) -> None:
+        for verb, call in (("put", "/-/Config.Replace"), ("patch", "/-/Config.Patch")):
+            with self.subTest(verb):
+                self.control.replies[call] = [(200, {})]
+                path = self.file({"Generation": 9})
+                code, out, _ = self.run_command("config", verb, path)
+                self.assertEqual((code, out), (0, "taken: 9\nbase: 7\n"))
+                self.assertEqual(self.control.seen[-1], ("POST", call, "7", b'{"Generation": 9}'))
+
+    def test_a_base_that_is_named_is_used(self) -> None:
+        self.control.replies["/-/Config.Replace"] = [(200, {})]
+        self.assertEqual(self.run_command("config", "put", "--base", "0", self.file(example()))[0], 0)
+        self.assertEqual([seen[2] for seen in self.control.seen], ["0"])
+
+    def test_refusals_have_codes(self) -> None:
+        path = self.file({"Generation": 9})
+        cases = ((400, ExitCode.REFUSED), (413, ExitCode.REFUSED), (412, ExitCode.CONFLICT))
+        for status, code in cases:
+            with self.subTest(status):
+                self.control.replies["/-/Config.Replace"] = [(status, {"Error": "route r-1: wrong: mend it"})]
+                self.fails(code, "route r-1: wrong: mend it", "config", "put", path)
+
+    def test_files_that_cannot_be_read(self) -> None:
+        self.fails(ExitCode.USAGE, "name a readable file", "config", "put", str(self.folder / "none"))
+        self.fails(ExitCode.USAGE, "is not JSON", "config", "put", self.file(b"{"))
+        self.fails(ExitCode.USAGE, "is not JSON", "config", "diff", self.file(b"\xff"))
+        self.fails(ExitCode.USAGE, "is not a JSON object", "config", "patch", self.file([]))
+        self.assertEqual(self.control.seen, [])
+
+    def test_diff(self) -> None:
+        code, out, _ = self.run_command("config", "diff", self.file(example()))
+        self.assertEqual((code, out), (0, "no differences\n"))
+        changed = example()
+        changed["Routes"][0]["TimeoutMs"] = 1
+        code, out, _ = self.run_command("config", "diff", self.file(changed))
+        self.assertEqual((code, out), (ExitCode.REFUSED, "~ Routes r-one (TimeoutMs: 15000 -> 1)\n"))
+        code, out, _ = self.run_command("config", "diff", "--json", self.file(changed))
+        expected = [{"sign": "~", "item": "Routes r-one", "fields": ["TimeoutMs: 15000 -> 1"]}]
+        self.assertEqual((code, json.loads(out)), (ExitCode.REFUSED, expected))
+
+
+class ClientTest(unittest.TestCase):
+    """Whom the client calls, how often, and when it gives up."""
+
+    def client(
+        self, answers: dict[str, list[Answer | Exception]]
+    ) -> tuple[ControlClient, list[str], list[float]]:
+        calls: list[str] = []
+        pauses: list[float] = []
+
+        def exchange(address: str, method: str, path: str, *rest: object) -> tuple[Answer, str]:
+            calls.append(address + path)
+            given = answers[address]
+            answer = given.pop(0) if len(given) > 1 else given[0]
+            if isinstance(answer, Exception):
+                raise answer
+            return answer, answer.body.decode() if answer.status == 307 else ""
+
+        patched = mock.patch("brackenusher.commands.client._exchange", exchange)
+        patched.start()
+        self.addCleanup(patched.stop)
+        return ControlClient(list(answers), pauses.append), calls, pauses
+
+    def test_moves_on_after_failures(self) -> None:
+        unclear: list[Answer | Exception] = [OSError("refused"), Answer(503, b"{}"), Answer(429, b"")]
+        client, calls, pauses = self.client({"a": unclear, "b": [TimeoutError()], "c": [Answer(200, b"3")]})
+        self.assertEqual(client.get("/x").document(), 3)
+        self.assertEqual((calls, pauses), (["a/x", "b/x", "c/x"], []))
+
+    def test_goes_round_with_growing_pauses_and_gives_up(self) -> None:
+        client, calls, pauses = self.client(
+            {"a": [OSError("refused")], "b": [Answer(503, b'{"Error":"later"}')]}
+        )
+        with self.assertRaises(CommandError) as raised:
+            client.order("Config.Replace", 1, b"{}")
+        self.assertEqual(raised.exception.exit_code, ExitCode.UNREACHABLE)
+        self.assertIn("b: later", str(raised.exception))
+        self.assertEqual((len(calls), pauses), (8, [0.2, 0.4, 0.8]))
+
+    def test_clear_answers_end_it(self) -> None:
+        for status in (200, 400, 404, 412):
+            client, calls, _ = self.client({"a": [Answer(status, b"{}")], "b": [OSError()]})
+            self.assertEqual(client.get("/x").status, status)
+            self.assertEqual(len(calls), 1)
+
+    def test_follows_two_redirects(self) -> None:
+        client, calls, _ = self.client(
+            {
+                "a": [Answer(307, b"http://b/y"), Answer(307, b"http://b/y")],
+                "b": [Answer(307, b"http://c/z")],
+                "c": [Answer(200, b"1")],
+            }
+        )
+        self.assertEqual(client.get("/x").document(), 1)
+        self.assertEqual(calls, ["a/x", "b/y", "c/z"])
+
+
+class DifferenceTest(unittest.TestCase):
+    """What differs between two documents."""
+
+    def changes(self, change: Callable[[dict[str, Any]], object]) -> list[str]:
+        document = example()
+        change(document)
+        return [str(found) for found in differences(example(), document)]
+
+    def test_nothing(self) -> None:
+        self.assertEqual(self.changes(lambda d: None), [])
+
+    def test_items_added_removed_and_changed(self) -> None:
+        self.assertEqual(self.changes(lambda d: d["Routes"].pop(0)), ["- Routes r-one"])
+        self.assertEqual(self.changes(lambda d: d["Services"].append({"Name": "s"})), ["+ Services s"])
+        self.assertEqual(
+            self.changes(lambda d: d["Routes"][1].pop("Kind")), ["~ Routes r-two (Kind: 'safe' -> absent)"]
+        )
+
+    def test_order_of_items_does_not_matter(self) -> None:
+        self.assertEqual(self.changes(lambda d: d["Routes"].reverse()), [])
+
+    def test_version_and_limits(self) -> None:
+        self.assertEqual(self.changes(lambda d: d.update(Generation=9)), ["~ Generation (7 -> 9)"])
+        self.assertEqual(len(self.changes(lambda d: d.pop("Limits"))), 1)
+
+    def test_keys_are_counted_and_not_shown(self) -> None:
+        shown = self.changes(lambda d: d["Tenants"][0].update(ApiKeys=["secret"]))
+        self.assertEqual(shown, ["~ Tenants t-one (ApiKeys: 2 keys -> 1 keys)"])
+
+
+class PrintingTest(unittest.TestCase):
+    """What people see."""
+
+    def test_lists_of_objects_are_tables(self) -> None:
+        rows = [{"id": "i-1", "ready": True}, {"id": "i-22", "slots": [1, 2]}]
+        self.assertEqual(as_text(rows), "id    ready  slots\ni-1   yes\ni-22         1,2")
+
+    def test_nested_objects_are_indented(self) -> None:
+        document = {
+            "version": 7,
+            "voters": ["a", "b"],
+            "shard": {"leader": "a", "rows": [{"x": 1}]},
+            "none": [],
+        }
+        expected = "version: 7\nvoters: a,b\nshard:\n  leader: a\n  rows:\n    x\n    1\nnone: -"
+        self.assertEqual(as_text(document), expected)
+
+    def test_values_cannot_break_a_line_or_drive_a_terminal(self) -> None:
+        self.assertEqual(as_text({"a": "x\ny\x1b[2J"}), "a: x\\ny\\x1b[2J")
+
+
+class ProgramTest(CommandTest):
+    """The first argument decides, and costs no more than it must."""
+
+    def test_check_settings(self) -> None:
+        path = self.folder / "local.toml"
+        path.write_text(SETTINGS, encoding="utf-8")
+        code, out, _ = self.run_command("check-settings", str(path), "--json")
+        self.assertEqual((code, json.loads(out)["node"]), (0, "front-a-1"))
+        path.write_text(SETTINGS.replace("Ip", "Pi"), encoding="utf-8")
+        self.fails(ExitCode.USAGE, "Ip = (missing): add this key", "check-settings", str(path))
+
+    def test_wrong_command_lines(self) -> None:
+        self.fails(ExitCode.USAGE, "Missing argument", "config", "diff")
+        self.fails(ExitCode.USAGE, "--nope", "status", "--nope")
+        self.fails(ExitCode.USAGE, "lost", "config", "lost")
+        self.fails(ExitCode.USAGE, "--base", "config", "put", "--base", "-1", "file")
+
+    def test_the_older_program_has_its_commands(self) -> None:
+        for arguments in (["version"], ["members", "show", "x"], ["serve"], [], ["-h"], ["members", "-h"]):
+            with mock.patch("brackenusher.cli.main", return_value=7) as older:
+                self.assertEqual(program.main(arguments), 7)
+                older.assert_called_once_with(arguments)
+
+    def test_roles_are_run(self) -> None:
+        with mock.patch("brackenusher.commands.roles.run_role", return_value=5) as run_role:
+            self.assertEqual([program.main(["proxy"]), program.main(["control"])], [5, 5])
+        self.assertEqual([call.args for call in run_role.call_args_list], [("proxy",), ("control",)])
+
+    def test_dispatch_imports_nothing_heavy(self) -> None:
+        code = (
+            "import sys, brackenusher.__main__, brackenusher.commands.roles;"
+            "heavy = {'typer', 'serde', 'betterproto', 'asyncio', 'h11', 'brackenusher.cli', 'argparse'};"
+            "print(sorted(heavy & set(sys.modules)))"
+        )
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+        self.assertEqual(done.stdout.strip(), "[]")
--- /dev/null
+++ b/tests/fleet/test_fleet_log.py
@@ -0,0 +1,133 @@
+"""Log lines: one event a line, fields that no value can break, and a bound on their rate."""
+
+import io
+import logging
+import subprocess
+import sys
+import unittest
+
+from brackenusher.runtime import fleet_log
+from brackenusher.runtime.fleet_log import BURST, LINES_PER_S, MAX_EVENTS, EventFormatter, RateBound, quote
+
+
+def record(message: str, *arguments: object, name: str = "brackenusher.cluster.links") -> logging.LogRecord:
+    """A record as a logger makes it."""
+    made = logging.LogRecord(name, logging.WARNING, "file.py", 1, message, arguments, None)
+    made.created = 1_000_000_000.125
+    return made
+
+
+class FormatTest(unittest.TestCase):
+    """A record as a line."""
+
+    def line(self, message: str, *arguments: object) -> str:
+        return EventFormatter("proxy").format(record(message, *arguments))
+
+    def fields(self, message: str, *arguments: object) -> str:
+        """What follows the fields that all lines have."""
+        head = "time=2001-09-09T01:46:40.125Z level=warning role=proxy module=cluster.links "
+        line = self.line(message, *arguments)
+        self.assertTrue(line.startswith(head), line)
+        return line.removeprefix(head)
+
+    def test_fields_of_the_message(self) -> None:
+        self.assertEqual(
+            self.fields("link ended: peer=%s count=%d", "a:1", 3), 'event="link ended" peer=a:1 count=3'
+        )
+        self.assertEqual(self.fields("started port=%d", 80), "event=started port=80")
+        self.assertEqual(self.fields("event=ending zone=%s", "z"), "event=ending zone=z")
+        self.assertEqual(self.fields("event=ending"), "event=ending")
+
+    def test_messages_of_other_forms_are_one_event(self) -> None:
+        self.assertEqual(self.fields("request %d: server %s", 3, "s"), 'event="request 3: server s"')
+        self.assertEqual(self.fields("50% done"), 'event="50% done"')
+        self.assertEqual(self.fields("x: a=%s and b=%s", 1, 2), 'event="x: a=1 and b=2"')
+
+    def test_values_cannot_add_fields_or_lines(self) -> None:
+        hostile = 'a" level=error\nevent="forged" \\ \x1b[2J\u2028'
+        line = self.fields("link ended: peer=%s", hostile)
+        expected = 'event="link ended" peer="a\\" level=error\\nevent=\\"forged\\" \\\\ \\x1b[2J\\u2028"'
+        self.assertEqual(line, expected)
+        self.assertEqual(len(line.splitlines()), 1)
+
+    def test_quoting(self) -> None:
+        cases = {
+            "": '""',
+            "a-b_c.d/e:1": "a-b_c.d/e:1",
+            "a b": '"a b"',
+            "a=b": '"a=b"',
+            "é": '"é"',
+            "\\": '"\\\\"',
+        }
+        for value, expected in cases.items():
+            self.assertEqual(quote(value), expected)
+        self.assertEqual(quote(None), "None")
+        self.assertLess(len(quote("x" * 100_000)), 400)
+
+    def test_exceptions_stay_in_the_line(self) -> None:
+        made = record("handler failed: kind=%s", "X")
+        try:
+            raise ValueError("two\nlines")
+        except ValueError:
+            made.exc_info = sys.exc_info()
+        line = EventFormatter("control").format(made)
+        self.assertIn('exception="ValueError: two\\nlines" trace=test_fleet_log.py:', line)
+        self.assertEqual(len(line.splitlines()), 1)
+
+
+class RateTest(unittest.TestCase):
+    """How many lines of an event are written."""
+
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.bound = RateBound(lambda: self.now)
+
+    def written(self, count: int, message: str = "link ended: peer=%s") -> int:
+        return sum(self.bound.filter(record(message, number)) for number in range(count))
+
+    def test_a_burst_and_then_a_rate(self) -> None:
+        self.assertEqual(self.written(1000), BURST)
+        self.now += 3 / LINES_PER_S
+        self.assertEqual(self.written(1000), 3)
+
+    def test_what_was_left_out_is_told(self) -> None:
+        self.written(BURST + 5)
+        self.now += 1 / LINES_PER_S
+        made = record("link ended: peer=%s", 1)
+        self.assertTrue(self.bound.filter(made))
+        self.assertTrue(EventFormatter("proxy").format(made).endswith(" suppressed=5"))
+
+    def test_events_are_bounded_apart(self) -> None:
+        self.written(1000)
+        self.assertEqual(self.written(1, "another event"), 1)
+
+    def test_too_many_events_share_one_bound(self) -> None:
+        for number in range(MAX_EVENTS):
+            self.assertEqual(self.written(1, f"event {number}"), 1)
+        written = sum(self.written(1, f"further {number}") for number in range(1000))
+        self.assertEqual(written, BURST)
+
+
+class SetUpTest(unittest.TestCase):
+    """All of it in a process of its own, since it is for the whole process."""
+
+    def test_lines_go_to_standard_error(self) -> None:
+        code = (
+            "import logging; from brackenusher.runtime.fleet_log import set_up; set_up('proxy', 'info');"
+            "log = logging.getLogger('brackenusher.a'); log.debug('no'); log.info('up: port=%d', 80);"
+            "logging.getLogger('other').error('from elsewhere')"
+        )
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+        first, second = done.stderr.splitlines()
+        self.assertTrue(first.endswith("level=info role=proxy module=a event=up port=80"), first)
+        self.assertTrue(second.endswith('level=error role=proxy module=other event="from elsewhere"'), second)
+        self.assertEqual(done.stdout, "")
+
+    def test_before_it_nothing_is_changed(self) -> None:
+        stream = io.StringIO()
+        handler = logging.StreamHandler(stream)
+        logger = logging.getLogger(f"{fleet_log.__name__}.test")
+        logger.propagate = False
+        logger.addHandler(handler)
+        logger.warning("plain: a=%d", 1)
+        self.assertEqual(stream.getvalue(), "plain: a=1\n")
--- /dev/null
+++ b/tests/fleet/test_metrics.py
@@ -0,0 +1,116 @@
+"""Figures in the text format of Prometheus, and the calls at a Ready address."""
+
+import asyncio
+import unittest
+
+from brackenusher.control_plane.http_server import HttpRequest, HttpResponse
+from brackenusher.control_plane.ready_api import ReadyApi
+from brackenusher.runtime.metrics import MAX_SERIES, Metrics
+
+
+class MetricsTest(unittest.TestCase):
+    """What is rendered."""
+
+    def setUp(self) -> None:
+        self.metrics = Metrics()
+
+    def lines(self) -> list[str]:
+        return [line for line in self.metrics.render().decode().splitlines() if not line.startswith("#")]
+
+    def test_counters(self) -> None:
+        self.metrics.counter("links_total", "Links.").labels().inc()
+        calls = self.metrics.counter("calls_total", "Calls.", "call", "status")
+        calls.labels("get", "200").inc()
+        calls.labels("get", "200").inc(2)
+        calls.labels("get", "503").inc(0.5)
+        expected = [
+            "brackenusher_links_total 1",
+            'brackenusher_calls_total{call="get",status="200"} 3',
+            'brackenusher_calls_total{call="get",status="503"} 0.5',
+        ]
+        self.assertEqual(self.lines(), expected)
+
+    def test_a_figure_without_labels_is_told_before_it_is_used(self) -> None:
+        self.metrics.counter("links_total", "Links.")
+        self.metrics.counter("calls_total", "Calls.", "call")
+        self.assertEqual(self.lines(), ["brackenusher_links_total 0"])
+
+    def test_gauges(self) -> None:
+        gauge = self.metrics.gauge("in_flight", "Requests.").labels()
+        gauge.set(3)
+        gauge.set(-1.25)
+        self.metrics.gauge_function("version", "Version in force.", lambda: 7)
+        self.assertEqual(self.lines(), ["brackenusher_in_flight -1.25", "brackenusher_version 7"])
+
+    def test_histograms_are_cumulative(self) -> None:
+        waits = self.metrics.histogram("wait_seconds", "Waits.", "kind", bounds=(0.1, 1.0)).labels("a")
+        for value in (0.05, 0.1, 0.5, 3.0):
+            waits.observe(value)
+        expected = [
+            'brackenusher_wait_seconds_bucket{kind="a",le="0.1"} 2',
+            'brackenusher_wait_seconds_bucket{kind="a",le="1"} 3',
+            'brackenusher_wait_seconds_bucket{kind="a",le="+Inf"} 4',
+            'brackenusher_wait_seconds_sum{kind="a"} 3.65',
+            'brackenusher_wait_seconds_count{kind="a"} 4',
+        ]
+        self.assertEqual(self.lines(), expected)
+
+    def test_heads(self) -> None:
+        self.metrics.histogram("wait_seconds", "Waits\\of\nall.")
+        self.assertEqual(
+            self.metrics.render().decode().splitlines()[:2],
+            [
+                "# HELP brackenusher_wait_seconds Waits\\\\of\\nall.",
+                "# TYPE brackenusher_wait_seconds histogram",
+            ],
+        )
+
+    def test_values_of_labels_are_escaped(self) -> None:
+        self.metrics.counter("calls_total", "Calls.", "call").labels('a"b\\c\nd').inc()
+        self.assertEqual(self.lines(), ['brackenusher_calls_total{call="a\\"b\\\\c\\nd"} 1'])
+
+    def test_series_are_bounded(self) -> None:
+        calls = self.metrics.counter("calls_total", "Calls.", "call")
+        for number in range(1000):
+            calls.labels(str(number)).inc()
+        lines = self.lines()
+        self.assertEqual(len(lines), MAX_SERIES + 1)
+        self.assertEqual(lines[-1], f'brackenusher_calls_total{{call="other"}} {1000 - MAX_SERIES}')
+
+    def test_one_figure_a_name(self) -> None:
+        first = self.metrics.counter("calls_total", "Calls.", "call")
+        self.assertIs(self.metrics.counter("calls_total", "Calls.", "call"), first)
+        with self.assertRaises(ValueError):
+            self.metrics.gauge("calls_total", "Calls.", "call")
+        with self.assertRaises(ValueError):
+            self.metrics.counter("calls_total", "Calls.")
+        with self.assertRaises(ValueError):
+            first.labels("a", "b")
+
+
+class ReadyTest(unittest.TestCase):
+    """The calls at a Ready address."""
+
+    def setUp(self) -> None:
+        self.ready = False
+        self.metrics = Metrics()
+        self.api = ReadyApi(lambda: self.ready, self.metrics)
+
+    def call(self, target: str, method: str = "GET") -> HttpResponse:
+        return asyncio.run(self.api.handle(HttpRequest(method, target, {})))
+
+    def test_readiness(self) -> None:
+        self.assertEqual(self.call("/-/readiness").status, 503)
+        self.ready = True
+        self.assertEqual(self.call("/-/readiness").status, 200)
+        self.assertEqual(self.call("/-/readiness?x=1", "HEAD").status, 200)
+
+    def test_metrics(self) -> None:
+        self.metrics.counter("links_total", "Links.")
+        response = self.call("/-/metrics")
+        self.assertEqual((response.status, response.body), (200, self.metrics.render()))
+        self.assertTrue(response.content_type.startswith("text/plain; version=0.0.4"))
+
+    def test_anything_else(self) -> None:
+        self.assertEqual(self.call("/").status, 404)
+        self.assertEqual(self.call("/-/readiness", "POST").status, 405)
