--- a/brackenusher/assembly/control.py
+++ b/brackenusher/assembly/control.py
@@ -3,9 +3,10 @@
 import asyncio
 import os
 import random
-import time
 
-from brackenusher.assembly.process import greeting, run
+from barleybarrow.documents import Configuration
+from barleybarrow.limits.limits import Limits
+from brackenusher.assembly.process import greeting, limit_bounds, run
 from brackenusher.cluster.links import Links, split_address
 from brackenusher.cluster.monitor import Monitor
 from brackenusher.control_plane.api import Api
@@ -13,67 +14,82 @@
 from brackenusher.control_plane.feed_source import FeedSource
 from brackenusher.control_plane.http_server import HttpServer
 from brackenusher.control_plane.registry_service import RegistryService
-from brackenusher.control_plane.shares_driver import SharesKeeper
+from brackenusher.control_plane.shares_driver import SharesDriver
 from brackenusher.settings.documents import check_document
 from brackenusher.settings.local import LocalSettings
 from brackenusher.storage.slot_store import SlotStore
 from brackenusher.storage.writer import StorageWriter
 
-TICK_S = 0.05
-
-
-def now_ms() -> float:
-    """Monotonic milliseconds, the one clock that decisions are told."""
-    return time.monotonic() * 1000.0
+REGISTRY_STORE = "registry"
+TICK_S = 0.1
 
 
 class ControlProcess:
     """One control process."""
 
     def __init__(self, settings: LocalSettings) -> None:
+        loop = asyncio.get_running_loop()
         rng = random.Random(os.urandom(16))
         self.settings = settings
         self.links = Links(greeting(settings, "control", settings.control_internal_port, rng), rng)
-        self.writer = StorageWriter()
-        store = SlotStore(settings.data_dir, "registry") if settings.data_dir else None
+        self.writer = StorageWriter() if settings.data_dir else None
+        store = SlotStore(settings.data_dir, REGISTRY_STORE) if settings.data_dir else None
         self.shard = ConfigShard(settings, self.links, check_document, rng)
-        self.registry = RegistryService(settings, self.links, store, self.writer, self.shard.voters, now_ms())
+        self.registry = RegistryService(
+            settings, self.links, store, self.writer, self.shard.voters, lambda: loop.time() * 1000.0
+        )
         self.feeds = FeedSource(self.links, self.shard, self.registry)
-        self.shares = SharesKeeper(settings, self.links, self.shard, rng)
+        own = self.links.own.address
+        self.limits = Limits(own, [], rng, loop.time() * 1000.0, limit_bounds(settings))
+        self.shares = SharesDriver(self.limits, self.links, lambda: loop.time() * 1000.0)
+        self.shard.on_committed.append(self._configured)
+        self.shard.on_voters.append(lambda voters, index: self.shares.voters_changed(voters))
         self.monitor = Monitor(settings, self.links, rng)
+        self._ticker: asyncio.Task[None] | None = None
         host, port = split_address(settings.listen.control)
         self.server = HttpServer(host, port, Api(self.shard, self.registry).handle)
-        self._ticker: asyncio.Task[None] | None = None
+
+    def _configured(self, configuration: Configuration) -> None:
+        now = asyncio.get_running_loop().time() * 1000.0
+        self.limits.configure(now, configuration.tenants, configuration.services)
 
     async def start(self) -> None:
+        """Open what is served. Raises OSError where an address can't be listened on."""
         await self.links.start()
         await self.shard.start()
-        await self.server.start()
         await self.monitor.start()
-        self._ticker = asyncio.get_running_loop().create_task(self._tick())
+        self.shares.start()
+        await self.server.start()
+        self._ticker = asyncio.get_running_loop().create_task(self._keep_ticking())
 
-    async def _tick(self) -> None:
+    async def _keep_ticking(self) -> None:
         while True:
-            await asyncio.sleep(TICK_S)
             self.registry.tick()
-            self.shares.tick()
             self.monitor.tick()
+            await asyncio.sleep(TICK_S)
 
     def reload(self, settings: LocalSettings) -> None:
+        """Take up a settings file that changed: new seeds are called."""
         for seed in settings.seed_nodes:
             host, _ = split_address(seed)
             self.links.connect(f"{host}:{settings.control_internal_port}")
 
     async def stop(self) -> None:
+        """Hand over what this process leads, then end."""
         await self.shard.stop()
         await self.server.stop()
+        self.shares.stop()
         if self._ticker is not None:
             self._ticker.cancel()
+        await self.feeds.stop()
         await self.monitor.stop()
         await self.links.stop()
+        if self.writer is not None:
+            self.writer.close()
 
 
 async def make(settings: LocalSettings) -> ControlProcess:
+    """Put a control process together; the event loop runs."""
     return ControlProcess(settings)
 
 
--- a/brackenusher/assembly/process.py
+++ b/brackenusher/assembly/process.py
@@ -11,6 +11,7 @@
 
 from returns.result import Failure, Success
 
+from barleybarrow.limits.bounds import LimitBounds
 from brackenusher.cluster import messages
 from brackenusher.settings.local import LocalSettings
 from brackenusher.settings.reading import load_settings
@@ -62,6 +63,19 @@
     )
 
 
+def limit_bounds(settings: LocalSettings) -> LimitBounds:
+    """The bounds of quotas and retries, as the settings file has them."""
+    bounds = settings.bounds
+    return LimitBounds(
+        quota_window_s=bounds.quota_window_s,
+        quota_overshoot=bounds.quota_overshoot,
+        quota_slack=bounds.quota_slack,
+        retry_budget_ratio=bounds.retry_budget_ratio,
+        retry_window_s=bounds.retry_window_s,
+        retry_budget_min=bounds.retry_budget_min,
+    )
+
+
 async def _serve(make: Callable[[LocalSettings], Awaitable[Runnable]], settings: LocalSettings) -> None:
     loop = asyncio.get_running_loop()
     ending = asyncio.Event()
--- /dev/null
+++ b/brackenusher/assembly/proxy.py
@@ -0,0 +1,122 @@
+"""The role `proxy`: feeds from control, decisions, and the data plane between clients and servers."""
+
+import asyncio
+import os
+import random
+
+from barleybarrow.documents import Configuration
+from barleybarrow.limits.limits import Limits
+from barleybarrow.replication.records import InstanceRecord, InstanceState
+from barleybarrow.routing.actions import DispatchSettings, ServerInfo, ServerState
+from barleybarrow.routing.dispatcher import Dispatcher
+from brackenusher.assembly.process import greeting, limit_bounds, run
+from brackenusher.cluster.links import Links, split_address
+from brackenusher.cluster.monitor import Monitor
+from brackenusher.control_plane.http_server import HttpRequest, HttpResponse, HttpServer
+from brackenusher.data_plane.feed_client import FeedClient
+from brackenusher.data_plane.limits_driver import LimitsDriver
+from brackenusher.data_plane.proxy import Proxy
+from brackenusher.data_plane.server import DataPlaneServer
+from brackenusher.settings.local import LocalSettings
+
+READINESS_PATH = "/-/readiness"
+TICK_S = 0.1
+
+
+def server_info(record: InstanceRecord) -> ServerInfo:
+    """A record of the registry as the dispatcher wants it."""
+    state = ServerState.DRAINING if record.state is InstanceState.DRAINING else ServerState.READY
+    return ServerInfo(
+        id=record.id,
+        address=record.address,
+        zone=record.zone,
+        slots=record.slots,
+        state=state,
+        cold_remaining_ms=float(record.cold_remaining_ms),
+        models=tuple(model.name for model in record.models),
+    )
+
+
+class ProxyProcess:
+    """One proxy process."""
+
+    def __init__(self, settings: LocalSettings) -> None:
+        loop = asyncio.get_running_loop()
+        rng = random.Random(os.urandom(16))
+        self.settings = settings
+        self.links = Links(greeting(settings, "proxy", settings.proxy_internal_port, rng), rng)
+        now = loop.time() * 1000.0
+        self.limits = Limits(self.links.own.address, [], rng, now, limit_bounds(settings))
+        self.limits_driver = LimitsDriver(self.limits, self.links, lambda: loop.time() * 1000.0)
+        self.dispatcher = Dispatcher(
+            DispatchSettings(zone=settings.zone),
+            rng,
+            now,
+            lambda service: self.limits.may_repeat(loop.time() * 1000.0, service),
+        )
+        self.proxy = Proxy(loop, self.dispatcher, self.limits, settings.limits.memory_mb)
+        self.feed = FeedClient(settings, self.links, self._configured, self._servers_changed)
+        self.feed.on_voters.append(self.limits_driver.voters_changed)
+        self.monitor = Monitor(settings, self.links, rng)
+        self.monitor.on_controls.append(self.feed.learn)
+        self.monitor.on_members.append(lambda members: self._members_changed())
+        self._ticker: asyncio.Task[None] | None = None
+        self.server = DataPlaneServer(self.proxy, settings.limits.max_fds, lambda: self.feed.ready)
+        host, port = split_address(settings.listen.ready)
+        self.readiness = HttpServer(host, port, self._answer_readiness)
+
+    def _configured(self, configuration: Configuration) -> None:
+        self.proxy.configure(configuration)
+
+    def _members_changed(self) -> None:
+        count = self.monitor.proxies()
+        if count != self.proxy.proxy_count:
+            self.proxy.set_proxy_count(count)
+
+    def _servers_changed(self, service: str, records: list[InstanceRecord]) -> None:
+        self.proxy.set_servers(service, [server_info(record) for record in records])
+
+    async def _answer_readiness(self, request: HttpRequest) -> HttpResponse:
+        if request.path != READINESS_PATH:
+            return HttpResponse(404)
+        return HttpResponse(200 if self.server.readiness() else 503)
+
+    async def start(self) -> None:
+        """Open what is served. Raises OSError where an address can't be listened on."""
+        await self.links.start()
+        await self.readiness.start()
+        await self.server.start(self.settings.listen.front)
+        self.limits_driver.start()
+        await self.feed.start()
+        await self.monitor.start()
+        self._ticker = asyncio.get_running_loop().create_task(self._keep_ticking())
+
+    async def _keep_ticking(self) -> None:
+        while True:
+            self.monitor.tick()
+            await asyncio.sleep(TICK_S)
+
+    def reload(self, settings: LocalSettings) -> None:
+        """Take up a settings file that changed: new seeds are used."""
+        self.feed.configure(settings)
+
+    async def stop(self) -> None:
+        """Serve on until the platform has noticed, answer everything, then end."""
+        await self.server.shut_down(self.settings.bounds.grace_s)
+        await self.readiness.stop()
+        if self._ticker is not None:
+            self._ticker.cancel()
+        await self.monitor.stop()
+        await self.feed.stop()
+        self.limits_driver.stop()
+        await self.links.stop()
+
+
+async def make(settings: LocalSettings) -> ProxyProcess:
+    """Put a proxy process together; the event loop runs."""
+    return ProxyProcess(settings)
+
+
+def main() -> int:
+    """Run a proxy process until it is told to end. Returns the exit code."""
+    return run(make)
