--- a/barleybarrow/limits/bounds.py
+++ b/barleybarrow/limits/bounds.py
@@ -1,10 +1,44 @@
-"""The bounds that the rules set on quotas and retries, and what each part of the limits may use of them.
+"""What the rules allow for one key over all proxies, and how the parts of the machine divide it.
 
-Pure arithmetic. Rates are a second, times milliseconds unless a name says otherwise.
+Pure arithmetic. The rule for a quota of rate R and burst B: in each window W at most (R W + B) (1 + o) + S,
+where o is QuotaOvershoot and S is QuotaSlack. The machine admits R W + B and, beyond that, at most its
+`room` (o (R W + B) + S, less a margin), which is divided once for all:
+
+| part | what may come beyond R W + B in one window |
+| --- | --- |
+| debt | the warden grants a request when its bucket is above zero, which takes the bucket below zero once |
+| extra | the warden's bucket holds B + extra |
+| credit | granted before the window, spent in it: the most that may be outstanding at all proxies together |
+| fallback | what proxies without a warden may spend at once, beyond their part of the rate |
 """
 
 from dataclasses import dataclass
 
+from barleybarrow.documents import QuotaUnit, Tenant
+
+MARGIN = 0.05  # of the room, for rounding and for clocks that differ
+DEBT_SHARE = 0.15
+LARGEST_REQUEST_TOKENS = 32_768.0  # a debt beyond the largest request would serve nobody
+SMALL_ROOM = 8.0  # largest requests: with less beside the debt, no fallback bucket would ever hold a request
+REQUEST_SLACK_SHARE = 0.25  # of R W + B: QuotaSlack may count tokens, so it is not taken whole for requests
+RETRY_RATE_SHARE = 0.4  # of RetryBudgetMin, spread over the window
+RETRY_BURST_SHARE = 0.3
+RETRY_CREDIT_SHARE = 0.15
+RETRY_FALLBACK_SHARE = 0.1  # the rest is margin
+
+
+@dataclass(frozen=True, slots=True)
+class Split:
+    """Shares of what is left of the room beside the debt; they add up to one."""
+
+    extra: float
+    credit: float
+    fallback: float
+
+
+LARGE_SPLIT = Split(0.10, 0.45, 0.45)
+SMALL_SPLIT = Split(0.40, 0.50, 0.10)
+
 
 @dataclass(frozen=True, slots=True)
 class LimitBounds:
@@ -16,3 +50,50 @@
     retry_budget_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_budget_min: float = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class KeyLimit:
+    """What all proxies together may use of one key, in the key's own unit (tokens or requests)."""
+
+    rate: float  # a second
+    capacity: float  # of the warden's bucket
+    debt: float  # how far below zero one grant may take the bucket
+    credit: float  # granted and not yet known to be spent, at all proxies together
+    fallback: float  # capacity of the fallback buckets of all proxies together
+    largest: float  # request that credit ahead of need must leave room for
+
+
+def quota_limit(tenant: Tenant, bounds: LimitBounds) -> KeyLimit | None:
+    """How a tenant's quota is divided; None where it has none."""
+    if tenant.rate_per_s <= 0.0:
+        return None
+    steady = tenant.rate_per_s * bounds.quota_window_s + tenant.burst
+    slack, largest = bounds.quota_slack, LARGEST_REQUEST_TOKENS
+    if tenant.unit != QuotaUnit.TOKENS:
+        slack, largest = min(slack, REQUEST_SLACK_SHARE * steady), 1.0
+    room = (bounds.quota_overshoot * steady + slack) * (1.0 - MARGIN)
+    debt = min(DEBT_SHARE * room, largest)
+    rest = room - debt
+    split = SMALL_SPLIT if rest < SMALL_ROOM * largest else LARGE_SPLIT
+    return KeyLimit(
+        tenant.rate_per_s,
+        tenant.burst + split.extra * rest,
+        debt,
+        split.credit * rest,
+        split.fallback * rest,
+        largest,
+    )
+
+
+def retry_limit(bounds: LimitBounds) -> KeyLimit:
+    """How RetryBudgetMin of one service is divided: all parts stay below it together."""
+    least = bounds.retry_budget_min
+    return KeyLimit(
+        RETRY_RATE_SHARE * least / bounds.retry_window_s,
+        RETRY_BURST_SHARE * least,
+        0.0,
+        RETRY_CREDIT_SHARE * least,
+        RETRY_FALLBACK_SHARE * least,
+        0.0,
+    )
--- /dev/null
+++ b/barleybarrow/limits/credit_ledger.py
@@ -0,0 +1,200 @@
+"""The warden's books: one bucket a key, and the credit that each proxy holds of it.
+
+Why the sum holds in every window, with R, B, debt, extra and credit of `barleybarrow.limits.bounds`, and L,
+the fraction of each limit that is lent to the warden. What proxies spend from t1 to t2 is what was granted
+meanwhile, less what was returned, plus what was outstanding at t1 less what is at t2. The bucket gains R L
+a second, never holds more than B + extra nor less than -debt, and loses what is granted. So
+
+    spent(t1, t2) <= R integral(L) + bucket(t1) - bucket(t2) + outstanding(t1)
+                  <= R integral(L) + B + extra + debt + credit
+
+because nothing is granted that brings `outstanding` above `credit`; it counts all credit that a proxy may
+still spend, for it falls only when a proxy says that credit is spent or returned, or when its time is over
+on every clock. What proxies spend without a warden comes from R (1 - L) and their fallback buckets
+(`credit_client`). A new warden knows no buckets: each begins at -debt, or so low that what the one before
+had granted, and may still be spent, fits into what the new bucket lacks: CREDIT_LIFE after its start all of
+that is over.
+
+No I/O; told the time in milliseconds.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from math import floor
+
+from barleybarrow.limits import spans
+from barleybarrow.limits.bounds import KeyLimit
+from barleybarrow.limits.lent import LentFraction
+from barleybarrow.limits.messages import Grant, Item
+from barleybarrow.limits.warden_lease import DRIFT
+
+WANT_ABOVE = 0.25  # of the capacity: below that level there is no credit ahead of need
+WANT_CREDIT = 0.8  # of the credit that may be outstanding, for credit ahead of need
+WORTH_HAVING = 0.5  # of what a proxy wants; less would not pay for a request
+UNKNOWN_WAIT = 50.0  # milliseconds until a proxy asks again for a key that the warden does not know yet
+SETTLE_WAIT = 25.0  # milliseconds until credit of others will have been reported as spent
+CONTENTION = 0.5  # of a turn of all proxies that hold the key
+LEAST_FRACTION = 0.01  # lent to the warden; with less it tells no meaningful wait
+
+
+@dataclass(slots=True)
+class GrantedEntry:
+    """What the warden knows of one proxy's entry."""
+
+    number: int
+    granted: float
+    spent: float
+    returned: float
+    heard_at: float
+
+    @property
+    def outstanding(self) -> float:
+        return self.granted - self.spent - self.returned
+
+
+@dataclass(slots=True)
+class KeyAccount:
+    """The bucket of one key and what is outstanding of it."""
+
+    level: float
+    integral: float  # of the lent fraction, up to which the level counts
+    outstanding: float = 0.0
+    entries: dict[str, GrantedEntry] = field(default_factory=dict)  # by proxy
+    orphaned: list[tuple[float, float]] = field(default_factory=list)  # credit of entries that went, until
+
+
+class CreditLedger:
+    """All accounts of one term. `limit_of` gives the limit of a key, None where there is none."""
+
+    def __init__(self, lent: LentFraction, limit_of: Callable[[str], KeyLimit | None]) -> None:
+        self.lent, self.limit_of = lent, limit_of
+        self.fresh = False  # no warden before has granted anything
+        self.accounts: dict[str, KeyAccount] = {}
+
+    def first_level(self, limit: KeyLimit) -> float:
+        """Where a bucket begins with the term."""
+        if self.fresh:
+            return limit.capacity
+        spendable = limit.rate * spans.CREDIT_LIFE * DRIFT / 1000.0
+        return min(-limit.debt, limit.capacity - spendable)
+
+    def account(self, now: float, key: str, limit: KeyLimit) -> KeyAccount:
+        """The account of a key, with its bucket as full as it is now."""
+        self.lent.advance(now)
+        found = self.accounts.get(key)
+        if found is None:
+            found = self.accounts[key] = KeyAccount(self.first_level(limit), 0.0)
+        gained = limit.rate * (self.lent.integral - found.integral) / 1000.0
+        found.level = min(limit.capacity, found.level + gained)
+        found.integral = self.lent.integral
+        if found.orphaned:
+            self.end_orphaned(now, found)
+        return found
+
+    def end_orphaned(self, now: float, account: KeyAccount) -> None:
+        account.outstanding -= sum(amount for amount, until in account.orphaned if until <= now)
+        account.orphaned = [(amount, until) for amount, until in account.orphaned if until > now]
+
+    # Reports
+
+    def take(self, now: float, name: str, item: Item, void_at: float) -> Grant | None:
+        """Book what a proxy reports of one entry, and grant what it needs.
+
+        `void_at`: when all credit that the proxy has been granted until now is over.
+        """
+        limit = self.limit_of(item.key)
+        if limit is None:
+            return Grant(item.entry, item.spent + item.returned, UNKNOWN_WAIT, True)
+        account = self.account(now, item.key, limit)
+        entry = self.book(now, account, name, item, void_at)
+        if entry is None:
+            return None
+        wait, settling = self.grant_need(account, limit, entry, item)
+        if wait <= 0.0:
+            self.grant_want(account, limit, entry, item)
+        return Grant(entry.number, entry.granted, wait, settling)
+
+    def book(
+        self, now: float, account: KeyAccount, name: str, item: Item, void_at: float
+    ) -> GrantedEntry | None:
+        entry = account.entries.get(name)
+        if entry is not None and item.entry < entry.number:
+            return None  # of an entry that the proxy has closed since
+        if entry is None or item.entry > entry.number:
+            if entry is not None and entry.outstanding > 0.0:
+                account.orphaned.append((entry.outstanding, void_at))
+            total = item.spent + item.returned
+            entry = account.entries[name] = GrantedEntry(item.entry, total, item.spent, item.returned, now)
+            return entry
+        spent, returned = max(entry.spent, item.spent), max(entry.returned, item.returned)
+        account.outstanding -= spent - entry.spent + returned - entry.returned
+        account.level += returned - entry.returned
+        entry.spent, entry.returned, entry.heard_at = spent, returned, now
+        return entry
+
+    def grant_need(
+        self, account: KeyAccount, limit: KeyLimit, entry: GrantedEntry, item: Item
+    ) -> tuple[float, bool]:
+        """Grant what requests wait for. How long to wait for the rest, and whether for reports of others."""
+        held = entry.outstanding
+        short = item.need - held
+        if short <= 0.0:
+            return 0.0, False
+        least = max(0.0, item.first - held)
+        there = account.level + limit.debt if account.level > 0.0 else 0.0
+        room = limit.credit - account.outstanding
+        amount = float(floor(min(short, there, room)))
+        if amount >= least:
+            self.grant(account, entry, amount)
+            if amount >= short:
+                return 0.0, False
+        if there >= least and room < least:
+            return SETTLE_WAIT, True
+        return self.wait(account, limit, item.first), False
+
+    def wait(self, account: KeyAccount, limit: KeyLimit, cost: float) -> float:
+        """Milliseconds until it is worth asking for the rate again."""
+        rate = limit.rate * max(LEAST_FRACTION, self.lent.value)
+        missing = max(0.0, cost - limit.debt - account.level, -account.level)
+        turn = CONTENTION * len(account.entries) * cost
+        return max(1.0, 1000.0 * (missing + turn) / rate)
+
+    def grant_want(self, account: KeyAccount, limit: KeyLimit, entry: GrantedEntry, item: Item) -> None:
+        """Grant credit ahead of need, while there is plenty."""
+        held = entry.outstanding
+        short = item.want - held
+        if short <= 0.0 or account.level < WANT_ABOVE * limit.capacity:
+            return
+        most = min(WANT_CREDIT * limit.credit, limit.credit - limit.largest)
+        fair = most / max(1, len(account.entries)) - held
+        amount = float(floor(min(short, fair, most - account.outstanding, account.level)))
+        if amount >= WORTH_HAVING * short and amount >= 1.0:
+            self.grant(account, entry, amount)
+
+    def grant(self, account: KeyAccount, entry: GrantedEntry, amount: float) -> None:
+        account.level -= amount
+        account.outstanding += amount
+        entry.granted += amount
+
+    # Proxies that went
+
+    def write_off(self, name: str) -> None:
+        """All credit of a proxy is over: it is spent or void."""
+        for account in self.accounts.values():
+            entry = account.entries.pop(name, None)
+            if entry is not None:
+                account.outstanding -= entry.outstanding
+
+    def clean(self, now: float) -> None:
+        """Forget entries that nobody uses, and accounts that are as good as new."""
+        for key, account in list(self.accounts.items()):
+            limit = self.limit_of(key)
+            if limit is not None:
+                self.account(now, key, limit)
+            for name, entry in list(account.entries.items()):
+                if now - entry.heard_at > spans.IDLE_DROP:
+                    account.outstanding -= entry.outstanding
+                    del account.entries[name]
+            full = limit is None or account.level >= limit.capacity
+            if full and not account.entries and not account.orphaned:
+                del self.accounts[key]
--- /dev/null
+++ b/barleybarrow/limits/credit_machine.py
@@ -0,0 +1,296 @@
+"""One process's part in the limits that all proxies share: proxy, keeper or warden.
+
+The warden holds the lease of a majority of the keepers (`WardenLease`); it answers the reports of proxies
+with credit (`credit_ledger`, `members`). A proxy spends credit, or its base when it is out of touch
+(`credit_client`). A machine without I/O; told the time in milliseconds of its own monotonic clock.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from math import inf
+from random import Random
+
+from barleybarrow.limits import spans
+from barleybarrow.limits.bounds import KeyLimit
+from barleybarrow.limits.credit_client import CreditClient
+from barleybarrow.limits.credit_ledger import CreditLedger
+from barleybarrow.limits.lent import LentFraction
+from barleybarrow.limits.members import Members
+from barleybarrow.limits.messages import (
+    CreditAnswer,
+    CreditReport,
+    Message,
+    RosterAsk,
+    RosterEntry,
+    RosterReply,
+    RosterTaken,
+    RosterUpdate,
+)
+from barleybarrow.limits.warden_lease import DRIFT, Here, Role, WardenLease
+
+CLEAN_EVERY = 2000.0  # milliseconds between two looks for entries that nobody uses
+
+
+@dataclass(slots=True)
+class KeptRoster:
+    """What a keeper remembers; not known: it may have forgotten what it had taken."""
+
+    known: bool
+    version: int = 0
+    entries: list[RosterEntry] = field(default_factory=list)
+
+
+class Term:
+    """What a warden keeps for one term."""
+
+    def __init__(self, now: float, limit_of: Callable[[str], KeyLimit | None]) -> None:
+        self.lent = LentFraction(now)
+        self.members = Members(now, self.lent)
+        self.ledger = CreditLedger(self.lent, limit_of)
+        self.replies: dict[str, RosterReply] = {}
+        self.version = 0
+        self.first = False  # whether the plan that is pending is the first of the system
+        self.pending: dict[str, float] | None = None  # the plan that keepers are to remember
+        self.entries: list[RosterEntry] = []
+        self.taken: set[str] = set()
+        self.roster_at = now
+        self.plan_at = now
+        self.clean_at = now + CLEAN_EVERY
+
+
+class CreditMachine(WardenLease):
+    """All parts of one process. `asks`: it is a proxy. `fresh`: this is the first start of the system."""
+
+    def __init__(
+        self,
+        name: str,
+        keepers: list[str],
+        rng: Random,
+        now: float,
+        limit_of: Callable[[str], KeyLimit | None],
+        window_ms: float,
+        asks: bool = True,
+        fresh: bool = False,
+    ) -> None:
+        super().__init__(name, keepers, rng, now, spans.LEASE_TIMES)
+        self.limit_of = limit_of
+        self.kept = KeptRoster(known=fresh)
+        self.client = CreditClient(self.run, now, window_ms, limit_of) if asks else None
+        self.books: Term | None = None
+        self.heard: dict[str, float] = {}  # proxies, and when they reported last
+        self.clean_at = now + CLEAN_EVERY
+
+    # The lease
+
+    def elected(self, now: float) -> None:
+        self.books = Term(now, self.limit_of)
+        self.books.version = self.kept.version
+        self.heard.clear()
+        self.ask_rosters(now, self.books)
+        if self.client is not None:
+            self.client.warden_changed(now, self.term)
+
+    def stepped_down(self, now: float) -> None:
+        self.books = None
+        self.seek_soon(now)
+
+    def freed(self, now: float) -> None:
+        if self.role is Role.PROXY:
+            self.warden_at = -inf
+            self.seek_soon(now)
+
+    def seek_soon(self, now: float) -> None:
+        """As a keeper: seek when the promise to the warden that went is over."""
+        own = self.promised == self.name
+        free_at = now if own else max(now, self.promised_until)
+        self.seek_at = free_at + self.rng.uniform(0.0, spans.SEEK_AGAIN)
+
+    def warden_changed(self, now: float) -> None:
+        if self.client is not None:
+            self.client.warden_changed(now, self.term)
+
+    def listeners(self, now: float) -> list[str]:
+        keepers = set(self.keepers)
+        return [
+            name
+            for name in self.reach
+            if name in keepers or now - self.heard.get(name, -inf) > spans.SILENT_HERE
+        ]
+
+    def reach_changed(self, now: float, reach: list[str]) -> None:
+        """Links came up or went down. A warden greets those that are new; keepers miss one that went."""
+        new = set(reach) - set(self.reach)
+        self.reach = list(reach)
+        if self.role is Role.PROXY and self.name in self.keepers and self.warden not in self.reach:
+            self.warden_at = -inf
+            self.seek_soon(now)
+        if self.role is Role.WARDEN and now < self.lease_end:
+            self.out.extend((name, Here(self.term)) for name in sorted(new))
+
+    def resign(self, now: float) -> None:
+        """Planned end: free the keepers, so that another warden follows at once."""
+        if self.role is Role.WARDEN:
+            self.give_back()
+            self.step_down(now)
+
+    # Time
+
+    def next(self) -> float:
+        """When `tick` is to be called."""
+        found = min(self.next_of_lease(), self.clean_at)
+        if self.client is not None:
+            found = min(found, self.client.next(bool(self.warden)))
+        if self.books is not None:
+            found = min(found, self.books.plan_at)
+        return found
+
+    def tick(self, now: float) -> None:
+        """Do what is due."""
+        self.tick_lease(now)
+        if self.books is not None and now >= self.books.plan_at:
+            self.tick_books(now, self.books)
+        if self.client is not None:
+            self.client.tick(now)
+            if self.warden and now >= self.client.report_at:
+                self.send_report(now, self.client)
+            if now >= self.clean_at:
+                self.client.clean(now)
+        if now >= self.clean_at:
+            self.clean_at = now + CLEAN_EVERY
+
+    def send_report(self, now: float, client: CreditClient) -> None:
+        report = client.report(now)
+        if self.warden != self.name:
+            self.out.append((self.warden, report))
+            return
+        answer = self.answer(now, self.name, report)
+        if answer is not None:
+            client.answer(now, answer)
+
+    def tick_books(self, now: float, books: Term) -> None:
+        books.plan_at = now + spans.PLAN_EVERY
+        for name in books.members.silent(now):
+            books.ledger.write_off(name)
+        books.members.forget(now)
+        if now >= books.clean_at:
+            books.clean_at = now + CLEAN_EVERY
+            books.ledger.clean(now)
+        if books.pending is None:
+            self.make_plan(now, books)
+        elif now >= books.roster_at:
+            self.send_roster(now, books)
+        if not books.members.is_known(now):
+            self.ask_rosters(now, books)
+
+    # The roster: as the warden
+
+    def ask_rosters(self, now: float, books: Term) -> None:
+        books.replies[self.name] = RosterReply(
+            self.term, self.kept.known, self.kept.version, self.kept.entries
+        )
+        for name in self.keepers:
+            if name != self.name and name not in books.replies:
+                self.out.append((name, RosterAsk(self.term)))
+        self.read_rosters(now, books)
+
+    def read_rosters(self, now: float, books: Term) -> None:
+        """A majority that has forgotten nothing knows the most that anybody may hold."""
+        replies = [reply for name, reply in books.replies.items() if name in self.keepers]
+        books.version = max([books.version, *(reply.version for reply in replies)])
+        known = [reply for reply in replies if reply.known]
+        if books.members.is_known(now) or len(known) < self.majority:
+            return
+        version = max(reply.version for reply in known)
+        entries: dict[tuple[str, int], RosterEntry] = {}
+        for reply in known:
+            for entry in reply.entries if reply.version == version else []:
+                old = entries.get((entry.name, entry.run))
+                if old is None or entry.base > old.base:
+                    entries[entry.name, entry.run] = entry
+        books.members.adopt(now, list(entries.values()))
+        if version == 0:
+            self.commit(now, books, {})  # nobody has granted anything before: buckets may begin full then
+
+    def make_plan(self, now: float, books: Term) -> None:
+        plan = books.members.plan(now)
+        if plan is None:
+            return
+        self.commit(now, books, plan)
+
+    def commit(self, now: float, books: Term, plan: dict[str, float]) -> None:
+        """Have a majority of the keepers remember a plan before anybody is told of it."""
+        books.members.raising = False
+        books.first = books.version == 0
+        books.pending, books.version = plan, books.version + 1
+        books.entries = books.members.roster(plan)
+        books.taken = set()
+        self.send_roster(now, books)
+
+    def send_roster(self, now: float, books: Term) -> None:
+        books.roster_at = now + spans.ROSTER_REPEAT
+        self.kept = KeptRoster(True, books.version, books.entries)
+        for name in self.keepers:
+            if name != self.name and name not in books.taken:
+                self.out.append((name, RosterUpdate(books.version, books.entries)))
+        self.roster_taken(now, books, self.name, books.version)
+
+    def roster_taken(self, now: float, books: Term, name: str, version: int) -> None:
+        if version != books.version or books.pending is None or name not in self.keepers:
+            return
+        books.taken.add(name)
+        if len(books.taken) >= self.majority:
+            books.members.planned, books.members.raising = books.pending, True
+            books.pending = None
+            if books.first:
+                books.ledger.fresh = True
+
+    # Messages
+
+    def receive(self, now: float, sender: str, m: Message) -> None:
+        """Take a message of another process."""
+        if isinstance(m, CreditReport):
+            answer = self.answer(now, sender, m)
+            if answer is not None:
+                self.out.append((sender, answer))
+        elif isinstance(m, CreditAnswer):
+            if sender == self.warden and self.client is not None:
+                self.client.answer(now, m)
+        elif isinstance(m, RosterUpdate):
+            if sender == self.promised and m.version >= self.kept.version:
+                self.kept = KeptRoster(True, m.version, m.entries)
+                self.out.append((sender, RosterTaken(m.version)))
+        elif isinstance(m, RosterAsk):
+            self.out.append(
+                (sender, RosterReply(m.term, self.kept.known, self.kept.version, self.kept.entries))
+            )
+        elif isinstance(m, RosterTaken | RosterReply):
+            self.receive_roster(now, sender, m)
+        else:
+            self.receive_lease(now, sender, m)
+
+    def receive_roster(self, now: float, sender: str, m: RosterTaken | RosterReply) -> None:
+        books = self.books
+        if books is None or now >= self.lease_end:
+            return
+        if isinstance(m, RosterTaken):
+            self.roster_taken(now, books, sender, m.version)
+        elif m.term == self.term:
+            books.replies[sender] = m
+            self.read_rosters(now, books)
+
+    def answer(self, now: float, sender: str, m: CreditReport) -> CreditAnswer | None:
+        """As the warden: book and answer a report; None where it is of another term or too late."""
+        books = self.books
+        if books is None or now >= self.lease_end or m.term != self.term:
+            return None
+        heard = books.members.hear(now, sender, m)
+        if heard is None:
+            return None
+        self.heard[sender] = now
+        member, new_run = heard
+        if new_run:
+            books.ledger.write_off(sender)
+        void_at = member.answered_at + spans.CREDIT_LIFE * DRIFT
+        grants = [books.ledger.take(now, sender, item, void_at) for item in m.items]
+        base = books.members.tell(now, sender, member, m.number)
+        return CreditAnswer(m.term, m.number, base, [grant for grant in grants if grant is not None])
--- a/barleybarrow/limits/limits.py
+++ b/barleybarrow/limits/limits.py
@@ -1,88 +1,129 @@
-"""The limits of one proxy: API keys, quotas and retry budgets that hold over all proxies together.
+"""The limits of one process: API keys, quotas and retry budgets that hold over all proxies together.
 
-A machine without I/O, told the time in milliseconds. Parts of each limit come from `barleybarrow.shares`.
+Proxies call `authenticate`, `decide` (or `admit`), `requested` and `may_repeat`; control processes only
+keep the books (`asks=False`). A machine without I/O, told the time in milliseconds: its driver carries
+`outbox()` to the other processes and theirs to `receive`, calls `tick` when it is due, and hands
+`verdicts()` to requests that wait.
 """
 
 from random import Random
 
-import msgspec
-
 from barleybarrow.documents import Service, Tenant
-from barleybarrow.limits.bounds import LimitBounds
+from barleybarrow.limits.bounds import KeyLimit, LimitBounds, quota_limit, retry_limit
+from barleybarrow.limits.credit_client import Verdict
+from barleybarrow.limits.credit_machine import CreditMachine
+from barleybarrow.limits.messages import MessageError, decode, encode
 from barleybarrow.limits.retries import RetryBudget
 from barleybarrow.limits.tenants import TenantTable
-from barleybarrow.shares import Message, Shares
 
-FIRST_PROXIES = 100  # assumed number of proxies until the warden has said how many there are
 QUOTA_PREFIX = "quota:"
 RETRY_PREFIX = "retry:"
+REPEAT_COST = 1.0
+RETRY_AFTER_LEAST, RETRY_AFTER_MOST = 100.0, 5000.0  # milliseconds that a refused client is told to wait
 
-_encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(Message).decode
-
-
-class LocalBucket:
-    """What this proxy may still admit of one tenant's limit."""
-
-    __slots__ = ("at", "level")
-
-    def __init__(self, now: float) -> None:
-        self.at, self.level = now, 0.0
+__all__ = ["Limits", "Verdict"]
 
 
 class Limits:
-    """Decides on each request: who sent it, and whether quota and retry budget allow it."""
-
-    def __init__(self, name: str, keepers: list[str], rng: Random, now: float, bounds: LimitBounds) -> None:
+    """Decides on each request: who sent it, and whether quota and retry budget allow it.
+
+    `asks`: this is a proxy. `fresh`: this is the first start of the whole system (the setting Bootstrap).
+    """
+
+    def __init__(
+        self,
+        name: str,
+        keepers: list[str],
+        rng: Random,
+        now: float,
+        bounds: LimitBounds,
+        asks: bool = True,
+        fresh: bool = False,
+    ) -> None:
         self.bounds = bounds
         self.tenants = TenantTable()
         self.retries = RetryBudget(bounds)
-        self.shares = Shares(name, keepers, rng, now, FIRST_PROXIES, self._rate_of)
-        self.buckets: dict[str, LocalBucket] = {}
+        self.limits: dict[str, KeyLimit] = {}  # by key
+        self.quota_keys: dict[str, str] = {}  # by name of the tenant
+        window_ms = 1000.0 * max(bounds.quota_window_s, bounds.retry_window_s)
+        self.machine = CreditMachine(name, keepers, rng, now, self.limits.get, window_ms, asks, fresh)
+        self.client = self.machine.client
+        self.counts = {"admitted": 0, "refused": 0, "waited": 0, "repeats_refused": 0}
 
     def configure(self, now: float, tenants: list[Tenant], services: list[Service]) -> None:
         """Take the tenants and services of a new configuration; it holds from this call on."""
         for name in self.tenants.replace(tenants):
-            if name not in self.tenants.by_name:
-                self.buckets.pop(name, None)
-        self.retries.keep_only({service.name for service in services})
+            self.quota_changed(name)
+        names = {service.name for service in services}
+        self.retries.keep_only(names)
+        share = retry_limit(self.bounds)
+        stale = [key for key in self.limits if key.startswith(RETRY_PREFIX)]
+        for key in stale:
+            if key.removeprefix(RETRY_PREFIX) not in names:
+                del self.limits[key]
+        for service in names:
+            self.limits[RETRY_PREFIX + service] = share
+
+    def quota_changed(self, name: str) -> None:
+        tenant = self.tenants.by_name.get(name)
+        key = QUOTA_PREFIX + name
+        limit = quota_limit(tenant, self.bounds) if tenant is not None else None
+        if limit is None:
+            self.limits.pop(key, None)
+            self.quota_keys.pop(name, None)
+        else:
+            self.limits[key] = limit
+            self.quota_keys[name] = key
+
+    # Requests
 
     def authenticate(self, key: str | None) -> Tenant | None:
         """The tenant that holds the key; None for a key that nobody holds."""
         return self.tenants.authenticate(key)
 
+    def decide(self, now: float, tenant: Tenant, cost: float, ticket: int | None) -> Verdict:
+        """Take the cost of a request from its tenant's quota.
+
+        PENDING: the verdict comes by `verdicts()` under this ticket, within `spans.PATIENCE` and a tick.
+        Without a ticket a request does not wait.
+        """
+        key = self.quota_keys.get(tenant.name)
+        if key is None or self.client is None:
+            return Verdict.ADMITTED
+        verdict = self.client.take(now, key, self.limits[key], cost, ticket)
+        if verdict is Verdict.PENDING:
+            self.counts["waited"] += 1
+        else:
+            self.counts["admitted" if verdict is Verdict.ADMITTED else "refused"] += 1
+        return verdict
+
     def admit(self, now: float, tenant: Tenant, cost: float) -> bool:
-        """Take the cost of a request from its tenant's quota; False where it allows no more."""
-        if tenant.rate_per_s <= 0.0:
-            return True
-        key = QUOTA_PREFIX + tenant.name
-        self.shares.asked[key] += cost  # type: ignore[assignment]
-        part = self.shares.part(key, now)
-        room = tenant.burst * part + self._room(tenant) * self.shares.base
-        bucket = self.buckets.get(tenant.name)
-        if bucket is None:
-            bucket = self.buckets[tenant.name] = LocalBucket(now)
-            bucket.level = room
-        gained = tenant.rate_per_s * part * (now - bucket.at) / 1000.0
-        bucket.level, bucket.at = min(bucket.level + gained, room), now
-        if bucket.level < cost:
-            return False
-        bucket.level -= cost
-        return True
-
-    def _room(self, tenant: Tenant) -> float:
-        """What the rules allow beyond rate and burst in one window, over all proxies."""
-        steady = tenant.rate_per_s * self.bounds.quota_window_s + tenant.burst
-        return steady * self.bounds.quota_overshoot + self.bounds.quota_slack
+        """As `decide`, at once: False also where the warden would have to be asked."""
+        return self.decide(now, tenant, cost, None) is Verdict.ADMITTED
+
+    def cancel(self, ticket: int) -> None:
+        """The client of a request that waits has left."""
+        if self.client is not None:
+            self.client.cancel(ticket)
+
+    def verdicts(self) -> list[tuple[int, bool]]:
+        """Tickets whose wait is over since the last call, and whether they are admitted."""
+        if self.client is None or not self.client.settled:
+            return []
+        settled, self.client.settled = self.client.settled, []
+        for _, admitted in settled:
+            self.counts["admitted" if admitted else "refused"] += 1
+        return settled
 
     def retry_after_ms(self, now: float, tenant: Tenant, cost: float) -> float:
-        """How long a refused request had best wait."""
-        bucket = self.buckets.get(tenant.name)
-        part = self.shares.part(QUOTA_PREFIX + tenant.name, now)
-        rate = tenant.rate_per_s * part / 1000.0
-        if bucket is None or rate <= 0.0:
-            return 1000.0
-        return min(5000.0, max(50.0, (cost - bucket.level) / rate))
+        """How long the client of a refused request had best wait, in milliseconds."""
+        key = self.quota_keys.get(tenant.name)
+        entry = self.client.entries.get(key) if self.client is not None and key is not None else None
+        if key is None or entry is None:
+            return RETRY_AFTER_LEAST
+        rest = max(0.0, entry.blocked_until - now)
+        whole = 1000.0 * cost / self.limits[key].rate
+        return min(RETRY_AFTER_MOST, max(RETRY_AFTER_LEAST, 2.0 * rest, whole))
 
     def requested(self, now: float, service: str) -> None:
         """Count a client's request for a service."""
@@ -90,40 +131,54 @@
 
     def may_repeat(self, now: float, service: str) -> bool:
         """Take one arrival beyond a request's first from the retry budget; False where it is used up."""
-        part = self.shares.part(RETRY_PREFIX + service, now)
-        return self.retries.take(now, service, part)
+        if self.retries.take(now, service):
+            return True
+        key = RETRY_PREFIX + service
+        limit = self.limits.get(key)
+        if limit is not None and self.client is not None:
+            if self.client.take(now, key, limit, REPEAT_COST, None) is Verdict.ADMITTED:
+                return True
+        self.counts["repeats_refused"] += 1
+        return False
 
     # The machine that shares the limits between processes
 
+    @property
+    def in_touch(self) -> bool:
+        """Whether a warden has answered this proxy lately; one that starts had best wait for it."""
+        return self.client is not None and self.client.applied > 0
+
     def keepers_changed(self, now: float, keepers: list[str]) -> None:
         """Take another set of keepers: the voters of the configuration shard."""
-        self.shares.keepers = list(keepers)
+        self.machine.keepers = list(keepers)
 
     def links_changed(self, now: float, reach: list[str]) -> None:
         """Say which processes can be reached now."""
-        self.shares.reach = list(reach)
+        self.machine.reach_changed(now, reach)
+
+    def resign(self, now: float) -> None:
+        """Planned end: let another warden follow at once."""
+        self.machine.resign(now)
 
     def tick(self, now: float) -> None:
         """Do what is due."""
-        self.shares.tick(now)
+        self.machine.tick(now)
 
     def next_wakeup(self) -> float:
         """When `tick` is to be called next."""
-        return self.shares.next()
+        return self.machine.next()
 
     def receive(self, now: float, sender: str, payload: bytes) -> None:
         """Take a message of another process; one that can't be read is dropped."""
         try:
-            message = _decode(payload)
-        except msgspec.DecodeError:
+            message = decode(payload)
+        except MessageError:
             return
-        self.shares.receive(now, sender, message)
+        self.machine.receive(now, sender, message)
 
     def outbox(self) -> list[tuple[str, bytes]]:
         """Messages to send, by address of the receiver; each is handed out once."""
-        messages, self.shares.out = self.shares.out, []
-        return [(address, _encode(message)) for address, message in messages]
-
-    def _rate_of(self, key: str) -> float:
-        tenant = self.tenants.by_name.get(key.removeprefix(QUOTA_PREFIX))
-        return tenant.rate_per_s if tenant is not None else 1.0
+        if not self.machine.out:
+            return []
+        messages, self.machine.out = self.machine.out, []
+        return [(address, encode(message)) for address, message in messages]
--- /dev/null
+++ b/barleybarrow/limits/members.py
@@ -0,0 +1,188 @@
+"""The proxies that a warden knows, and the base of each: a fixed part of every limit; they add up to one.
+
+A base is only raised once a majority of the keepers remembers the new roster, so that the next warden knows
+the most that anybody may hold, also of those it can't reach. It is lowered by telling the proxy; what is
+freed counts only when the proxy has said that it heard. No I/O; told the time in milliseconds.
+"""
+
+from dataclasses import dataclass, field
+
+from barleybarrow.limits import spans
+from barleybarrow.limits.lent import LentFraction
+from barleybarrow.limits.messages import CreditReport, RosterEntry
+from barleybarrow.limits.warden_lease import DRIFT
+
+MOST_TOLD = 64  # answers that a proxy may still apply; it keeps as many questions
+SAME_BASE = 0.02  # of a base: a smaller change is not worth a new roster
+ROUNDING = 1e-9
+
+
+@dataclass(slots=True)
+class Told:
+    """One answer to a proxy."""
+
+    at: float
+    base: float
+
+
+@dataclass(slots=True)
+class Member:
+    """One proxy."""
+
+    run: int
+    answered_at: float  # when it was answered last; nothing that it holds counts from later
+    held: float = 0.0  # the most that its base may be
+    base: float = 0.0  # as it said itself
+    number: int = 0
+    applied: int = 0
+    heard_at: float = 0.0
+    told: dict[int, Told] = field(default_factory=dict)
+    retired: set[int] = field(default_factory=set)  # earlier runs: their reports come too late
+    written_off: bool = False
+
+
+class Members:
+    """All proxies of one term."""
+
+    def __init__(self, now: float, lent: LentFraction) -> None:
+        self.lent = lent
+        self.known_at = now + spans.BASE_LIFE * DRIFT  # from then on nobody unknown holds a base
+        self.members: dict[str, Member] = {}
+        self.held = 0.0  # by all together
+        self.planned: dict[str, float] = {}  # bases that may be told
+        self.raising = False  # whether a base may be raised to what is planned
+
+    def is_known(self, now: float) -> bool:
+        """Whether everybody who may hold a base is a member."""
+        return now >= self.known_at
+
+    def adopt(self, now: float, entries: list[RosterEntry]) -> None:
+        """Take what a majority of the keepers remembers; it is complete."""
+        for entry in entries:
+            member = self.members.get(entry.name)
+            if member is None:
+                member = self.members[entry.name] = Member(entry.run, now)
+                self.set_held(member, entry.base)
+            elif member.run == entry.run:
+                self.set_held(member, max(member.held, entry.base))
+        self.known_at = now
+        self.refresh_free(now)
+
+    def set_held(self, member: Member, held: float) -> None:
+        self.held += held - member.held
+        member.held = held
+
+    def refresh_free(self, now: float) -> None:
+        free = max(0.0, 1.0 - self.held) if self.is_known(now) else 0.0
+        if abs(free - self.lent.free) > ROUNDING:
+            self.lent.set_free(now, free)
+
+    # Reports
+
+    def hear(self, now: float, name: str, m: CreditReport) -> tuple[Member, bool] | None:
+        """Book a report; the member and whether it is another run than before. None: it comes too late."""
+        member = self.members.get(name)
+        new_run = member is not None and member.run != m.run
+        if member is None:
+            member = self.members[name] = Member(m.run, now, held=0.0)
+        elif new_run:
+            if m.run in member.retired:
+                return None
+            member = self.restarted(now, name, member, m.run)
+        if m.number <= member.number:
+            return None
+        member.number, member.heard_at, member.base = m.number, now, m.base
+        member.written_off = False
+        self.apply(now, name, member, m)
+        return member, new_run
+
+    def restarted(self, now: float, name: str, old: Member, run: int) -> Member:
+        """The process before has ended: what it held is nobody's."""
+        self.set_held(old, 0.0)
+        self.lent.drop(now, name)
+        member = self.members[name] = Member(run, now)
+        member.retired = {*old.retired, old.run}
+        return member
+
+    def apply(self, now: float, name: str, member: Member, m: CreditReport) -> None:
+        """It has applied an answer: what it was told before counts no longer."""
+        told = member.told.get(m.applied)
+        if told is not None and m.applied >= member.applied:
+            member.applied = m.applied
+            for number in [number for number in member.told if number < m.applied]:
+                del member.told[number]
+            self.lent.lend(now, name, m.base, told.at + spans.FALL / DRIFT)
+            later = [other.base for number, other in member.told.items() if number > m.applied]
+            self.set_held(member, max([m.base, *later]))
+        else:
+            self.set_held(member, max(member.held, m.base))
+        self.refresh_free(now)
+
+    def base_for(self, member: Member, name: str) -> float:
+        """What a proxy is to be told."""
+        planned = self.planned.get(name, member.base)
+        return planned if self.raising else min(planned, member.held)
+
+    def tell(self, now: float, name: str, member: Member, number: int) -> float:
+        """The base that goes with the answer to this report."""
+        base = self.base_for(member, name)
+        member.told[number] = Told(now, base)
+        member.answered_at = now
+        while len(member.told) > MOST_TOLD:
+            del member.told[next(iter(member.told))]
+        if base > member.held:
+            self.set_held(member, base)
+        return base
+
+    # Time
+
+    def silent(self, now: float) -> list[str]:
+        """Proxies whose credit is over because they were not answered for so long; each is named once."""
+        found = []
+        for name, member in self.members.items():
+            if not member.written_off and now > member.answered_at + spans.CREDIT_LIFE * DRIFT:
+                member.written_off = True
+                found.append(name)
+        return found
+
+    def forget(self, now: float) -> None:
+        """A base is void after BASE_LIFE; so is what is known of its holder."""
+        for name, member in list(self.members.items()):
+            if now > member.answered_at + spans.BASE_LIFE * DRIFT:
+                self.set_held(member, 0.0)
+                self.lent.drop(now, name)
+                del self.members[name]
+                self.planned.pop(name, None)
+        self.refresh_free(now)
+
+    # Plans
+
+    def plan(self, now: float) -> dict[str, float] | None:
+        """Even bases, as far as others have given up theirs; None where nothing is to change."""
+        if not self.is_known(now) or not self.members:
+            return None
+        target = 1.0 / len(self.members)
+        plan: dict[str, float] = {}
+        growing = []
+        for name, member in self.members.items():
+            plan[name] = min(member.held, target)
+            if member.held < target and not member.written_off:
+                growing.append((name, member))
+        there = max(0.0, 1.0 - self.held)
+        for at, (name, member) in enumerate(growing):
+            more = min(target - member.held, there / (len(growing) - at))
+            plan[name] = member.held + more
+            there -= more
+        return plan if self.differs(plan) else None
+
+    def differs(self, plan: dict[str, float]) -> bool:
+        if plan.keys() != self.planned.keys():
+            return True
+        return any(abs(base - self.planned[name]) > SAME_BASE * base for name, base in plan.items())
+
+    def roster(self, plan: dict[str, float]) -> list[RosterEntry]:
+        """The most that each may hold while this plan is carried out."""
+        return [
+            RosterEntry(name, member.run, min(1.0, max(member.held, plan.get(name, 0.0))))
+            for name, member in self.members.items()
+        ]
--- /dev/null
+++ b/barleybarrow/limits/messages.py
@@ -0,0 +1,127 @@
+"""What processes say to each other about limits: typed messages and their encoding (msgpack arrays).
+
+Amounts are totals since an entry was opened, never differences: a message that is lost, late or doubled
+does no harm. Pure; a message that can't be read raises `MessageError`.
+"""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+from barleybarrow.limits.warden_lease import Here, Promise, Seek, Token
+
+MOST_ITEMS = 200  # entries in one report; the others go with the next
+MOST_MEMBERS = 4096
+
+Key = Annotated[str, Meta(max_length=200)]
+Amount = Annotated[float, Meta(ge=0.0, le=1e15)]
+Fraction = Annotated[float, Meta(ge=0.0, le=1.0)]
+
+
+class Item(Struct, array_like=True, frozen=True):
+    """What a proxy has done with one entry, and what it would have."""
+
+    key: Key
+    entry: Token  # number of the entry; numbers of one process rise
+    spent: Amount
+    returned: Amount
+    need: Amount  # credit that requests wait for, what is held included
+    first: Amount  # the cost of the first of them
+    want: Amount  # credit that it would hold beside
+
+
+class CreditReport(Struct, array_like=True, frozen=True, tag=6):
+    """A proxy's report to the warden; it also asks to stay in touch."""
+
+    run: Token
+    term: Token
+    number: Token  # rises by one with each report of a process
+    applied: Token  # number of the newest report whose answer has come in this term; 0: none
+    base: Fraction  # part of each limit that it uses when it is out of touch
+    items: Annotated[list[Item], Meta(max_length=MOST_ITEMS)]
+
+
+class Grant(Struct, array_like=True, frozen=True):
+    """The warden's word on one entry."""
+
+    entry: Token
+    granted: Amount  # in total
+    wait_ms: Amount = 0.0  # above 0: what is needed was not granted; worth asking again after so long
+    settling: bool = False  # it waits for reports of what others have spent, not for the rate
+
+
+class CreditAnswer(Struct, array_like=True, frozen=True, tag=7):
+    """The warden's answer to the report of this number."""
+
+    term: Token
+    number: Token
+    base: Fraction
+    grants: Annotated[list[Grant], Meta(max_length=MOST_ITEMS)]
+
+
+class RosterEntry(Struct, array_like=True, frozen=True):
+    """The most that one proxy may hold as its base."""
+
+    name: Key
+    run: Token
+    base: Fraction
+
+
+class RosterUpdate(Struct, array_like=True, frozen=True, tag=8):
+    """The warden has keepers remember who may hold how much; the greater version holds."""
+
+    version: Token
+    entries: Annotated[list[RosterEntry], Meta(max_length=MOST_MEMBERS)]
+
+
+class RosterTaken(Struct, array_like=True, frozen=True, tag=9):
+    """A keeper remembers this version."""
+
+    version: Token
+
+
+class RosterAsk(Struct, array_like=True, frozen=True, tag=10):
+    """A new warden asks a keeper for what it remembers."""
+
+    term: Token
+
+
+class RosterReply(Struct, array_like=True, frozen=True, tag=11):
+    """What a keeper remembers; `known` is False where it may have forgotten a version that it had taken."""
+
+    term: Token
+    known: bool
+    version: Token
+    entries: Annotated[list[RosterEntry], Meta(max_length=MOST_MEMBERS)]
+
+
+Message = (
+    Seek | Promise | Here | CreditReport | CreditAnswer | RosterUpdate | RosterTaken | RosterAsk | RosterReply
+)
+
+
+class MessageError(ValueError):
+    """Bytes that are no message of this machine."""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """The bytes of a message."""
+    return _encoder.encode(message)
+
+
+def decode(payload: bytes) -> Message:
+    """The message of some bytes. Raises MessageError."""
+    try:
+        return _decoder.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise MessageError(str(error)) from error
+
+
+def whole(amount: float) -> float:
+    """The same amount, as an integer where it is one: that takes fewer bytes."""
+    return int(amount) if amount == int(amount) else amount
--- /dev/null
+++ b/barleybarrow/limits/spans.py
@@ -0,0 +1,28 @@
+"""Spans of the machine that shares limits, in milliseconds, each with its reason."""
+
+from barleybarrow.limits.warden_lease import LeaseTimes
+
+LEASE_TIMES = LeaseTimes(
+    lease=1200.0,  # a killed warden is followed soon; a slow machine still renews in time
+    renew=300.0,
+    seek=250.0,
+    here=200.0,
+    no_warden=300.0,
+)
+CREDIT_LIFE = 800.0  # credit counts so long from the question whose answer is the newest
+FALL = 950.0  # from the newest answer until a proxy uses its base; the warden stops using it before
+BASE_LIFE = 20_000.0  # from the newest answered question until the base is void
+REPORT_LEAST, REPORT_MOST = 120.0, 300.0  # between two reports of a proxy that has nothing to say
+REPORT_EACH = 3.0  # more for each proxy
+URGENT_GAP = 2.0  # between two reports of one proxy for requests that wait
+SOON = 60.0  # until spent credit is reported
+REPEAT = 80.0  # until a need that had no answer is reported again
+PATIENCE = 250.0  # that a request waits for credit
+BLOCK_LEAST, BLOCK_MOST = 20.0, 150.0  # refusals without asking, after the warden refused
+IDLE_RETURN = 3000.0  # until unused credit goes back
+IDLE_DROP = 30_000.0  # until an unused entry is forgotten; longer than any window of a rule
+SEEK_AGAIN = 80.0  # at most, beyond the end of a keeper's promise, until it seeks
+SILENT_HERE = 600.0  # from a proxy's newest report until the warden says again that it is there
+PLAN_EVERY = 200.0
+ROSTER_REPEAT = 500.0
+EXPECTED_PROXIES = 50  # until a proxy knows its base
--- a/barleybarrow/limits/warden_lease.py
+++ b/barleybarrow/limits/warden_lease.py
@@ -96,6 +96,9 @@
     def warden_changed(self, now: float) -> None:
         """Another warden was heard, or another term of the same."""
 
+    def freed(self, now: float) -> None:
+        """As a keeper: the one that this process was promised to gave the promise back."""
+
     def listeners(self, now: float) -> list[str]:
         """Whom a warden tells that it is there."""
         return self.reach
@@ -209,6 +212,7 @@
             self.out.append((sender, Promise(m.token, good)))
         elif self.promised == sender and self.promised_for == (m.run, m.token):
             self.promised_until = now
+            self.freed(now)
 
     def heard_warden(self, now: float, sender: str, term: int) -> None:
         if self.role is Role.SEEKING:
--- a/brackenusher/control_plane/shares_driver.py
+++ b/brackenusher/control_plane/shares_driver.py
@@ -1,7 +1,7 @@
-"""Connects a control process's part in the limits (keeper of the lease, or its warden) to its links."""
+"""Connects a control process's part in the limits (a keeper of the lease, or the warden) to its links."""
 
 from brackenusher.data_plane.limits_driver import LimitsDriver
 
 
 class SharesDriver(LimitsDriver):
-    """Runs the machine at a control process; configurations come by `configure` of its `Limits`."""
+    """Runs a `Limits` machine with `asks=False`; configurations come by `Limits.configure`."""
--- a/brackenusher/data_plane/limits_driver.py
+++ b/brackenusher/data_plane/limits_driver.py
@@ -1,11 +1,15 @@
-"""Connects a proxy's limits to its links: carries the messages of the machine and wakes it when it is due."""
+"""Connects a process's limits to its links: carries the messages of the machine and wakes it when it is due.
+
+Requests ask `LimitsDriver.admit`; where this proxy has no credit at hand they wait for the warden's word.
+"""
 
 import asyncio
 from collections.abc import Callable
 
 import betterproto
 
-from barleybarrow.limits.limits import Limits
+from barleybarrow.documents import Tenant
+from barleybarrow.limits.limits import Limits, Verdict
 from brackenusher.cluster import messages
 from brackenusher.cluster.links import Links
 
@@ -20,6 +24,8 @@
         self.limits, self.links, self.now = limits, links, now
         self._timer: asyncio.TimerHandle | None = None
         self._running = False
+        self._tickets = 0
+        self._waiting: dict[int, asyncio.Future[bool]] = {}
 
     def start(self) -> None:
         """Begin to take messages and to wake the machine. Needs a running event loop."""
@@ -29,16 +35,49 @@
         self._links_changed()
 
     def stop(self) -> None:
-        """Wake the machine no more."""
+        """Planned end: a warden lets another follow; the machine is woken no more."""
+        if not self._running:
+            return
+        self.limits.resign(self.now())
+        self._run()
         self._running = False
         if self._timer is not None:
             self._timer.cancel()
+        for future in list(self._waiting.values()):
+            if not future.done():
+                future.set_result(False)
 
-    def voters_changed(self, voters: list[str]) -> None:
+    def voters_changed(self, voters: list[str], index: int = 0) -> None:
         """The voters of the configuration shard keep the limits."""
         self.limits.keepers_changed(self.now(), voters)
         self._links_changed()
 
+    # Requests
+
+    def admit(self, tenant: Tenant, cost: float) -> bool | asyncio.Future[bool]:
+        """Take the cost of a request from its tenant's quota.
+
+        A future where the warden is asked: it is done after some milliseconds, at most `spans.PATIENCE`. A future
+        that is cancelled asks no more.
+        """
+        self._tickets += 1
+        ticket = self._tickets
+        verdict = self.limits.decide(self.now(), tenant, cost, ticket)
+        if verdict is not Verdict.PENDING:
+            self._schedule()
+            return verdict is Verdict.ADMITTED
+        future = self._waiting[ticket] = asyncio.get_running_loop().create_future()
+        future.add_done_callback(lambda done: self._decided(ticket, done))
+        self._wake()
+        return future
+
+    def _decided(self, ticket: int, done: asyncio.Future[bool]) -> None:
+        self._waiting.pop(ticket, None)
+        if done.cancelled():
+            self.limits.cancel(ticket)
+
+    # The machine
+
     def _links_changed(self) -> None:
         self.limits.links_changed(self.now(), list(self.links.connected()))
         self._run()
@@ -53,11 +92,23 @@
         self._run()
 
     def _run(self) -> None:
-        """Send what the machine wants sent, and set the timer anew."""
+        """Send what the machine wants sent, tell requests their verdicts, and set the timer anew."""
         for address, payload in self.limits.outbox():
             self.links.send(address, messages.MachineMessage(machine=MACHINE, payload=payload))
-        if self._timer is not None:
+        for ticket, admitted in self.limits.verdicts():
+            future = self._waiting.get(ticket)
+            if future is not None and not future.done():
+                future.set_result(admitted)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if not self._running:
+            return
+        loop = asyncio.get_running_loop()
+        pause_s = max(SHORTEST_PAUSE_S, (self.limits.next_wakeup() - self.now()) / 1000.0)
+        at = loop.time() + pause_s
+        if self._timer is not None and not self._timer.cancelled():
+            if self._timer.when() <= at and self._timer.when() > loop.time():
+                return
             self._timer.cancel()
-        if self._running:
-            pause_s = max(SHORTEST_PAUSE_S, (self.limits.next_wakeup() - self.now()) / 1000.0)
-            self._timer = asyncio.get_running_loop().call_later(pause_s, self._wake)
+        self._timer = loop.call_later(pause_s, self._wake)
--- /dev/null
+++ b/tests/fleet/limits_world.py
@@ -0,0 +1,338 @@
+"""A fleet of limits machines in virtual time: proxies and control processes, a network that loses, delays and doubles
+messages, processes that are killed, cut off and started again, clocks that differ; and what may never happen.
+
+The machines are those that ship. Amounts are of the tenant's unit, times are milliseconds.
+"""
+
+import heapq
+import random
+from bisect import bisect_right
+from dataclasses import dataclass, field
+from itertools import accumulate, count
+
+from barleybarrow.documents import QuotaUnit, Service, Tenant
+from barleybarrow.limits.bounds import LimitBounds
+from barleybarrow.limits.limits import Limits, Verdict
+
+HALF_TRIP = (0.3, 3.0)  # milliseconds, one way
+LINK_LOSS_SEEN = 1600.0  # until a process knows that a link is cut
+
+
+@dataclass
+class Demand:
+    """Requests of one tenant, over all proxies: so many a second, with these weights of proxies and this cost."""
+
+    tenant: str
+    per_s: float
+    cost: tuple[float, float] = (1.0, 1.0)  # least and most
+    weights: list[float] = field(default_factory=list)  # by proxy; empty: even
+    start: float = 0.0
+    end: float = 1e12
+
+
+@dataclass
+class Tally:
+    """What became of a tenant's requests."""
+
+    asked: int = 0
+    refused: int = 0
+    asked_cost: float = 0.0
+    admitted: list[tuple[float, float]] = field(default_factory=list)  # time, cost
+    waits: list[float] = field(default_factory=list)
+
+    @property
+    def refused_share(self) -> float:
+        return self.refused / max(1, self.asked)
+
+
+class Process:
+    """One process of the fleet, with a clock of its own."""
+
+    def __init__(self, name: str, at: float, rate: float) -> None:
+        self.name, self.offset, self.rate = name, -at + 1e6 * rate, rate
+        self.machine: Limits | None = None
+        self.wake_at = 0.0
+
+    def clock(self, now: float) -> float:
+        return now * self.rate + self.offset
+
+    def when(self, clock: float) -> float:
+        return (clock - self.offset) / self.rate
+
+
+class World:
+    """Runs until a time; `calls` are what happens to the fleet, by time."""
+
+    def __init__(
+        self,
+        proxies: int,
+        tenants: list[Tenant],
+        seed: int = 1,
+        keepers: int = 3,
+        bounds: LimitBounds | None = None,
+        drift: float = 0.0,
+        loss: float = 0.0,
+        doubled: float = 0.0,
+        late: float = 0.0,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.bounds = bounds or LimitBounds()
+        self.tenants = {tenant.name: tenant for tenant in tenants}
+        self.loss, self.doubled, self.late = loss, doubled, late
+        self.now = 0.0
+        self.number = count()
+        self.events: list[tuple[float, int, str, tuple]] = []
+        self.keepers = [f"c{i}" for i in range(keepers)]
+        self.proxies = [f"p{i}" for i in range(proxies)]
+        self.processes: dict[str, Process] = {}
+        self.cut: dict[str, float] = {}  # process, since
+        self.tally = {name: Tally() for name in self.tenants}
+        self.pending: dict[tuple[str, int], tuple[str, float, float]] = {}
+        self.ticket = count(1)
+        self.messages = self.bytes = 0
+        self.services = [Service("s")]
+        for name in [*self.keepers, *self.proxies]:
+            self.processes[name] = Process(
+                name, self.rng.uniform(0, 1e6), 1 + self.rng.uniform(-drift, drift)
+            )
+            self.start(name, fresh=True)
+
+    # What is done to the fleet
+
+    def start(self, name: str, fresh: bool = False) -> None:
+        process = self.processes[name]
+        clock = process.clock(self.now)
+        rng = random.Random(self.rng.getrandbits(40))
+        asks = name in self.proxies
+        process.machine = Limits(name, list(self.keepers), rng, clock, self.bounds, asks, fresh)
+        process.machine.configure(clock, list(self.tenants.values()), self.services)
+        self.links()
+        self.wake(process)
+
+    def kill(self, name: str) -> None:
+        self.processes[name].machine = None
+        for key in [key for key in self.pending if key[0] == name]:
+            del self.pending[key]
+        self.links()
+
+    def cut_off(self, name: str) -> None:
+        self.cut[name] = self.now
+        self.at(self.now + LINK_LOSS_SEEN, "links")
+
+    def join(self, name: str) -> None:
+        self.cut.pop(name, None)
+        self.links()
+
+    def set_tenant(self, tenant: Tenant) -> None:
+        self.tenants[tenant.name] = tenant
+        for process in self.processes.values():
+            if process.machine is not None:
+                clock = process.clock(self.now)
+                process.machine.configure(clock, list(self.tenants.values()), self.services)
+
+    def joined(self, one: str, other: str) -> bool:
+        return one not in self.cut and other not in self.cut
+
+    def links(self) -> None:
+        for name, process in self.processes.items():
+            if process.machine is None:
+                continue
+            peers = [*self.keepers, *self.proxies] if name in self.keepers else self.keepers
+            reach = [
+                peer
+                for peer in peers
+                if peer != name
+                and peer in self.processes
+                and self.processes[peer].machine is not None
+                and self.linked(name, peer)
+            ]
+            process.machine.links_changed(process.clock(self.now), reach)
+            self.flush(process)
+
+    def linked(self, one: str, other: str) -> bool:
+        """A link that was cut lately still seems to be there."""
+        since = [self.cut[name] for name in (one, other) if name in self.cut]
+        return not since or self.now - min(since) < LINK_LOSS_SEEN
+
+    # Time
+
+    def at(self, when: float, kind: str, *what: object) -> None:
+        heapq.heappush(self.events, (when, next(self.number), kind, what))
+
+    def wake(self, process: Process) -> None:
+        if process.machine is not None:
+            when = max(self.now + 0.05, process.when(process.machine.next_wakeup()))
+            process.wake_at = when
+            self.at(when, "wake", process)
+
+    def run(self, until: float) -> None:
+        while self.events and self.events[0][0] <= until:
+            self.now, _, kind, what = heapq.heappop(self.events)
+            getattr(self, f"on_{kind}")(*what)
+        self.now = until
+
+    def on_call(self, name: str, *what: object) -> None:
+        getattr(self, name)(*what)
+
+    def on_links(self) -> None:
+        self.links()
+
+    def on_wake(self, process: Process) -> None:
+        if process.machine is not None and process.wake_at == self.now:
+            process.machine.tick(process.clock(self.now))
+            self.flush(process)
+
+    def on_message(self, sender: str, name: str, payload: bytes) -> None:
+        process = self.processes.get(name)
+        if process is None or process.machine is None or not self.joined(sender, name):
+            return
+        process.machine.receive(process.clock(self.now), sender, payload)
+        self.flush(process)
+
+    def flush(self, process: Process) -> None:
+        machine = process.machine
+        assert machine is not None
+        for address, payload in machine.outbox():
+            self.messages += 1
+            self.bytes += len(payload) + 16
+            if not self.joined(process.name, address) or self.rng.random() < self.loss:
+                continue
+            for _ in range(2 if self.rng.random() < self.doubled else 1):
+                delay = self.rng.uniform(*HALF_TRIP)
+                if self.rng.random() < self.late:
+                    delay += self.rng.expovariate(1 / 600.0)
+                self.at(self.now + delay, "message", process.name, address, payload)
+        for ticket, admitted in machine.verdicts():
+            found = self.pending.pop((process.name, ticket), None)
+            if found is not None:
+                self.decided(found[0], found[1], admitted, self.now - found[2])
+        self.wake(process)
+
+    # Requests
+
+    def demand(self, demand: Demand) -> None:
+        weights = demand.weights or [1.0] * len(self.proxies)
+        self.at(max(self.now, demand.start), "request", demand, list(accumulate(weights)))
+
+    def on_request(self, demand: Demand, weights: list[float]) -> None:
+        if self.now >= demand.end:
+            return
+        self.at(self.now + self.rng.expovariate(demand.per_s / 1000.0), "request", demand, weights)
+        index = bisect_right(weights, self.rng.random() * weights[-1])
+        process = self.processes[self.proxies[min(index, len(self.proxies) - 1)]]
+        if process.machine is None:
+            return
+        least, most = demand.cost
+        cost = least if least == most else float(int(least * (most / least) ** self.rng.random()))
+        tally = self.tally[demand.tenant]
+        tally.asked += 1
+        tally.asked_cost += cost
+        ticket = next(self.ticket)
+        tenant = self.tenants[demand.tenant]
+        verdict = process.machine.decide(process.clock(self.now), tenant, cost, ticket)
+        if verdict is Verdict.PENDING:
+            self.pending[process.name, ticket] = demand.tenant, cost, self.now
+        else:
+            self.decided(demand.tenant, cost, verdict is Verdict.ADMITTED, 0.0)
+        self.flush(process)
+
+    def decided(self, tenant: str, cost: float, admitted: bool, wait: float) -> None:
+        tally = self.tally[tenant]
+        tally.waits.append(wait)
+        if admitted:
+            tally.admitted.append((self.now, cost))
+        else:
+            tally.refused += 1
+
+    # What may never happen
+
+    def on_check(self, every: float) -> None:
+        self.check()
+        self.at(self.now + every, "check", every)
+
+    def check(self) -> None:
+        """Invariants of the machines, beside the rule itself. Raises AssertionError."""
+        clients = {
+            name: (self.processes[name].clock(self.now), self.processes[name].machine.client)
+            for name in self.proxies
+            if self.processes[name].machine is not None
+        }
+        held = sum(c.base for at, c in clients.values() if at < c.base_until)
+        assert held <= 1.0 + 1e-6, f"bases add up to {held}"
+        wardens = [
+            process
+            for process in self.processes.values()
+            if process.machine is not None
+            and process.machine.machine.books is not None
+            and process.clock(self.now) < process.machine.machine.lease_end
+        ]
+        assert len(wardens) <= 1, f"wardens: {[p.name for p in wardens]}"
+        if wardens:
+            self.check_warden(wardens[0], clients)
+
+    def check_warden(self, process: Process, clients: dict) -> None:
+        machine = process.machine.machine
+        books, clock = machine.books, process.clock(self.now)
+        books.lent.advance(clock)
+        fallen = sum(c.base for at, c in clients.values() if c.fall_at <= at < c.base_until)
+        total = books.lent.value + fallen
+        assert total <= 1.0 + 1e-6, f"lent and used parts add up to {total}"
+        for key, account in books.ledger.accounts.items():
+            limit = machine.limit_of(key)
+            if limit is None:
+                continue
+            level = books.ledger.account(clock, key, limit).level
+            granted = carried = 0.0
+            for at, client in clients.values():
+                entry = client.entries.get(key)
+                if entry is None:
+                    continue
+                carried += entry.carried if at < entry.carried_until else 0.0
+                if at < client.valid_until and client.term == machine.term:
+                    granted += entry.credit
+            assert granted <= account.outstanding + 1e-6, (
+                f"{key}: {granted} held, {account.outstanding} known"
+            )
+            assert account.outstanding <= limit.credit + 1e-6, f"{key}: {account.outstanding} outstanding"
+            most = limit.capacity + limit.credit
+            assert level + granted + carried <= most * (1 + 1e-6), (
+                f"{key}: {level + granted + carried} spendable"
+            )
+
+    def most_in_window(self, tenant: str, window_ms: float) -> float:
+        """The most that was admitted in any window of this length."""
+        admitted = self.tally[tenant].admitted
+        most = total = 0.0
+        first = 0
+        for at, cost in admitted:
+            total += cost
+            while admitted[first][0] <= at - window_ms:
+                total -= admitted[first][1]
+                first += 1
+            most = max(most, total)
+        return most
+
+    def allowed(self, tenant: Tenant) -> float:
+        """What the rule allows in one window."""
+        bounds = self.bounds
+        steady = tenant.rate_per_s * bounds.quota_window_s + tenant.burst
+        return steady * (1 + bounds.quota_overshoot) + bounds.quota_slack
+
+    def excess(self, name: str) -> float:
+        """The share by which the worst window goes over the rule's bound; negative: it holds."""
+        most = self.most_in_window(name, 1000.0 * self.bounds.quota_window_s)
+        return most / self.allowed(self.tenants[name]) - 1.0
+
+    def warden(self) -> str:
+        """The process that is the warden now; empty: none."""
+        for name, process in self.processes.items():
+            machine = process.machine
+            if machine is not None and machine.machine.books is not None:
+                if process.clock(self.now) < machine.machine.lease_end:
+                    return name
+        return ""
+
+
+def token_tenant(name: str, rate: float, burst: float | None = None) -> Tenant:
+    """A tenant whose quota counts tokens."""
+    return Tenant(name, [f"key-{name}"], None, QuotaUnit.TOKENS, 200, rate, rate if burst is None else burst)
