--- a/brackenusher/storage/slot_store.py
+++ b/brackenusher/storage/slot_store.py
@@ -93,6 +93,9 @@
         self.end = 0  # where the next record goes
         self.checksum = 0
         self.dirty = False  # bytes behind `end` may be left by a write that failed
+        self.doubtful = (
+            ""  # the slot of a `replace` that failed: it may be whole, and newer than the one in use
+        )
 
     @property
     def log_bytes(self) -> int:
@@ -131,6 +134,8 @@
             parts += (RECORD.pack(len(record), checksum), record)
         data, path = b"".join(parts), self.paths[self.current]
         try:
+            if self.doubtful:
+                self._empty_doubtful()
             if self.dirty:
                 self._cut()
             self.dirty = True
@@ -149,7 +154,7 @@
         """
         target = 0 if self.current is None else 1 - self.current
         header = encode_header(self.generation + 1, snapshot)
-        path = self.paths[target]
+        path = self.doubtful = self.paths[target]
         try:
             self.files.truncate(path, 0)
             self.files.write(path, 0, header + snapshot)
@@ -159,7 +164,7 @@
             self.generation += 1  # a failed write may still reach the disk: its number is never used again
             raise storage_error(error) from error
         self.generation += 1
-        self.current, self.dirty = target, False
+        self.current, self.dirty, self.doubtful = target, False, ""
         self.end = len(header) + len(snapshot)
         self.checksum = zlib.crc32(header[:-4])
 
@@ -171,6 +176,12 @@
         self.files.sync(path)
         self.dirty = False
 
+    def _empty_doubtful(self) -> None:
+        """Take away what a failed `replace` may have left: else records appended now would be lost to it."""
+        self.files.truncate(self.doubtful, 0)
+        self.files.sync(self.doubtful)
+        self.doubtful = ""
+
     def close(self) -> None:
         """Release the files."""
         self.files.close()
