--- a/brackenusher/control_plane/http_server.py
+++ b/brackenusher/control_plane/http_server.py
@@ -56,7 +56,9 @@
     body_bytes: int = 8 * 1024 * 1024  # several times the largest configuration that is expected
     head_timeout_s: float = 5.0
     body_silence_s: float = 5.0
-    idle_timeout_s: float = 60.0
+    idle_timeout_s: float = (
+        30.0  # servers call every second or so; a connection that rests longer is left over
+    )
     write_timeout_s: float = 10.0
     linger_s: float = 1.0  # for unread bytes before a close: closing over them resets, and loses the answer
     drain_s: float = 2.0  # for running requests when the server stops
@@ -107,7 +109,7 @@
 
     async def accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve a connection that came, to its end."""
-        if self._stopping or len(self._connections) >= self.bounds.connections:
+        if self._stopping or not self._make_room():
             self.turned_away += 1
             writer.transport.abort()
             return
@@ -121,6 +123,18 @@
             self._connections.discard(connection)
             writer.transport.abort() if connection.broken else writer.close()
 
+    def _make_room(self) -> bool:
+        """Whether one more connection is within the bound; ends the one that rests the longest for it."""
+        if len(self._connections) < self.bounds.connections:
+            return True
+        resting = [connection for connection in self._connections if connection.resting]
+        if not resting:
+            return False
+        longest = min(resting, key=lambda connection: connection.resting_since)
+        self._connections.discard(longest)
+        longest.stop()
+        return True
+
 
 class _Connection:
     """One connection of a caller."""
@@ -136,14 +150,15 @@
         self.reader, self.writer, self.handler, self.bounds, self.task = reader, writer, handler, bounds, task
         self.protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=bounds.head_bytes)
         self.broken = False  # nothing more can be sent
-        self._waiting = True  # no part of a request has come
+        self.resting = True  # no part of a request has come
+        self.resting_since = asyncio.get_running_loop().time()
         self._ending = False
         _set_options(writer)
 
     def stop(self) -> None:
         """End after the running request; at once where none runs."""
         self._ending = True
-        if self._waiting:
+        if self.resting:
             self.task.cancel()
 
     async def serve(self) -> None:
@@ -182,9 +197,9 @@
 
     async def _read_head(self) -> h11.Request | None:
         """The next head; None where the caller left, was idle for too long, or the server stops."""
-        self._waiting = True
         if self._ending:
             return None
+        self.resting, self.resting_since = True, asyncio.get_running_loop().time()
         event = self._next_event()
         if event is h11.NEED_DATA and not self.protocol.trailing_data[0]:
             try:
@@ -193,7 +208,7 @@
             except TimeoutError:
                 return None
             event = self._next_event()
-        self._waiting = False
+        self.resting = False
         try:
             async with asyncio.timeout(self.bounds.head_timeout_s):
                 while event is h11.NEED_DATA:
--- /dev/null
+++ b/brackenusher/runtime/request_journal.py
@@ -0,0 +1,59 @@
+"""What became of the newest requests, for `explain`: a bounded memory of short events, by the client's id.
+
+Cheap enough for the ordinary path: one look-up and one append an event. Nothing is written anywhere.
+"""
+
+from collections.abc import Callable
+
+MAX_REQUESTS = 1000  # the oldest give way; about 1 KB each
+MAX_EVENTS = 24  # of one request; further ones are only counted
+EXPLAIN = "explain:"
+
+Event = tuple[float, str, tuple[object, ...]]
+
+
+class RequestJournal:
+    """Events of requests. Times are seconds of the clock that is handed in."""
+
+    def __init__(self, clock: Callable[[], float], max_requests: int = MAX_REQUESTS) -> None:
+        self._clock = clock
+        self._max_requests = max_requests
+        self._events: dict[str, list[Event]] = {}  # oldest request first
+        self._left_out: dict[str, int] = {}
+
+    def note(self, request_id: str, event: str, *details: object) -> None:
+        """Remember an event of a request, as "arrived", "sent", "refused", with details as they are."""
+        events = self._events.get(request_id)
+        if events is None:
+            events = self._events[request_id] = []
+            if len(self._events) > self._max_requests:
+                oldest = next(iter(self._events))
+                del self._events[oldest]
+                self._left_out.pop(oldest, None)
+        if len(events) < MAX_EVENTS:
+            events.append((self._clock(), event, details))
+        else:
+            self._left_out[request_id] = self._left_out.get(request_id, 0) + 1
+
+    def explain(self, request_id: str) -> list[dict[str, object]] | None:
+        """The events of a request, in milliseconds after the first; None where it is not known."""
+        events = self._events.get(request_id)
+        if not events:
+            return None
+        start = events[0][0]
+        rows: list[dict[str, object]] = [
+            {
+                "after_ms": round((at - start) * 1000.0, 1),
+                "event": event,
+                "details": " ".join(map(str, details)),
+            }
+            for at, event, details in events
+        ]
+        left_out = self._left_out.get(request_id)
+        if left_out:
+            rows.append({"after_ms": None, "event": "further events", "details": str(left_out)})
+        return rows
+
+    def tell(self, topic: str) -> object | None:
+        """Answers the topic explain:REQUEST-ID; for a StatusResponder."""
+        return self.explain(topic.removeprefix(EXPLAIN)) if topic.startswith(EXPLAIN) else None
--- a/tests/fleet/test_http_server.py
+++ b/tests/fleet/test_http_server.py
@@ -254,13 +254,30 @@
 
     def test_too_many_connections(self) -> None:
         async def story() -> None:
-            callers = [Caller(self.server) for _ in range(3)]
+            self.echo.release = asyncio.Event()
+            callers = [Caller(self.server) for _ in range(2)]
+            for caller in callers:
+                caller.send(GET)
+            await callers[0].settle()
+            refused = Caller(self.server)
+            await refused.task
+            self.assertEqual((refused.writer.ended, self.server.turned_away), ("aborted", 1))
+            self.echo.release.set()
             await callers[0].settle()
-            self.assertEqual([c.writer.ended for c in callers], ["", "", "aborted"])
-            self.assertEqual(self.server.turned_away, 1)
-            await callers[0].run(b"")
+            self.assertEqual([caller.statuses() for caller in callers], [[b"200"], [b"200"]])
+
+        play(story())
+
+    def test_a_new_connection_takes_the_place_of_the_one_that_rests_the_longest(self) -> None:
+        async def story() -> None:
+            callers = [Caller(self.server) for _ in range(2)]
+            await asyncio.sleep(1)
+            callers[0].send(GET)
+            await asyncio.sleep(1)
             late = Caller(self.server)
             self.assertIn(b"200", await late.run(GET))
+            self.assertEqual([caller.task.done() for caller in callers], [False, True])
+            self.assertEqual(self.server.turned_away, 0)
 
         play(story())
 
