--- a/barleybarrow/replication/configuration_fetch.py
+++ b/barleybarrow/replication/configuration_fetch.py
@@ -74,5 +74,5 @@
 
     def _judge(self) -> None:
         for offer in self._offers.values():
-            if 0 < offer.confirmed_version <= self.version:
+            if 0 <= offer.confirmed_version <= self.version:
                 self.confirmed = True
--- a/barleybarrow/replication/monitoring.py
+++ b/barleybarrow/replication/monitoring.py
@@ -1,7 +1,8 @@
 """Who monitors whom, and what the reports of monitors say of a member. No I/O; times are milliseconds.
 
 Each process pings a few peers, chosen by rendezvous hashing over the members that it was told of, and reports
-what it sees to the control plane. A member counts as suspected once a majority of its monitors say so (observers and decision apart, as in Suresh and others, "Rapid", USENIX ATC 2018).
+what it sees to the control plane. A member counts as suspected once a majority of its monitors say so;
+observers and decision are apart, as in Suresh and others, "Rapid" (USENIX ATC 2018).
 """
 
 from collections.abc import Iterable
--- a/brackenusher/data_plane/feed_client.py
+++ b/brackenusher/data_plane/feed_client.py
@@ -9,6 +9,7 @@
 import logging
 import zlib
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 
 import betterproto
 import msgspec
@@ -30,6 +31,7 @@
 MAX_LINKS = 7  # as many voters as a configuration shard has
 MAX_LEARNT = 16  # addresses of control processes that peers told
 READY_WITHOUT_CORE_MS = 4000.0  # then what is known is served with: the core is down
+ANSWER_MS = 3000.0  # for the whole list after a subscription; a snapshot over a narrow link takes a second
 ALONE_MS = 1500.0  # without a voter in touch; then all known addresses are tried
 FORGET_CHECK_MS = 60_000.0
 MAX_DOCUMENT_BYTES = 64 * 1024 * 1024  # of a configuration after decompression; more is not one
@@ -37,6 +39,14 @@
 CONTROL = "control"
 
 
+@dataclass(slots=True)
+class Subscription:
+    """What a source has answered to a subscription."""
+
+    at: float
+    shards: set[int] = field(default_factory=set)
+
+
 class FeedClient:
     """Follows the control processes. Times of `now` are milliseconds of a monotonic clock."""
 
@@ -62,7 +72,7 @@
         self._voters_index = -1
         self._learnt: dict[str, None] = {}  # control processes heard of, newest last
         self._wanted: set[str] = set()
-        self._subscribed: set[str] = set()
+        self._subscribed: dict[str, Subscription] = {}
         self._had_settled = False
         self._started_at = self._in_touch_at = self._forgot_at = self._now()
         self._delivery_due = False
@@ -116,6 +126,7 @@
         """Do what is due; call it about every `TICK_S`."""
         now = self._now()
         self._keep_links(now)
+        self._ask_again(now)
         self._ask(now)
         if now - self._forgot_at >= FORGET_CHECK_MS:
             self._forgot_at = now
@@ -138,22 +149,22 @@
         elif now - self._in_touch_at > ALONE_MS:
             wanted.update(self._seeds(), self._learnt)
         wanted.discard(self._links.own.address)
-        for address in wanted - self._wanted:
+        for address in sorted(wanted - self._wanted):
             self._links.connect(address)
-        for address in self._wanted - wanted:
+        for address in sorted(self._wanted - wanted):
             self._links.disconnect(address)
             self._forget_source(address, now)
         self._wanted = wanted
 
     def _forget_source(self, address: str, now: float) -> None:
-        self._subscribed.discard(address)
+        self._subscribed.pop(address, None)
         self._fetch.lost(address)
         self._view.drop(address, now)
         self._deliver_soon()
 
     def _link_changed(self, address: str, hello: messages.Hello | None) -> None:
         now = self._now()
-        self._subscribed.discard(address)
+        self._subscribed.pop(address, None)
         self._fetch.lost(address)
         if hello is None:
             self._view.disconnected(address, now)
@@ -169,9 +180,19 @@
             if position is not None:
                 offsets.append(messages.ShardOffset(shard, position[0], position[1]))
         if self._links.send(address, messages.FeedSubscribe(self.version, offsets)):
-            self._subscribed.add(address)
+            self._subscribed[address] = Subscription(self._now())
             self._view.connected(address, self._now())
 
+    def _ask_again(self, now: float) -> None:
+        """Subscribe anew where a source has not answered in full."""
+        for address, subscription in list(self._subscribed.items()):
+            unanswered = len(subscription.shards) < SHARDS
+            if unanswered and now - subscription.at >= ANSWER_MS:
+                log.warning(
+                    "subscription not answered: source=%s shards=%d", address, len(subscription.shards)
+                )
+                self._subscribe(address)
+
     def _take_members(self, sender: str, message: betterproto.Message) -> None:
         assert isinstance(message, messages.Members)
         self.learn(hello.address for hello in message.controls)
@@ -227,8 +248,10 @@
 
     def _take_changes(self, sender: str, message: betterproto.Message) -> None:
         assert isinstance(message, messages.InstanceChanges)
-        if sender not in self._subscribed:
+        subscription = self._subscribed.get(sender)
+        if subscription is None:
             return
+        subscription.shards.add(message.shard)
         taken = self._view.take(
             sender,
             message.shard,
--- /dev/null
+++ b/tests/fleet/fake_links.py
@@ -0,0 +1,183 @@
+"""Links in memory, with delays, cuts, lost sessions and dead processes: the calls of `cluster.links`."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import betterproto
+
+from brackenusher.cluster import messages
+from brackenusher.cluster.frames import FrameReader, encode_frame
+
+SILENCE_S = 1.6  # a cut link is noticed so late, as with real links
+RECONNECT_S = 0.3
+LONGEST_DELAY_S = 0.02
+
+Pair = tuple[str, str]
+
+
+def pair(one: str, other: str) -> Pair:
+    return (one, other) if one < other else (other, one)
+
+
+@dataclass
+class Session:
+    """One connection between two processes."""
+
+    alive: bool = True
+    lossy: bool = False  # something was lost in a cut: the session ends when the cut heals
+    free_at: dict[str, float] = field(default_factory=dict)  # by receiver: messages of a link stay in order
+
+
+class FakeLinks:
+    """The links of one process."""
+
+    def __init__(self, network: "FakeNetwork", own: messages.Hello) -> None:
+        self.own, self.network = own, network
+        self.alive = True
+        self.wanted_peers: set[str] = set()
+        self.sessions: dict[str, tuple[Session, messages.Hello]] = {}
+        self.sent_bytes = 0
+        self.message_handlers: dict[type, list[Callable[[str, betterproto.Message], None]]] = {}
+        self.change_handlers: list[Callable[[str, messages.Hello | None], None]] = []
+
+    def connect(self, address: str) -> None:
+        if address != self.own.address:
+            self.wanted_peers.add(address)
+
+    def disconnect(self, address: str) -> None:
+        self.wanted_peers.discard(address)
+
+    def send(self, address: str, message: betterproto.Message) -> bool:
+        if address not in self.sessions or not self.alive:
+            return False
+        frame = encode_frame(message)
+        self.sent_bytes += len(frame)
+        self.network.carry(self.own.address, address, self.sessions[address][0], frame)
+        return True
+
+    def connected(self) -> dict[str, messages.Hello]:
+        return {address: hello for address, (_, hello) in self.sessions.items()}
+
+    def on_message(self, kind: type, handler: Callable[[str, betterproto.Message], None]) -> None:
+        self.message_handlers.setdefault(kind, []).append(handler)
+
+    def on_change(self, handler: Callable[[str, messages.Hello | None], None]) -> None:
+        self.change_handlers.append(handler)
+
+    def greeted(self, address: str, session: Session, hello: messages.Hello) -> None:
+        if self.alive and session.alive:
+            self.sessions[address] = (session, hello)
+            for handler in self.change_handlers:
+                handler(address, hello)
+
+    def lost(self, address: str, session: Session) -> None:
+        if self.alive and address in self.sessions and self.sessions[address][0] is session:
+            del self.sessions[address]
+            for handler in self.change_handlers:
+                handler(address, None)
+
+    def take(self, sender: str, session: Session, frame: bytes) -> None:
+        if not self.alive or sender not in self.sessions or self.sessions[sender][0] is not session:
+            return
+        for message in FrameReader().feed(frame):
+            for handler in self.message_handlers.get(type(message), ()):
+                handler(sender, message)
+
+
+class FakeNetwork:
+    """All processes and what is between them. Handlers' exceptions are kept in `errors`."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.loop, self.rng = asyncio.get_running_loop(), rng
+        self.processes: dict[str, FakeLinks] = {}
+        self.sessions: dict[Pair, Session] = {}
+        self.cuts: set[Pair] = set()
+        self.errors: list[BaseException] = []
+        self.loop.set_exception_handler(self._failed)
+        self.keeper = self.loop.create_task(self._keep_connecting())
+
+    def open(self, own: messages.Hello) -> FakeLinks:
+        links = self.processes[own.address] = FakeLinks(self, own)
+        return links
+
+    def carry(self, sender: str, receiver: str, session: Session, frame: bytes) -> None:
+        if pair(sender, receiver) in self.cuts:
+            session.lossy = True
+            return
+        due = max(self._soon(), session.free_at.get(receiver, 0.0))
+        session.free_at[receiver] = due
+        self.loop.call_at(due, self._deliver, sender, receiver, session, frame)
+
+    def _deliver(self, sender: str, receiver: str, session: Session, frame: bytes) -> None:
+        if pair(sender, receiver) in self.cuts:
+            session.lossy = True
+        elif session.alive:
+            self.processes[receiver].take(sender, session, frame)
+
+    def cut(self, one: str, other: str) -> None:
+        """Nothing passes between two processes any more; both notice late."""
+        self.cuts.add(pair(one, other))
+        session = self.sessions.get(pair(one, other))
+        if session is not None:
+            self.loop.call_later(SILENCE_S, self._end_if_cut, one, other, session)
+
+    def heal(self, one: str, other: str) -> None:
+        self.cuts.discard(pair(one, other))
+        session = self.sessions.get(pair(one, other))
+        if session is not None and session.lossy:
+            self._end(one, other)
+
+    def reset(self, one: str, other: str) -> None:
+        """The connection ends; what is under way is lost."""
+        self._end(one, other)
+
+    def kill(self, address: str, silent: bool) -> None:
+        """A process ends; with `silent` its machine says nothing, and peers notice late."""
+        self.processes[address].alive = False
+        for (one, other), session in list(self.sessions.items()):
+            if address in (one, other):
+                peer = other if one == address else one
+                session.alive = False
+                del self.sessions[one, other]
+                links = self.processes[peer]
+                self.loop.call_later(SILENCE_S if silent else 0.002, links.lost, address, session)
+
+    def _end_if_cut(self, one: str, other: str, session: Session) -> None:
+        if pair(one, other) in self.cuts and self.sessions.get(pair(one, other)) is session:
+            self._end(one, other)
+
+    def _end(self, one: str, other: str) -> None:
+        session = self.sessions.pop(pair(one, other), None)
+        if session is not None:
+            session.alive = False
+            self.processes[one].lost(other, session)
+            self.processes[other].lost(one, session)
+
+    def _soon(self) -> float:
+        return self.loop.time() + self.rng.uniform(0.0005, LONGEST_DELAY_S)
+
+    async def _keep_connecting(self) -> None:
+        while True:
+            await asyncio.sleep(RECONNECT_S / 3)
+            for one, links in list(self.processes.items()):
+                for other in sorted(links.wanted_peers):
+                    self._connect(one, other)
+
+    def _connect(self, one: str, other: str) -> None:
+        key, peer = pair(one, other), self.processes.get(other)
+        if peer is None or not peer.alive or not self.processes[one].alive:
+            return
+        if key in self.sessions or key in self.cuts or self.rng.random() < 0.5:
+            return
+        session = self.sessions[key] = Session()
+        for here, there in ((one, other), (other, one)):
+            due = session.free_at[here] = self._soon()  # the greeting comes before all else
+            hello = self.processes[there].own
+            self.loop.call_at(due, self.processes[here].greeted, there, session, hello)
+
+    def _failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
+        error = context.get("exception")
+        if isinstance(error, BaseException):
+            self.errors.append(error)
--- /dev/null
+++ b/tests/fleet/test_feed_paths.py
@@ -0,0 +1,159 @@
+"""The ordinary path of registration and feeds, and each single trouble, in virtual time."""
+
+import asyncio
+import random
+import unittest
+from collections.abc import Awaitable, Callable
+
+from barleybarrow.replication.records import InstanceState
+from tests.fleet.feed_world import World, configuration
+from tests.fleet.virtual_time import play
+
+
+def story(test: Callable[["FeedPathsTest", World], Awaitable[None]]) -> Callable[["FeedPathsTest"], None]:
+    """A test that is played in a world of its own."""
+
+    def run(self: "FeedPathsTest") -> None:
+        async def whole() -> None:
+            world = World(random.Random(1))
+            world.start()
+            await test(self, world)
+            self.assertEqual(world.network.errors, [])
+
+        play(whole())
+
+    return run
+
+
+class FeedPathsTest(unittest.TestCase):
+    """Three control processes, two proxies."""
+
+    @story
+    async def test_a_server_is_offered_at_all_proxies(self, world: World) -> None:
+        world.start_server("s0")
+        await asyncio.sleep(2.0)
+        for proxy in world.proxies.values():
+            self.assertTrue(proxy.uses("i0"))
+
+    @story
+    async def test_a_proxy_is_ready_once_the_configuration_is_confirmed(self, world: World) -> None:
+        proxy = next(iter(world.proxies.values()))
+        await asyncio.sleep(3.5)
+        self.assertFalse(proxy.client.ready)
+        world.commit(configuration(5))
+        await asyncio.sleep(0.5)
+        self.assertEqual(proxy.client.version, 5)
+        self.assertTrue(proxy.client.ready)
+        world.commit(configuration(9))
+        await asyncio.sleep(0.5)
+        self.assertEqual([version for _, version in proxy.versions], [5, 9])
+
+    @story
+    async def test_a_drain_reaches_all_proxies_though_the_acknowledging_process_dies(
+        self, world: World
+    ) -> None:
+        server = world.start_server("s0")
+        await asyncio.sleep(3.0)
+        server.crash()
+        server.state = InstanceState.DRAINING
+        by = world.voters[0]
+        self.assertTrue(await world.call(by, "heartbeat", server.record()))
+        world.kill_control(by, silent=True)
+        await asyncio.sleep(0.5)
+        for proxy in world.proxies.values():
+            self.assertFalse(proxy.uses("i0"))
+
+    @story
+    async def test_a_crashed_server_is_not_offered_beside_another_for_long(self, world: World) -> None:
+        world.start_server("s0")
+        world.start_server("s0")
+        await asyncio.sleep(4.0)
+        world.servers["i0"].crash()
+        await asyncio.sleep(6.0)
+        for proxy in world.proxies.values():
+            self.assertFalse(proxy.uses("i0"))
+            self.assertTrue(proxy.uses("i1"))
+
+    @story
+    async def test_a_service_whose_servers_all_fall_silent_is_not_emptied(self, world: World) -> None:
+        world.start_server("s0")
+        world.start_server("s0")
+        await asyncio.sleep(4.0)
+        for server in world.servers.values():
+            server.crash()
+        await asyncio.sleep(8.0)
+        for proxy in world.proxies.values():
+            self.assertTrue(proxy.uses("i0") and proxy.uses("i1"))
+
+    @story
+    async def test_drains_outlive_the_restart_of_all_control_processes(self, world: World) -> None:
+        server = world.start_server("s0")
+        await asyncio.sleep(3.0)
+        server.crash()
+        late = server.record()
+        server.state = InstanceState.DRAINING
+        self.assertTrue(await world.call(world.voters[1], "heartbeat", server.record()))
+        for address in world.voters:
+            world.kill_control(address)
+        await asyncio.sleep(0.5)
+        for address in world.voters:
+            world.start_control(address)
+        proxy = world.start_proxy("10.1.0.9:7001")
+        await asyncio.sleep(1.0)
+        late.sequence += 10
+        await world.call(world.voters[0], "heartbeat", late)
+        await asyncio.sleep(5.0)
+        self.assertFalse(proxy.uses("i0"))
+
+    @story
+    async def test_nothing_is_acknowledged_without_a_majority(self, world: World) -> None:
+        await asyncio.sleep(1.0)
+        one, others = world.voters[0], world.voters[1:]
+        for other in others:
+            world.network.cut(one, other)
+        server = world.start_server("s0")
+        server.crash()
+        self.assertFalse(await world.call(one, "heartbeat", server.record()))
+        await asyncio.sleep(2.0)
+        self.assertFalse(await world.call(one, "heartbeat", server.record()))
+        for other in others:
+            world.network.heal(one, other)
+        await asyncio.sleep(1.0)
+        self.assertTrue(await world.call(one, "heartbeat", server.record()))
+        self.assertIn("i0", world.controls[others[0]].registry.registry.entries)
+
+    @story
+    async def test_drains_are_not_acknowledged_where_disks_refuse(self, world: World) -> None:
+        await asyncio.sleep(1.0)
+        for store in world.stores.values():
+            store.refuses = True
+        server = world.start_server("s0")
+        server.crash()
+        self.assertTrue(await world.call(world.voters[0], "heartbeat", server.record()))
+        server.state = InstanceState.DRAINING
+        self.assertFalse(await world.call(world.voters[0], "heartbeat", server.record()))
+        world.stores[world.voters[1]].refuses = False
+        world.stores[world.voters[2]].refuses = False
+        self.assertTrue(await world.call(world.voters[0], "heartbeat", server.record()))
+
+    @story
+    async def test_a_proxy_serves_on_and_comes_back_when_the_core_restarts(self, world: World) -> None:
+        world.commit(configuration(3))
+        world.start_server("s0")
+        await asyncio.sleep(4.0)
+        proxy = next(iter(world.proxies.values()))
+        for address in world.voters:
+            world.kill_control(address)
+        await asyncio.sleep(5.0)
+        self.assertTrue(proxy.client.ready and proxy.uses("i0"))
+        for address in world.voters:
+            world.start_control(address).shard.take(world.commits[-1])
+        await asyncio.sleep(2.0)
+        world.commit(configuration(8))
+        await asyncio.sleep(2.0)
+        self.assertEqual(proxy.client.version, 8)
+        self.assertTrue(proxy.uses("i0"))
+
+
+if __name__ == "__main__":
+    unittest.main()
