--- a/brackenusher/settings/document_fields.py
+++ b/brackenusher/settings/document_fields.py
@@ -4,7 +4,9 @@
 """
 
 import math
-from collections.abc import Callable
+import sys
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import fields
 from functools import partial
 from types import MappingProxyType
@@ -134,5 +136,19 @@
     deserialize(kind, type_check=disabled)
 
 
-for _kind in (WeightedService, Route, EngineModel, Engine, Service, ClientLimits, Tenant):
-    _make_readable(_kind)
+@contextmanager
+def _numpy_left_out() -> Iterator[None]:
+    """Meanwhile numpy can't be imported: pyserde would, where it is installed, for 0.15 s and 10 MB."""
+    if "numpy" in sys.modules:
+        yield
+        return
+    sys.modules["numpy"] = None  # type: ignore[assignment]  # the documented way to make an import fail
+    try:
+        yield
+    finally:
+        del sys.modules["numpy"]
+
+
+with _numpy_left_out():
+    for _kind in (WeightedService, Route, EngineModel, Engine, Service, ClientLimits, Tenant):
+        _make_readable(_kind)
--- a/brackenusher/settings/local.py
+++ b/brackenusher/settings/local.py
@@ -81,6 +81,7 @@
     counts_for_quorum: bool = False
     data_dir: str = ""  # empty: no disk
     heartbeat_ms: float = 1000.0
+    log_level: str = "info"  # of this project: "debug", "info", "warning" or "error"
     contracts: list[str] = field(default_factory=list)
     zones: dict[str, str] = field(default_factory=dict)
     listen: ListenAddresses = field(default_factory=ListenAddresses)
--- a/brackenusher/settings/reading.py
+++ b/brackenusher/settings/reading.py
@@ -18,6 +18,7 @@
 SETTINGS_VARIABLE = "BRACKENUSHER_CONFIG"
 DEFAULT_PATH = "/etc/brackenusher/local.toml"
 MAX_PORT = 65535
+LOG_LEVELS = ("debug", "info", "warning", "error")  # those of `runtime.fleet_log`
 LOWER_CASE_KEYS = frozenset({"pass_ms", "again_s"})  # as they are; others are in Pascal case
 LONGEST_SHOWN_VALUE = 60  # characters of a wrong value in a message
 
@@ -154,6 +155,8 @@
     for key, address in _addresses(settings):
         if not _is_address(address):
             raise _WrongKeyError(key, address, 'write "IP:PORT"')
+    if settings.log_level not in LOG_LEVELS:
+        raise _WrongKeyError("LogLevel", settings.log_level, f"say one of {', '.join(LOG_LEVELS)}")
     for key, name in (("NodeName", settings.node_name), ("Ip", settings.ip), ("Zone", settings.zone)):
         if not name:
             raise _WrongKeyError(key, name, "give it a value")
--- a/tests/fleet/test_documents.py
+++ b/tests/fleet/test_documents.py
@@ -250,3 +250,14 @@
         )
         done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
         self.assertEqual(done.stdout.strip(), "[]")
+
+    def test_checking_does_not_import_numpy(self) -> None:
+        """pyserde would, where it is installed; it costs a control process 10 MB."""
+        code = (
+            "import sys; from brackenusher.settings.documents import check_document;"
+            "from tests.fleet.document_examples import example;"
+            "check_document(example()).unwrap();"
+            "print('serde' in sys.modules, 'numpy' in sys.modules); import numpy"
+        )
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+        self.assertEqual(done.stdout.strip(), "True False")
--- a/tests/fleet/test_settings.py
+++ b/tests/fleet/test_settings.py
@@ -137,6 +137,7 @@
             ('"10.2.0.32:8665"', '"10.2.0.32:99999"', "SeedNodes = '10.2.0.32:99999': write"),
             ('zone-b = "region-1"', "zone-b = 3", "Zones = {'zone-a': 'region-1', 'zone-b': 3}: make"),
             ("[FaultTolerance]", "[[FaultTolerance]]", "FaultTolerance = [{"),
+            ("Bootstrap = true", 'LogLevel = "loud"', "LogLevel = 'loud': say one of debug, info"),
             ('Serves = ["front","control"]', 'Serves = "front"', "Serves = 'front': make it a list"),
         )
         for old, new, expected in cases:
