Data plane: requests wait for the warden's word where no credit is at hand

The exchange is opened, waits under its deadline, and goes on or is refused by the verdict; a client that leaves cancels the question. Control processes keep the books without asking; the first start is told to the machine.

--- a/brackenusher/assembly/control.py
+++ b/brackenusher/assembly/control.py
@@ -40,10 +40,18 @@
         )
         self.feeds = FeedSource(self.links, self.shard, self.registry)
         own = self.links.own.address
-        self.limits = Limits(own, [], rng, loop.time() * 1000.0, limit_bounds(settings))
+        self.limits = Limits(
+            own,
+            [],
+            rng,
+            loop.time() * 1000.0,
+            limit_bounds(settings),
+            asks=False,
+            fresh=settings.bootstrap,
+        )
         self.shares = SharesDriver(self.limits, self.links, lambda: loop.time() * 1000.0)
         self.shard.on_committed.append(self._configured)
-        self.shard.on_voters.append(lambda voters, index: self.shares.voters_changed(voters))
+        self.shard.on_voters.append(self.shares.voters_changed)
         self.monitor = Monitor(settings, self.links, rng)
         self._ticker: asyncio.Task[None] | None = None
         host, port = split_address(settings.listen.control)
--- a/brackenusher/assembly/proxy.py
+++ b/brackenusher/assembly/proxy.py
@@ -46,7 +46,9 @@
         self.settings = settings
         self.links = Links(greeting(settings, "proxy", settings.proxy_internal_port, rng), rng)
         now = loop.time() * 1000.0
-        self.limits = Limits(self.links.own.address, [], rng, now, limit_bounds(settings))
+        self.limits = Limits(
+            self.links.own.address, [], rng, now, limit_bounds(settings), fresh=settings.bootstrap
+        )
         self.limits_driver = LimitsDriver(self.limits, self.links, lambda: loop.time() * 1000.0)
         self.dispatcher = Dispatcher(
             DispatchSettings(zone=settings.zone),
@@ -54,7 +56,13 @@
             now,
             lambda service: self.limits.may_repeat(loop.time() * 1000.0, service),
         )
-        self.proxy = Proxy(loop, self.dispatcher, self.limits, settings.limits.memory_mb)
+        self.proxy = Proxy(
+            loop,
+            self.dispatcher,
+            self.limits,
+            settings.limits.memory_mb,
+            ask_quota=self.limits_driver.admit,
+        )
         self.feed = FeedClient(settings, self.links, self._configured, self._servers_changed)
         self.feed.on_voters.append(self.limits_driver.voters_changed)
         self.monitor = Monitor(settings, self.links, rng)
--- a/brackenusher/data_plane/proxy.py
+++ b/brackenusher/data_plane/proxy.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import logging
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from barleybarrow.documents import ClientLimits, Configuration, QuotaUnit, Route, Service, Tenant
 from barleybarrow.routing.actions import (
@@ -33,6 +33,10 @@
 MOST_BUFFERED_SHARE = 0.25  # of the process's memory, for bodies that are being read or sent
 STREAM_DEADLINE_SLACK_S = 0.2  # the server ends its own stream at the deadline; its end has to arrive
 NO_LIMITS = ClientLimits()
+OVER_QUOTA = "over the quota"
+
+# Takes a cost from a tenant's quota: a verdict, or a future of one where another process has to be asked.
+AskQuota = Callable[[Tenant, float], bool | asyncio.Future[bool]]
 
 
 class Proxy:
@@ -45,6 +49,7 @@
         limits: LimitsPort,
         memory_mb: int,
         proxy_count: int = 1,
+        ask_quota: AskQuota | None = None,
     ) -> None:
         self.proxy_count = proxy_count  # how many share the connections that a server accepts
         self.leaving = False
@@ -54,11 +59,13 @@
         self._loop = loop
         self._dispatcher = dispatcher
         self._limits = limits
+        self._ask_quota = ask_quota
         self._routes = RouteTable(())
         self._services: dict[str, Service] = {}
         self._servers: dict[str, dict[str, ServerInfo]] = {}  # by service and id
         self._exchanges: dict[int, Exchange] = {}
         self._deadlines: dict[int, asyncio.TimerHandle] = {}
+        self._quota_waits: dict[int, asyncio.Future[bool]] = {}  # by number of the exchange
         self._last_number = 0
         self._buffered = 0
         self._most_buffered = int(memory_mb * 1024 * 1024 * MOST_BUFFERED_SHARE)
@@ -160,10 +167,17 @@
         tenant = self._tenant(head)
         now = self._now_ms()
         cost = request_cost(tenant, head)
-        if tenant is not None and not self._limits.admit(now, tenant, cost):
-            connection.send_own(429, "over the quota", self._limits.retry_after_ms(now, tenant, cost))
+        verdict = self._admit(tenant, cost) if tenant is not None else True
+        if verdict is False:
+            retry_after_ms = self._limits.retry_after_ms(now, tenant, cost) if tenant is not None else 0.0
+            connection.send_own(429, OVER_QUOTA, retry_after_ms)
             return None
-        return self._start(connection, head, body, route, tenant)
+        exchange = self._open_exchange(connection, head, body, route, tenant)
+        if tenant is None or verdict is True:
+            self._dispatch(exchange, tenant)
+        else:
+            self._await_quota(exchange, tenant, cost, verdict)
+        return exchange
 
     # For exchanges (ExchangeOwner)
 
@@ -203,6 +217,9 @@
         timer = self._deadlines.pop(exchange.number, None)
         if timer is not None:
             timer.cancel()
+        waiting = self._quota_waits.get(exchange.number)
+        if waiting is not None:
+            waiting.cancel()
         self._perform(self._dispatcher.abandoned(self._now_ms(), exchange.number))
 
     # Inner steps
@@ -217,9 +234,31 @@
         key = head.facts.api_key
         return self._limits.authenticate(key) if key is not None else None
 
-    def _start(
+    def _admit(self, tenant: Tenant, cost: float) -> bool | asyncio.Future[bool]:
+        if self._ask_quota is not None:
+            return self._ask_quota(tenant, cost)
+        return self._limits.admit(self._now_ms(), tenant, cost)
+
+    def _await_quota(
+        self, exchange: Exchange, tenant: Tenant, cost: float, verdict: asyncio.Future[bool]
+    ) -> None:
+        """The quota is asked for elsewhere: go on, or refuse, once it is known."""
+        self._quota_waits[exchange.number] = verdict
+
+        def decided(done: asyncio.Future[bool]) -> None:
+            self._quota_waits.pop(exchange.number, None)
+            if exchange.number not in self._exchanges:
+                return
+            if not done.cancelled() and done.result():
+                self._dispatch(exchange, tenant)
+            else:
+                exchange.refuse(429, OVER_QUOTA, self._limits.retry_after_ms(self._now_ms(), tenant, cost))
+
+        verdict.add_done_callback(decided)
+
+    def _open_exchange(
         self, connection: FrontConnection, head: RequestHead, body: bytes, route: Route, tenant: Tenant | None
-    ) -> Exchange | None:
+    ) -> Exchange:
         facts = head.facts
         service = choose_service(route, (facts.request_id or b"").decode("latin-1"))
         held_ms = min(
@@ -232,10 +271,12 @@
         exchange = Exchange(self, connection, self._last_number, request, route, service, deadline_at)
         self._exchanges[exchange.number] = exchange
         self._deadlines[exchange.number] = self._loop.call_at(deadline_at, self._deadline_reached, exchange)
+        return exchange
+
+    def _dispatch(self, exchange: Exchange, tenant: Tenant | None) -> None:
         now = self._now_ms()
-        self._limits.requested(now, service)
+        self._limits.requested(now, exchange.service)
         self._perform(self._dispatcher.arrived(now, dispatch_request(exchange, tenant)))
-        return exchange
 
     def _deadline_reached(self, exchange: Exchange) -> None:
         now = self._loop.time()
