Interface: odd values and bytes at random; huge numbers are refused, not raised

Numbers of hundreds of digits raised OverflowError in the check of documents and settings, and ValueError in the base version and in addresses: they are refused with a line now. Found by reading for the random tests: 3000 documents with odd values are taken or refused in a line, and what is taken is sound by its typed form; 500 streams of odd bytes in odd pieces end with whole answers. Ruled out: bounding by the JSON reader, which knows no fields.

--- a/brackenusher/control_plane/config_api.py
+++ b/brackenusher/control_plane/config_api.py
@@ -12,7 +12,7 @@
 from brackenusher.control_plane.responses import error_response, unavailable
 
 BASE_VERSION_HEADER = "X-Brackenusher-Base-Version"
-LARGEST_VERSION = 2**63 - 1
+MAX_VERSION_DIGITS = 18  # fits 64 bits
 MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
 ORDER_TIMEOUT_S = 0.95  # callers go elsewhere after a second of silence
 SLOW_BODY_BYTES_PER_S = 256 * 1024  # callers wait longer for large bodies
@@ -46,7 +46,7 @@
     async def order(self, kind: str, request: HttpRequest) -> HttpResponse:
         """Config.Replace (kind "replace") and Config.Patch ("patch")."""
         text = request.headers.get(BASE_VERSION_HEADER.lower(), "").strip()
-        if not (text.isascii() and text.isdecimal()) or int(text) > LARGEST_VERSION:
+        if not (text.isascii() and text.isdecimal() and len(text) <= MAX_VERSION_DIGITS):
             shown = ascii(text[:40]) if text else "missing"
             remedy = "send the version that the change builds on, 0 for the first"
             return error_response(400, f"{BASE_VERSION_HEADER} is {shown}: {remedy}")
--- a/brackenusher/control_plane/heartbeat_api.py
+++ b/brackenusher/control_plane/heartbeat_api.py
@@ -12,6 +12,7 @@
 MAX_HEARTBEAT_BYTES = 4 * 1024
 MAX_ID_CHARACTERS = 200
 WRONG_ID = f"the id is not 1 to {MAX_ID_CHARACTERS} characters: put it in the path"
+MAX_PORT = 65535
 TIMEOUT_S = 0.9  # servers go elsewhere after a second of silence
 LARGEST_UINT32 = 2**32 - 1
 LARGEST_UINT64 = 2**64 - 1
@@ -117,7 +118,8 @@
 def _address(fields: dict[str, Any]) -> str:
     address = _text(fields, "Address", required=True)
     host, _, port = address.rpartition(":")
-    if not host or not (port.isascii() and port.isdecimal()) or not 0 < int(port) < 65536:
+    digits = port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))
+    if not host or not digits or not 0 < int(port) <= MAX_PORT:
         raise HeartbeatError(f'Address is {_shown(address)}: write "IP:PORT"')
     return address
 
--- a/brackenusher/settings/document_fields.py
+++ b/brackenusher/settings/document_fields.py
@@ -3,7 +3,6 @@
 Import this late: with pyserde it costs a small machine a second or more. `documents.check_document` calls it.
 """
 
-import math
 import sys
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -25,6 +24,7 @@
 )
 
 LOWER_CASE_KEYS = frozenset({"gap_aim_ms", "stride"})  # as they are; others are in Pascal case
+LARGEST_NUMBER = 2.0**63  # beyond it nothing is meant; also refuses infinity
 LONGEST_SHOWN_VALUE = 60  # characters of a wrong value in a message
 
 
@@ -76,7 +76,7 @@
 
 
 def _read_number(key: str, value: object) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+    if isinstance(value, bool) or not isinstance(value, int | float) or not abs(value) <= LARGEST_NUMBER:
         raise _wrong(key, value, "make it a number")
     return float(value)
 
--- a/brackenusher/settings/local.py
+++ b/brackenusher/settings/local.py
@@ -1,4 +1,4 @@
-"""The settings file of one process, as typed values. Reading and checking it is `brackenusher.settings.reading`.
+"""The settings file of one process, as typed values; `brackenusher.settings.reading` reads and checks it.
 
 Names, units and meanings are those of the file (TOML, keys in Pascal case; here in snake case).
 """
@@ -29,7 +29,7 @@
 
 @dataclass(slots=True)
 class FaultTolerance:
-    """What may be lost at once while all rules hold: machines that count for the quorum, zones, or regions."""
+    """What may be lost at once while all rules hold: machines that count for the quorum, zones, regions."""
 
     machines: int = 1
     zones: int = 0
--- a/brackenusher/settings/reading.py
+++ b/brackenusher/settings/reading.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import math
 import tomllib
 from pathlib import Path
 from typing import Any, get_args, get_origin
@@ -20,6 +19,7 @@
 MAX_PORT = 65535
 LOG_LEVELS = ("debug", "info", "warning", "error")  # those of `runtime.fleet_log`
 LOWER_CASE_KEYS = frozenset({"pass_ms", "again_s"})  # as they are; others are in Pascal case
+LARGEST_NUMBER = 2.0**63  # beyond it nothing is meant; also refuses infinity
 LONGEST_SHOWN_VALUE = 60  # characters of a wrong value in a message
 
 
@@ -137,7 +137,7 @@
 
 def _read_plain(kind: Any, value: object, key: str) -> Any:
     if kind in (int, float):
-        if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        if isinstance(value, bool) or not isinstance(value, int | float) or not abs(value) <= LARGEST_NUMBER:
             raise _WrongKeyError(key, value, f"make it {_ARTICLES[kind]}")
         if value < 0:
             raise _WrongKeyError(key, value, "make it 0 or more")
@@ -176,4 +176,5 @@
 
 def _is_address(address: str) -> bool:
     host, _, port = address.rpartition(":")
-    return bool(host) and port.isascii() and port.isdecimal() and 0 < int(port) <= MAX_PORT
+    digits = port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))
+    return bool(host) and digits and 0 < int(port) <= MAX_PORT
--- a/tests/fleet/test_api.py
+++ b/tests/fleet/test_api.py
@@ -140,7 +140,7 @@
     def test_what_cannot_be_read_is_400_and_named(self) -> None:
         cases: dict[str, Any] = {
             "Service": "",
-            "Address": "10.0.0.1",
+            "Address": "10.0.0.1:" + "9" * 3000,
             "State": "asleep",
             "Zone": ["zone-a"],
             "Slots": -1,
@@ -234,7 +234,7 @@
                 self.assertIn(("Retry-After", "0.2"), response.headers)
 
     def test_base_version_is_needed(self) -> None:
-        for base in (None, "", "x", "-1", "1.0", "0x1", "\u0661", "9" * 30, "1 2"):
+        for base in (None, "", "x", "-1", "1.0", "0x1", "\u0661", "9" * 30, "9" * 5000, "1 2"):
             with self.subTest(base):
                 response = self.order(base=base)
                 self.assertEqual(response.status, 400)
--- a/tests/fleet/test_documents.py
+++ b/tests/fleet/test_documents.py
@@ -1,5 +1,6 @@
 """Checks of configuration documents: what is refused and how, and that nothing valid is refused."""
 
+import random
 import subprocess
 import sys
 import unittest
@@ -208,6 +209,62 @@
 }
 
 
+ODD_VALUES: tuple[Any, ...] = (
+    *(None, True, False, 0, -1, 7, 1.5, 10**400, float("inf"), float("nan"), "", "0", "r-two", "\n\0"),
+    *([], {}, [[]], [{}], {"Name": "oracle"}, [{"Name": "oracle"}], ["key-3"], "x" * 10_000),
+)
+
+
+def odd_document(rng: random.Random) -> dict[str, Any]:
+    """The example with some values exchanged for odd ones, left out, or put twice."""
+    document = example()
+    for _ in range(rng.randint(1, 2)):
+        place: Any = document
+        while True:
+            key = rng.choice(list(place) if isinstance(place, dict) else range(len(place)))
+            if not (isinstance(place[key], dict | list) and place[key]) or rng.random() < 0.2:
+                break
+            place = place[key]
+        if rng.random() < 0.1 and isinstance(place, list):
+            place.append(place[key])
+        elif rng.random() < 0.2:
+            del place[key]
+        else:
+            place[key] = rng.choice(ODD_VALUES)
+    return document
+
+
+class OddDocumentsTest(unittest.TestCase):
+    """Whatever comes is taken or refused in a line; nothing else is raised."""
+
+    def test_values_exchanged_at_random(self) -> None:
+        taken = refused = 0
+        for seed in range(3000):
+            match check_document(odd_document(random.Random(seed))):
+                case Success(configuration):
+                    self.assert_sound(configuration, f"seed {seed}")
+                    taken += 1
+                case Failure(error):
+                    self.assertEqual(len(str(error).splitlines()), 1, f"seed {seed}")
+                    self.assertLess(len(str(error)), 400, f"seed {seed}")
+                    refused += 1
+        self.assertGreater(min(taken, refused), 300)
+
+    def assert_sound(self, configuration: Configuration, seed: str) -> None:
+        """What every configuration that is taken must have, read from the typed form alone."""
+        services = {service.name for service in configuration.services}
+        places = [(route.hostname.lower(), route.path_prefix) for route in configuration.routes]
+        self.assertEqual(len(places), len(set(places)), seed)
+        for route in configuration.routes:
+            self.assertGreater(route.timeout_ms, 0, seed)
+            parts = [(part.service, part.weight) for part in route.traffic_split] or [(route.service, 1.0)]
+            self.assertLessEqual({service for service, _ in parts}, services, seed)
+            self.assertGreater(sum(weight for _, weight in parts), 0, seed)
+        holders = [(key, tenant.name) for tenant in configuration.tenants for key in set(tenant.api_keys)]
+        self.assertEqual(len(holders), len({key for key, _ in holders}), seed)
+        self.assertGreater(configuration.generation, 0, seed)
+
+
 class InvalidDocumentsTest(unittest.TestCase):
     """What is invalid is refused in one line that names the item."""
 
--- a/tests/fleet/test_http_server.py
+++ b/tests/fleet/test_http_server.py
@@ -1,7 +1,10 @@
 """The HTTP server: what it reads and answers, each of its bounds in virtual time, and real sockets once."""
 
 import asyncio
+import logging
+import random
 import unittest
+from collections import Counter
 from typing import Any, cast
 
 from brackenusher.control_plane.http_server import TEXT, HttpBounds, HttpRequest, HttpResponse, HttpServer
@@ -282,6 +285,53 @@
         play(story())
 
 
+class OddBytesTest(ServerTest):
+    """Whatever comes, in whatever pieces: answers are whole, and nothing is raised."""
+
+    PARTS = (
+        *(
+            GET,
+            POST,
+            GET[:20],
+            POST[:-2],
+            b"\r\n",
+            b"\r\n\r\n",
+            b"\0",
+            b"\xff" * 5,
+            b"x" * 1200,
+            b" HTTP/1.1\r\n",
+        ),
+        *(b"Content-Length: 7\r\n", b"Content-Length: -1\r\n\r\n", b"Transfer-Encoding: chunked\r\n\r\n"),
+        *(b"5\r\nhello\r\n", b"0\r\n\r\n", b"fffffffff\r\n", b"HEAD / HTTP/1.1\r\nHost: h\r\n\r\n"),
+        *(b"Expect: 100-continue\r\n", b"POST /fail HTTP/1.1\r\nHost: h\r\n", b"Connection: close\r\n"),
+        b"PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n",
+    )
+
+    def test_bytes_at_random(self) -> None:
+        logging.disable(logging.ERROR)  # of the handler that fails
+        self.addCleanup(logging.disable, logging.NOTSET)
+        statuses: Counter[bytes] = Counter()
+        for seed in range(500):
+            statuses.update(play(self.story(random.Random(seed), f"seed {seed}")))
+        self.assertLessEqual({b"200", b"400", b"408", b"413", b"431", b"500"}, set(statuses))
+
+    async def story(self, rng: random.Random, seed: str) -> list[bytes]:
+        caller = Caller(self.server)
+        data = b"".join(rng.choices(self.PARTS, k=rng.randint(1, 6)))
+        while data and not caller.task.done():
+            size = rng.randint(1, len(data))
+            caller.send(data[:size])
+            data = data[size:]
+            await caller.settle()
+        if rng.random() < 0.5:
+            caller.reader.feed_eof()
+        await caller.task
+        self.assertIn(caller.writer.ended, ("closed", "aborted"), seed)
+        statuses = caller.statuses()
+        self.assertLessEqual(sum(status != b"100" for status in statuses), 8, seed)
+        return statuses
+
+
 class StopTest(ServerTest):
     """The end of the server."""
 
