Control interface: calls counted and timed; figures at GET /-/metrics

A control process has no Ready address, so its figures are read where it is called. Ruled out: an observer function handed in, which each assembly would have to write.

--- a/brackenusher/control_plane/api.py
+++ b/brackenusher/control_plane/api.py
@@ -2,9 +2,10 @@
 
 POST /-/Instances.Heartbeat/ID, /-/Instances.Deregister/ID, /-/Config.Replace, /-/Config.Patch; GET
 /-/Config.Get; and for the command line GET /-/status/TOPIC, with the topics summary, members, servers,
-history and explain/REQUEST-ID.
+history and explain/REQUEST-ID, and GET /-/metrics.
 """
 
+import asyncio
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -14,14 +15,13 @@
 from brackenusher.control_plane.heartbeat_api import HeartbeatApi, InstanceRegistry
 from brackenusher.control_plane.http_server import HttpRequest, HttpResponse
 from brackenusher.control_plane.responses import error_response, unavailable
+from brackenusher.runtime.metrics import CONTENT_TYPE, Metrics
 
 TOPICS = ("summary", "members", "servers", "history")
 EXPLAIN = "explain/"
 
 # Answers a topic ("summary", ..., "explain:REQUEST-ID") with what is to be shown as JSON; None: not known.
 StatusProvider = Callable[[str], Awaitable[object | None]]
-# Told the name of the call and the status of its answer, for the figures.
-Observer = Callable[[str, int], None]
 
 
 class Api:
@@ -32,15 +32,19 @@
         config_shard: ConfigurationShard,
         registry: InstanceRegistry,
         status: StatusProvider | None = None,
-        observe: Observer | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self.config = ConfigApi(config_shard)
         self.instances = HeartbeatApi(registry)
         self.status = status
-        self.observe = observe
+        self.metrics = metrics or Metrics()
+        self._calls = self.metrics.counter("calls_total", "Calls at the Control address.", "call", "status")
+        self._seconds = self.metrics.histogram("call_seconds", "Time that calls took.", "call")
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """The answer to any request; never raises for what a caller sent."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
         call = _find_call(request.path)
         if call is None:
             name, response = "unknown", error_response(404, "no such call: see the page of the protocol")
@@ -49,8 +53,8 @@
             response.headers.append(("Allow", call.method))
         else:
             name, response = call.name, await self._carry_out(call, request)
-        if self.observe is not None:
-            self.observe(name, response.status)
+        self._calls.labels(name, str(response.status)).inc()
+        self._seconds.labels(name).observe(loop.time() - started)
         return response
 
     async def _carry_out(self, call: "_Call", request: HttpRequest) -> HttpResponse:
@@ -63,6 +67,8 @@
                 return await self.config.order(call.name, request)
             case "get":
                 return await self.config.get()
+            case "metrics":
+                return HttpResponse(200, self.metrics.render(), CONTENT_TYPE)
         return await self._tell_status(call.argument)
 
     async def _tell_status(self, topic: str) -> HttpResponse:
@@ -90,6 +96,7 @@
     "/-/Config.Replace": _Call("replace", "POST"),
     "/-/Config.Patch": _Call("patch", "POST"),
     "/-/Config.Get": _Call("get", "GET"),
+    "/-/metrics": _Call("metrics", "GET"),
 }
 _WITH_ARGUMENT = (
     ("/-/Instances.Heartbeat/", "heartbeat", "POST"),
