--- a/barleybarrow/limits/bounds.py
+++ b/barleybarrow/limits/bounds.py
@@ -19,7 +19,8 @@
 MARGIN = 0.05  # of the room, for rounding and for clocks that differ
 DEBT_SHARE = 0.15
 LARGEST_REQUEST_TOKENS = 32_768.0  # a debt beyond the largest request would serve nobody
-SMALL_ROOM = 8.0  # largest requests: with less beside the debt, no fallback bucket would ever hold a request
+SMALL_ROOM = 5.0  # largest requests: with less beside the debt, no fallback bucket would ever hold a request
+RESERVE_SHARE = 0.25  # of the capacity
 REQUEST_SLACK_SHARE = 0.25  # of R W + B: QuotaSlack may count tokens, so it is not taken whole for requests
 RETRY_RATE_SHARE = 0.4  # of RetryBudgetMin, spread over the window
 RETRY_BURST_SHARE = 0.3
@@ -62,6 +63,7 @@
     credit: float  # granted and not yet known to be spent, at all proxies together
     fallback: float  # capacity of the fallback buckets of all proxies together
     largest: float  # request that credit ahead of need must leave room for
+    reserve: float  # level of the warden's bucket below which there is no credit ahead of need
 
 
 def quota_limit(tenant: Tenant, bounds: LimitBounds) -> KeyLimit | None:
@@ -76,13 +78,15 @@
     debt = min(DEBT_SHARE * room, largest)
     rest = room - debt
     split = SMALL_SPLIT if rest < SMALL_ROOM * largest else LARGE_SPLIT
+    capacity = tenant.burst + split.extra * rest
     return KeyLimit(
         tenant.rate_per_s,
-        tenant.burst + split.extra * rest,
+        capacity,
         debt,
         split.credit * rest,
         split.fallback * rest,
         largest,
+        RESERVE_SHARE * capacity,
     )
 
 
@@ -96,4 +100,5 @@
         RETRY_CREDIT_SHARE * least,
         RETRY_FALLBACK_SHARE * least,
         0.0,
+        0.0,
     )
--- a/barleybarrow/limits/credit_client.py
+++ b/barleybarrow/limits/credit_client.py
@@ -218,6 +218,8 @@
 
     def report(self, now: float) -> CreditReport:
         """What the warden is to hear now."""
+        if now >= self.base_until:
+            self.base = 0.0
         span = min(RATE_SPAN_MS, max(1.0, now - self.reported_at))
         self.number += 1
         items, sent = [], []
@@ -245,6 +247,7 @@
         want = 0.0
         if now - entry.asked_at < WANTED_FOR:
             want = need + self.wanted(entry)
+        first = first or int(entry.mean_cost)
         spent, returned = whole(entry.spent), whole(entry.returned)
         return Item(entry.key, entry.number, spent, returned, whole(need), whole(first), int(want))
 
--- a/barleybarrow/limits/credit_ledger.py
+++ b/barleybarrow/limits/credit_ledger.py
@@ -28,9 +28,7 @@
 from barleybarrow.limits.messages import Grant, Item
 from barleybarrow.limits.warden_lease import DRIFT
 
-WANT_ABOVE = 0.25  # of the capacity: below that level there is no credit ahead of need
 WANT_CREDIT = 0.8  # of the credit that may be outstanding, for credit ahead of need
-WORTH_HAVING = 0.5  # of what a proxy wants; less would not pay for a request
 UNKNOWN_WAIT = 50.0  # milliseconds until a proxy asks again for a key that the warden does not know yet
 SETTLE_WAIT = 25.0  # milliseconds until credit of others will have been reported as spent
 CONTENTION = 0.5  # of a turn of all proxies that hold the key
@@ -163,12 +161,12 @@
         """Grant credit ahead of need, while there is plenty."""
         held = entry.outstanding
         short = item.want - held
-        if short <= 0.0 or account.level < WANT_ABOVE * limit.capacity:
+        if short <= 0.0 or account.level < limit.reserve:
             return
         most = min(WANT_CREDIT * limit.credit, limit.credit - limit.largest)
         fair = most / max(1, len(account.entries)) - held
         amount = float(floor(min(short, fair, most - account.outstanding, account.level)))
-        if amount >= WORTH_HAVING * short and amount >= 1.0:
+        if amount >= max(1.0, floor(item.first)):
             self.grant(account, entry, amount)
 
     def grant(self, account: KeyAccount, entry: GrantedEntry, amount: float) -> None:
--- a/barleybarrow/limits/members.py
+++ b/barleybarrow/limits/members.py
@@ -120,7 +120,7 @@
 
     def base_for(self, member: Member, name: str) -> float:
         """What a proxy is to be told."""
-        planned = self.planned.get(name, member.base)
+        planned = self.planned.get(name, 0.0 if self.planned else member.base)
         return planned if self.raising else min(planned, member.held)
 
     def tell(self, now: float, name: str, member: Member, number: int) -> float:
--- a/barleybarrow/limits/messages.py
+++ b/barleybarrow/limits/messages.py
@@ -27,7 +27,7 @@
     spent: Amount
     returned: Amount
     need: Amount  # credit that requests wait for, what is held included
-    first: Amount  # the cost of the first of them
+    first: Amount  # the cost of the first of them; where none waits, of a usual request
     want: Amount  # credit that it would hold beside
 
 
--- a/barleybarrow/limits/retries.py
+++ b/barleybarrow/limits/retries.py
@@ -3,15 +3,15 @@
 The rule, over all proxies: in no window of RetryWindowS are there more arrivals beyond each request's first
 than RetryBudgetRatio times the requests of that window plus RetryBudgetMin. The ratio of its own requests
 is safe at each proxy, for the sum keeps to the sum. RetryBudgetMin is shared as credit (`credit_client`) by
-all proxies. The ratio is used only to RATIO_MARGIN, for requests are counted here when they are read, and
-by the rule when sent.
+all proxies. The ratio is used only to RATIO_MARGIN: the requests that pay for a repeat may lie
+in part before the window that the rule looks at.
 """
 
 from collections import deque
 
 from barleybarrow.limits.bounds import LimitBounds
 
-RATIO_MARGIN = 0.85  # of the ratio's part
+RATIO_MARGIN = 0.75  # of the ratio's part
 SLOT_MS = 100.0  # requests are counted in slots of this length
 
 
--- a/brackenusher/data_plane/limits_driver.py
+++ b/brackenusher/data_plane/limits_driver.py
@@ -57,8 +57,8 @@
     def admit(self, tenant: Tenant, cost: float) -> bool | asyncio.Future[bool]:
         """Take the cost of a request from its tenant's quota.
 
-        A future where the warden is asked: it is done after some milliseconds, at most `spans.PATIENCE`. A future
-        that is cancelled asks no more.
+        A future where the warden is asked: it is done after some milliseconds, at most `spans.PATIENCE`. A
+        future that is cancelled asks no more.
         """
         self._tickets += 1
         ticket = self._tickets
--- a/tests/fleet/limits_world.py
+++ b/tests/fleet/limits_world.py
@@ -1,7 +1,8 @@
-"""A fleet of limits machines in virtual time: proxies and control processes, a network that loses, delays and doubles
-messages, processes that are killed, cut off and started again, clocks that differ; and what may never happen.
+"""A fleet of limits machines in virtual time, and what may never happen.
 
-The machines are those that ship. Amounts are of the tenant's unit, times are milliseconds.
+Proxies and control processes, a network that loses, delays and doubles messages, processes that are killed,
+cut off and started again, clocks that differ. The machines are those that ship. Amounts are of the tenant's
+unit, times are milliseconds.
 """
 
 import heapq
@@ -12,15 +13,19 @@
 
 from barleybarrow.documents import QuotaUnit, Service, Tenant
 from barleybarrow.limits.bounds import LimitBounds
+from barleybarrow.limits.credit_client import CreditClient
 from barleybarrow.limits.limits import Limits, Verdict
 
+Clients = dict[str, tuple[float, CreditClient]]  # proxies: the time on their clock, and what they hold
+
 HALF_TRIP = (0.3, 3.0)  # milliseconds, one way
 LINK_LOSS_SEEN = 1600.0  # until a process knows that a link is cut
+SERVICE = "engines"
 
 
 @dataclass
 class Demand:
-    """Requests of one tenant, over all proxies: so many a second, with these weights of proxies and this cost."""
+    """Requests of one tenant over all proxies: so many a second, with these weights of proxies."""
 
     tenant: str
     per_s: float
@@ -28,6 +33,7 @@
     weights: list[float] = field(default_factory=list)  # by proxy; empty: even
     start: float = 0.0
     end: float = 1e12
+    repeats: float = 0.0  # share of the requests that ask to be repeated
 
 
 @dataclass
@@ -90,7 +96,9 @@
         self.pending: dict[tuple[str, int], tuple[str, float, float]] = {}
         self.ticket = count(1)
         self.messages = self.bytes = 0
-        self.services = [Service("s")]
+        self.services = [Service(SERVICE)]
+        self.requested: list[float] = []
+        self.repeated: list[float] = []
         for name in [*self.keepers, *self.proxies]:
             self.processes[name] = Process(
                 name, self.rng.uniform(0, 1e6), 1 + self.rng.uniform(-drift, drift)
@@ -227,6 +235,7 @@
         tally = self.tally[demand.tenant]
         tally.asked += 1
         tally.asked_cost += cost
+        self.repeat(process, demand.repeats)
         ticket = next(self.ticket)
         tenant = self.tenants[demand.tenant]
         verdict = process.machine.decide(process.clock(self.now), tenant, cost, ticket)
@@ -236,6 +245,15 @@
             self.decided(demand.tenant, cost, verdict is Verdict.ADMITTED, 0.0)
         self.flush(process)
 
+    def repeat(self, process: Process, share: float) -> None:
+        """A request for the service, which may have to be sent a second time."""
+        machine, clock = process.machine, process.clock(self.now)
+        assert machine is not None
+        machine.requested(clock, SERVICE)
+        self.requested.append(self.now)
+        if share and self.rng.random() < share and machine.may_repeat(clock, SERVICE):
+            self.repeated.append(self.now)
+
     def decided(self, tenant: str, cost: float, admitted: bool, wait: float) -> None:
         tally = self.tally[tenant]
         tally.waits.append(wait)
@@ -252,27 +270,22 @@
 
     def check(self) -> None:
         """Invariants of the machines, beside the rule itself. Raises AssertionError."""
-        clients = {
-            name: (self.processes[name].clock(self.now), self.processes[name].machine.client)
-            for name in self.proxies
-            if self.processes[name].machine is not None
-        }
+        clients: Clients = {}
+        for name in self.proxies:
+            process = self.processes[name]
+            if process.machine is not None and process.machine.client is not None:
+                clients[name] = process.clock(self.now), process.machine.client
         held = sum(c.base for at, c in clients.values() if at < c.base_until)
         assert held <= 1.0 + 1e-6, f"bases add up to {held}"
-        wardens = [
-            process
-            for process in self.processes.values()
-            if process.machine is not None
-            and process.machine.machine.books is not None
-            and process.clock(self.now) < process.machine.machine.lease_end
-        ]
-        assert len(wardens) <= 1, f"wardens: {[p.name for p in wardens]}"
-        if wardens:
-            self.check_warden(wardens[0], clients)
-
-    def check_warden(self, process: Process, clients: dict) -> None:
-        machine = process.machine.machine
-        books, clock = machine.books, process.clock(self.now)
+        wardens = self.wardens()
+        assert len(wardens) <= 1, f"wardens: {wardens}"
+        for name in wardens:
+            self.check_warden(self.processes[name], clients)
+
+    def check_warden(self, process: Process, clients: Clients) -> None:
+        assert process.machine is not None and process.machine.machine.books is not None
+        machine, clock = process.machine.machine, process.clock(self.now)
+        books = process.machine.machine.books
         books.lent.advance(clock)
         fallen = sum(c.base for at, c in clients.values() if c.fall_at <= at < c.base_until)
         total = books.lent.value + fallen
@@ -290,14 +303,11 @@
                 carried += entry.carried if at < entry.carried_until else 0.0
                 if at < client.valid_until and client.term == machine.term:
                     granted += entry.credit
-            assert granted <= account.outstanding + 1e-6, (
-                f"{key}: {granted} held, {account.outstanding} known"
-            )
-            assert account.outstanding <= limit.credit + 1e-6, f"{key}: {account.outstanding} outstanding"
-            most = limit.capacity + limit.credit
-            assert level + granted + carried <= most * (1 + 1e-6), (
-                f"{key}: {level + granted + carried} spendable"
-            )
+            known = account.outstanding
+            assert granted <= known + 1e-6, f"{key}: credit of {granted} held, {known} known"
+            assert known <= limit.credit + 1e-6, f"{key}: outstanding {known}"
+            spendable, most = level + granted + carried, limit.capacity + limit.credit
+            assert spendable <= most * (1 + 1e-6), f"{key}: spendable {spendable}"
 
     def most_in_window(self, tenant: str, window_ms: float) -> float:
         """The most that was admitted in any window of this length."""
@@ -323,16 +333,64 @@
         most = self.most_in_window(name, 1000.0 * self.bounds.quota_window_s)
         return most / self.allowed(self.tenants[name]) - 1.0
 
-    def warden(self) -> str:
-        """The process that is the warden now; empty: none."""
+    def retry_excess(self) -> float:
+        """The most by which repeats in a window go over the retry budget, in arrivals; negative: it holds.
+
+        Requests count in the window alone: that is stricter than the rule, which also looks at those
+        before.
+        """
+        window, worst = 1000.0 * self.bounds.retry_window_s, -float("inf")
+        for first, at in enumerate(self.repeated):
+            repeats = bisect_right(self.repeated, at + window) - first
+            requests = bisect_right(self.requested, at + window) - bisect_right(self.requested, at)
+            allowed = self.bounds.retry_budget_ratio * requests + self.bounds.retry_budget_min
+            worst = max(worst, repeats - allowed)
+        return worst
+
+    def wardens(self) -> list[str]:
+        """Processes that hold the lease now by their own clocks; more than one would be a fault."""
+        found = []
         for name, process in self.processes.items():
-            machine = process.machine
-            if machine is not None and machine.machine.books is not None:
-                if process.clock(self.now) < machine.machine.lease_end:
-                    return name
-        return ""
+            if process.machine is not None and process.machine.machine.books is not None:
+                if process.clock(self.now) < process.machine.machine.lease_end:
+                    found.append(name)
+        return found
 
 
 def token_tenant(name: str, rate: float, burst: float | None = None) -> Tenant:
     """A tenant whose quota counts tokens."""
     return Tenant(name, [f"key-{name}"], None, QuotaUnit.TOKENS, 200, rate, rate if burst is None else burst)
+
+
+def troubled_world(seed: int, length: float, pause: float = 1500.0, lossy: bool = True) -> World:
+    """One tenant far over its limit and one below it, and random troubles until shortly before the end."""
+    rng = random.Random(seed)
+    proxies = rng.choice([3, 5, 8, 12])
+    rate = rng.choice([18_000.0, 100_000.0, 400_000.0])
+    burst = rate * rng.choice([0.2, 1.0, 2.0])
+    tenants = [token_tenant("hot", rate, burst), token_tenant("under", rate), token_tenant("rare", rate)]
+    world = World(
+        proxies,
+        tenants,
+        seed=seed,
+        bounds=LimitBounds(quota_slack=rng.choice([0.0, 72_000.0])),
+        drift=0.02,
+        loss=rng.choice([0.0, 0.05, 0.3]) if lossy else 0.0,
+        doubled=0.1 if lossy else 0.0,
+        late=rng.choice([0.0, 0.05]) if lossy else 0.0,
+    )
+    weights = [rng.paretovariate(1.1) for _ in range(proxies)]
+    cost = (rate / 100, rate / 10)
+    world.demand(Demand("hot", 150.0, cost, weights, start=4000.0, repeats=0.8))
+    world.demand(Demand("under", 20.0, cost, weights, start=4000.0))
+    world.demand(Demand("rare", 1.0, cost, weights, start=4000.0))
+    at = 4500.0
+    while at < length - 4000.0:
+        at += rng.expovariate(1.0 / pause)
+        name = rng.choice(world.keepers + world.proxies)
+        lasts = rng.choice([500.0, 2000.0, 6000.0, 25_000.0])
+        do, undo = rng.choice([("kill", "start"), ("cut_off", "join")])
+        world.at(at, "call", do, name)
+        world.at(at + lasts, "call", undo, name)
+    world.at(0.0, "check", 20.0)
+    return world
--- /dev/null
+++ b/tests/fleet/test_limits.py
@@ -0,0 +1,332 @@
+"""Limits of one process: keys, costs, quotas, messages, the retry budget, and the driver on a loop."""
+
+import asyncio
+import random
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from barleybarrow.documents import QuotaUnit, Service, Tenant
+from barleybarrow.limits import bounds, credit_ledger, lent, messages
+from barleybarrow.limits.bounds import LimitBounds
+from barleybarrow.limits.limits import Limits, Verdict
+from barleybarrow.limits.retries import RetryBudget
+from barleybarrow.limits.tenants import TenantTable, request_cost
+from brackenusher.cluster import messages as cluster_messages
+from brackenusher.data_plane.limits_driver import MACHINE, LimitsDriver
+
+TOKENS = LimitBounds(quota_slack=72_000.0)
+
+
+def tenant(name: str, rate: float = 0.0, **more: Any) -> Tenant:
+    return Tenant(name, [f"{name}-1", f"{name}-2"], rate_per_s=rate, burst=rate, **more)
+
+
+def single(limits_of: list[Tenant], window: LimitBounds = TOKENS) -> tuple[Limits, float]:
+    """A process that is the only keeper and a proxy at once, after it has become the warden."""
+    limits = Limits("a", ["a"], random.Random(1), 0.0, window, fresh=True)
+    limits.configure(0.0, limits_of, [Service("s")])
+    now = 0.0
+    while now < 4000.0:
+        now = max(now + 1.0, limits.next_wakeup())
+        limits.tick(now)
+    return limits, now
+
+
+class Keys(unittest.TestCase):
+    def test_each_key_of_a_tenant_finds_it(self) -> None:
+        limits, _ = single([tenant("one"), tenant("two")])
+        for key, name in (("one-1", "one"), ("one-2", "one"), ("two-2", "two")):
+            found = limits.authenticate(key)
+            assert found is not None
+            self.assertEqual(found.name, name)
+
+    def test_unknown_and_missing_keys_find_nobody(self) -> None:
+        limits, _ = single([tenant("one")])
+        for key in (None, "", "one", "one-3"):
+            self.assertIsNone(limits.authenticate(key))
+
+    def test_keys_follow_the_configuration(self) -> None:
+        limits, now = single([tenant("one"), tenant("two")])
+        limits.configure(now, [Tenant("one", ["fresh"])], [])
+        self.assertIsNone(limits.authenticate("one-1"))
+        self.assertIsNone(limits.authenticate("two-1"))
+        self.assertIsNotNone(limits.authenticate("fresh"))
+
+    def test_only_changed_quotas_are_named(self) -> None:
+        table = TenantTable()
+        table.replace([tenant("one", 5.0), tenant("two", 5.0), tenant("three", 5.0)])
+        changed = table.replace([tenant("one", 5.0, priority=1), tenant("two", 6.0), tenant("four", 1.0)])
+        self.assertEqual(changed, {"two", "three", "four"})
+
+
+class Costs(unittest.TestCase):
+    def test_requests_count_one(self) -> None:
+        self.assertEqual(request_cost(tenant("one", 5.0), "100,20"), 1.0)
+
+    def test_tokens_count_prompt_and_output(self) -> None:
+        paying = tenant("one", 5.0, unit=QuotaUnit.TOKENS, plain_tokens=200)
+        for value, cost in (("1460,80", 1540.0), ("1460, 80", 1540.0), ("0,0", 0.0)):
+            self.assertEqual(request_cost(paying, value), cost)
+        unread: list[str | None] = [None, "", "12", "a,b", "1,2,3", "-5,1"]
+        for text in unread:
+            self.assertEqual(request_cost(paying, text), 200.0, text)
+
+
+class Quotas(unittest.TestCase):
+    def test_no_limit(self) -> None:
+        limits, now = single([tenant("one")])
+        self.assertTrue(all(limits.admit(now, tenant("one"), 1e9) for _ in range(100)))
+
+    def test_tenant_that_the_configuration_does_not_name(self) -> None:
+        limits, now = single([])
+        self.assertTrue(limits.admit(now, tenant("one", 5.0), 1.0))
+
+    def test_waiting_request_is_decided_once(self) -> None:
+        paying = tenant("one", 10_000.0, unit=QuotaUnit.TOKENS)
+        limits, now = single([paying])
+        self.assertIs(limits.decide(now, paying, 9000.0, 7), Verdict.PENDING)
+        for _ in range(5):
+            now += 3.0
+            limits.tick(now)
+        self.assertEqual(limits.verdicts(), [(7, True)])
+        self.assertEqual(limits.verdicts(), [])
+
+    def test_cancelled_request_is_not_decided(self) -> None:
+        paying = tenant("one", 10_000.0, unit=QuotaUnit.TOKENS)
+        limits, now = single([paying])
+        limits.decide(now, paying, 9000.0, 7)
+        limits.cancel(7)
+        limits.tick(now + 1000.0)
+        self.assertEqual(limits.verdicts(), [])
+
+    def test_refusal_names_a_wait(self) -> None:
+        paying = tenant("one", 100.0)
+        limits, now = single([paying])
+        refused = 0
+        for _ in range(2000):
+            now += 1.0
+            limits.tick(now)
+            refused += limits.decide(now, paying, 1.0, None) is Verdict.REFUSED
+        self.assertGreater(refused, 1000)
+        self.assertGreaterEqual(limits.retry_after_ms(now, paying, 1.0), 100.0)
+        self.assertLessEqual(limits.retry_after_ms(now, paying, 1.0), 5000.0)
+
+    def test_without_a_warden_requests_wait_a_bounded_time(self) -> None:
+        paying = tenant("one", 100.0)
+        limits = Limits("p", ["a", "b", "c"], random.Random(1), 0.0, TOKENS)
+        limits.configure(0.0, [paying], [])
+        self.assertIs(limits.decide(0.0, paying, 1.0, 1), Verdict.PENDING)
+        self.assertLessEqual(limits.next_wakeup(), 250.0)
+        limits.tick(250.0)
+        self.assertEqual(limits.verdicts(), [(1, False)])
+        self.assertIs(limits.decide(2000.0, paying, 1.0, 2), Verdict.REFUSED)  # it was never given a base
+
+
+class Room(unittest.TestCase):
+    def test_parts_stay_below_the_rule(self) -> None:
+        for unit in QuotaUnit:
+            for rate in (0.5, 10.0, 18_000.0, 1e6):
+                for burst in (0.0, rate, 3.0 * rate):
+                    for slack in (0.0, 20.0, 72_000.0):
+                        window = LimitBounds(quota_slack=slack)
+                        paying = Tenant("one", [], None, unit, 0, rate, burst)
+                        limit = bounds.quota_limit(paying, window)
+                        assert limit is not None
+                        steady = rate * window.quota_window_s + burst
+                        used = limit.capacity - burst + limit.debt + limit.credit + limit.fallback
+                        self.assertLessEqual(used, 0.951 * (steady * window.quota_overshoot + slack))
+
+    def test_parts_of_the_retry_budget(self) -> None:
+        window = LimitBounds()
+        limit = bounds.retry_limit(window)
+        used = limit.rate * window.retry_window_s + limit.capacity + limit.credit + limit.fallback
+        self.assertLessEqual(used, 0.951 * window.retry_budget_min)
+
+
+class Ledger(unittest.TestCase):
+    LIMIT = bounds.KeyLimit(100.0, 100.0, 0.0, 80.0, 0.0, 1.0, 25.0)
+
+    def ledger(self) -> credit_ledger.CreditLedger:
+        part = lent.LentFraction(0.0)
+        part.set_free(0.0, 1.0)
+        ledger = credit_ledger.CreditLedger(part, lambda key: self.LIMIT)
+        ledger.fresh = True
+        return ledger
+
+    def take(
+        self, ledger: credit_ledger.CreditLedger, *item: float, now: float = 0.0
+    ) -> messages.Grant | None:
+        return ledger.take(now, "p", messages.Item("k", *item), 1e9)  # type: ignore[arg-type]
+
+    def test_the_same_need_is_granted_once(self) -> None:
+        ledger = self.ledger()
+        for _ in range(3):
+            grant = self.take(ledger, 1, 0.0, 0.0, 30.0, 10.0, 0.0)
+            assert grant is not None
+            self.assertEqual(grant.granted, 30.0)
+        self.assertEqual(ledger.accounts["k"].level, 70.0)
+
+    def test_the_same_return_is_refunded_once(self) -> None:
+        ledger = self.ledger()
+        self.take(ledger, 1, 0.0, 0.0, 30.0, 10.0, 0.0)
+        for _ in range(3):
+            self.take(ledger, 1, 10.0, 20.0, 0.0, 0.0, 0.0)
+        self.assertEqual(ledger.accounts["k"].level, 90.0)
+        self.assertEqual(ledger.accounts["k"].outstanding, 0.0)
+
+    def test_totals_that_come_late_change_nothing(self) -> None:
+        ledger = self.ledger()
+        self.take(ledger, 1, 0.0, 0.0, 30.0, 10.0, 0.0)
+        self.take(ledger, 1, 20.0, 0.0, 0.0, 0.0, 0.0)
+        self.take(ledger, 1, 5.0, 0.0, 0.0, 0.0, 0.0)
+        self.assertEqual(ledger.accounts["k"].outstanding, 10.0)
+        self.take(ledger, 2, 0.0, 0.0, 0.0, 0.0, 0.0)
+        self.assertIsNone(self.take(ledger, 1, 30.0, 0.0, 0.0, 0.0, 0.0))
+
+    def test_credit_of_a_closed_entry_counts_until_its_time_is_over(self) -> None:
+        ledger = self.ledger()
+        ledger.take(0.0, "p", messages.Item("k", 1, 0.0, 0.0, 30.0, 10.0, 0.0), 500.0)
+        ledger.take(0.0, "p", messages.Item("k", 2, 0.0, 0.0, 0.0, 0.0, 0.0), 500.0)
+        self.assertEqual(ledger.account(499.0, "k", self.LIMIT).outstanding, 30.0)
+        self.assertEqual(ledger.account(500.0, "k", self.LIMIT).outstanding, 0.0)
+
+
+class Lent(unittest.TestCase):
+    def test_the_integral_follows_loans_to_their_ends(self) -> None:
+        part = lent.LentFraction(0.0)
+        part.set_free(0.0, 0.25)
+        part.lend(0.0, "p", 0.5, 100.0)
+        part.lend(50.0, "p", 0.5, 200.0)
+        part.advance(1000.0)
+        self.assertAlmostEqual(part.integral, 0.25 * 1000.0 + 0.5 * 200.0)
+        self.assertAlmostEqual(part.value, 0.25)
+
+    def test_it_is_never_above_one(self) -> None:
+        part = lent.LentFraction(0.0)
+        part.set_free(0.0, 0.8)
+        part.lend(0.0, "p", 0.5, 100.0)
+        self.assertEqual(part.value, 1.0)
+
+
+class Messages(unittest.TestCase):
+    def test_round_trip(self) -> None:
+        item = messages.Item("quota:one", 3, 10.0, 0.0, 5.0, 5.0, 7.0)
+        report = messages.CreditReport(1, 2, 3, 4, 0.5, [item])
+        self.assertEqual(messages.decode(messages.encode(report)), report)
+
+    def test_bytes_that_are_no_message(self) -> None:
+        limits, now = single([])
+        for payload in (b"", b"\xff\xfe", b"\x93\x01\x02\x03", bytes(50), b"\x96\x06\xff\x00\x00\x00\x90"):
+            limits.receive(now, "x", payload)
+        self.assertEqual(limits.outbox(), [])
+
+
+class Retries(unittest.TestCase):
+    def test_own_requests_pay(self) -> None:
+        budget = RetryBudget(LimitBounds(retry_budget_ratio=0.2))
+        for at in range(100):
+            budget.requested(float(at), "s")
+        taken = sum(budget.take(100.0, "s") for _ in range(100))
+        self.assertEqual(taken, 15)
+        self.assertFalse(budget.take(5000.0, "s"))
+        self.assertFalse(budget.take(20_000.0, "s"))
+
+    def test_the_least_budget_is_shared(self) -> None:
+        limits, now = single([])
+        taken = 0
+        for _ in range(3000):
+            now += 3.0
+            limits.tick(now)
+            taken += limits.may_repeat(now, "s")
+        self.assertGreater(taken, 25)
+        self.assertLessEqual(taken, 60)
+
+    def test_a_service_that_is_gone(self) -> None:
+        limits, now = single([])
+        self.assertFalse(limits.may_repeat(now, "other"))
+
+
+class FakeLinks:
+    """One process's end of links that deliver on the same loop."""
+
+    def __init__(self, address: str, net: dict[str, "FakeLinks"]) -> None:
+        self.address, self.net = address, net
+        self.handler: Callable[[str, Any], None] = lambda sender, message: None
+        net[address] = self
+
+    def connected(self) -> dict[str, object]:
+        return {name: object() for name in self.net if name != self.address}
+
+    def on_message(self, kind: type, handler: Callable[[str, Any], None]) -> None:
+        self.handler = handler
+
+    def on_change(self, handler: Callable[[str, Any], None]) -> None:
+        pass
+
+    def send(self, address: str, message: Any) -> bool:
+        assert isinstance(message, cluster_messages.MachineMessage) and message.machine == MACHINE
+        loop = asyncio.get_running_loop()
+        loop.call_soon(lambda: self.net[address].handler(self.address, message))
+        return True
+
+
+class FastLoop(asyncio.SelectorEventLoop):
+    """A loop whose time jumps to the next timer when nothing else is to be done."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.virtual = 0.0
+
+    def time(self) -> float:
+        return self.virtual
+
+    def _run_once(self) -> None:
+        if not self._ready and self._scheduled:  # type: ignore[attr-defined]
+            self.virtual = max(self.virtual, self._scheduled[0].when())  # type: ignore[attr-defined]
+        super()._run_once()  # type: ignore[misc]
+
+
+class Driver(unittest.TestCase):
+    def test_requests_wait_for_the_warden(self) -> None:
+        loop = FastLoop()
+        try:
+            loop.run_until_complete(self.conversation(loop))
+        finally:
+            loop.close()
+
+    async def conversation(self, loop: FastLoop) -> None:
+        paying = tenant("one", 20_000.0, unit=QuotaUnit.TOKENS)
+        net: dict[str, FakeLinks] = {}
+        drivers = {}
+        for name in ("c", "p"):
+            limits = Limits(name, ["c"], random.Random(1), 0.0, TOKENS, asks=name == "p", fresh=True)
+            limits.configure(0.0, [paying], [Service("s")])
+            links = FakeLinks(name, net)
+            drivers[name] = LimitsDriver(limits, links, lambda: loop.time() * 1000.0)  # type: ignore[arg-type]
+        for driver in drivers.values():
+            driver.start()
+        await asyncio.sleep(5.0)
+        proxy = drivers["p"]
+        self.assertTrue(proxy.limits.in_touch)
+        verdict = proxy.admit(paying, 9000.0)
+        assert isinstance(verdict, asyncio.Future)
+        self.assertTrue(await verdict)
+        given_up = [proxy.admit(paying, 9000.0) for _ in range(20)]
+        results = []
+        for waiting in given_up:
+            results.append(await waiting if isinstance(waiting, asyncio.Future) else waiting)
+        self.assertIn(True, results)
+        self.assertIn(False, results)
+        await asyncio.sleep(3.0)
+        cancelled = proxy.admit(paying, 9000.0)
+        assert isinstance(cancelled, asyncio.Future)
+        cancelled.cancel()
+        await asyncio.sleep(1.0)
+        self.assertEqual(proxy._waiting, {})
+        for driver in drivers.values():
+            driver.stop()
+
+
+if __name__ == "__main__":
+    unittest.main()
