--- a/brackenusher/commands/application.py
+++ b/brackenusher/commands/application.py
@@ -13,7 +13,7 @@
 from brackenusher.commands.client import Answer, ControlClient
 from brackenusher.commands.difference import differences
 from brackenusher.commands.errors import CommandError, ExitCode
-from brackenusher.commands.printing import as_json, as_text
+from brackenusher.commands.printing import as_json, as_text, with_times
 from brackenusher.settings.local import LocalSettings
 from brackenusher.settings.reading import DEFAULT_PATH, SETTINGS_VARIABLE, SettingsError, load_settings
 
@@ -74,11 +74,15 @@
     typer.echo(as_json(document) if as_document else as_text(document))
 
 
-def _show_topic(topic: str, control: list[str] | None, as_document: bool) -> None:
+def _topic(topic: str, control: list[str] | None) -> Any:
     answer = _client(control).get(f"/-/status/{topic}")
     if answer.status != 200:
         raise CommandError(ExitCode.REFUSED, answer.error())
-    _show(answer.document(), as_document)
+    return answer.document()
+
+
+def _show_topic(topic: str, control: list[str] | None, as_document: bool) -> None:
+    _show(_topic(topic, control), as_document)
 
 
 def _current(client: ControlClient) -> dict[str, Any]:
@@ -221,4 +225,5 @@
 @config.command("history")
 def config_history(control: Control = None, as_document: Json = False) -> None:
     """The versions that were taken, the newest last."""
-    _show_topic("history", control, as_document)
+    taken = _topic("history", control)
+    _show(taken if as_document or not isinstance(taken, list) else with_times(taken), as_document)
--- a/brackenusher/commands/printing.py
+++ b/brackenusher/commands/printing.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterator, Sequence
+from datetime import UTC, datetime
 from typing import Any
 
 COLUMN_GAP = "  "
@@ -48,6 +49,18 @@
         yield COLUMN_GAP.join(padded).rstrip()
 
 
+def with_times(rows: Sequence[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Rows whose `at_ms`, Unix milliseconds, is told as a time of day instead, first."""
+    return [
+        {"at": _time_of(row["at_ms"]), **{key: value for key, value in row.items() if key != "at_ms"}}
+        for row in rows
+    ]
+
+
+def _time_of(milliseconds: int) -> str:
+    return datetime.fromtimestamp(milliseconds / 1000.0, UTC).isoformat(" ", "milliseconds")
+
+
 def _cell(value: object) -> str:
     if isinstance(value, bool):
         return "yes" if value else "no"
--- /dev/null
+++ b/brackenusher/data_plane/proxy_metrics.py
@@ -0,0 +1,31 @@
+"""Figures of a proxy process."""
+
+from collections.abc import Callable, Mapping
+
+from brackenusher.data_plane.feed_client import FeedClient
+from brackenusher.data_plane.proxy import Proxy
+from brackenusher.runtime.metrics import Metrics
+
+
+def add_proxy_metrics(
+    metrics: Metrics,
+    proxy: Proxy,
+    feed: FeedClient,
+    is_ready: Callable[[], bool],
+    decisions: Callable[[], Mapping[str, int]],
+) -> None:
+    """Add the figures of the data plane; `decisions` reads the dispatcher's counts by name."""
+
+    def decided() -> dict[str, float]:
+        return {name: float(count) for name, count in decisions().items()}
+
+    metrics.gauge_function(
+        "configuration_version", "Version in force here; 0 for none.", lambda: feed.version
+    )
+    metrics.gauge_function("ready", "1 while the proxy calls itself ready.", lambda: float(is_ready()))
+    metrics.gauge_function("requests_in_flight", "Requests under way.", lambda: float(proxy.in_flight()))
+    metrics.gauge_function("client_connections", "Open to clients.", lambda: float(len(proxy.fronts)))
+    metrics.readings("counter", "decisions_total", "What the dispatcher decided.", "decision", decided)
+    metrics.counter_function(
+        "server_connections_opened_total", "Opened to servers.", lambda: float(proxy.pool.opened)
+    )
--- a/brackenusher/runtime/metrics.py
+++ b/brackenusher/runtime/metrics.py
@@ -7,7 +7,7 @@
 
 import threading
 from bisect import bisect_left
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any, Generic, TypeVar
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -41,8 +41,8 @@
 
     __slots__ = ("value", "read", "_lock")
 
-    def __init__(self, lock: threading.Lock) -> None:
-        self.value, self._lock = 0.0, lock
+    def __init__(self, lock: threading.Lock, value: float = 0.0) -> None:
+        self.value, self._lock = value, lock
         self.read: Callable[[], float] | None = None
 
     def set(self, value: float) -> None:
@@ -114,13 +114,33 @@
         return list(self._series.items())
 
 
+class Readings:
+    """A figure with one label that is read from a function at the time it is asked for."""
+
+    def __init__(
+        self, name: str, help_text: str, names: LabelValues, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        self.name, self.help_text, self.names, self.read = name, help_text, names, read
+
+    def series(self) -> list[tuple[LabelValues, Gauge]]:
+        """All series as they stand, by name; of many, those beyond the bound are added up."""
+        values = sorted(self.read().items())
+        series: list[tuple[LabelValues, Gauge]] = []
+        for name, value in values[:MAX_SERIES]:
+            series.append(((name,), Gauge(threading.Lock(), value)))
+        if len(values) > MAX_SERIES:
+            rest = sum(value for _, value in values[MAX_SERIES:])
+            series.append(((OTHER,), Gauge(threading.Lock(), rest)))
+        return series
+
+
 class Metrics:
     """The figures of one process, by name. Making a figure again gives the one that is there."""
 
     def __init__(self, prefix: str = "brackenusher_") -> None:
         self.prefix = prefix
         self._lock = threading.Lock()
-        self._figures: dict[str, tuple[str, Figure[Any]]] = {}
+        self._figures: dict[str, tuple[str, Figure[Any] | Readings]] = {}
 
     def counter(self, name: str, help_text: str, *labels: str) -> Figure[Counter]:
         """A figure that only rises; its name ends in _total."""
@@ -134,19 +154,36 @@
         """A figure without labels that is read at the time it is asked for."""
         self.gauge(name, help_text).labels().read = read
 
+    def counter_function(self, name: str, help_text: str, read: Callable[[], float]) -> None:
+        """A figure without labels that only rises, read at the time it is asked for."""
+        self._figure("counter", name, help_text, (), lambda: Gauge(self._lock)).labels().read = read
+
     def histogram(
         self, name: str, help_text: str, *labels: str, bounds: Sequence[float] = SECONDS_BUCKETS
     ) -> Figure[Histogram]:
         """A figure that counts observations by buckets, of seconds if not said otherwise."""
         return self._figure("histogram", name, help_text, labels, lambda: Histogram(self._lock, bounds))
 
+    def readings(
+        self, kind: str, name: str, help_text: str, label: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """A figure of the kind "counter" or "gauge" whose series are read at the time it is asked for.
+
+        The keys of the mapping are the values of the label; of many, those beyond the bound are added up.
+        """
+        if name in self._figures:
+            raise ValueError(f"the figure {name} is there already")
+        self._figures[name] = (kind, Readings(name, help_text, (label,), read))
+
     def _figure(
         self, kind: str, name: str, help_text: str, labels: LabelValues, make: Callable[[], Any]
     ) -> Figure[Any]:
         present = self._figures.get(name)
         if present is None:
-            present = self._figures[name] = (kind, Figure(name, help_text, labels, make))
-        elif present[0] != kind or present[1].names != labels:
+            figure: Figure[Any] = Figure(name, help_text, labels, make)
+            self._figures[name] = (kind, figure)
+            return figure
+        if present[0] != kind or present[1].names != labels or not isinstance(present[1], Figure):
             raise ValueError(f"the figure {name} is there already, of another kind or with other labels")
         return present[1]
 
--- /dev/null
+++ b/brackenusher/runtime/process_metrics.py
@@ -0,0 +1,30 @@
+"""Figures that every process has: what it uses of its machine."""
+
+import resource
+import time
+from pathlib import Path
+
+from brackenusher.runtime.metrics import Metrics
+
+PAGE_BYTES = resource.getpagesize()
+MEMORY_FILE = Path("/proc/self/statm")  # pages: in all, resident, ...
+
+
+def add_process_metrics(metrics: Metrics) -> None:
+    """Add processor time and memory."""
+    metrics.counter_function("process_cpu_seconds_total", "Processor time used.", time.process_time)
+    metrics.gauge_function("process_resident_memory_bytes", "Memory in use.", resident_bytes)
+    metrics.gauge_function("process_peak_memory_bytes", "Most memory in use at once.", peak_bytes)
+
+
+def resident_bytes() -> float:
+    """The memory in use; 0 where the system does not say."""
+    try:
+        return float(MEMORY_FILE.read_text(encoding="ascii").split()[1]) * PAGE_BYTES
+    except (OSError, ValueError, IndexError):
+        return 0.0
+
+
+def peak_bytes() -> float:
+    """The most memory that was in use at once."""
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024.0
--- a/tests/fleet/test_commands.py
+++ b/tests/fleet/test_commands.py
@@ -118,6 +118,14 @@
                 code, out, _ = self.run_command(*command, "--json")
                 self.assertEqual((code, json.loads(out)), (0, {"version": 7, "leader": None}))
 
+    def test_history_tells_times_of_day(self) -> None:
+        taken = [{"version": 7, "digest": "ab", "at_ms": 1_000_000_000_125}]
+        self.control.replies["/-/status/history"] = [(200, taken)]
+        _, out, _ = self.run_command("config", "history")
+        self.assertEqual(out.splitlines()[1].split(), ["2001-09-09", "01:46:40.125+00:00", "7", "ab"])
+        _, out, _ = self.run_command("config", "history", "--json")
+        self.assertEqual(json.loads(out), taken)
+
     def test_what_is_not_known(self) -> None:
         self.fails(ExitCode.REFUSED, "no such call", "explain", "r-1")
 
--- a/tests/fleet/test_metrics.py
+++ b/tests/fleet/test_metrics.py
@@ -6,6 +6,7 @@
 from brackenusher.control_plane.http_server import HttpRequest, HttpResponse
 from brackenusher.control_plane.ready_api import ReadyApi
 from brackenusher.runtime.metrics import MAX_SERIES, Metrics
+from brackenusher.runtime.process_metrics import add_process_metrics
 
 
 class MetricsTest(unittest.TestCase):
@@ -77,6 +78,35 @@
         self.assertEqual(len(lines), MAX_SERIES + 1)
         self.assertEqual(lines[-1], f'brackenusher_calls_total{{call="other"}} {1000 - MAX_SERIES}')
 
+    def test_readings_are_taken_when_asked_for(self) -> None:
+        counts = {"sent": 1.0}
+        self.metrics.readings("counter", "decisions_total", "Decisions.", "decision", lambda: counts)
+        counts["refused"] = 2.5
+        expected = [
+            'brackenusher_decisions_total{decision="refused"} 2.5',
+            'brackenusher_decisions_total{decision="sent"} 1',
+        ]
+        self.assertEqual(self.lines(), expected)
+        counts.update({f"{number:04}": 1.0 for number in range(MAX_SERIES)})
+        self.assertEqual(len(self.lines()), MAX_SERIES + 1)
+        self.assertEqual(self.lines()[-1], 'brackenusher_decisions_total{decision="other"} 3.5')
+        for make in (self.metrics.counter, self.metrics.gauge):
+            with self.assertRaises(ValueError):
+                make("decisions_total", "Decisions.", "decision")
+
+    def test_counters_that_are_read(self) -> None:
+        self.metrics.counter_function("cpu_seconds_total", "Time.", lambda: 1.5)
+        self.assertIn("# TYPE brackenusher_cpu_seconds_total counter", self.metrics.render().decode())
+        self.assertEqual(self.lines(), ["brackenusher_cpu_seconds_total 1.5"])
+
+    def test_what_a_process_uses(self) -> None:
+        add_process_metrics(self.metrics)
+        values = dict(line.rsplit(" ", 1) for line in self.lines())
+        self.assertGreater(float(values["brackenusher_process_cpu_seconds_total"]), 0)
+        resident = float(values["brackenusher_process_resident_memory_bytes"])
+        self.assertGreater(resident, 1e6)
+        self.assertGreaterEqual(float(values["brackenusher_process_peak_memory_bytes"]) * 1.01, resident)
+
     def test_one_figure_a_name(self) -> None:
         first = self.metrics.counter("calls_total", "Calls.", "call")
         self.assertIs(self.metrics.counter("calls_total", "Calls.", "call"), first)
