RPC: a closed channel leaves nothing of the gRPC library to the garbage collector

tests/test_rpc.py::test_a_forked_child_starts_anew_and_leaves_its_parent_alone hung now and then. Cause, seen with a debugger in a hung child: two cycles of ours (a ticket held its call, a sub-channel's line kept channel and methods after close) held the library's closed channel until Python collected garbage. Its threads end with the last of its objects, so they still ran at the fork; the child, collecting the cycle, then waited without end for a poller thread that only its parent had. Ruled out: the limit of 60 s, a slow machine, the stand-in servers. Now a line lets go of its channel when it closes and a ticket of its call once it is answered. A new test runs all four kinds of calls without the collector and finds the main thread alone; it fails on the old code.

--- a/brackenusher/fronts/rpc/channel.py
+++ b/brackenusher/fronts/rpc/channel.py
@@ -99,17 +99,25 @@
     """The line to one server: a channel of the library."""
 
     def __init__(self, host: Host, channel: grpc.aio.Channel) -> None:
-        self.host, self.channel = host, channel
+        self.host = host
+        self.channel: grpc.aio.Channel | None = channel  # none once it is closed
         self.methods: dict[tuple[Any, ...], Any] = {}
 
     def ready(self) -> bool:
-        return self.channel.get_state() is grpc.ChannelConnectivity.READY
+        return self.channel is not None and self.channel.get_state() is grpc.ChannelConnectivity.READY
+
+    def open_channel(self) -> grpc.aio.Channel:
+        """The channel; raises UsageError once the line is closed, as the library's own channel does."""
+        if self.channel is None:
+            raise grpc.aio.UsageError("Channel is closed.")
+        return self.channel
 
     async def connect(self) -> bool:
-        state = self.channel.get_state(try_to_connect=True)
+        channel = self.open_channel()
+        state = channel.get_state(try_to_connect=True)
         while state is not grpc.ChannelConnectivity.READY:
-            await self.channel.wait_for_state_change(state)
-            state = self.channel.get_state(try_to_connect=True)
+            await channel.wait_for_state_change(state)
+            state = channel.get_state(try_to_connect=True)
             if state in (grpc.ChannelConnectivity.TRANSIENT_FAILURE, grpc.ChannelConnectivity.SHUTDOWN):
                 return False
         return True
@@ -120,7 +128,7 @@
         if method is None:
             if len(self.methods) >= MOST_METHODS:
                 self.methods.clear()
-            make = getattr(self.channel, order.kind)
+            make = getattr(self.open_channel(), order.kind)
             method = self.methods[key] = make(order.path, order.serializer, order.deserializer)
         return method
 
@@ -211,7 +219,7 @@
     async def probe(self) -> tuple[Outcome, dict[str, float] | None]:
         from brackenusher.upstream.connections import read_report  # needs epoll; most sites have no probes
 
-        call = self.channel.unary_unary(HEALTH)(b"")
+        call = self.open_channel().unary_unary(HEALTH)(b"")
         try:
             body = await call
         except grpc.aio.AioRpcError as error:
@@ -223,7 +231,15 @@
         return (Outcome.SERVED if body[:2] == SERVING else Outcome.ERROR), report
 
     async def close(self) -> None:
-        await self.channel.close()
+        """Close the channel and let go of it.
+
+        Whoever still knows the line must not keep the library alive: its threads end with the last of its
+        objects, and a child forked before that waits for them for ever when it collects its garbage.
+        """
+        channel, self.channel = self.channel, None
+        self.methods.clear()
+        if channel is not None:
+            await channel.close()
 
 
 class Call(grpc.aio.Call):
--- a/brackenusher/fronts/rpc/host.py
+++ b/brackenusher/fronts/rpc/host.py
@@ -106,14 +106,13 @@
     """A call that was taken in; what the front needs to give it up."""
 
     klass: int
-    reply: Callable[[Answer], None]
+    reply: Callable[[Answer], None] | None  # none once it was called or is not wanted: it holds the call
     message: Any  # what the carrier's line reads
     tenant: int
     repeated: bool
     until: float  # clock time in milliseconds
     transaction: Transaction | None = None
     guard: Entry | None = None
-    over: bool = False
 
 
 class Host:
@@ -189,9 +188,9 @@
             ticket.transaction = admitted
 
     def give(self, ticket: Ticket, answer: Answer) -> None:
-        if not ticket.over:
-            ticket.over = True
-            ticket.reply(answer)
+        reply, ticket.reply = ticket.reply, None
+        if reply is not None:
+            reply(answer)
 
     def no_list(self, number: int) -> None:
         ticket = self.waiting.pop(number, None)
@@ -204,9 +203,9 @@
 
     def leave(self, ticket: Ticket) -> None:
         """The caller wants no answer any more."""
-        if ticket.over:
+        if ticket.reply is None:
             return
-        ticket.over = True
+        ticket.reply = None
         if ticket.transaction is not None:
             self.admission.left(ticket.transaction)
             return
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -481,6 +481,44 @@
     asyncio.run(main())
 
 
+def test_the_last_channel_to_close_leaves_nothing_of_the_library_to_the_collector():
+    # guards against cycles that hold the library's objects: its threads end with the last of them, and
+    # a child forked before that, once it collects the cycle, waits for a thread that only its parent has
+    code = """
+import asyncio, gc, sys, threading
+sys.path[:0] = ["tests"]
+from rpc_world import config
+from brackenusher.fronts.rpc import BalancedChannel
+from examples.rpc.turns import TurnsStub
+async def main():
+    async with BalancedChannel(config(), members=[sys.argv[1]]) as channel:
+        stub = TurnsStub(channel)
+        async def moves():
+            yield "e4"
+        assert await stub.ReadBoard("m", timeout=20.0) == "board of m"
+        assert len([move async for move in stub.WatchBoard("m", timeout=20.0)]) == 3
+        assert await stub.UploadMoves(moves(), timeout=20.0) == "e4"
+        assert [move async for move in stub.Play(moves(), timeout=20.0)] == ["re: e4"]
+gc.disable()
+asyncio.run(main())
+print([thread.name for thread in threading.enumerate()])
+"""
+
+    async def main():
+        server = await GrpcStandin(Model(WORK)).start()
+        try:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-c", code, server.address, cwd=ROOT,
+                stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+            )  # fmt: skip
+            out, err = await asyncio.wait_for(process.communicate(), 60.0)
+        finally:
+            await server.stop()
+        assert out == b"['MainThread']\n", err.decode()
+
+    asyncio.run(main())
+
+
 def test_an_answer_that_came_while_the_caller_blocked_its_loop_is_served_by_both_libraries():
     # guards against timers that overtake an answer on its way through the library's own futures
     code = """
