Limits: keepers with a disk store the roster, so that limits are whole after all were killed

Cause: after all keepers were killed at once, the parts of proxies that had been killed with them counted as held by somebody for 21 s (0.7 of each limit with 3 of 10). Change: a keeper stores the roster before it says that it remembers it (SharesDriver, SlotStore); keepers that join promise nobody anything for a lease, a warden that is no keeper any more steps down; configurations are compared by object first. Ruled out: guessing the parts of restarted proxies from those of others.

--- a/barleybarrow/limits/credit_machine.py
+++ b/barleybarrow/limits/credit_machine.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from math import inf
 from random import Random
 
@@ -19,6 +18,7 @@
 from barleybarrow.limits.messages import (
     CreditAnswer,
     CreditReport,
+    KeptRoster,
     Message,
     RosterAsk,
     RosterEntry,
@@ -31,15 +31,6 @@
 CLEAN_EVERY = 2000.0  # milliseconds between two looks for entries that nobody uses
 
 
-@dataclass(slots=True)
-class KeptRoster:
-    """What a keeper remembers; not known: it may have forgotten what it had taken."""
-
-    known: bool
-    version: int = 0
-    entries: list[RosterEntry] = field(default_factory=list)
-
-
 class Term:
     """What a warden keeps for one term."""
 
@@ -74,12 +65,24 @@
     ) -> None:
         super().__init__(name, keepers, rng, now, spans.LEASE_TIMES)
         self.limit_of = limit_of
-        self.kept = KeptRoster(known=fresh)
+        self.kept = KeptRoster(fresh, 0, [])
+        self.durable = False  # what this keeper remembers is stored before it says so
+        self.to_tell: list[tuple[str, int]] = []  # who is to hear that a version is stored
         self.client = CreditClient(self.run, now, window_ms, limit_of) if asks else None
         self.books: Term | None = None
         self.heard: dict[str, float] = {}  # proxies, and when they reported last
         self.clean_at = now + CLEAN_EVERY
 
+    def keepers_changed(self, now: float, keepers: list[str]) -> None:
+        """Other keepers. One that is new promises nobody anything for as long as an older lease may last."""
+        joins = self.name in keepers and self.name not in self.keepers
+        self.keepers = list(keepers)
+        if joins:
+            self.promised_until = max(self.promised_until, now + self.times.lease * DRIFT)
+        elif self.name not in keepers and self.role is not Role.PROXY:
+            self.give_back()
+            self.step_down(now)
+
     # The lease
 
     def elected(self, now: float) -> None:
@@ -228,11 +231,10 @@
 
     def send_roster(self, now: float, books: Term) -> None:
         books.roster_at = now + spans.ROSTER_REPEAT
-        self.kept = KeptRoster(True, books.version, books.entries)
+        self.keep(now, self.name, KeptRoster(True, books.version, books.entries))
         for name in self.keepers:
             if name != self.name and name not in books.taken:
                 self.out.append((name, RosterUpdate(books.version, books.entries)))
-        self.roster_taken(now, books, self.name, books.version)
 
     def roster_taken(self, now: float, books: Term, name: str, version: int) -> None:
         if version != books.version or books.pending is None or name not in self.keepers:
@@ -244,6 +246,26 @@
             if books.first:
                 books.ledger.fresh = True
 
+    # The roster: as a keeper
+
+    def keep(self, now: float, warden: str, roster: KeptRoster) -> None:
+        """Remember a roster, and tell the warden, once it is stored where this keeper stores anything."""
+        self.kept = roster
+        self.to_tell = [waiting for waiting in self.to_tell if waiting[0] != warden]
+        self.to_tell.append((warden, roster.version))
+        if not self.durable:
+            self.stored(now, roster.version)
+
+    def stored(self, now: float, version: int) -> None:
+        """What this keeper remembers is stored, up to this version."""
+        ready = [waiting for waiting in self.to_tell if waiting[1] <= version]
+        self.to_tell = [waiting for waiting in self.to_tell if waiting[1] > version]
+        for warden, taken in ready:
+            if warden != self.name:
+                self.out.append((warden, RosterTaken(taken)))
+            elif self.books is not None:
+                self.roster_taken(now, self.books, self.name, taken)
+
     # Messages
 
     def receive(self, now: float, sender: str, m: Message) -> None:
@@ -257,8 +279,7 @@
                 self.client.answer(now, m)
         elif isinstance(m, RosterUpdate):
             if sender == self.promised and m.version >= self.kept.version:
-                self.kept = KeptRoster(True, m.version, m.entries)
-                self.out.append((sender, RosterTaken(m.version)))
+                self.keep(now, sender, KeptRoster(True, m.version, m.entries))
         elif isinstance(m, RosterAsk):
             self.out.append(
                 (sender, RosterReply(m.term, self.kept.known, self.kept.version, self.kept.entries))
--- a/barleybarrow/limits/limits.py
+++ b/barleybarrow/limits/limits.py
@@ -12,7 +12,7 @@
 from barleybarrow.limits.bounds import KeyLimit, LimitBounds, quota_limit, retry_limit
 from barleybarrow.limits.credit_client import Verdict
 from barleybarrow.limits.credit_machine import CreditMachine
-from barleybarrow.limits.messages import MessageError, decode, encode
+from barleybarrow.limits.messages import MessageError, decode, decode_roster, encode, encode_roster
 from barleybarrow.limits.retries import RetryBudget
 from barleybarrow.limits.tenants import TenantTable
 
@@ -150,7 +150,7 @@
 
     def keepers_changed(self, now: float, keepers: list[str]) -> None:
         """Take another set of keepers: the voters of the configuration shard."""
-        self.machine.keepers = list(keepers)
+        self.machine.keepers_changed(now, keepers)
 
     def links_changed(self, now: float, reach: list[str]) -> None:
         """Say which processes can be reached now."""
@@ -160,6 +160,30 @@
         """Planned end: let another warden follow at once."""
         self.machine.resign(now)
 
+    # What a keeper with a disk stores
+
+    def restore(self, stored: bytes | None) -> None:
+        """Before the start: from now on rosters are stored, and this is the last one; None: there is none."""
+        self.machine.durable = True
+        if stored is not None:
+            try:
+                self.machine.kept = decode_roster(stored)
+            except MessageError:
+                return
+
+    def to_store(self) -> tuple[int, bytes] | None:
+        """A roster that waits to be stored, and its version; `stored` is called when it is synced."""
+        machine = self.machine
+        if not machine.durable or not machine.to_tell:
+            return None
+        return machine.kept.version, encode_roster(machine.kept)
+
+    def stored(self, now: float, version: int) -> None:
+        """A roster is stored and synced."""
+        self.machine.stored(now, version)
+
+    # Time and messages
+
     def tick(self, now: float) -> None:
         """Do what is due."""
         self.machine.tick(now)
--- a/barleybarrow/limits/messages.py
+++ b/barleybarrow/limits/messages.py
@@ -96,6 +96,14 @@
     entries: Annotated[list[RosterEntry], Meta(max_length=MOST_MEMBERS)]
 
 
+class KeptRoster(Struct, array_like=True, frozen=True):
+    """What a keeper remembers. Not known: it may have forgotten what it had taken."""
+
+    known: bool
+    version: Token
+    entries: Annotated[list[RosterEntry], Meta(max_length=MOST_MEMBERS)]
+
+
 Message = (
     Seek | Promise | Here | CreditReport | CreditAnswer | RosterUpdate | RosterTaken | RosterAsk | RosterReply
 )
@@ -107,6 +115,7 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
+_roster_decoder = msgspec.msgpack.Decoder(KeptRoster)
 
 
 def encode(message: Message) -> bytes:
@@ -122,6 +131,19 @@
         raise MessageError(str(error)) from error
 
 
+def encode_roster(roster: KeptRoster) -> bytes:
+    """The bytes of a roster that are stored."""
+    return _encoder.encode(roster)
+
+
+def decode_roster(stored: bytes) -> KeptRoster:
+    """The roster of stored bytes. Raises MessageError."""
+    try:
+        return _roster_decoder.decode(stored)
+    except msgspec.MsgspecError as error:
+        raise MessageError(str(error)) from error
+
+
 def whole(amount: float) -> float:
     """The same amount, as an integer where it is one: that takes fewer bytes."""
     return int(amount) if amount == int(amount) else amount
--- a/barleybarrow/limits/tenants.py
+++ b/barleybarrow/limits/tenants.py
@@ -18,17 +18,31 @@
         self.by_key: dict[str, Tenant] = {}
 
     def replace(self, tenants: Iterable[Tenant]) -> set[str]:
-        """Take the tenants of a new configuration; the names of those whose quota differs from before."""
-        previous = self.by_name
-        self.by_name = {tenant.name: tenant for tenant in tenants}
-        self.by_key = {key: tenant for tenant in self.by_name.values() for key in tenant.api_keys}
+        """Take the tenants of a new configuration; the names of those whose quota differs from before.
+
+        Costs little where most tenants are the same objects as before.
+        """
+        previous, self.by_name = self.by_name, {tenant.name: tenant for tenant in tenants}
         changed = {name for name in previous if name not in self.by_name}
+        fresh = []
         for name, tenant in self.by_name.items():
             before = previous.get(name)
+            if before is tenant:
+                continue
             if before is None or quota_of(before) != quota_of(tenant):
                 changed.add(name)
+            fresh.append((before, tenant))
+        self._drop_keys(previous[name] for name in changed if name not in self.by_name)
+        self._drop_keys(before for before, _ in fresh if before is not None)
+        for _, tenant in fresh:
+            self.by_key.update(dict.fromkeys(tenant.api_keys, tenant))
         return changed
 
+    def _drop_keys(self, tenants: Iterable[Tenant]) -> None:
+        for tenant in tenants:
+            for key in tenant.api_keys:
+                self.by_key.pop(key, None)
+
     def authenticate(self, key: str | None) -> Tenant | None:
         """The tenant that holds the key; None where nobody does."""
         return self.by_key.get(key) if key is not None else None
--- a/brackenusher/control_plane/shares_driver.py
+++ b/brackenusher/control_plane/shares_driver.py
@@ -1,7 +1,74 @@
-"""Connects a control process's part in the limits (a keeper of the lease, or the warden) to its links."""
+"""Connects a control process's part in the limits (a keeper of the lease, or the warden) to links and disk.
 
+A keeper with a disk stores the roster of proxies before it says that it remembers it: so the limits are
+whole again at once after all keepers were killed.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from barleybarrow.limits.limits import Limits
+from brackenusher.cluster.links import Links
 from brackenusher.data_plane.limits_driver import LimitsDriver
+from brackenusher.storage.files import StorageError
+from brackenusher.storage.slot_store import SlotStore
+from brackenusher.storage.writer import StorageWriter
+
+log = logging.getLogger(__name__)
+
+LIMITS_STORE = "limits"  # name of the store in the data folder
+RETRY_PAUSE_S = 1.0  # after a write that failed
 
 
 class SharesDriver(LimitsDriver):
     """Runs a `Limits` machine with `asks=False`; configurations come by `Limits.configure`."""
+
+    def __init__(
+        self,
+        limits: Limits,
+        links: Links,
+        now: Callable[[], float],
+        store: SlotStore | None = None,
+        writer: StorageWriter | None = None,
+    ) -> None:
+        super().__init__(limits, links, now)
+        self.store, self.writer = store, writer
+        self._writing = False
+
+    def start(self) -> None:
+        """As `LimitsDriver.start`, after what was stored is loaded."""
+        if self.store is not None and self.writer is not None:
+            try:
+                self.limits.restore(self.store.load().snapshot)
+            except StorageError as error:
+                log.warning("roster of the limits not read: error=%s", error)
+                self.store = None
+        super().start()
+
+    def _run(self) -> None:
+        super()._run()
+        self._store()
+
+    def _store(self) -> None:
+        """Store what waits to be stored, one write at a time."""
+        waiting = self.limits.to_store() if self.store is not None and not self._writing else None
+        if waiting is None or self.store is None or self.writer is None or not self._running:
+            return
+        self._writing = True
+        version, roster = waiting
+        store = self.store
+        done = self.writer.submit(lambda: store.replace(roster))
+        done.add_done_callback(lambda future: self._stored(version, future))
+
+    def _stored(self, version: int, done: "asyncio.Future[None]") -> None:
+        self._writing = False
+        if done.cancelled():
+            return
+        error = done.exception()
+        if error is None:
+            self.limits.stored(self.now(), version)
+            self._run()
+        else:
+            log.warning("roster of the limits not stored: error=%s", error)
+            asyncio.get_running_loop().call_later(RETRY_PAUSE_S, self._store)
--- a/tests/fleet/limits_world.py
+++ b/tests/fleet/limits_world.py
@@ -20,6 +20,7 @@
 
 HALF_TRIP = (0.3, 3.0)  # milliseconds, one way
 LINK_LOSS_SEEN = 1600.0  # until a process knows that a link is cut
+SYNC = 2.0  # milliseconds of a write to the disk
 SERVICE = "engines"
 
 
@@ -80,11 +81,14 @@
         loss: float = 0.0,
         doubled: float = 0.0,
         late: float = 0.0,
+        durable: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
         self.bounds = bounds or LimitBounds()
         self.tenants = {tenant.name: tenant for tenant in tenants}
         self.loss, self.doubled, self.late = loss, doubled, late
+        self.durable = durable  # keepers have disks
+        self.disks: dict[str, bytes] = {}
         self.now = 0.0
         self.number = count()
         self.events: list[tuple[float, int, str, tuple]] = []
@@ -113,6 +117,8 @@
         rng = random.Random(self.rng.getrandbits(40))
         asks = name in self.proxies
         process.machine = Limits(name, list(self.keepers), rng, clock, self.bounds, asks, fresh)
+        if self.durable and not asks:
+            process.machine.restore(self.disks.get(name))
         process.machine.configure(clock, list(self.tenants.values()), self.services)
         self.links()
         self.wake(process)
@@ -190,6 +196,12 @@
             process.machine.tick(process.clock(self.now))
             self.flush(process)
 
+    def on_stored(self, process: Process, machine: Limits, version: int, roster: bytes) -> None:
+        if process.machine is machine:
+            self.disks[process.name] = roster
+            machine.stored(process.clock(self.now), version)
+            self.flush(process)
+
     def on_message(self, sender: str, name: str, payload: bytes) -> None:
         process = self.processes.get(name)
         if process is None or process.machine is None or not self.joined(sender, name):
@@ -214,6 +226,9 @@
             found = self.pending.pop((process.name, ticket), None)
             if found is not None:
                 self.decided(found[0], found[1], admitted, self.now - found[2])
+        stored = machine.to_store()
+        if stored is not None:
+            self.at(self.now + SYNC, "stored", process, machine, *stored)
         self.wake(process)
 
     # Requests
@@ -347,6 +362,14 @@
             worst = max(worst, repeats - allowed)
         return worst
 
+    def lent(self) -> float:
+        """The fraction of each limit that the warden may hand out."""
+        for name in self.wardens():
+            machine = self.processes[name].machine
+            if machine is not None and machine.machine.books is not None:
+                return machine.machine.books.lent.value
+        return 0.0
+
     def wardens(self) -> list[str]:
         """Processes that hold the lease now by their own clocks; more than one would be a fault."""
         found = []
--- a/tests/fleet/test_limits.py
+++ b/tests/fleet/test_limits.py
@@ -7,13 +7,16 @@
 from typing import Any
 
 from barleybarrow.documents import QuotaUnit, Service, Tenant
-from barleybarrow.limits import bounds, credit_ledger, lent, messages
+from barleybarrow.limits import bounds, credit_ledger, lent, messages, warden_lease
 from barleybarrow.limits.bounds import LimitBounds
 from barleybarrow.limits.limits import Limits, Verdict
 from barleybarrow.limits.retries import RetryBudget
 from barleybarrow.limits.tenants import TenantTable, request_cost
 from brackenusher.cluster import messages as cluster_messages
+from brackenusher.control_plane.shares_driver import SharesDriver
 from brackenusher.data_plane.limits_driver import MACHINE, LimitsDriver
+from brackenusher.storage.files import StorageError
+from brackenusher.storage.slot_store import Loaded
 
 TOKENS = LimitBounds(quota_slack=72_000.0)
 
@@ -287,6 +290,101 @@
         super()._run_once()  # type: ignore[misc]
 
 
+class MemoryStore:
+    """A store of one snapshot that may refuse to write."""
+
+    def __init__(self, snapshot: bytes | None = None) -> None:
+        self.snapshot, self.refusals = snapshot, 0
+
+    def load(self) -> Loaded:
+        return Loaded(self.snapshot)
+
+    def replace(self, snapshot: bytes) -> None:
+        if self.refusals:
+            self.refusals -= 1
+            raise StorageError("the disk is full")
+        self.snapshot = snapshot
+
+
+class DirectWriter:
+    """Does the work at once, on the loop."""
+
+    def submit(self, work: Callable[[], None]) -> "asyncio.Future[None]":
+        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        try:
+            work()
+            done.set_result(None)
+        except StorageError as error:
+            done.set_exception(error)
+        return done
+
+
+class Keeper(unittest.TestCase):
+    """A control process with a disk."""
+
+    def run_keeper(self, store: MemoryStore, fresh: bool) -> Limits:
+        loop = FastLoop()
+        try:
+            return loop.run_until_complete(self.keeper(loop, store, fresh))
+        finally:
+            loop.close()
+
+    async def keeper(self, loop: FastLoop, store: MemoryStore, fresh: bool) -> Limits:
+        limits = Limits("c", [], random.Random(1), 0.0, TOKENS, asks=False, fresh=fresh)
+        driver = SharesDriver(
+            limits,
+            FakeLinks("c", {}),  # type: ignore[arg-type]
+            lambda: loop.time() * 1000.0,
+            store,  # type: ignore[arg-type]
+            DirectWriter(),  # type: ignore[arg-type]
+        )
+        driver.start()
+        driver.voters_changed(["c"], 1)
+        await asyncio.sleep(8.0)
+        driver.stop()
+        return limits
+
+    def test_rosters_are_stored_and_read_back(self) -> None:
+        store = MemoryStore()
+        self.run_keeper(store, fresh=True)
+        assert store.snapshot is not None
+        stored = messages.decode_roster(store.snapshot)
+        self.assertTrue(stored.known)
+        self.assertGreaterEqual(stored.version, 1)
+        later = self.run_keeper(store, fresh=False)
+        self.assertTrue(later.machine.kept.known)
+        self.assertGreaterEqual(later.machine.kept.version, stored.version)
+
+    def test_a_disk_that_refuses_writes_is_tried_again(self) -> None:
+        store = MemoryStore()
+        store.refusals = 2
+        with self.assertLogs("brackenusher.control_plane.shares_driver", "WARNING"):
+            self.run_keeper(store, fresh=True)
+        self.assertIsNotNone(store.snapshot)
+
+    def test_an_empty_disk_after_the_first_start_knows_nothing(self) -> None:
+        store = MemoryStore()
+        limits = self.run_keeper(store, fresh=False)
+        self.assertFalse(limits.machine.kept.known)
+
+
+class KeeperChanges(unittest.TestCase):
+    def test_one_that_joins_promises_nobody_anything_for_a_lease(self) -> None:
+        limits = Limits("d", ["a", "b", "c"], random.Random(1), 0.0, TOKENS, asks=False)
+        limits.keepers_changed(5000.0, ["a", "b", "c", "d"])
+        seek = messages.encode(warden_lease.Seek(1, 1))
+        limits.receive(6000.0, "a", seek)
+        limits.receive(6500.0, "a", messages.encode(warden_lease.Seek(1, 2)))
+        answers = [messages.decode(payload) for _, payload in limits.outbox()]
+        self.assertEqual(answers, [warden_lease.Promise(1, False), warden_lease.Promise(2, True)])
+
+    def test_a_warden_that_is_no_keeper_any_more_steps_down(self) -> None:
+        limits, now = single([])
+        self.assertIsNotNone(limits.machine.books)
+        limits.keepers_changed(now, ["b", "c"])
+        self.assertIsNone(limits.machine.books)
+
+
 class Driver(unittest.TestCase):
     def test_requests_wait_for_the_warden(self) -> None:
         loop = FastLoop()
--- a/tests/fleet/test_limits_worlds.py
+++ b/tests/fleet/test_limits_worlds.py
@@ -51,6 +51,7 @@
         for seed in range(100, 108):
             with self.subTest(seed=seed):
                 world = troubled_world(seed, LENGTH, pause=4000.0, lossy=False)
+                world.durable = bool(seed % 2)
                 for name in world.keepers:
                     world.at(9000.0, "call", "kill", name)
                     world.at(9900.0, "call", "start", name)
@@ -117,7 +118,7 @@
             books.version += 1
             books.entries = books.members.roster(plan)
             books.members.planned, books.members.raising = plan, True
-            self.kept = credit_machine.KeptRoster(True, books.version, books.entries)
+            self.kept = messages.KeptRoster(True, books.version, books.entries)
 
         self.assert_found(lambda: mock.patch.object(credit_machine.CreditMachine, "commit", commit), "add up")
 
@@ -252,6 +253,19 @@
         self.assertLess((after.refused - before[1]) / (after.asked - before[0]), 0.12)
         self.assertLessEqual(world.excess("hot"), 0.0)
 
+    def test_stored_rosters_make_the_limits_whole_at_once(self) -> None:
+        lent = {}
+        for durable in (False, True):
+            world = World(10, [token_tenant("under", 100_000.0)], durable=durable)
+            world.run(8000.0)
+            for name in [*world.keepers, *world.proxies[:3]]:
+                world.kill(name)
+                world.at(8900.0, "call", "start", name)
+            world.run(13_000.0)
+            lent[durable] = world.lent()
+        self.assertLess(lent[False], 0.75)  # parts of the three may still be held by somebody
+        self.assertGreater(lent[True], 0.999)
+
     def test_lower_limit_binds_at_once(self) -> None:
         world = self.world(10, 2e6)
         world.run(10_000.0)
