Assembly: logs, figures, status topics and what each proxy has in force

Both roles log through absl, tell their figures at GET /-/metrics, control answers the operator's topics, and proxies tell the voters what they have in force at each change and once a second.

--- a/brackenusher/assembly/control.py
+++ b/brackenusher/assembly/control.py
@@ -7,14 +7,19 @@
 from barleybarrow.documents import Configuration
 from barleybarrow.limits.limits import Limits
 from brackenusher.assembly.process import greeting, limit_bounds, run
+from brackenusher.cluster.link_metrics import add_link_metrics
 from brackenusher.cluster.links import Links, split_address
 from brackenusher.cluster.monitor import Monitor
 from brackenusher.control_plane.api import Api
 from brackenusher.control_plane.config_shard import ConfigShard
+from brackenusher.control_plane.control_metrics import add_control_metrics
 from brackenusher.control_plane.feed_source import FeedSource
+from brackenusher.control_plane.fleet_status import FleetStatus
 from brackenusher.control_plane.http_server import HttpServer
 from brackenusher.control_plane.registry_service import RegistryService
 from brackenusher.control_plane.shares_driver import SharesDriver
+from brackenusher.runtime.metrics import Metrics
+from brackenusher.runtime.process_metrics import add_process_metrics
 from brackenusher.settings.documents import check_document
 from brackenusher.settings.local import LocalSettings
 from brackenusher.storage.slot_store import SlotStore
@@ -54,8 +59,14 @@
         self.shard.on_voters.append(self.shares.voters_changed)
         self.monitor = Monitor(settings, self.links, rng)
         self._ticker: asyncio.Task[None] | None = None
+        status = FleetStatus(self.links, self.shard, self.registry, self.feeds, self.monitor)
+        metrics = Metrics()
+        api = Api(self.shard, self.registry, status=status.tell, metrics=metrics)
         host, port = split_address(settings.listen.control)
-        self.server = HttpServer(host, port, Api(self.shard, self.registry).handle)
+        self.server = HttpServer(host, port, api.handle)
+        add_process_metrics(metrics)
+        add_link_metrics(metrics, self.links)
+        add_control_metrics(metrics, self.shard, self.registry, self.feeds, self.server)
 
     def _configured(self, configuration: Configuration) -> None:
         now = asyncio.get_running_loop().time() * 1000.0
--- a/brackenusher/assembly/process.py
+++ b/brackenusher/assembly/process.py
@@ -13,11 +13,9 @@
 
 from barleybarrow.limits.bounds import LimitBounds
 from brackenusher.cluster import messages
+from brackenusher.runtime.fleet_log import set_up
 from brackenusher.settings.local import LocalSettings
-from brackenusher.settings.reading import load_settings
-
-SETTINGS_VARIABLE = "BRACKENUSHER_CONFIG"
-EXIT_BAD_SETTINGS = 2
+from brackenusher.settings.reading import EXIT_BAD_SETTINGS, SETTINGS_VARIABLE, load_settings
 
 log = logging.getLogger(__name__)
 
@@ -100,6 +98,7 @@
     settings = read_settings()
     if settings is None:
         return EXIT_BAD_SETTINGS
+    set_up(settings.role)
     try:
         asyncio.run(_serve(make, settings))
     except OSError as error:
--- a/brackenusher/assembly/proxy.py
+++ b/brackenusher/assembly/proxy.py
@@ -10,17 +10,23 @@
 from barleybarrow.routing.actions import DispatchSettings, ServerInfo, ServerState
 from barleybarrow.routing.dispatcher import Dispatcher
 from brackenusher.assembly.process import greeting, limit_bounds, run
+from brackenusher.cluster import messages
+from brackenusher.cluster.link_metrics import add_link_metrics
 from brackenusher.cluster.links import Links, split_address
 from brackenusher.cluster.monitor import Monitor
-from brackenusher.control_plane.http_server import HttpRequest, HttpResponse, HttpServer
+from brackenusher.control_plane.http_server import HttpServer
+from brackenusher.control_plane.ready_api import ReadyApi
 from brackenusher.data_plane.feed_client import FeedClient
 from brackenusher.data_plane.limits_driver import LimitsDriver
 from brackenusher.data_plane.proxy import Proxy
+from brackenusher.data_plane.proxy_metrics import add_proxy_metrics
 from brackenusher.data_plane.server import DataPlaneServer
+from brackenusher.runtime.metrics import Metrics
+from brackenusher.runtime.process_metrics import add_process_metrics
 from brackenusher.settings.local import LocalSettings
 
-READINESS_PATH = "/-/readiness"
 TICK_S = 0.1
+STATUS_PERIOD_S = 1.0  # between two words to the voters on what is in force here, unless it changes
 
 
 def server_info(record: InstanceRecord) -> ServerInfo:
@@ -71,7 +77,19 @@
         self._ticker: asyncio.Task[None] | None = None
         self.server = DataPlaneServer(self.proxy, settings.limits.max_fds, lambda: self.feed.ready)
         host, port = split_address(settings.listen.ready)
-        self.readiness = HttpServer(host, port, self._answer_readiness)
+        metrics = Metrics()
+        self.readiness = HttpServer(host, port, ReadyApi(self.server.readiness, metrics).handle)
+        add_process_metrics(metrics)
+        add_link_metrics(metrics, self.links)
+        add_proxy_metrics(
+            metrics,
+            self.proxy,
+            self.feed,
+            self.server.readiness,
+            lambda: self.dispatcher.counters.counts,
+        )
+        self._told: messages.ProxyStatus | None = None
+        self._tell_at = 0.0
 
     def _configured(self, configuration: Configuration) -> None:
         self.proxy.configure(configuration)
@@ -84,11 +102,6 @@
     def _servers_changed(self, service: str, records: list[InstanceRecord]) -> None:
         self.proxy.set_servers(service, [server_info(record) for record in records])
 
-    async def _answer_readiness(self, request: HttpRequest) -> HttpResponse:
-        if request.path != READINESS_PATH:
-            return HttpResponse(404)
-        return HttpResponse(200 if self.server.readiness() else 503)
-
     async def start(self) -> None:
         """Open what is served. Raises OSError where an address can't be listened on."""
         await self.links.start()
@@ -102,8 +115,28 @@
     async def _keep_ticking(self) -> None:
         while True:
             self.monitor.tick()
+            self._tell_status()
             await asyncio.sleep(TICK_S)
 
+    def _tell_status(self) -> None:
+        """Tell the voters what is in force here: at each change, and once a period."""
+        now = asyncio.get_running_loop().time()
+        status = messages.ProxyStatus(
+            config_version=self.feed.version,
+            requests_in_flight=self.proxy.in_flight(),
+            ready=self.server.readiness(),
+        )
+        before = self._told
+        same = before is not None and (before.config_version, before.ready) == (
+            status.config_version,
+            status.ready,
+        )
+        if same and now < self._tell_at:
+            return
+        self._told, self._tell_at = status, now + STATUS_PERIOD_S
+        for voter in self.feed.voters:
+            self.links.send(voter, status)
+
     def reload(self, settings: LocalSettings) -> None:
         """Take up a settings file that changed: new seeds are used."""
         self.feed.configure(settings)
