--- a/brackenusher/membership/peers.py
+++ b/brackenusher/membership/peers.py
@@ -256,7 +256,7 @@
         """Log what became of the view, and whether this process is cut off."""
         swim = self.swim
         assert swim is not None
-        assembly = swim.assembly
+        agreement = swim.agreement
         if swim.epoch != self.keeper.epoch:
             self.keeper.epoch = swim.epoch
         views, swim.views = swim.views, []
@@ -278,12 +278,12 @@
             whole = {"at": now, "life": life, "lives": lives, "number": view.number, "group": view.group}
             say(log, logging.DEBUG, "view_held", text, **whole)
             self.held = names
-        if assembly.cut_off != self.cut:
-            self.cut = assembly.cut_off
+        if agreement.cut_off != self.cut:
+            self.cut = agreement.cut_off
             if self.cut:
-                heard = sum(now - link.heard_at < swim.period * 5 for link in assembly.links.values())
+                heard = sum(now - link.heard_at < swim.period * 5 for link in agreement.links.values())
                 text = "peers: cut off: no majority of the %(members)d answers; %(heard)d are heard"
-                size = len(assembly.view.members) if assembly.view else 0
+                size = len(agreement.view.members) if agreement.view else 0
                 say(log, logging.WARNING, "cut_off", text, members=size, heard=heard)
             else:
                 say(log, logging.INFO, "in_touch", "peers: in touch with a majority")
@@ -301,16 +301,16 @@
         """Who belongs and how things stand, as this process sees it."""
         swim, now = self.swim, clock()
         assert swim is not None
-        assembly, view, lines = swim.assembly, swim.assembly.view, []
+        agreement, view, lines = swim.agreement, swim.agreement.view, []
         lives = {m.name: m for m in view.members} if view is not None else {}
         for name in sorted(lives.keys() | swim.members.keys()):
-            m, belongs, link = swim.members.get(name), lives.get(name), assembly.links.get(name)
+            m, belongs, link = swim.members.get(name), lives.get(name), agreement.links.get(name)
             host, port = m.address if m is not None else belongs.address if belongs is not None else ("", 0)
             life = belongs.life if belongs is not None else m.epoch if m is not None else 0
             way = "new"
             if name == swim.name:
                 way = "both"
-            elif link is not None and assembly.down(name):
+            elif link is not None and agreement.down(name):
                 way = "in" if now - link.heard_at < 5 * swim.period else "none"
             elif link is not None and link.answered_at > 0:
                 way = "both"
@@ -318,8 +318,8 @@
             state = m.state if m is not None else 0
             lines.append(Line(name, life, host, port, belongs is not None, state, way, since))
         group, number = (view.group, view.number) if view is not None else (0, 0)
-        counts = dict(swim.counts + assembly.counts)
-        facts = (group, number, assembly.cut_off, swim.dazed, assembly.flaps)
+        counts = dict(swim.counts + agreement.counts)
+        facts = (group, number, agreement.cut_off, swim.dazed, agreement.flaps)
         return Members(nonce, swim.name, swim.epoch, *facts, lines, counts)
 
     def figures(self) -> list[tuple[str, int, str, list[tuple[str, str]]]]:
@@ -327,13 +327,13 @@
         swim = self.swim
         if swim is None:
             return []
-        assembly, now = swim.assembly, clock()
+        agreement, now = swim.agreement, clock()
         found = {
-            "members": len(assembly.view.members) if assembly.view is not None else 0,
-            "view": assembly.number,
-            "cut_off": int(assembly.cut_off),
-            "flaps": assembly.flaps,
-            "links_one_way": len(assembly.one_way(now)),
+            "members": len(agreement.view.members) if agreement.view is not None else 0,
+            "view": agreement.number,
+            "cut_off": int(agreement.cut_off),
+            "flaps": agreement.flaps,
+            "links_one_way": len(agreement.one_way(now)),
         }
         return [(name, value, "g", []) for name, value in found.items()]
 
--- a/brackenusher/membership/swim.py
+++ b/brackenusher/membership/swim.py
@@ -4,7 +4,7 @@
 (DSN 2002): each period a member pings one other, chosen by a shuffled round; without an answer it has a few
 others ping that one; without an answer still it suspects it, and tells so on whatever it sends. A suspect
 refutes by a greater incarnation. Here a suspicion kills nobody: it calls the suspect's observers, and a
-majority of the view decides (`barleybarrow.assembly`, whose messages travel in these datagrams).
+majority of the view decides (`barleybarrow.view_agreement`, whose messages travel in these datagrams).
 
 Each datagram is sealed (`seal`) and numbered by its sender. The numbers count in a window as in RFC 4303,
 3.4.3, and only for a life of the sender that has answered a random nonce of ours: an old recording proves
@@ -24,7 +24,8 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from barleybarrow.assembly import Assembly, Body
+from barleybarrow.view_agreement import ViewAgreement
+from barleybarrow.view_messages import Body
 from barleybarrow.views import ALIVE, DEAD, LEFT, MOST_MEMBERS, SUSPECT, Stamp, View
 from brackenusher.membership.seal import DATAGRAM, SealError, overhead, seal, unseal
 
@@ -38,7 +39,7 @@
 ANSWER = 0.4  # of the period, until others are asked: the rest is theirs
 GOSSIP, FANOUT = 0.2, 3  # of the period, how often news goes to so many others (as memberlist does)
 BEHALF = 0.8  # of that, one that pings on another's behalf waits
-SOUNDING = 0.27  # of the period, a ping that the assembly wants waits for its answer
+SOUNDING = 0.27  # of the period, a ping that the agreement wants waits for its answer
 STRANGE = 10  # periods, after which one that does not belong and does not answer is forgotten
 SPREAD = 3  # times the ln of the group: how often each piece of news is passed on
 FORGOTTEN = 300_000.0  # milliseconds for which a dead member is remembered, and looked for
@@ -197,7 +198,7 @@
         self.views: list[tuple[int, View | None]] = []  # that came to hold; whoever drives this takes them
         self.living: int | None = None  # members alive or suspect, where that is known
         self.dazed = False  # it stood still, and nobody has answered it since
-        self.assembly = Assembly(name, epoch, address, self.seeds_all, self.members, period, rng, now)
+        self.agreement = ViewAgreement(name, epoch, address, self.seeds_all, self.members, period, rng, now)
         self.probes = self.failures = 0  # pings of its own, and those without an answer on any way
 
     # What it is asked
@@ -208,7 +209,7 @@
 
     def next(self) -> float:
         """When it next has something to do."""
-        ends = [self.next_probe, self.next_look, self.assembly.next_look]
+        ends = [self.next_probe, self.next_look, self.agreement.next_look]
         if self.news or self.records:
             ends.append(self.next_gossip)
         if self.probe is not None:
@@ -226,7 +227,7 @@
 
     def live(self, epoch: int) -> None:
         """Take a later life, before anything was sent."""
-        self.epoch = self.assembly.life = epoch
+        self.epoch = self.agreement.life = epoch
 
     def leave(self) -> list[tuple[bytes, Address]]:
         """The last word."""
@@ -248,7 +249,7 @@
         for nonce in [n for n, w in self.waiting.items() if w.until <= now]:
             w = self.waiting.pop(nonce)
             if w.name and not w.counted:
-                self.assembly.missed(now, w.name)
+                self.agreement.missed(now, w.name)
         probe = self.probe
         if probe is not None:
             if not probe.asked and now >= probe.ask_at:
@@ -261,31 +262,31 @@
             self.look(now)
         if (self.news or self.records) and now >= self.next_gossip:
             self.gossip(now)
-        self.assembly.tick(now)
+        self.agreement.tick(now)
         self.follow(now)
         return self.flush()
 
     def follow(self, now: float) -> None:
-        """Carry out what the assembly wants."""
-        assembly = self.assembly
-        pings, assembly.pings = assembly.pings, []
+        """Carry out what the agreement wants."""
+        agreement = self.agreement
+        pings, agreement.pings = agreement.pings, []
         for name in pings:
             m = self.members.get(name)
             if m is not None:
                 about = m.update() if m.state != ALIVE else None
                 self.knock(now, Waiting(name, m.address, now + SOUNDING * self.period), about)
-        while assembly.turned:
-            life, before, after = assembly.turned.pop(0)
+        while agreement.turned:
+            life, before, after = agreement.turned.pop(0)
             self.views.append((life, after))
             self.turned(now, before, after)
-        out, assembly.out = assembly.out, []
+        out, agreement.out = agreement.out, []
         for address, body in out:
             self.write(address, VIEW, 0, "", False, [], [], body)
 
     def turned(self, now: float, before: View | None, after: View | None) -> None:
         """Another view is there, or this life is over."""
-        if self.epoch != self.assembly.life:
-            self.epoch, self.incarnation = self.assembly.life, 0
+        if self.epoch != self.agreement.life:
+            self.epoch, self.incarnation = self.agreement.life, 0
             for m in self.members.values():
                 m.trusts = False
             self.note(self.own())
@@ -313,7 +314,7 @@
         self.waiting.clear()
         self.next_probe = now + self.rng.uniform(0.1, 1.0) * self.period  # no burst with others that wake
         self.next_gossip = max(self.next_gossip, now)
-        self.assembly.slept(now)
+        self.agreement.slept(now)
 
     def group(self) -> int:
         if self.living is None:
@@ -393,25 +394,25 @@
         kept = self.waiting.get(probe.nonce)
         if kept is not None:
             kept.until, kept.counted = probe.ends_at, True
-        self.assembly.missed(now, probe.name)
+        self.agreement.missed(now, probe.name)
 
     def failed(self, now: float, probe: Probe) -> None:
         """Neither it nor those asked have answered. Who is cut off itself accuses nobody."""
         self.probe = None
         self.failures += 1
         self.waiting.pop(probe.nonce, None)
-        self.assembly.probed(now, False)
+        self.agreement.probed(now, False)
         m = self.members.get(probe.name)
-        cut = self.assembly.view is not None and self.assembly.cut_off
+        cut = self.agreement.view is not None and self.agreement.cut_off
         if m is not None and m.state <= SUSPECT and not cut:
             self.take(now, Update(m.name, *m.address, m.epoch, m.incarnation, SUSPECT, self.name))
 
     def look(self, now: float) -> None:
         """Forget who has long been dead; look for one of the others, and for a seed that nobody knows."""
         alone = not any(m.proved and m.state <= SUSPECT for m in self.members.values())
-        outside = self.assembly.view is None
+        outside = self.agreement.view is None
         self.next_look = now + self.period * (1 if alone or outside else LOOK_FOR)
-        view, strange = self.assembly.view, now - STRANGE * self.period
+        view, strange = self.agreement.view, now - STRANGE * self.period
         for m in list(self.members.values()):
             belongs = view is not None and m.name in view.by_name
             vanished = m.state == SUSPECT and m.since < strange and not belongs
@@ -506,11 +507,11 @@
         """What a credible message asks for and tells."""
         sender = self.members[message.sender]
         sender.heard_at = now
-        self.assembly.heard(now, sender.name)
+        self.agreement.heard(now, sender.name)
         if message.serial == sender.top:  # one that comes late says nothing of how things stand
-            self.assembly.compare(now, sender, message.stamp)
+            self.agreement.compare(now, sender, message.stamp)
         if message.kind == VIEW and message.body is not None:
-            self.assembly.receive(now, sender, message.stamp, message.body)
+            self.agreement.receive(now, sender, message.stamp, message.body)
         for update in message.updates:
             self.take(now, update)
         self.heard += message.records
@@ -534,7 +535,7 @@
         if w.address == source and w.name in ("", sender.name):
             del self.waiting[message.nonce]
             self.dazed = False
-            self.assembly.answered(now, sender.name)
+            self.agreement.answered(now, sender.name)
             if w.pages:
                 self.page(now, sender)
             if w.behalf is not None:
@@ -544,7 +545,7 @@
         if probe is not None and probe.nonce == message.nonce:
             self.waiting.pop(message.nonce, None)
             self.probe = None
-            self.assembly.probed(now, True)
+            self.agreement.probed(now, True)
 
     # News
 
@@ -559,7 +560,7 @@
             return
         if update.state == SUSPECT and not self.accuses(update.by):
             return
-        belongs = self.assembly.view is not None and self.assembly.view.has(m.name, m.epoch)
+        belongs = self.agreement.view is not None and self.agreement.view.has(m.name, m.epoch)
         if update.epoch == m.epoch and DEAD in (update.state, m.state) and (belongs or m.state == DEAD):
             return  # a view decides who is gone, and a life that is over does not come back
         if update.rank <= (m.epoch, m.incarnation, m.state):
@@ -601,8 +602,8 @@
         """Contradict what is said of this member."""
         if update.epoch > self.epoch:
             if (update.host, update.port) == self.address:
-                self.assembly.life = update.epoch  # the clock went back
-                self.assembly.reborn(now)
+                self.agreement.life = update.epoch  # the clock went back
+                self.agreement.reborn(now)
                 self.follow(now)
             else:
                 self.counts["name"] += 1
@@ -689,7 +690,7 @@
         self.serial += 1
         raw = [msgspec.Raw(update) for update in updates[:count]]
         whole = [self.name, self.epoch, self.serial, kind, nonce, target, joins, raw, records]
-        whole += [self.assembly.stamp(), body] if body is not None else [self.assembly.stamp()]
+        whole += [self.agreement.stamp(), body] if body is not None else [self.agreement.stamp()]
         data = seal(self.keys[self.kid], self.kid, DATAGRAM, self.encoder.encode(whole))
         self.out.append((data, address))
         return updates[max(count, 1) :]
--- a/testbed/group.py
+++ b/testbed/group.py
@@ -227,7 +227,7 @@
         holds, alive = {}, set[oracle.Member]()
         for i, swim in enumerate(self.swims):
             if self.up[i]:
-                v, me = swim.assembly.view, (swim.name, swim.epoch)
+                v, me = swim.agreement.view, (swim.name, swim.epoch)
                 alive.add(me)
                 held = (v.group, v.number, frozenset((m.name, m.life) for m in v.members)) if v else None
                 holds[me] = held
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -84,7 +84,7 @@
     group.cut = lambda a, b: (a < 3) != (b < 3)
     group.run(80_000.0)
     assert all(
-        s.assembly.cut_off and s.assembly.number == 1 for s in group.swims
+        s.agreement.cut_off and s.agreement.number == 1 for s in group.swims
     )  # neither half is the group
     group.cut = lambda a, b: False
     group.run(160_000.0)
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -11,7 +11,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from barleybarrow.assembly import Assembly, Link, Stage
+from barleybarrow.view_agreement import ViewAgreement
+from barleybarrow.view_links import Link
+from barleybarrow.view_rounds import Stage
 from barleybarrow.views import ALIVE, SUSPECT, Belongs, Change, Report, Stamp, View, settle
 from testbed import oracle_views as oracle
 from testbed.group import PERIOD, Group
@@ -145,15 +147,15 @@
     held = {(h.group, h.number): h.at for h in reversed(history) if h.members}
     assert all(at <= began + 15.0 for at in held.values())
     assert oracle.flaps(history, began, g.now / PERIOD) == 0
-    cut_off = {i for i, s in enumerate(g.swims) if s.assembly.cut_off}
+    cut_off = {i for i, s in enumerate(g.swims) if s.agreement.cut_off}
     if kind in ("deaf", "mute"):
         assert cut_off == {0}
         assert (
             max(at for at in held.values()) <= began + 8.0
         )  # guards against one that asks on without an ear
     elif kind == "pair":
-        assert not cut_off and all(s.assembly.number == 1 or len(held) for s in g.swims)
-        assert g.swims[1].assembly.one_way(g.clock(1)) == [] or size == 5
+        assert not cut_off and all(s.agreement.number == 1 or len(held) for s in g.swims)
+        assert g.swims[1].agreement.one_way(g.clock(1)) == [] or size == 5
     elif kind == "ring" or size == 20:
         assert len(cut_off) == size  # nobody has a majority, and nobody claims one
     within(g, 10.0)
@@ -162,14 +164,14 @@
 
 def test_a_zone_that_is_cut_off_goes_in_one_change_and_knows_that_it_is_out():
     g = group(12)
-    number = g.swims[0].assembly.number
+    number = g.swims[0].agreement.number
     zone = [8, 9, 10, 11]
     rest = list(range(8))
     g.play(Schedule(size=12, periods=15.0, links=[cut(zone, rest), cut(rest, zone)]))
-    assert [s.assembly.number for s in g.swims] == [number + 1] * 8 + [number] * 4
-    assert [s.assembly.cut_off for s in g.swims] == [False] * 8 + [True] * 4
-    assert not any(g.swims[0].assembly.reaches(f"p{i}") for i in zone)
-    assert g.swims[0].assembly.reaches("p3") and g.swims[0].assembly.reaches("p0")
+    assert [s.agreement.number for s in g.swims] == [number + 1] * 8 + [number] * 4
+    assert [s.agreement.cut_off for s in g.swims] == [False] * 8 + [True] * 4
+    assert not any(g.swims[0].agreement.reaches(f"p{i}") for i in zone)
+    assert g.swims[0].agreement.reaches("p3") and g.swims[0].agreement.reaches("p0")
     within(g, 10.0)
 
 
@@ -179,13 +181,13 @@
     g.play(
         Schedule(size=12, periods=lasts - 0.5, acts=[Act(at=0, do="pause", who=[0, 1, 2, 3], lasts=lasts)])
     )
-    left = g.swims[5].assembly.number
+    left = g.swims[5].agreement.number
     g.run(g.now + 0.6 * PERIOD)
     woken = g.swims[0]
-    assert woken.counts["slept"] == 1 and woken.dazed | (woken.assembly.links["p5"].answered_at > 0)
-    assert lasts > 3 or left == g.swims[7].assembly.number
+    assert woken.counts["slept"] == 1 and woken.dazed | (woken.agreement.links["p5"].answered_at > 0)
+    assert lasts > 3 or left == g.swims[7].agreement.number
     within(g, 15.0)
-    assert len(g.swims[5].assembly.history) <= 8 and oracle.breaches(g.history()) == []
+    assert len(g.swims[5].agreement.history) <= 8 and oracle.breaches(g.history()) == []
 
 
 def test_who_wakes_takes_itself_for_cut_off_and_sends_no_burst():
@@ -194,9 +196,9 @@
     swim = g.swims[0]
     later = g.clock(0) + 30 * PERIOD
     out = swim.tick(later)
-    assert swim.dazed and swim.assembly.cut_off and len(out) <= 20
-    assert not swim.assembly.reaches("p9") and before == g.sent[0]
-    assert swim.assembly.turn.stage is Stage.IDLE
+    assert swim.dazed and swim.agreement.cut_off and len(out) <= 20
+    assert not swim.agreement.reaches("p9") and before == g.sent[0]
+    assert swim.agreement.turn.stage is Stage.IDLE
 
 
 def test_all_restarted_at_once_found_the_group_anew_and_the_majority_is_not_needed():
@@ -226,17 +228,17 @@
     g.first = g.first[:1]
     for i, swim in enumerate(g.swims):
         seeds = {("10.0.0.0", 7000)} if i < 4 else {("10.0.0.4", 7000)}
-        swim.assembly.seats, swim.assembly.founder = seeds, swim.address in seeds
+        swim.agreement.seats, swim.agreement.founder = seeds, swim.address in seeds
         swim.seeds = [s for s in seeds if s != swim.address]
     g.faults = list(apart)
     g.run(20 * PERIOD)
-    groups = {s.assembly.view.group for s in g.swims}
+    groups = {s.agreement.view.group for s in g.swims}
     assert len(groups) == 2
-    larger = g.swims[0].assembly.view.group
+    larger = g.swims[0].agreement.view.group
     g.faults = []
     g.swims[4].seeds = [("10.0.0.0", 7000)]
     within(g, 30.0)
-    assert g.swims[6].assembly.view.group == larger and g.swims[4].assembly.counts["yielded"] == 1
+    assert g.swims[6].agreement.view.group == larger and g.swims[4].agreement.counts["yielded"] == 1
 
 
 @pytest.mark.parametrize("hour", [3_600_000.0, -3_600_000.0])
@@ -259,7 +261,7 @@
     elsewhere = ("10.0.9.9", 7000)
     g.numbers[elsewhere] = 4
     g.swims[4] = g.machine(4)
-    g.swims[4].address = g.swims[4].assembly.address = elsewhere
+    g.swims[4].address = g.swims[4].agreement.address = elsewhere
     g.addresses[4] = elsewhere
     g.start(4)
     within(g, 15.0)
@@ -269,7 +271,7 @@
 def test_under_loss_nobody_alive_goes_and_a_death_is_known_in_time():
     g = group(10, loss=0.3)
     g.run(g.now + 120 * PERIOD)
-    assert {s.assembly.number for s in g.swims} == {g.swims[0].assembly.number}
+    assert {s.agreement.number for s in g.swims} == {g.swims[0].agreement.number}
     assert not any(h.members and len(h.members) < 10 for h in g.history() if h.at * PERIOD > 40 * PERIOD)
     g.crash(9)
     within(g, 12.0)
@@ -280,7 +282,7 @@
     v, machines = view(5), {}
     for m in v.members:
         known = {o.name: Other(o.name, o.address, o.life) for o in v.members if o is not m}
-        made = machines[m.address] = Assembly(
+        made = machines[m.address] = ViewAgreement(
             m.name, m.life, m.address, (), known, 1.0, random.Random(1), 0.0
         )
         made.view, made.cut_off, made.sounding = v, False, inf
@@ -317,7 +319,7 @@
         g.restart(3)
         g.run(g.now + 9 * PERIOD)
     for s in g.swims[:3]:
-        s.assembly.log.clear()
+        s.agreement.log.clear()
     g.cut = lambda a, b: False
     within(g, 12.0)
 
@@ -352,8 +354,8 @@
         self.promised = (0, "")
         return right(self, now, source, body)
 
-    right = Assembly.serve
-    monkeypatch.setattr(Assembly, "serve", serve)
+    right = ViewAgreement.serve
+    monkeypatch.setattr(ViewAgreement, "serve", serve)
 
 
 def takes_half_for_a_majority(monkeypatch):
@@ -362,7 +364,7 @@
 
 def ignores_what_was_accepted(monkeypatch):
     """One that proposes its own change, whatever others have accepted."""
-    right = Assembly.saying
+    right = ViewAgreement.saying
 
     def saying(self, now, ballot, granted, highest):
         kept, self.accepted = self.accepted, None
@@ -370,18 +372,18 @@
         self.accepted = kept
         return said
 
-    monkeypatch.setattr(Assembly, "saying", saying)
+    monkeypatch.setattr(ViewAgreement, "saying", saying)
 
 
 def comes_back_as_it_was(monkeypatch):
     """One that was taken out and keeps its life."""
-    right = Assembly.reborn
+    right = ViewAgreement.reborn
 
     def reborn(self, *args, **more):
         right(self, *args, **more)
         self.life -= 1
 
-    monkeypatch.setattr(Assembly, "reborn", reborn)
+    monkeypatch.setattr(ViewAgreement, "reborn", reborn)
 
 
 @pytest.mark.parametrize("bug", [takes_half_for_a_majority, comes_back_as_it_was])
@@ -410,7 +412,7 @@
     machines = {}
     for m in v.members:
         known = {o.name: Other(o.name, o.address, o.life) for o in v.members if o is not m}
-        made = Assembly(m.name, m.life, m.address, (), known, 1.0, random.Random(rng.random()), 0.0)
+        made = ViewAgreement(m.name, m.life, m.address, (), known, 1.0, random.Random(rng.random()), 0.0)
         made.view, made.cut_off, made.sounding = v, False, inf
         machines[m.address] = made
     on_way, history, now = [], [], 0.0
@@ -499,8 +501,8 @@
 
 def test_suspicion_is_told_and_kills_nobody():
     g = group(4)
-    g.swims[0].assembly.cut_off = False
+    g.swims[0].agreement.cut_off = False
     g.cut = lambda a, b: 0 in (a, b) and 1 in (a, b)
     g.run(g.now + 20 * PERIOD)
     assert {m.state for s in g.swims for m in s.members.values()} <= {ALIVE, SUSPECT}
-    assert {s.assembly.number for s in g.swims} == {g.swims[3].assembly.number}
+    assert {s.agreement.number for s in g.swims} == {g.swims[3].agreement.number}
