--- a/barleybarrow/limits/credit_client.py
+++ b/barleybarrow/limits/credit_client.py
@@ -18,7 +18,7 @@
 MOST_WAITING = 64  # requests of one key that wait at a proxy
 WANT_COSTS = 1.5  # mean costs of a request that a proxy holds beside what it needs
 WANT_SPAN_S = 0.35  # of its use that a proxy holds beside what it needs
-LOW = 0.5  # of what it wants; below that it asks for more
+LOW = 0.5  # of a request: with more left over, the warden grants credit ahead of need
 SMOOTH = 0.1  # weight of the newest request in the mean cost
 RATE_SPAN_MS = 1000.0  # over which the rate of use is smoothed
 WANTED_FOR = 2000.0  # milliseconds since its last request that an entry wants credit at hand
@@ -62,6 +62,8 @@
     mean_cost: float = 0.0
     rate: float = 0.0  # a second
     demand: float = 0.0  # since the newest report
+    hurry: bool = False  # the warden is to hear soon what is spent
+    ahead: bool = False  # the warden grants credit ahead of need
     level: float = 0.0  # of the fallback bucket
     level_at: float = -inf
     level_used_at: float = -inf
@@ -98,7 +100,8 @@
         self.dirty: dict[int, Entry] = {}  # by number: what the warden has not heard yet
         self.last_entry = 0
         self.sent: dict[int, Sent] = {}
-        self.report_at, self.reported_at = now, -inf
+        self.reported_at = -inf
+        self.soon_at = now  # something is to be reported then, before the next report that is due anyway
         self.settled: list[tuple[int, bool]] = []  # tickets and whether they were admitted
         self.waiting = 0
         self.expire_at = inf  # when the longest wait ends
@@ -135,9 +138,9 @@
         return entry
 
     def mark(self, now: float, entry: Entry, within: float) -> None:
-        """Have an entry reported within so many milliseconds."""
+        """Have an entry reported within so many milliseconds, at most with the next report that is due."""
         self.dirty[entry.number] = entry
-        self.report_at = min(self.report_at, max(now + within, self.reported_at + spans.URGENT_GAP))
+        self.soon_at = min(self.soon_at, now + within)
 
     def spend(self, now: float, entry: Entry, cost: float) -> bool:
         """Take a cost from credit at hand."""
@@ -147,7 +150,8 @@
         if now >= self.valid_until or entry.credit < cost:
             return False
         entry.spent += cost
-        self.mark(now, entry, spans.SOON)
+        soon = entry.hurry or (entry.ahead and entry.credit < entry.mean_cost)
+        self.mark(now, entry, spans.SOON if soon else self.pause)
         return True
 
     def fall_back(self, now: float, entry: Entry, limit: KeyLimit, cost: float) -> bool:
@@ -206,7 +210,7 @@
                 entry.carried, entry.carried_until = alive + entry.credit, until
             self.renumber(entry)
         self.valid_until = -inf
-        self.report_at = now
+        self.soon_at = now
 
     # Reports
 
@@ -216,6 +220,12 @@
         proxies = 1.0 / self.base if self.base > 0.0 else spans.EXPECTED_PROXIES
         return min(spans.REPORT_MOST, spans.REPORT_LEAST + spans.REPORT_EACH * proxies)
 
+    @property
+    def report_at(self) -> float:
+        """When the next report is due."""
+        due = self.reported_at + (spans.REPEAT if self.waiting else self.pause)
+        return max(self.reported_at + spans.URGENT_GAP, min(self.soon_at, due))
+
     def report(self, now: float) -> CreditReport:
         """What the warden is to hear now."""
         if now >= self.base_until:
@@ -233,8 +243,7 @@
         while len(self.sent) > MOST_SENT:
             del self.sent[next(iter(self.sent))]
         self.reported_at = now
-        again = spans.REPEAT if self.waiting or len(self.dirty) > MOST_ITEMS else self.pause
-        self.report_at = now + again
+        self.soon_at = now + spans.REPEAT if len(self.dirty) > MOST_ITEMS else inf
         return CreditReport(self.run, self.term, self.number, self.applied, self.base, items)
 
     def item(self, now: float, entry: Entry) -> Item:
@@ -266,7 +275,7 @@
         newest = m.number > self.applied
         if newest:
             if self.applied == 0:
-                self.report_at = now  # the warden uses this proxy's base once it knows that it was heard
+                self.soon_at = now  # the warden uses this proxy's base once it knows that it was heard
             self.applied, self.fall_at = m.number, now + spans.FALL
             self.take_base(now, m.base, sent.at)
         for entry, number, spent, returned in sent.items:
@@ -276,7 +285,9 @@
             entry_ = self.by_number.get(grant.entry)
             if entry_ is not None:
                 entry_.granted = max(entry_.granted, grant.granted)
+                entry_.hurry = grant.hurry
                 self.resolve(now, entry_, grant, m.number if newest else 0)
+                entry_.ahead = entry_.credit >= LOW * entry_.mean_cost
 
     def take_base(self, now: float, base: float, asked_at: float) -> None:
         if base > self.base:
@@ -291,7 +302,7 @@
             return
         if grant.settling:
             entry.ask_at = now + grant.wait_ms
-            self.report_at = min(self.report_at, entry.ask_at)
+            self.soon_at = min(self.soon_at, entry.ask_at)
             return
         entry.blocked_until = now + min(spans.BLOCK_MOST, max(spans.BLOCK_LEAST, grant.wait_ms))
         while entry.waiting and 0 < entry.waiting[0].reported <= number:
--- a/barleybarrow/limits/credit_ledger.py
+++ b/barleybarrow/limits/credit_ledger.py
@@ -25,12 +25,13 @@
 from barleybarrow.limits import spans
 from barleybarrow.limits.bounds import KeyLimit
 from barleybarrow.limits.lent import LentFraction
-from barleybarrow.limits.messages import Grant, Item
+from barleybarrow.limits.messages import Grant, Item, whole
 from barleybarrow.limits.warden_lease import DRIFT
 
 WANT_CREDIT = 0.8  # of the credit that may be outstanding, for credit ahead of need
 UNKNOWN_WAIT = 50.0  # milliseconds until a proxy asks again for a key that the warden does not know yet
 SETTLE_WAIT = 25.0  # milliseconds until credit of others will have been reported as spent
+HURRY_ABOVE = 0.4  # of the credit that may be outstanding
 CONTENTION = 0.5  # of a turn of all proxies that hold the key
 LEAST_FRACTION = 0.01  # lent to the warden; with less it tells no meaningful wait
 
@@ -110,7 +111,8 @@
         wait, settling = self.grant_need(account, limit, entry, item)
         if wait <= 0.0:
             self.grant_want(account, limit, entry, item)
-        return Grant(entry.number, entry.granted, wait, settling)
+        hurry = account.outstanding > HURRY_ABOVE * limit.credit
+        return Grant(entry.number, whole(entry.granted), round(wait), settling, hurry)
 
     def book(
         self, now: float, account: KeyAccount, name: str, item: Item, void_at: float
--- a/barleybarrow/limits/messages.py
+++ b/barleybarrow/limits/messages.py
@@ -49,6 +49,7 @@
     granted: Amount  # in total
     wait_ms: Amount = 0.0  # above 0: what is needed was not granted; worth asking again after so long
     settling: bool = False  # it waits for reports of what others have spent, not for the rate
+    hurry: bool = False  # much is outstanding: report soon what is spent
 
 
 class CreditAnswer(Struct, array_like=True, frozen=True, tag=7):
