--- a/brackenusher/assembly/control.py
+++ b/brackenusher/assembly/control.py
@@ -17,7 +17,7 @@
 from brackenusher.control_plane.fleet_status import FleetStatus
 from brackenusher.control_plane.http_server import HttpServer
 from brackenusher.control_plane.registry_service import RegistryService
-from brackenusher.control_plane.shares_driver import SharesDriver
+from brackenusher.control_plane.shares_driver import LIMITS_STORE, SharesDriver
 from brackenusher.runtime.metrics import Metrics
 from brackenusher.runtime.process_metrics import add_process_metrics
 from brackenusher.settings.documents import check_document
@@ -54,7 +54,8 @@
             asks=False,
             fresh=settings.bootstrap,
         )
-        self.shares = SharesDriver(self.limits, self.links, lambda: loop.time() * 1000.0)
+        roster = SlotStore(settings.data_dir, LIMITS_STORE) if settings.data_dir else None
+        self.shares = SharesDriver(self.limits, self.links, lambda: loop.time() * 1000.0, roster, self.writer)
         self.shard.on_committed.append(self._configured)
         self.shard.on_voters.append(self.shares.voters_changed)
         self.monitor = Monitor(settings, self.links, rng)
