Command line: roles are tested as processes, for their imports and for settings that fail

A role must start light and say in one line why its settings can't be used. Ruled out: mocking the assembly, which would not see an import that creeps in.

--- a/brackenusher/commands/application.py
+++ b/brackenusher/commands/application.py
@@ -27,7 +27,10 @@
 ]
 Json = Annotated[bool, typer.Option("--json", help="Print one JSON document.")]
 Base = Annotated[
-    int | None, typer.Option("--base", min=0, help="The version it builds on; the current one if left out.")
+    int | None,
+    typer.Option(
+        "--base", min=0, help="The version it builds on, 0 for the first; left out: the current one."
+    ),
 ]
 Document = Annotated[Path, typer.Argument(metavar="FILE", help="A JSON file.")]
 
--- a/tests/fleet/test_commands.py
+++ b/tests/fleet/test_commands.py
@@ -23,6 +23,7 @@
 from tests.fleet.test_settings import SETTINGS
 
 Reply = tuple[int, object]
+ROOT = Path(__file__).parents[2]
 
 
 class FakeControl:
@@ -333,6 +334,26 @@
             self.assertEqual([program.main(["proxy"]), program.main(["control"])], [5, 5])
         self.assertEqual([call.args for call in run_role.call_args_list], [("proxy",), ("control",)])
 
+    def test_roles_import_nothing_that_they_do_not_need(self) -> None:
+        for role in ("proxy", "control"):
+            code = (
+                f"import sys, brackenusher.assembly.{role};"
+                "heavy = {'typer', 'serde', 'pydantic', 'rich', 'numpy', 'prometheus_client', 'absl'};"
+                "print(sorted(heavy & set(sys.modules)))"
+            )
+            done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+            self.assertEqual(done.stdout.strip(), "[]", role)
+
+    def test_roles_end_with_2_where_the_settings_cannot_be_used(self) -> None:
+        path = self.folder / "local.toml"
+        path.write_text(SETTINGS.replace("Zone = ", "Place = "), encoding="utf-8")
+        environment = {"BRACKENUSHER_CONFIG": str(path), "PYTHONPATH": ":".join(sys.path)}
+        for role in ("proxy", "control"):
+            command = [sys.executable, "-m", "brackenusher", role]
+            done = subprocess.run(command, capture_output=True, text=True, env=environment, cwd=ROOT)
+            self.assertEqual((done.returncode, done.stdout), (ExitCode.USAGE, ""), done.stderr)
+            self.assertEqual(done.stderr, f"brackenusher: {path}: Zone = (missing): add this key\n")
+
     def test_dispatch_imports_nothing_heavy(self) -> None:
         code = (
             "import sys, brackenusher.__main__, brackenusher.commands.roles;"
