Limits: bucket and outstanding credit share one capacity; a proxy that ends gives its part back

Change: bucket + outstanding stay below one capacity (the proof is shorter and needs no separate cap); a last report of a proxy frees its base.

--- a/barleybarrow/limits/bounds.py
+++ b/barleybarrow/limits/bounds.py
@@ -1,20 +1,21 @@
 """What the rules allow for one key over all proxies, and how the parts of the machine divide it.
 
 Pure arithmetic. The rule for a quota of rate R and burst B: in each window W at most (R W + B) (1 + o) + S,
-where o is QuotaOvershoot and S is QuotaSlack. The machine admits R W + B and, beyond that, at most its
-`room` (o (R W + B) + S, less a margin), which is divided once for all:
+where o is QuotaOvershoot and S is QuotaSlack. The machine admits R W + B and, beyond that, at most its `room`
+(o (R W + B) + S, less a margin), which is divided once for all:
 
 | part | what may come beyond R W + B in one window |
 | --- | --- |
-| debt | the warden grants a request when its bucket is above zero, which takes the bucket below zero once |
-| extra | the warden's bucket holds B + extra |
-| credit | granted before the window, spent in it: the most that may be outstanding at all proxies together |
+| debt | the warden grants a request when its bucket is above zero, which takes it below zero once |
+| extra | the warden's bucket and all credit that it has granted hold B + extra together |
 | fallback | what proxies without a warden may spend at once, beyond their part of the rate |
 """
 
 from dataclasses import dataclass
 
 from barleybarrow.documents import QuotaUnit, Tenant
+from barleybarrow.limits import spans
+from barleybarrow.limits.warden_lease import DRIFT
 
 MARGIN = 0.05  # of the room, for rounding and for clocks that differ
 DEBT_SHARE = 0.15
@@ -23,9 +24,10 @@
 RESERVE_SHARE = 0.25  # of the capacity
 REQUEST_SLACK_SHARE = 0.25  # of R W + B: QuotaSlack may count tokens, so it is not taken whole for requests
 RETRY_RATE_SHARE = 0.4  # of RetryBudgetMin, spread over the window
-RETRY_BURST_SHARE = 0.3
-RETRY_CREDIT_SHARE = 0.15
+RETRY_BURST_SHARE = 0.45
+RETRY_CREDIT_SHARE = 0.25  # part of the burst
 RETRY_FALLBACK_SHARE = 0.1  # the rest is margin
+CREDIT_SPAN_S = spans.CREDIT_LIFE * DRIFT / 1000.0  # after a warden ended, its credit is spent for so long
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,12 +35,12 @@
     """Shares of what is left of the room beside the debt; they add up to one."""
 
     extra: float
-    credit: float
     fallback: float
 
 
-LARGE_SPLIT = Split(0.10, 0.45, 0.45)
-SMALL_SPLIT = Split(0.40, 0.50, 0.10)
+LARGE_SPLIT = Split(0.55, 0.45)
+SMALL_SPLIT = Split(0.90, 0.10)
+CREDIT_LEAST = 0.4  # of the capacity: the least part of it that may be outstanding
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,9 +60,9 @@
     """What all proxies together may use of one key, in the key's own unit (tokens or requests)."""
 
     rate: float  # a second
-    capacity: float  # of the warden's bucket
+    capacity: float  # of the warden's bucket, and of all credit that is outstanding, together
     debt: float  # how far below zero one grant may take the bucket
-    credit: float  # granted and not yet known to be spent, at all proxies together
+    credit: float  # the most that may be granted and not yet known to be spent, at all proxies together
     fallback: float  # capacity of the fallback buckets of all proxies together
     largest: float  # request that credit ahead of need must leave room for
     reserve: float  # level of the warden's bucket below which there is no credit ahead of need
@@ -79,11 +81,12 @@
     rest = room - debt
     split = SMALL_SPLIT if rest < SMALL_ROOM * largest else LARGE_SPLIT
     capacity = tenant.burst + split.extra * rest
+    spendable = tenant.rate_per_s * CREDIT_SPAN_S
     return KeyLimit(
         tenant.rate_per_s,
         capacity,
         debt,
-        split.credit * rest,
+        min(capacity, max(capacity - spendable, CREDIT_LEAST * capacity, largest)),
         split.fallback * rest,
         largest,
         RESERVE_SHARE * capacity,
--- a/barleybarrow/limits/credit_client.py
+++ b/barleybarrow/limits/credit_client.py
@@ -246,6 +246,14 @@
         self.soon_at = now + spans.REPEAT if len(self.dirty) > MOST_ITEMS else inf
         return CreditReport(self.run, self.term, self.number, self.applied, self.base, items)
 
+    def leave(self, now: float) -> CreditReport:
+        """The last report of a process that ends: from now on it admits nothing."""
+        self.number += 1
+        self.base, self.base_until, self.valid_until, self.fall_at = 0.0, -inf, -inf, now
+        for entry in self.entries.values():
+            entry.carried_until = -inf
+        return CreditReport(self.run, self.term, self.number, self.applied, 0.0, [], True)
+
     def item(self, now: float, entry: Entry) -> Item:
         need = first = 0.0
         entry.ask_at = inf
--- a/barleybarrow/limits/credit_ledger.py
+++ b/barleybarrow/limits/credit_ledger.py
@@ -1,19 +1,19 @@
 """The warden's books: one bucket a key, and the credit that each proxy holds of it.
 
-Why the sum holds in every window, with R, B, debt, extra and credit of `barleybarrow.limits.bounds`, and L,
-the fraction of each limit that is lent to the warden. What proxies spend from t1 to t2 is what was granted
-meanwhile, less what was returned, plus what was outstanding at t1 less what is at t2. The bucket gains R L
-a second, never holds more than B + extra nor less than -debt, and loses what is granted. So
+Why the sum holds in every window, with R, capacity and debt of `barleybarrow.limits.bounds`, and L, the
+fraction of each limit that is lent to the warden. What proxies spend from t1 to t2 is what was granted
+meanwhile less what was returned, plus what was outstanding at t1 less what is at t2. The bucket gains R
+L a second and loses what is granted; it never falls below -debt, and bucket + outstanding never rises
+above the capacity. So
 
-    spent(t1, t2) <= R integral(L) + bucket(t1) - bucket(t2) + outstanding(t1)
-                  <= R integral(L) + B + extra + debt + credit
+    spent(t1, t2) <= R integral(L) + (bucket + outstanding)(t1) - (bucket + outstanding)(t2)
+                  <= R integral(L) + capacity + debt
 
-because nothing is granted that brings `outstanding` above `credit`; it counts all credit that a proxy may
-still spend, for it falls only when a proxy says that credit is spent or returned, or when its time is over
-on every clock. What proxies spend without a warden comes from R (1 - L) and their fallback buckets
-(`credit_client`). A new warden knows no buckets: each begins at -debt, or so low that what the one before
-had granted, and may still be spent, fits into what the new bucket lacks: CREDIT_LIFE after its start all of
-that is over.
+`outstanding` counts all credit that a proxy may still spend, for it falls only when a proxy says that
+credit is spent or returned, or when its time is over on every clock. What proxies spend without a
+warden comes from R (1 - L) and their fallback buckets (`credit_client`). A new warden knows no buckets:
+each begins at -debt, or so low that what the one before had granted, and may still be spent, fits into
+what the new bucket lacks: CREDIT_LIFE after its start all of that is over.
 
 No I/O; told the time in milliseconds.
 """
@@ -23,10 +23,9 @@
 from math import floor
 
 from barleybarrow.limits import spans
-from barleybarrow.limits.bounds import KeyLimit
+from barleybarrow.limits.bounds import CREDIT_SPAN_S, KeyLimit
 from barleybarrow.limits.lent import LentFraction
 from barleybarrow.limits.messages import Grant, Item, whole
-from barleybarrow.limits.warden_lease import DRIFT
 
 WANT_CREDIT = 0.8  # of the credit that may be outstanding, for credit ahead of need
 UNKNOWN_WAIT = 50.0  # milliseconds until a proxy asks again for a key that the warden does not know yet
@@ -74,8 +73,8 @@
         """Where a bucket begins with the term."""
         if self.fresh:
             return limit.capacity
-        spendable = limit.rate * spans.CREDIT_LIFE * DRIFT / 1000.0
-        return min(-limit.debt, limit.capacity - spendable)
+        spendable = limit.rate * CREDIT_SPAN_S
+        return min(-limit.debt, limit.capacity - limit.credit - spendable)
 
     def account(self, now: float, key: str, limit: KeyLimit) -> KeyAccount:
         """The account of a key, with its bucket as full as it is now."""
@@ -83,11 +82,11 @@
         found = self.accounts.get(key)
         if found is None:
             found = self.accounts[key] = KeyAccount(self.first_level(limit), 0.0)
-        gained = limit.rate * (self.lent.integral - found.integral) / 1000.0
-        found.level = min(limit.capacity, found.level + gained)
-        found.integral = self.lent.integral
         if found.orphaned:
             self.end_orphaned(now, found)
+        gained = limit.rate * (self.lent.integral - found.integral) / 1000.0
+        found.level = min(limit.capacity - found.outstanding, found.level + gained)
+        found.integral = self.lent.integral
         return found
 
     def end_orphaned(self, now: float, account: KeyAccount) -> None:
--- a/barleybarrow/limits/credit_machine.py
+++ b/barleybarrow/limits/credit_machine.py
@@ -131,7 +131,9 @@
             self.out.extend((name, Here(self.term)) for name in sorted(new))
 
     def resign(self, now: float) -> None:
-        """Planned end: free the keepers, so that another warden follows at once."""
+        """Planned end: another warden may follow at once, and others may use what this proxy held."""
+        if self.client is not None and self.warden and self.warden != self.name:
+            self.out.append((self.warden, self.client.leave(now)))
         if self.role is Role.WARDEN:
             self.give_back()
             self.step_down(now)
@@ -304,6 +306,10 @@
         books = self.books
         if books is None or now >= self.lease_end or m.term != self.term:
             return None
+        if m.leaving:
+            if books.members.leave(now, sender, m.run):
+                books.ledger.write_off(sender)
+            return None
         heard = books.members.hear(now, sender, m)
         if heard is None:
             return None
--- a/barleybarrow/limits/limits.py
+++ b/barleybarrow/limits/limits.py
@@ -157,7 +157,7 @@
         self.machine.reach_changed(now, reach)
 
     def resign(self, now: float) -> None:
-        """Planned end: let another warden follow at once."""
+        """Planned end: another warden may follow at once; a proxy admits nothing any more."""
         self.machine.resign(now)
 
     # What a keeper with a disk stores
--- a/barleybarrow/limits/members.py
+++ b/barleybarrow/limits/members.py
@@ -49,6 +49,7 @@
         self.known_at = now + spans.BASE_LIFE * DRIFT  # from then on nobody unknown holds a base
         self.members: dict[str, Member] = {}
         self.held = 0.0  # by all together
+        self.left: dict[str, int] = {}  # runs that have said that they end
         self.planned: dict[str, float] = {}  # bases that may be told
         self.raising = False  # whether a base may be raised to what is planned
 
@@ -81,6 +82,8 @@
 
     def hear(self, now: float, name: str, m: CreditReport) -> tuple[Member, bool] | None:
         """Book a report; the member and whether it is another run than before. None: it comes too late."""
+        if self.left.get(name) == m.run:
+            return None
         member = self.members.get(name)
         new_run = member is not None and member.run != m.run
         if member is None:
@@ -96,6 +99,19 @@
         self.apply(now, name, member, m)
         return member, new_run
 
+    def leave(self, now: float, name: str, run: int) -> bool:
+        """A process ends and uses nothing more; whether it was a member."""
+        member = self.members.get(name)
+        if member is None or member.run != run:
+            return False
+        self.left[name] = run
+        self.set_held(member, 0.0)
+        self.lent.drop(now, name)
+        del self.members[name]
+        self.planned.pop(name, None)
+        self.refresh_free(now)
+        return True
+
     def restarted(self, now: float, name: str, old: Member, run: int) -> Member:
         """The process before has ended: what it held is nobody's."""
         self.set_held(old, 0.0)
--- a/barleybarrow/limits/messages.py
+++ b/barleybarrow/limits/messages.py
@@ -40,6 +40,7 @@
     applied: Token  # number of the newest report whose answer has come in this term; 0: none
     base: Fraction  # part of each limit that it uses when it is out of touch
     items: Annotated[list[Item], Meta(max_length=MOST_ITEMS)]
+    leaving: bool = False  # its last report: it uses neither credit nor base any more
 
 
 class Grant(Struct, array_like=True, frozen=True):
--- a/tests/fleet/limits_world.py
+++ b/tests/fleet/limits_world.py
@@ -321,8 +321,8 @@
             known = account.outstanding
             assert granted <= known + 1e-6, f"{key}: credit of {granted} held, {known} known"
             assert known <= limit.credit + 1e-6, f"{key}: outstanding {known}"
-            spendable, most = level + granted + carried, limit.capacity + limit.credit
-            assert spendable <= most * (1 + 1e-6), f"{key}: spendable {spendable}"
+            spendable = level + granted + carried
+            assert spendable <= limit.capacity * (1 + 1e-6), f"{key}: spendable {spendable}"
 
     def most_in_window(self, tenant: str, window_ms: float) -> float:
         """The most that was admitted in any window of this length."""
--- a/tests/fleet/test_limits.py
+++ b/tests/fleet/test_limits.py
@@ -137,13 +137,13 @@
                         limit = bounds.quota_limit(paying, window)
                         assert limit is not None
                         steady = rate * window.quota_window_s + burst
-                        used = limit.capacity - burst + limit.debt + limit.credit + limit.fallback
+                        used = limit.capacity - burst + limit.debt + limit.fallback
                         self.assertLessEqual(used, 0.951 * (steady * window.quota_overshoot + slack))
 
     def test_parts_of_the_retry_budget(self) -> None:
         window = LimitBounds()
         limit = bounds.retry_limit(window)
-        used = limit.rate * window.retry_window_s + limit.capacity + limit.credit + limit.fallback
+        used = limit.rate * window.retry_window_s + limit.capacity + limit.debt + limit.fallback
         self.assertLessEqual(used, 0.951 * window.retry_budget_min)
 
 
--- a/tests/fleet/test_limits_worlds.py
+++ b/tests/fleet/test_limits_worlds.py
@@ -275,6 +275,21 @@
         world.run(24_000.0)
         self.assertLessEqual(world.excess("hot"), 0.0)
 
+    def test_planned_end_of_proxies_gives_their_parts_back(self) -> None:
+        world = self.world(10, 2e6)
+        world.run(10_000.0)
+        for name in world.proxies[:4]:
+            process = world.processes[name]
+            assert process.machine is not None
+            process.machine.resign(process.clock(world.now))
+            world.flush(process)
+            self.assertFalse(process.machine.admit(process.clock(world.now), world.tenants["under"], 1.0))
+        world.run(10_100.0)
+        for name in world.proxies[:4]:
+            world.kill(name)
+        world.run(13_000.0)
+        self.assertGreater(world.lent(), 0.999)
+
     def test_planned_end_of_the_warden_leaves_no_gap(self) -> None:
         world = self.world(10, 2e6)
         world.run(10_000.0)
