Registry: renewals are refused without a majority in touch; planted bugs are found

Cause: a control process cut off from the replica group acknowledged renewals that nobody else heard of, so the others would call the server silent while it saw no reason to call elsewhere. Ruled out: two findings were faults of the fakes (timers at one moment, an acknowledgement counted for the wrong heartbeat).

--- a/brackenusher/control_plane/registry_service.py
+++ b/brackenusher/control_plane/registry_service.py
@@ -1,8 +1,8 @@
 """Registration of servers in a control process: takes heartbeats, spreads what changes, notices silence.
 
-Any control process takes any heartbeat. One that changes nothing is acknowledged at once, and its renewal
-goes to the replica group of the shard together with others. One that changes something goes to all control
-processes and is acknowledged once a majority of the replica group holds it.
+Any control process takes any heartbeat. One that changes nothing is acknowledged at once where a majority of
+the replica group is in touch, and its renewal goes there together with others. One that changes something
+goes to all control processes and is acknowledged once a majority of the replica group holds it.
 """
 
 import asyncio
@@ -118,7 +118,7 @@
             self._publish([entry.record(self._now())])
         if not self._needs_majority(record.id, entry):
             self._renewals[record.id] = entry.heard
-            return True
+            return self._reaches_majority(shard_of(entry.details.service))
         return await self._replicate(record.id, entry)
 
     async def deregister(self, instance_id: str) -> bool:
@@ -171,6 +171,12 @@
             return True
         return entry.finality > 0 and self._held.get(instance_id) != entry.finality
 
+    def _reaches_majority(self, shard: int) -> bool:
+        """Whether renewals get to a majority of a replica group; else servers had better call elsewhere."""
+        group = self._group(shard)
+        in_touch = {self._own, *self._peers()}
+        return len(in_touch.intersection(group)) * 2 > len(group)
+
     async def _replicate(self, instance_id: str, entry: Entry) -> bool:
         """Send an entry to all control processes; True once a majority of its replica group holds it."""
         record = entry.record(self._now())
--- a/tests/fleet/fake_links.py
+++ b/tests/fleet/fake_links.py
@@ -13,6 +13,7 @@
 SILENCE_S = 1.6  # a cut link is noticed so late, as with real links
 RECONNECT_S = 0.3
 LONGEST_DELAY_S = 0.02
+APART_S = 1e-6  # timers at the very same moment may fire in any order
 
 Pair = tuple[str, str]
 
@@ -106,7 +107,7 @@
         if pair(sender, receiver) in self.cuts:
             session.lossy = True
             return
-        due = max(self._soon(), session.free_at.get(receiver, 0.0))
+        due = max(self._soon(), session.free_at.get(receiver, 0.0) + APART_S)
         session.free_at[receiver] = due
         self.loop.call_at(due, self._deliver, sender, receiver, session, frame)
 
--- a/tests/fleet/feed_oracle.py
+++ b/tests/fleet/feed_oracle.py
@@ -3,6 +3,8 @@
 DRAIN: later than DrainMs after an acknowledged drain or end, no proxy that was in touch offers the server.
 BACK: a proxy that has once been told that a server drains or is gone never offers it again.
 REGRESSION: the version of the configuration at one proxy never falls.
+UNCONFIRMED: a proxy that gets ready soon after its start has what was committed before that.
+DROPPED: a proxy in touch does not stop offering a server that runs and whose heartbeats are acknowledged.
 EMPTY: a proxy that offered servers of a service keeps offering some while one of them runs and its
 heartbeats arrive.
 LOST, STALE, OLD: in calm at the end every proxy offers all servers that run, none that ended or crashed
@@ -13,7 +15,9 @@
 from barleybarrow.replication.records import InstanceState
 from tests.fleet.feed_world import CONTACT_S, DRAIN_S, ProxyProcess, World
 
+LOOK_S, LOOKS = 0.5, 20  # how often and how many times an acknowledged drain is looked at
 HEARD_RECENTLY_S = 2.5
+READY_WITHOUT_CORE_S = 3.95  # just less than the time after which a proxy serves unconfirmed
 
 
 def offered_at(proxy: ProxyProcess, instance_id: str, at: float) -> bool:
@@ -35,11 +39,49 @@
     for ack in world.acks:
         for proxy in world.proxies.values():
             due = ack.at + DRAIN_S
-            if due <= ends and calm(world, proxy, due) and offered_at(proxy, ack.instance_id, due):
-                found.append(f"DRAIN: {ack.instance_id} at {proxy.address}, {due:.2f}")
+            moments = [due + LOOK_S * step for step in range(LOOKS)]
+            moments += [seen.at for seen in proxy.history if seen.at > due]
+            for at in moments:
+                if at <= ends and in_touch(world, proxy, at) and offered_at(proxy, ack.instance_id, at):
+                    found.append(f"DRAIN: {ack.instance_id} at {proxy.address}, {at:.2f}")
+                    break
     return found
 
 
+def unconfirmed(world: World, proxy: ProxyProcess) -> list[str]:
+    """Breaches of UNCONFIRMED."""
+    if proxy.first_ready is None or proxy.first_ready[0] - proxy.started_at >= READY_WITHOUT_CORE_S:
+        return []
+    version = proxy.first_ready[1]
+    before = [committed for at, committed in world.commit_times if at < proxy.started_at]
+    if before and version < before[-1]:
+        return [f"UNCONFIRMED: {version}, not {before[-1]}, at {proxy.address}"]
+    return []
+
+
+def dropped(world: World, proxy: ProxyProcess) -> list[str]:
+    """Breaches of DROPPED."""
+    found = []
+    last: dict[str, set[str]] = {}
+    for seen in proxy.history:
+        ready = {i for i, state in seen.states.items() if state is InstanceState.READY}
+        believed = in_touch(world, proxy, seen.at)
+        for instance_id in last.get(seen.service, set()) - ready:
+            if believed and _alive(world.servers[instance_id], seen.at):
+                found.append(f"DROPPED: {instance_id} at {proxy.address}, {seen.at:.2f}")
+        last[seen.service] = ready
+    return found
+
+
+def _cut_off(world: World, proxy: ProxyProcess, at: float) -> bool:
+    """Whether a cut between the proxy and a control process was in force at a moment."""
+    in_force: frozenset[tuple[str, str]] = frozenset()
+    for since, cuts in world.cuts:
+        if since <= at:
+            in_force = cuts
+    return any(proxy.address in cut for cut in in_force)
+
+
 def calm(world: World, proxy: ProxyProcess, at: float) -> bool:
     """Whether neither the proxy nor the core had trouble in the ContactMs before a moment."""
     return not any(
@@ -47,6 +89,11 @@
     )
 
 
+def in_touch(world: World, proxy: ProxyProcess, at: float) -> bool:
+    """Whether the rules with a bound of time hold for a proxy at a moment."""
+    return calm(world, proxy, at) and not _cut_off(world, proxy, at)
+
+
 def returns(proxy: ProxyProcess) -> list[str]:
     """Breaches of BACK."""
     found, ended = [], set()
@@ -114,4 +161,5 @@
     found = drains(world, ends) + settled_state(world)
     for proxy in world.proxies.values():
         found += returns(proxy) + regressions(proxy) + emptied(world, proxy)
+        found += unconfirmed(world, proxy) + dropped(world, proxy)
     return found + [f"ERROR: {error!r}" for error in world.network.errors]
--- a/tests/fleet/feed_schedules.py
+++ b/tests/fleet/feed_schedules.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Coroutine
 
 from tests.fleet.feed_oracle import breaches
 from tests.fleet.feed_world import World, configuration
@@ -39,6 +40,8 @@
     def _something(self) -> None:
         troubles = [
             self._drain,
+            self._drain_silently,
+            self._drain_and_kill,
             self._drain_and_kill,
             self._crash,
             self._start,
@@ -65,14 +68,21 @@
         if len(self._running()) > 2:
             self.world.spawn(self.world.servers[self.rng.choice(self._running())].leave())
 
+    def _drain_silently(self) -> None:
+        if len(self._running()) > 2:
+            server = self.world.servers[self.rng.choice(self._running())]
+            self.world.spawn(server.drain_and_fall_silent())
+
     def _drain_and_kill(self) -> None:
         """The process that acknowledges a drain loses power right after."""
         if len(self._running()) > 2 and not self.down:
-            self.world.spawn(self._kill_after_ack(self.world.servers[self.rng.choice(self._running())]))
+            server = self.world.servers[self.rng.choice(self._running())]
+            leave = server.leave if self.rng.random() < 0.5 else server.drain_and_fall_silent
+            self.world.spawn(self._kill_after_ack(leave()))
 
-    async def _kill_after_ack(self, server: object) -> None:
+    async def _kill_after_ack(self, leave: Coroutine[None, None, None]) -> None:
         known = len(self.world.acks)
-        leaving = asyncio.create_task(server.leave())  # type: ignore[attr-defined]
+        leaving = asyncio.create_task(leave)
         for _ in range(800):
             await asyncio.sleep(0.002)
             if len(self.world.acks) > known:
@@ -100,11 +110,13 @@
         one, other = self.rng.sample(self.world.voters, 2)
         self.world.trouble("core")
         self.world.network.cut(one, other)
+        self._note_cuts()
 
     def _cut_proxy(self) -> None:
         proxy, control = self.rng.choice(list(self.world.proxies)), self.rng.choice(self.world.voters)
         self.world.trouble(proxy)
         self.world.network.cut(proxy, control)
+        self._note_cuts()
 
     def _reset(self) -> None:
         key = self.rng.choice(sorted(self.world.network.sessions) or [("", "")])
@@ -131,6 +143,8 @@
         if self.rng.random() < 0.4:
             for address in self.world.voters:
                 self._end(address, silent=False)
+            if self.rng.random() < 0.5:
+                self._restart_proxy()
 
     def _heal(self) -> None:
         network = self.world.network
@@ -139,6 +153,10 @@
             for name in (one, other):
                 self.world.trouble(name if name in self.world.proxies else "core")
             network.heal(one, other)
+            self._note_cuts()
+
+    def _note_cuts(self) -> None:
+        self.world.cuts.append((self.world.now(), frozenset(self.world.network.cuts)))
 
     def _disk(self) -> None:
         store = self.world.stores[self.rng.choice(self.world.voters)]
@@ -158,6 +176,7 @@
             self._restart()
         for one, other in sorted(self.world.network.cuts):
             self.world.network.heal(one, other)
+        self._note_cuts()
         for whom in ("core", *self.world.proxies):
             self.world.trouble(whom)
 
--- a/tests/fleet/feed_world.py
+++ b/tests/fleet/feed_world.py
@@ -27,6 +27,7 @@
 DRAIN_S = 2.0  # DrainMs: after an acknowledged drain no proxy in touch may use the server
 CONTACT_S = 3.0  # ContactMs: without trouble for so long a process is in touch
 ACK_TIMEOUT_S = 1.0
+LATE_COPIES = 0.2  # part of the heartbeats that arrive a second time, late
 CONTROL_PORT, PROXY_PORT = 7000, 7001
 
 
@@ -189,10 +190,19 @@
         self.versions: list[tuple[float, int]] = []
         self.trouble_at = world.now()
         ip = address.partition(":")[0]
+        self.started_at = world.now()
+        self.first_ready: tuple[float, int] | None = None  # when, and with which version
         self.client = FeedClient(
             settings_of(ip, seeds), links, self.configured, self.listed, now=world.now_ms
         )
 
+    async def run(self) -> None:
+        """Follow the control processes; note when it gets ready first."""
+        await self.client.start()
+        while not self.client.ready:
+            await asyncio.sleep(0.02)
+        self.first_ready = (self.world.now(), self.client.version)
+
     def configured(self, value: Configuration) -> None:
         self.versions.append((self.world.now(), value.generation))
 
@@ -231,6 +241,7 @@
         self.slots = 4
         self.acknowledged_times: list[float] = []
         self.ready_until = float("inf")
+        self.drain_acknowledged = False
         self.task = asyncio.create_task(self._live())
 
     def record(self) -> InstanceRecord:
@@ -252,9 +263,13 @@
             if not live:
                 return ""
             target = preferred if preferred in live else self.world.rng.choice(live)
-            if await self.world.call(target, "heartbeat", self.record()):
+            record = self.record()
+            if self.world.rng.random() < LATE_COPIES:
+                self.world.spawn(self.world.call_late(record))
+            if await self.world.call(target, "heartbeat", record):
                 self.acknowledged_times.append(self.world.now())
-                if self.state is InstanceState.DRAINING:
+                if record.state is InstanceState.DRAINING:
+                    self.drain_acknowledged = True
                     self.world.acknowledged(self.id, target)
                 return target
             preferred = ""
@@ -266,6 +281,14 @@
         self.ready_until = min(self.ready_until, self.world.now())
         self.task.cancel()
 
+    async def drain_and_fall_silent(self) -> None:
+        """Drain, and after the acknowledgement say nothing more."""
+        self.ready_until = self.world.now()
+        self.state = InstanceState.DRAINING
+        while not self.drain_acknowledged:
+            await asyncio.sleep(0.01)
+        self.crash()
+
     async def leave(self) -> None:
         """Drain, stay a while, deregister, end."""
         self.state = InstanceState.DRAINING
@@ -298,6 +321,10 @@
     voters_index: int = 1
     commits: list[Configuration] = field(default_factory=list)
     acks: list[Acknowledged] = field(default_factory=list)
+    cuts: list[tuple[float, frozenset[tuple[str, str]]]] = field(
+        default_factory=list
+    )  # those in force from then
+    commit_times: list[tuple[float, int]] = field(default_factory=list)
     troubles: list[tuple[float, str]] = field(default_factory=list)  # when, and whom: "core" or a proxy
     tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     incarnations: int = 0
@@ -341,7 +368,7 @@
         links = self.network.open(self.hello(address, "proxy"))
         seeds = [name.partition(":")[0] for name in self.voters]
         proxy = self.proxies[address] = ProxyProcess(self, address, links, seeds)
-        self.spawn(proxy.client.start())
+        self.spawn(proxy.run())
         return proxy
 
     def start_server(self, service: str) -> Server:
@@ -371,12 +398,20 @@
             return False
         return bool(done) and control.links.alive
 
+    async def call_late(self, record: InstanceRecord) -> None:
+        """A copy of a heartbeat that arrives late, anywhere."""
+        await asyncio.sleep(self.rng.uniform(0.2, 12.0))
+        live = self.reachable_controls()
+        if live:
+            await self.call(self.rng.choice(live), "heartbeat", record)
+
     def acknowledged(self, instance_id: str, by: str) -> None:
         self.acks.append(Acknowledged(self.now(), instance_id, by))
 
     def commit(self, value: Configuration) -> None:
         """A majority has it at once, each process some time later."""
         self.commits.append(value)
+        self.commit_times.append((self.now(), value.generation))
         for control in self.controls.values():
             if control.links.alive and control.shard.majority():
                 delay = self.rng.uniform(0.001, 0.05)
--- a/tests/fleet/test_feed_paths.py
+++ b/tests/fleet/test_feed_paths.py
@@ -4,8 +4,10 @@
 import random
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 from barleybarrow.replication.records import InstanceState
+from brackenusher.control_plane.final_records import FinalRecords
 from tests.fleet.feed_world import World, configuration
 from tests.fleet.virtual_time import play
 
@@ -105,6 +107,10 @@
         await asyncio.sleep(5.0)
         self.assertFalse(proxy.uses("i0"))
 
+    def test_forgetting_what_the_disk_keeps_is_found(self) -> None:
+        with mock.patch.object(FinalRecords, "load", lambda final: []), self.assertRaises(AssertionError):
+            self.test_drains_outlive_the_restart_of_all_control_processes()
+
     @story
     async def test_nothing_is_acknowledged_without_a_majority(self, world: World) -> None:
         await asyncio.sleep(1.0)
