--- a/testbed/sockets/fleet.py
+++ b/testbed/sockets/fleet.py
@@ -31,7 +31,8 @@
 from testbed.sockets import http
 from testbed.sockets.agents import AgentServer
 from testbed.sockets.lag import Lag
-from testbed.world import NEVER, spec_of
+from testbed.world_processes import spec_of
+from testbed.world_state import NEVER
 
 SECOND = 1_000_000
 SLACK = 50_000  # by which the rules on sockets are longer than the simulator's
--- a/testbed/sockets/load.py
+++ b/testbed/sockets/load.py
@@ -27,7 +27,7 @@
 from testbed.results import Breach, Tally, encode, histogram
 from testbed.sockets import http
 from testbed.sockets.lag import Lag
-from testbed.world import FRONT_NOTICE
+from testbed.world_clients import FRONT_NOTICE
 
 SECOND = 1_000_000
 WIRE = 100_000  # by which an answer may be later than the rules have it, on a machine that is shared
