--- a/barleybarrow/routing/dispatcher.py
+++ b/barleybarrow/routing/dispatcher.py
@@ -26,7 +26,8 @@
     Send,
     ServerInfo,
 )
-from barleybarrow.routing.exchange import Exchange
+from barleybarrow.routing.announcements import Announcement, AnnouncementBox
+from barleybarrow.routing.exchange import Choice, Exchange
 from barleybarrow.routing.pool import ServerRecord, ServicePool
 from barleybarrow.routing.selection import Selector
 
@@ -50,15 +51,17 @@
         rng: random.Random,
         now: float,
         may_repeat: Callable[[str], bool] = _no_repeats,
+        selector: Selector | None = None,
     ) -> None:
         self.settings = settings
         self.counters = Counters()
+        self._box = AnnouncementBox()
         self._rng = rng
         self._may_repeat = may_repeat
         self._pools: dict[str, ServicePool] = {}
         self._lists: dict[str, list[ServerInfo]] = {}
         self._exchanges: dict[RequestId, Exchange] = {}
-        self._selector = Selector(settings, rng)
+        self._selector = selector or Selector(rng)
 
     def configure(self, now: float, services: Mapping[str, Service], routes: Sequence[Route]) -> None:
         """Take a new configuration."""
@@ -84,7 +87,7 @@
 
     def connection_failed(self, now: float, request_id: RequestId, server_id: str) -> list[Action]:
         """No connection could be had, so nothing was sent: another server may be tried."""
-        found = self._take(request_id, server_id)
+        found = self._take(now, request_id, server_id)
         if found is None:
             return []
         exchange, server = found
@@ -99,7 +102,7 @@
         self, now: float, request_id: RequestId, server_id: str, status: int, retry_after_ms: float | None
     ) -> list[Action]:
         """The server said that it did not run the request."""
-        found = self._take(request_id, server_id)
+        found = self._take(now, request_id, server_id)
         if found is None:
             return []
         exchange, server = found
@@ -136,13 +139,14 @@
         exchange = self._exchanges.get(request_id)
         if exchange is not None and outcome in (Outcome.SERVED, Outcome.ERROR_STATUS):
             self.first_event(now, request_id, server_id)
-        found = self._take(request_id, server_id)
+        found = self._take(now, request_id, server_id)
         if found is None:
             return []
         exchange, server = found
         if outcome in (Outcome.SERVED, Outcome.ERROR_STATUS):
             failed = outcome is Outcome.ERROR_STATUS
             server.health.answered(now, failed)
+            self._learn_stream(now, exchange)
             self.counters.add(outcome.value)
             del self._exchanges[request_id]
             return []
@@ -158,9 +162,39 @@
         """The client has left."""
         exchange = self._exchanges.pop(request_id, None)
         if exchange is not None and exchange.server is not None:
-            self._release(exchange, exchange.server)
+            self._release(now, exchange, exchange.server)
         return []
 
+    def proxies_changed(self, now: float, proxies: int) -> None:
+        """Take the number of proxies that send to the same servers, this one among them."""
+        self.settings.proxies = max(1, proxies)
+        known = self._box.proxies(now) - 1
+        for pool in self._pools.values():
+            pool.inform(
+                min(1.0, (known + 1) / self.settings.proxies) if known else 0.0, self.settings.proxies
+            )
+
+    def announcements(self) -> list[Announcement]:
+        """What other proxies should be told now; each is given once."""
+        return self._box.take()
+
+    def heard(self, now: float, peer: str, announcements: Sequence[Announcement]) -> None:
+        """Another proxy tells what it has sent where."""
+        self._box.heard_from(now, peer)
+        known = self._box.proxies(now)
+        self.settings.proxies = max(self.settings.proxies, known)
+        for pool in self._pools.values():
+            pool.inform(known / self.settings.proxies, self.settings.proxies)
+        for news in announcements:
+            service = self._pools.get(news.service)
+            server = service.servers.get(news.server_id) if service else None
+            if service is None or server is None:
+                continue
+            server.will_read(now, news.tokens_to_read * service.reading.ms_per_token)
+            if news.subject:
+                server.cache.fill(max(0, news.tokens_to_read - news.subject_tokens))
+                server.cache.sent(((news.subject, news.subject_tokens),))
+
     def tick(self, now: float) -> list[Action]:
         """Do what has fallen due."""
         return []
@@ -181,12 +215,24 @@
         server = choice.server
         exchange.start(now, choice)
         server.in_flight += 1
-        server.reading_until = max(now, server.reading_until) + choice.reading_ms
+        server.waiting[request.id] = exchange
+        server.waiting_ms += choice.reading_ms
+        server.will_read(now, choice.reading_ms)
         server.cache.sent(request.prompt_parts)
+        self._tell(request, server, choice)
+        profile = pool.profile(request.route.name)
+        profile.count(now, 1)
+        profile.reading.learn(choice.reading_ms)
         priority = min(max(request.priority, FOREMOST), LAST) if pool.service.engine else None
         self.counters.add("sent")
         return [Send(request.id, server.info.id, priority)]
 
+    def _tell(self, request: DispatchRequest, server: ServerRecord, choice: Choice) -> None:
+        subject, tokens = request.prompt_parts[-2] if len(request.prompt_parts) >= 2 else ("", 0)
+        if choice.tokens_to_read > 0:
+            news = Announcement(request.service, server.info.id, subject, tokens, choice.tokens_to_read)
+            self._box.tell(news)
+
     def _give_up(self, now: float, exchange: Exchange, reason: RefusalReason) -> list[Action]:
         if exchange.may_have_run:
             return self._fail(exchange, Outcome.BROKEN)
@@ -218,20 +264,28 @@
             return False
         return self._may_repeat(exchange.request.service)
 
-    def _take(self, request_id: RequestId, server_id: str) -> tuple[Exchange, ServerRecord] | None:
+    def _take(
+        self, now: float, request_id: RequestId, server_id: str
+    ) -> tuple[Exchange, ServerRecord] | None:
         """The exchange and its server, with the attempt ended; None if it is no longer out there."""
         exchange = self._exchanges.get(request_id)
         if exchange is None or exchange.server is None or exchange.server.info.id != server_id:
             return None
         server = exchange.server
-        self._release(exchange, server)
+        self._release(now, exchange, server)
         return exchange, server
 
-    def _release(self, exchange: Exchange, server: ServerRecord) -> None:
+    def _release(self, now: float, exchange: Exchange, server: ServerRecord) -> None:
         server.in_flight -= 1
-        if exchange.first_event_at is not None:
-            server.streams -= 1
+        self._began(exchange, server)
         exchange.server = None
+        if pool := self._pools.get(exchange.request.service):
+            pool.profile(exchange.request.route.name).count(now, -1)
+
+    def _began(self, exchange: Exchange, server: ServerRecord) -> None:
+        """Its prompt is read, or will never be: it no longer waits there."""
+        if server.waiting.pop(exchange.request.id, None) is not None:
+            server.waiting_ms = server.waiting_ms - exchange.reading_ms if server.waiting else 0.0
 
     def _broke(self, now: float, exchange: Exchange, server: ServerRecord) -> None:
         self.counters.add("broke")
@@ -241,7 +295,7 @@
 
     def _learn(self, now: float, exchange: Exchange, server: ServerRecord) -> None:
         """Take the time to a first event into the estimates."""
-        server.streams += 1
+        self._began(exchange, server)
         server.health.answered(now, failed=False)
         pool = self._pools.get(exchange.request.service)
         if pool is None:
@@ -253,3 +307,11 @@
         pool.excess.learn(excess_ms)
         aim_ms = exchange.request.route.target_latency_ms
         server.idle.learn(now, exchange.sent_at, server.in_flight, taken_ms, exchange.expected_ms, aim_ms)
+
+    def _learn_stream(self, now: float, exchange: Exchange) -> None:
+        """Take the length of a whole stream into the route's profile."""
+        pool = self._pools.get(exchange.request.service)
+        if pool is None or pool.service.engine is None or exchange.first_event_at is None:
+            return
+        pool.profile(exchange.request.route.name).streaming.learn(now - exchange.first_event_at)
+        pool.separate_streams(now, self.settings.proxies)
--- a/barleybarrow/routing/pool.py
+++ b/barleybarrow/routing/pool.py
@@ -4,18 +4,27 @@
 """
 
 from collections.abc import Iterable
+from typing import TYPE_CHECKING
 
 from barleybarrow.documents import Service
-from barleybarrow.routing.actions import ServerInfo, ServerState
+from barleybarrow.routing.actions import RequestId, ServerInfo, ServerState
 from barleybarrow.routing.outliers import ServerHealth
 from barleybarrow.routing.prefix_cache import PrefixCache
-from barleybarrow.routing.rendezvous import HashRing, stable_hash
+from barleybarrow.routing.profiles import RouteProfile, servers_for_streams
+from barleybarrow.routing.rendezvous import HashRing, stable_hash, weight
 from barleybarrow.routing.speed import EXCESS_WEIGHT, ReadingTime, ServerSpeed, Smoothed
 from barleybarrow.routing.thresholds import IdleThreshold
 
+if TYPE_CHECKING:
+    from barleybarrow.routing.exchange import Exchange
+
 LARGE_FLEET = 24  # servers: up to here all are looked at for each request, beyond only a few
 
 
+RESPITE_MS = 10.0  # without a prompt to read, streams catch up: some ten tokens
+STREAMS_KEY = stable_hash("long streams")  # by which all proxies keep the same servers for them
+
+
 class ServerRecord:
     """One server: what it says of itself and what this proxy learned."""
 
@@ -23,8 +32,11 @@
         "info",
         "hash",
         "in_flight",
+        "waiting",
+        "waiting_ms",
         "reading_until",
-        "streams",
+        "reading_since",
+        "for_streams",
         "health",
         "speed",
         "idle",
@@ -38,14 +50,35 @@
         self.info = info
         self.hash = stable_hash(info.id)
         self.in_flight = 0  # own requests there
-        self.reading_until = 0.0  # when it will have read the prompts this proxy sent there
-        self.streams = 0  # own requests there that have had their first event
+        self.waiting: dict[RequestId, Exchange] = {}  # own requests there without a first event, oldest first
+        self.waiting_ms = 0.0  # to read the prompts of those
+        self.reading_until = 0.0  # when it will have read all prompts that are known of, also other proxies'
+        self.reading_since = 0.0  # since when it has hardly paused in that
+        self.for_streams = False  # kept for long streams
         self.health = ServerHealth()
         self.speed = ServerSpeed(mean_ms, now)
         self.idle = IdleThreshold(first_limit, max(info.slots, 1))
         self.cache = PrefixCache(kept_tokens)
         self.listed = True
 
+    def will_read(self, now: float, reading_ms: float) -> None:
+        """Note a prompt that is on its way there."""
+        if now > self.reading_until + RESPITE_MS:
+            self.reading_since = now
+        self.reading_until = max(now, self.reading_until) + reading_ms
+
+    def reading_span_ms(self, now: float, reading_ms: float) -> float:
+        """For how long it will have read without a pause once a prompt that is sent now is read."""
+        if now > self.reading_until + RESPITE_MS:
+            return reading_ms
+        return max(now, self.reading_until) + reading_ms - self.reading_since
+
+    def overdue_ms(self, now: float) -> float:
+        """By how much the oldest request without a first event is late: others are ahead of it."""
+        for exchange in self.waiting.values():
+            return max(0.0, now - exchange.sent_at - exchange.expected_ms)
+        return 0.0
+
 
 class ServicePool:
     """The servers of one service."""
@@ -56,13 +89,16 @@
         self.ready: list[ServerRecord] = []
         self.reading = ReadingTime()
         self.excess = Smoothed(EXCESS_WEIGHT)
+        self.informed_share = 0.0  # of the proxies, those whose sends are known
         self.failures = 0.0  # smoothed share of answers that fail, over all servers
         self.ring: HashRing | None = None
+        self.profiles: dict[str, RouteProfile] = {}  # by the route's name
+        self._stream_order: list[ServerRecord] = []  # the same in every proxy
+        self._stream_servers = 0
 
     def update(self, now: float, servers: Iterable[ServerInfo], proxies: int) -> list[ServerRecord]:
         """Take a new list; returns the records of those that are no longer on it."""
-        engine = self.service.engine
-        kept_tokens = engine.kv_capacity_tokens if engine else 0
+        kept_tokens = self._known_capacity(proxies)
         before, self.servers = self.servers, {}
         for info in servers:
             record = before.pop(info.id, None)
@@ -73,6 +109,48 @@
             self.servers[info.id] = record
         self.ready = [record for record in self.servers.values() if record.info.state == ServerState.READY]
         self.ring = HashRing(r.info.id for r in self.ready) if len(self.ready) > LARGE_FLEET else None
+        self._stream_order = sorted(
+            self.ready, key=lambda record: weight(STREAMS_KEY, record.hash), reverse=True
+        )
+        self._mark_for_streams()
         for record in before.values():
             record.listed = False
         return list(before.values())
+
+    def _known_capacity(self, proxies: int) -> float:
+        """Tokens that what this proxy knows of may fill at a server: the others' sends fill the rest."""
+        engine = self.service.engine
+        if engine is None:
+            return 0.0
+        return engine.kv_capacity_tokens * max(self.informed_share, 1 / max(proxies, 1))
+
+    def inform(self, share: float, proxies: int) -> None:
+        """Note which share of all proxies tells what it sends, this one among them."""
+        if share == self.informed_share:
+            return
+        self.informed_share = share
+        for record in self.servers.values():
+            record.cache.capacity_tokens = self._known_capacity(proxies)
+
+    def profile(self, route: str) -> RouteProfile:
+        """What is known of the requests of a route."""
+        profile = self.profiles.get(route)
+        if profile is None:
+            profile = self.profiles[route] = RouteProfile()
+        return profile
+
+    def separate_streams(self, now: float, proxies: int) -> None:
+        """Decide anew how many servers are kept for long streams, away from long prompts."""
+        streaming = [profile for profile in self.profiles.values() if profile.is_streaming]
+        wanted = 0
+        if streaming and len(streaming) < len(self.profiles) and self.ready:
+            streams = sum(profile.mean_in_flight(now) for profile in streaming) * proxies
+            slots = self.ready[0].info.slots
+            wanted = servers_for_streams(streams, slots, len(self.ready))
+        if wanted != self._stream_servers:
+            self._stream_servers = wanted
+            self._mark_for_streams()
+
+    def _mark_for_streams(self) -> None:
+        for place, record in enumerate(self._stream_order):
+            record.for_streams = place < self._stream_servers
--- a/barleybarrow/routing/prefix_cache.py
+++ b/barleybarrow/routing/prefix_cache.py
@@ -9,15 +9,19 @@
 PromptParts = tuple[tuple[str, int], ...]
 
 
+FILLER = " "  # begins the names of tokens without a part's id, which is in hex
+
+
 class PrefixCache:
     """Parts of prompts believed kept at one server, least recently used first."""
 
-    __slots__ = ("_parts", "_tokens", "capacity_tokens")
+    __slots__ = ("_fillers", "_parts", "_tokens", "capacity_tokens")
 
     def __init__(self, capacity_tokens: float) -> None:
         self.capacity_tokens = capacity_tokens
         self._parts: OrderedDict[str, int] = OrderedDict()
         self._tokens = 0
+        self._fillers = 0
 
     def __contains__(self, part_id: str) -> bool:
         return part_id in self._parts
@@ -46,8 +50,18 @@
             before = known.pop(part_id, 0)
             known[part_id] = tokens
             self._tokens += tokens - before
-        while self._tokens > self.capacity_tokens and known:
-            _, tokens = known.popitem(last=False)
+        self._drop_oldest()
+
+    def fill(self, tokens: int) -> None:
+        """Note tokens sent there that nobody will ask for by name: they push older parts out."""
+        self._fillers += 1
+        self._parts[f"{FILLER}{self._fillers}"] = tokens
+        self._tokens += tokens
+        self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        while self._tokens > self.capacity_tokens and self._parts:
+            _, tokens = self._parts.popitem(last=False)
             self._tokens -= tokens
 
     def clear(self) -> None:
--- a/barleybarrow/routing/speed.py
+++ b/barleybarrow/routing/speed.py
@@ -8,6 +8,7 @@
 FORGET_AFTER_SAMPLES = 64  # the slope needs prompts of many sizes, and the engines of a service change rarely
 FEWEST_SAMPLES = 8  # a slope through fewer points is chance
 EXCESS_WEIGHT = 1 / 8  # of a new time beyond reading: a server that turns slow shows within some ten answers
+CHANCE_SHARE = 0.5  # of the spread: twice the error of a mean over the last sixteen answers or so
 FADE_MS = 4_000.0  # what was learned of a server fades toward the mean so fast: faults last for seconds
 PAUSE_WEIGHT = 1 / 32  # of a new time per token: events are many
 FIRST_SHARE_OF_AIM = 1 / 8  # before any answer, a mean request is thought to take this share of its aim
@@ -51,19 +52,21 @@
 class ServerSpeed:
     """What one server takes beyond the reading of a prompt, smoothed; fades toward its service's mean."""
 
-    __slots__ = ("excess_ms", "samples", "_learned_at")
+    __slots__ = ("excess_ms", "spread_ms", "samples", "_learned_at")
 
     def __init__(self, excess_ms: float, now: float) -> None:
         self.excess_ms = excess_ms
+        self.spread_ms = 0.0  # smoothed distance of a time from the mean
         self.samples = 0
         self._learned_at = now
 
     def learn(self, now: float, excess_ms: float, mean_ms: float) -> None:
         """Take one answer's time beyond what its reading was expected to take."""
         before = self.at(now, mean_ms)
-        weight = EXCESS_WEIGHT if self.samples else 1 / 2
-        self.excess_ms = before + weight * (excess_ms - before)
         self.samples += 1
+        weight = max(EXCESS_WEIGHT, 1 / (self.samples + 1))
+        self.excess_ms = before + weight * (excess_ms - before)
+        self.spread_ms += weight * (abs(excess_ms - before) - self.spread_ms)
         self._learned_at = now
 
     def at(self, now: float, mean_ms: float) -> float:
@@ -72,6 +75,10 @@
             return mean_ms
         return mean_ms + (self.excess_ms - mean_ms) * exp((self._learned_at - now) / FADE_MS)
 
+    def slower_ms(self, now: float, mean_ms: float) -> float:
+        """By how much it is slower than the mean, beyond what chance makes of so few answers."""
+        return max(0.0, self.at(now, mean_ms) - mean_ms - CHANCE_SHARE * self.spread_ms)
+
 
 class Smoothed:
     """A smoothed mean that starts at its first sample."""
