Limits: keepers that are replaced, units that change, and no long stalls at the warden

Cause: found by reading: credit in tokens could be spent as requests after a change of the unit; writing off one proxy went over all accounts (15,000), as did each cleaning. Tests: keepers replaced while other troubles go on.

--- a/barleybarrow/limits/credit_ledger.py
+++ b/barleybarrow/limits/credit_ledger.py
@@ -32,6 +32,7 @@
 SETTLE_WAIT = 25.0  # milliseconds until credit of others will have been reported as spent
 HURRY_ABOVE = 0.4  # of the credit that may be outstanding
 CONTENTION = 0.5  # of a turn of all proxies that hold the key
+CLEAN_AT_ONCE = 300  # accounts
 LEAST_FRACTION = 0.01  # lent to the warden; with less it tells no meaningful wait
 
 
@@ -68,6 +69,8 @@
         self.lent, self.limit_of = lent, limit_of
         self.fresh = False  # no warden before has granted anything
         self.accounts: dict[str, KeyAccount] = {}
+        self.keys_of: dict[str, set[str]] = {}  # by proxy, where it has or had entries
+        self.to_clean: list[str] = []
 
     def first_level(self, limit: KeyLimit) -> float:
         """Where a bucket begins with the term."""
@@ -107,6 +110,7 @@
         entry = self.book(now, account, name, item, void_at)
         if entry is None:
             return None
+        self.keys_of.setdefault(name, set()).add(item.key)
         wait, settling = self.grant_need(account, limit, entry, item)
         if wait <= 0.0:
             self.grant_want(account, limit, entry, item)
@@ -179,21 +183,30 @@
 
     def write_off(self, name: str) -> None:
         """All credit of a proxy is over: it is spent or void."""
-        for account in self.accounts.values():
-            entry = account.entries.pop(name, None)
-            if entry is not None:
+        for key in self.keys_of.pop(name, ()):
+            account = self.accounts.get(key)
+            entry = account.entries.pop(name, None) if account is not None else None
+            if account is not None and entry is not None:
                 account.outstanding -= entry.outstanding
 
     def clean(self, now: float) -> None:
-        """Forget entries that nobody uses, and accounts that are as good as new."""
-        for key, account in list(self.accounts.items()):
-            limit = self.limit_of(key)
-            if limit is not None:
-                self.account(now, key, limit)
-            for name, entry in list(account.entries.items()):
-                if now - entry.heard_at > spans.IDLE_DROP:
-                    account.outstanding -= entry.outstanding
-                    del account.entries[name]
-            full = limit is None or account.level >= limit.capacity
-            if full and not account.entries and not account.orphaned:
-                del self.accounts[key]
+        """Forget entries that nobody uses, and accounts that are as good as new; a part of them at a time."""
+        if not self.to_clean:
+            self.to_clean = list(self.accounts)
+        for key in self.to_clean[-CLEAN_AT_ONCE:]:
+            if key in self.accounts:
+                self.clean_account(now, key, self.accounts[key])
+        del self.to_clean[-CLEAN_AT_ONCE:]
+
+    def clean_account(self, now: float, key: str, account: KeyAccount) -> None:
+        limit = self.limit_of(key)
+        if limit is not None:
+            self.account(now, key, limit)
+        for name, entry in list(account.entries.items()):
+            if now - entry.heard_at > spans.IDLE_DROP:
+                account.outstanding -= entry.outstanding
+                del account.entries[name]
+                self.keys_of.get(name, set()).discard(key)
+        full = limit is None or account.level >= limit.capacity
+        if full and not account.entries and not account.orphaned:
+            del self.accounts[key]
--- a/barleybarrow/limits/credit_machine.py
+++ b/barleybarrow/limits/credit_machine.py
@@ -46,7 +46,6 @@
         self.taken: set[str] = set()
         self.roster_at = now
         self.plan_at = now
-        self.clean_at = now + CLEAN_EVERY
 
 
 class CreditMachine(WardenLease):
@@ -177,9 +176,7 @@
         for name in books.members.silent(now):
             books.ledger.write_off(name)
         books.members.forget(now)
-        if now >= books.clean_at:
-            books.clean_at = now + CLEAN_EVERY
-            books.ledger.clean(now)
+        books.ledger.clean(now)
         if books.pending is None:
             self.make_plan(now, books)
         elif now >= books.roster_at:
--- a/barleybarrow/limits/limits.py
+++ b/barleybarrow/limits/limits.py
@@ -8,7 +8,7 @@
 
 from random import Random
 
-from barleybarrow.documents import Service, Tenant
+from barleybarrow.documents import QuotaUnit, Service, Tenant
 from barleybarrow.limits.bounds import KeyLimit, LimitBounds, quota_limit, retry_limit
 from barleybarrow.limits.credit_client import Verdict
 from barleybarrow.limits.credit_machine import CreditMachine
@@ -16,10 +16,11 @@
 from barleybarrow.limits.retries import RetryBudget
 from barleybarrow.limits.tenants import TenantTable
 
-QUOTA_PREFIX = "quota:"
+QUOTA_PREFIX, TOKENS_PREFIX = "quota:", "tokens:"  # two, as credit of one unit must not be spent in the other
 RETRY_PREFIX = "retry:"
 REPEAT_COST = 1.0
 RETRY_AFTER_LEAST, RETRY_AFTER_MOST = 100.0, 5000.0  # milliseconds that a refused client is told to wait
+RETRY_AFTER_ALONE = 600.0  # where no warden answers: half of what another takes to follow
 
 __all__ = ["Limits", "Verdict"]
 
@@ -66,12 +67,10 @@
 
     def quota_changed(self, name: str) -> None:
         tenant = self.tenants.by_name.get(name)
-        key = QUOTA_PREFIX + name
+        self.limits.pop(self.quota_keys.pop(name, ""), None)
         limit = quota_limit(tenant, self.bounds) if tenant is not None else None
-        if limit is None:
-            self.limits.pop(key, None)
-            self.quota_keys.pop(name, None)
-        else:
+        if tenant is not None and limit is not None:
+            key = (TOKENS_PREFIX if tenant.unit == QuotaUnit.TOKENS else QUOTA_PREFIX) + name
             self.limits[key] = limit
             self.quota_keys[name] = key
 
@@ -118,12 +117,15 @@
     def retry_after_ms(self, now: float, tenant: Tenant, cost: float) -> float:
         """How long the client of a refused request had best wait, in milliseconds."""
         key = self.quota_keys.get(tenant.name)
-        entry = self.client.entries.get(key) if self.client is not None and key is not None else None
-        if key is None or entry is None:
+        if self.client is None or key is None:
+            return RETRY_AFTER_LEAST
+        entry = self.client.entries.get(key)
+        if entry is None:
             return RETRY_AFTER_LEAST
         rest = max(0.0, entry.blocked_until - now)
         whole = 1000.0 * cost / self.limits[key].rate
-        return min(RETRY_AFTER_MOST, max(RETRY_AFTER_LEAST, 2.0 * rest, whole))
+        least = RETRY_AFTER_LEAST if now < self.client.valid_until else RETRY_AFTER_ALONE
+        return min(RETRY_AFTER_MOST, max(least, 2.0 * rest, whole))
 
     def requested(self, now: float, service: str) -> None:
         """Count a client's request for a service."""
--- a/tests/fleet/test_limits_worlds.py
+++ b/tests/fleet/test_limits_worlds.py
@@ -57,6 +57,16 @@
                     world.at(9900.0, "call", "start", name)
                 self.assertEqual(broken(world), "")
 
+    def test_keepers_that_are_replaced(self) -> None:
+        for seed in range(200, 215):
+            with self.subTest(seed=seed):
+                world = troubled_world(seed, LENGTH, pause=4000.0)
+                for at in (7000.0, 10_000.0, 13_000.0):
+                    world.at(
+                        at + 500.0 * world.rng.random(), "call", "replace_keeper", f"c{at // 3000 - 2:.0f}"
+                    )
+                self.assertEqual(broken(world), "")
+
 
 class PlantedBugs(unittest.TestCase):
     """Each bug is one that the design guards against; the checks of `WhateverFails` must find it."""
