Data plane: faults around it, bytes at random, idle server connections in turn

Cause: surplus clients were closed in any order; a request with two ids, or with none, waited for an answer until its deadline; the two of three idle server connections that nobody used expired and were opened anew. Ruled out: keeping all idle connections in turn (they count against MaxConnections of the server). Change: 400 for two ids; a server's own 400 is passed on; idle connections are used in turn up to 4 a server; MaxHeaderBytes leaves room for the request line.

--- a/brackenusher/data_plane/exchange.py
+++ b/brackenusher/data_plane/exchange.py
@@ -359,10 +359,9 @@
 
     def _is_rejection(self) -> bool:
         held = self._held
-        return held is not None and (
-            held.status == MISDIRECTED
-            or (held.status >= 400 and first_value(held.headers, NOT_EXECUTED) is not None)
-        )
+        if held is None or held.status not in PROMISES:
+            return False
+        return held.status == MISDIRECTED or first_value(held.headers, NOT_EXECUTED) is not None
 
     def _fault(self, status: int, headers: list[Header]) -> str:
         """Why an answer cannot be this request's; empty if it can."""
--- a/brackenusher/data_plane/front_connection.py
+++ b/brackenusher/data_plane/front_connection.py
@@ -17,6 +17,7 @@
 
 log = logging.getLogger(__name__)
 
+REQUEST_LINE_BYTES = 8 * 1024  # allowed beside MaxHeaderBytes, which may mean the fields alone
 DEFAULT_HEAD_BYTES = 64 * 1024  # before a configuration states MaxHeaderBytes
 MAX_PIPELINED_BYTES = 64 * 1024  # of later requests, kept while one is answered; then reading pauses
 WRITE_HIGH_WATER_BYTES = 64 * 1024  # unsent bytes of an answer; above, the server's connection is not read
@@ -97,10 +98,11 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, handler: RequestHandler) -> None:
         self.expires_at = NEVER  # seconds on the loop's clock: when `expire` is to be called
+        self.rested_at = 0.0  # seconds on the loop's clock: since when nothing was under way
         self._loop = loop
         self._handler = handler
         self._limits = handler.front_limits()
-        self._max_head_bytes = self._limits.max_header_bytes or DEFAULT_HEAD_BYTES
+        self._max_head_bytes = most_head_bytes(self._limits)
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=self._max_head_bytes)
         self._transport: asyncio.Transport | None = None
         self._head: RequestHead | None = None
@@ -278,6 +280,8 @@
             return OwnAnswer(400, "both Content-Length and Transfer-Encoding")
         if facts.chunked and request.http_version < b"1.1":
             return OwnAnswer(400, "Transfer-Encoding in HTTP/1.0")
+        if facts.has_two_ids:
+            return OwnAnswer(400, "more than one X-Brackenusher-Request-Id")
         if request.method == b"CONNECT":
             return OwnAnswer(400, "CONNECT is not served")
         size = len(request.target) + sum(len(name) + len(value) + 4 for name, value in request.headers)
@@ -329,8 +333,9 @@
         """Nothing is under way: the client may begin a request within the idle time."""
         self._resting = True
         self._limits = self._handler.front_limits()
-        self._max_head_bytes = self._limits.max_header_bytes or DEFAULT_HEAD_BYTES
-        self.expires_at = self._loop.time() + (self._limits.idle_timeout_ms / 1000.0 or NEVER)
+        self._max_head_bytes = most_head_bytes(self._limits)
+        self.rested_at = self._loop.time()
+        self.expires_at = self.rested_at + (self._limits.idle_timeout_ms / 1000.0 or NEVER)
 
     def _bound_pipelined(self) -> None:
         if len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES and self._transport is not None:
@@ -409,6 +414,13 @@
         self._body_size = 0
 
 
+def most_head_bytes(limits: ClientLimits) -> int:
+    """How large a request's head may be, with its request line."""
+    if not limits.max_header_bytes:
+        return DEFAULT_HEAD_BYTES
+    return limits.max_header_bytes + REQUEST_LINE_BYTES
+
+
 def reason_phrase(status: int) -> bytes:
     """The usual words behind a status."""
     return REASON_PHRASES.get(status, b"Unknown")
--- a/brackenusher/data_plane/headers.py
+++ b/brackenusher/data_plane/headers.py
@@ -42,6 +42,7 @@
     """What the headers of one request say to the proxy. Empty or None: absent or not readable."""
 
     request_id: bytes | None = None
+    has_two_ids: bool = False
     host: str = ""
     api_key: str | None = None
     deadline_ms: float | None = None
@@ -58,6 +59,7 @@
     facts = RequestFacts()
     for name, value in headers:
         if name == REQUEST_ID:
+            facts.has_two_ids = facts.request_id is not None
             facts.request_id = value
         elif name == b"host":
             facts.host = value.decode("latin-1")
--- a/brackenusher/data_plane/server.py
+++ b/brackenusher/data_plane/server.py
@@ -107,7 +107,7 @@
         if surplus <= 0:
             return
         idle = sorted(
-            (front for front in self._proxy.fronts if front.idle), key=lambda front: front.expires_at
+            (front for front in self._proxy.fronts if front.idle), key=lambda front: front.rested_at
         )
         for front in idle[:surplus]:
             front.close()
--- a/brackenusher/data_plane/upstream_pool.py
+++ b/brackenusher/data_plane/upstream_pool.py
@@ -1,6 +1,6 @@
 """Connections to the servers, by server id: reused while idle, bounded, closed before the server does it.
 
-A new connection is dear to the server, so a free one is always taken first, the last used before the others.
+A new connection is dear to the server, so a free one is always taken first.
 An address may pass to another server; a connection never does: it belongs to one server id.
 """
 
@@ -16,9 +16,8 @@
 
 CONNECT_TIMEOUT_S = 0.3  # longer than round trips; a dropped opening packet comes again only after 1 s
 DEFAULT_CONNECTIONS = 64  # for each server, where the configuration states no MaxConnections
-SETTLE_S = (
-    0.002  # a server over its limit resets right after accepting; seen in this time, nothing was sent yet
-)
+SETTLE_S = 0.002  # a server over its limit resets right after accepting; seen so soon, nothing was sent
+USED_IN_TURN = 4  # so many connections to a server are used in turn, so that none expires; more may
 
 
 class ConnectionTaker(Protocol):
@@ -114,7 +113,8 @@
     def _take_idle(self, server: ServerConnections) -> UpstreamConnection | None:
         now = self._loop.time()
         while server.idle:
-            connection = server.idle.pop()
+            in_turn = len(server.open) <= USED_IN_TURN
+            connection = server.idle.pop(0 if in_turn else -1)
             if connection.idle_until > now and not connection.has_unread():
                 return connection
             connection.close()
--- a/tests/fleet/test_data_plane_answers.py
+++ b/tests/fleet/test_data_plane_answers.py
@@ -110,6 +110,18 @@
         self.assertEqual(self.dispatcher.outcomes(), [Outcome.ERROR_STATUS])
 
 
+class WithoutAnId(DataPlaneTest):
+    async def test_the_servers_own_400_is_passed_on(self) -> None:
+        await self.serve(says(rejection("400 Bad Request")), hello)
+        data = request_bytes("/unsafe/x").replace(b"X-Brackenusher-Request-Id: a1\r\n", b"")
+        self.assertEqual((await self.ask(data)).status, 400)
+
+    async def test_two_ids_are_refused(self) -> None:
+        (upstream,) = await self.serve(hello)
+        reply = await self.ask(request_bytes(extra="X-Brackenusher-Request-Id: a2\r\n"))
+        self.assertEqual((reply.status, upstream.seen), (400, []))
+
+
 class LateAnswers(DataPlaneTest):
     async def test_an_extra_answer_in_the_place_of_the_next_is_read_away(self) -> None:
         earlier = SeenRequest("", {"x-brackenusher-request-id": "earlier"}, b"", 0)
