Configuration shard: random histories in virtual time, an oracle, planted faults

The shard had no test under faults. fleet_simulation runs the shipped node and store on emulated disks, links and clocks from one seed; config_oracle reads only the operators' calls.

--- a/barleybarrow/consensus/config_node.py
+++ b/barleybarrow/consensus/config_node.py
@@ -96,6 +96,8 @@
 class ConfigNode:
     """A replica of the configuration: voter, or learner."""
 
+    max_log_entries = MAX_LOG_ENTRIES
+
     def __init__(self, options: NodeOptions, rng: Random, now: float, kept: DurableState | None) -> None:
         self.options, self.name, self.rng = options, options.name, rng
         self.state = ConfigurationState()
@@ -302,7 +304,7 @@
 
     def _compact(self) -> None:
         agreement = self.agreement
-        full = self.log_bytes > MAX_LOG_BYTES or len(agreement.entries) > MAX_LOG_ENTRIES
+        full = self.log_bytes > MAX_LOG_BYTES or len(agreement.entries) > self.max_log_entries
         if not full or self.applied_index != agreement.applied:
             return
         if agreement.compact(self.applied_index, self.state.snapshot()) is not None:
--- a/barleybarrow/consensus/configuration_state.py
+++ b/barleybarrow/consensus/configuration_state.py
@@ -48,6 +48,9 @@
     error: str = ""
 
 
+NO_ANSWER = OrderOutcome(OrderStatus.UNCLEAR, "no clear answer: send the order again unchanged")
+
+
 class Order(Struct, array_like=True, frozen=True, tag=1):
     """One order in the log. The body is compressed; `received_at` is Unix milliseconds at the leader."""
 
--- a/barleybarrow/consensus/order_queue.py
+++ b/barleybarrow/consensus/order_queue.py
@@ -22,6 +22,7 @@
 
 from barleybarrow.agreement import Agreement, Role
 from barleybarrow.consensus.configuration_state import (
+    NO_ANSWER,
     ConfigurationState,
     Document,
     Order,
@@ -33,7 +34,6 @@
 )
 
 MAX_ORDERS = 64  # under way at once; operators have eight
-NO_LEADER = OrderOutcome(OrderStatus.UNCLEAR, "no process leads now: send the order again")
 TOO_MANY = OrderOutcome(OrderStatus.UNCLEAR, "too many orders are under way: send the order again")
 
 
@@ -89,7 +89,7 @@
         if order.digest in self.state.taken:
             self.outcomes.append((ticket, OrderOutcome(OrderStatus.TAKEN)))
         elif self.agreement.role is not Role.LEADER:
-            self.outcomes.append((ticket, NO_LEADER))
+            self.outcomes.append((ticket, NO_ANSWER))
         elif order.digest in self.jobs:
             self.jobs[order.digest].tickets.append(ticket)
         elif len(self.jobs) >= MAX_ORDERS:
@@ -115,7 +115,7 @@
     def abandon(self) -> None:
         """This process leads no longer: what is under way has no clear answer."""
         for job in list(self.jobs.values()):
-            self._finish(job, NO_LEADER)
+            self._finish(job, NO_ANSWER)
         self.confirming.clear()
 
     def checked(self, now: float, digest: bytes, error: str) -> None:
@@ -130,7 +130,7 @@
         if job.index:
             job.phase = Phase.PROPOSED
         else:
-            self._finish(job, NO_LEADER)
+            self._finish(job, NO_ANSWER)
 
     def applied(self, index: int, order: Order, outcome: OrderOutcome) -> None:
         """An order of the log was applied here."""
--- a/brackenusher/control_plane/config_shard.py
+++ b/brackenusher/control_plane/config_shard.py
@@ -18,6 +18,7 @@
 from barleybarrow.consensus.config_node import ConfigNode, NodeOptions, Work
 from barleybarrow.consensus.configuration_state import (
     MAX_BODY_BYTES,
+    NO_ANSWER,
     Document,
     OrderKind,
     OrderOutcome,
@@ -52,7 +53,6 @@
 MAX_CACHED = 4  # configurations that were checked and are not in force yet
 
 Check = Callable[[Document], "Result[Configuration, Exception]"]
-UNCLEAR = OrderOutcome(OrderStatus.UNCLEAR, "no clear answer in time: send the order again unchanged")
 
 
 class ConfigShard:
@@ -153,7 +153,7 @@
             if outcome.status != OrderStatus.UNCLEAR:
                 return outcome
             await asyncio.sleep(min(PAUSE_S, max(0.0, ends - self._loop.time())))
-        return UNCLEAR
+        return NO_ANSWER
 
     def document(self) -> Document | None:
         """The newest committed document here, as the operator sent it."""
@@ -234,7 +234,7 @@
     async def _attempt(self, kind: str, base_version: int, body: bytes, timeout_s: float) -> OrderOutcome:
         node, leader = self._node, self.leader()
         if node is None or not leader:
-            return UNCLEAR
+            return NO_ANSWER
         future: asyncio.Future[OrderOutcome] = self._loop.create_future()
         key = next(self._ids)
         if node.is_leader:
@@ -243,11 +243,11 @@
             self._forwarded[key] = future
             if not self.links.send(leader, messages.OrderRequest(key, kind, base_version, body)):
                 del self._forwarded[key]
-                return UNCLEAR
+                return NO_ANSWER
         try:
             return await asyncio.wait_for(future, timeout_s)
         except TimeoutError:
-            return UNCLEAR
+            return NO_ANSWER
         finally:
             self._forwarded.pop(key, None)
 
@@ -267,7 +267,7 @@
             self.links.send(sender, messages.OrderResult(request.id, int(outcome.status), outcome.error))
 
         if self._stopped or not self.is_leader:
-            answer(UNCLEAR)
+            answer(NO_ANSWER)
         else:
             self._take_order(request.kind, request.base_version, request.body, answer)
 
@@ -371,7 +371,7 @@
         """What was passed on to a leader that is gone gets no answer."""
         if address == self._leader:
             for future in list(self._forwarded.values()):
-                settle(future, UNCLEAR)
+                settle(future, NO_ANSWER)
 
     # The machine
 
--- /dev/null
+++ b/tests/fleet/config_schedules.py
@@ -0,0 +1,402 @@
+"""Random days of the configuration shard: operators and faults drawn from one seed, and what they came to."""
+
+import json
+import random
+from collections.abc import Callable
+from itertools import count
+
+from barleybarrow.consensus.config_node import ConfigNode
+from brackenusher.storage.slot_store import SlotStore
+from tests.fleet.config_oracle import TAKEN, Call, Oracle, SentOrder
+from tests.fleet.fleet_simulation import Machine, Story, World
+
+START_MS = 300.0  # within which all processes begin
+FIRST_MS = 4000.0  # the first order is due after the start
+TROUBLE_FROM_MS, TROUBLE_UNTIL_MS = 2000.0, 10_000.0
+CONTACT_MS, ACK_MS = 3000.0, 4000.0
+END_MS = 20_000.0
+TRIES = 12  # of one order
+ROUTES = 6  # names that patches use
+
+
+class Schedule:
+    """One day."""
+
+    def __init__(
+        self,
+        seed: int,
+        node_class: type[ConfigNode] = ConfigNode,
+        store_class: type[SlotStore] = SlotStore,
+    ) -> None:
+        self.rng = random.Random(seed)
+        machines, tolerated = self.rng.choice([(3, 1), (3, 1), (3, 1), (4, 1), (5, 2)])
+        self.world = World(seed, machines, tolerated)
+        self.world.node_class, self.world.store_class = node_class, store_class
+        self.numbers = count(1)
+        self.calm_from = TROUBLE_UNTIL_MS
+        self.lost_machines = 0
+        self.fresh_names = count(1)
+        self.faults: list[Callable[[], None]] = [
+            self.kill,
+            self.kill,
+            self.lose_power,
+            self.kill_leader,
+            self.stop,
+            self.isolate,
+            self.isolate,
+            self.cut_pair,
+            self.reset,
+            self.stall_disk,
+            self.fill_disk,
+            self.slow_disk,
+            self.freeze,
+            self.wipe,
+            self.wipe,
+            self.replace,
+            self.kill_all,
+            self.lose_power_of_all,
+            self.lose_power_while_writing,
+            self.lose_power_while_writing,
+            self.wipe_one_and_lose_power_of_others,
+            self.wipe_one_and_lose_power_of_others,
+            self.isolate_one_then_wipe_another,
+            self.isolate_one_then_wipe_another,
+        ]
+        self.world.on_power_lost = lambda machine: self.restart(machine, self.rng.uniform(100.0, 1500.0))
+
+    def play(self) -> list[str]:
+        """Play the day: all problems that the oracle found."""
+        world = self.world
+        for machine in list(world.machines.values()):
+            world.at(self.rng.uniform(0.0, START_MS), lambda machine=machine: world.start(machine, True))
+        world.at(START_MS, lambda: world.spawn(self.first_order()))
+        for _ in range(self.rng.randint(1, 3)):
+            world.at(TROUBLE_FROM_MS / 2, lambda: world.spawn(self.operator()))
+        for _ in range(self.rng.randint(1, 8)):
+            at, fault = self.rng.uniform(TROUBLE_FROM_MS, TROUBLE_UNTIL_MS), self.rng.choice(self.faults)
+            if self.rng.random() < 0.5:
+                world.at(at, lambda fault=fault: self.after_next_acknowledgement(fault))
+            else:
+                world.at(at, fault)
+        world.at(TROUBLE_UNTIL_MS, self.heal_all)
+        world.at(TROUBLE_UNTIL_MS + CONTACT_MS, lambda: world.spawn(self.last_order()))
+        world.run_until(END_MS)
+        return Oracle(world.history, json.loads).judge()
+
+    # Operators
+
+    def any_machine(self) -> str:
+        """A machine that operators may call, down or not."""
+        return self.rng.choice([m.name for m in self.world.machines.values() if not m.removed])
+
+    def make_order(self, base: int) -> SentOrder:
+        """A new order on top of a version."""
+        number = next(self.numbers)
+        generation = base + self.rng.randint(1, 5)
+        valid = self.rng.random() > 0.1
+        names = [f"route-{i}" for i in range(ROUTES)]
+        items = [{"Name": name, "Order": number} for name in self.rng.sample(names, 2)]
+        change: dict[str, object]
+        if base and self.rng.random() < 0.5:
+            kind, change = "patch", {"Generation": generation, "Upsert": {"Routes": items}}
+            change["Remove"] = {"Routes": self.rng.sample(names, 1)} if self.rng.random() < 0.3 else {}
+            if not valid:
+                change["Generation"] = base
+        else:
+            kind, change = "replace", {"Generation": generation, "Routes": items}
+            if not valid:
+                change["Invalid"] = True
+        return SentOrder(number, kind, base, generation, json.dumps(change), valid)
+
+    def send(self, order: SentOrder, tries: int = TRIES) -> Story:
+        """Send an order until there is a clear answer; the last call is `self.last`."""
+        for number in range(tries):
+            call: Call = yield "order", (self.any_machine(), order)
+            if call.status == TAKEN or 400 <= call.status < 500:
+                return
+            yield "sleep", 50.0 * (number + 1)
+
+    def read(self, tries: int) -> Story:
+        """Read until there is an answer; the version is `self.version`."""
+        for _ in range(tries):
+            call: Call = yield "read", self.any_machine()
+            if call.status == TAKEN:
+                return
+            yield "sleep", 100.0
+
+    def newest(self) -> int:
+        """The newest version that any call has told."""
+        found = 0
+        for call in self.world.history.calls:
+            if call.status == TAKEN and call.order is not None:
+                found = max(found, call.order.generation)
+            elif call.status == TAKEN and call.document is not None:
+                found = max(found, call.document["Generation"])
+        return found
+
+    def taken(self, order: SentOrder) -> bool:
+        """Whether an order was acknowledged."""
+        return any(c.order is order and c.status == TAKEN for c in self.world.history.calls)
+
+    def first_order(self) -> Story:
+        """The first configuration; due soon after the start."""
+        order = SentOrder(next(self.numbers), "replace", 0, 3, '{"Generation": 3, "Routes": []}')
+        yield from self.send(order, 100)
+        if self.world.now > FIRST_MS:
+            self.world.history.overdue.append(f"the first order was taken at {self.world.now:.0f}")
+
+    def operator(self) -> Story:
+        """Read, change, now and then send a change that was taken once more."""
+        while self.world.now < self.calm_from:
+            yield from self.read(3)
+            order = self.make_order(self.newest())
+            if self.rng.random() < 0.3:
+                self.world.spawn(self.send(order))
+            yield from self.send(order)
+            if self.rng.random() < 0.3:
+                self.world.spawn(self.send(order))
+                yield "sleep", self.rng.uniform(0.0, 300.0)
+            if self.rng.random() < 0.3:
+                acknowledged = [c.order for c in self.world.history.calls if c.order and c.status == TAKEN]
+                if acknowledged:
+                    yield from self.send(self.rng.choice(acknowledged[-5:]))
+            yield "sleep", self.rng.uniform(10.0, 500.0)
+
+    def last_order(self) -> Story:
+        """In a calm stretch a proper order is taken in time, and every machine gives the newest document."""
+        began = self.world.now
+        while True:
+            yield from self.read(50)
+            order = SentOrder(next(self.numbers), "replace", self.newest(), self.newest() + 1, "")
+            order = SentOrder(
+                order.number, "replace", order.base, order.generation, f'{{"Generation": {order.generation}}}'
+            )
+            yield from self.send(order)
+            if self.taken(order) or self.world.now - began > ACK_MS:
+                break
+        if self.world.now - began > ACK_MS:
+            self.world.history.overdue.append(
+                f"no order was taken for {self.world.now - began:.0f} ms of calm"
+            )
+        for machine in list(self.world.machines.values()):
+            if not machine.removed:
+                call: Call = yield "read", machine.name
+                if call.status != TAKEN:
+                    self.world.history.overdue.append(f"{machine.name} gave no document in calm")
+
+    # Faults
+
+    def running(self) -> list[Machine]:
+        """Machines that count and run."""
+        return [m for m in self.world.machines.values() if m.node is not None and m.counts]
+
+    def pick(self) -> Machine | None:
+        """Any machine that counts and runs; often the leader."""
+        running = self.running()
+        leaders = [m for m in running if m.node is not None and m.node.is_leader]
+        if leaders and self.rng.random() < 0.4:
+            return leaders[0]
+        return self.rng.choice(running) if running else None
+
+    def restart(self, machine: Machine, delay: float) -> None:
+        """Start a machine's process again after a while."""
+
+        def again() -> None:
+            if machine.node is None and not machine.removed:
+                self.world.start(machine)
+
+        self.world.at(delay, again)
+
+    def kill(self, machine: Machine | None = None, power: bool = False) -> None:
+        """End a process, back soon."""
+        machine = machine or self.pick()
+        if machine is not None:
+            self.world.kill(machine, power)
+            self.restart(machine, self.rng.uniform(100.0, 3000.0))
+
+    def kill_leader(self) -> None:
+        """End the process that leads."""
+        for machine in self.running():
+            if machine.node is not None and machine.node.is_leader:
+                self.kill(machine, self.rng.random() < 0.3)
+
+    def lose_power(self) -> None:
+        """One machine loses power."""
+        self.kill(power=True)
+
+    def kill_all(self) -> None:
+        """All processes that count end at once, and are back within a second."""
+        for machine in self.running():
+            self.world.kill(machine)
+            self.restart(machine, self.rng.uniform(100.0, 1000.0))
+
+    def lose_power_of_all(self) -> None:
+        """All machines that count lose power at once; some take longer to come back."""
+        for machine in self.running():
+            self.world.kill(machine, power=True)
+            self.restart(machine, self.rng.uniform(100.0, self.rng.choice([1000.0, 4000.0])))
+
+    def stop(self) -> None:
+        """A planned end, back soon."""
+        machine = self.pick()
+        if machine is not None:
+            self.world.stop(machine)
+            self.restart(machine, self.rng.uniform(300.0, 1500.0))
+
+    def isolate(self) -> None:
+        """One machine is cut from all others."""
+        machine = self.pick()
+        if machine is not None:
+            others = [m.name for m in self.world.machines.values() if m is not machine]
+            self.cut(machine.name, others)
+
+    def cut_pair(self) -> None:
+        """Two machines are cut from one another."""
+        names = [m.name for m in self.running()]
+        if len(names) > 1:
+            one, other = self.rng.sample(names, 2)
+            self.cut(one, [other])
+
+    def cut(self, one: str, others: list[str]) -> None:
+        """Cut, and heal after a while."""
+        says_so, lasts = self.rng.random() < 0.4, self.rng.uniform(300.0, 5000.0)
+        for other in others:
+            self.world.cut(one, other, says_so)
+            self.world.at(lasts, lambda other=other: self.world.heal(one, other))
+
+    def reset(self) -> None:
+        """All connections of a machine break once."""
+        machine = self.pick()
+        if machine is not None:
+            for name in list(machine.sessions):
+                self.world.reset(machine.name, name)
+
+    def stall_disk(self) -> None:
+        """A disk does nothing for a while."""
+        machine = self.pick()
+        if machine is not None:
+            machine.stalled_until = self.world.now + self.rng.uniform(500.0, 4000.0)
+
+    def slow_disk(self) -> None:
+        """A disk is slow for a while."""
+        machine = self.pick()
+        if machine is not None:
+            machine.slow_disk = 25.0
+            self.world.at(5000.0, lambda: setattr(machine, "slow_disk", 1.0))
+
+    def fill_disk(self) -> None:
+        """A disk refuses writes for a while."""
+        machine = self.pick()
+        if machine is not None:
+            machine.disk.full = True
+            self.world.at(self.rng.uniform(500.0, 4000.0), lambda: setattr(machine.disk, "full", False))
+
+    def freeze(self) -> None:
+        """A process stands still for a while."""
+        machine = self.pick()
+        if machine is not None:
+            machine.frozen_until = self.world.now + self.rng.uniform(300.0, 4000.0)
+
+    def may_lose(self, machine: Machine) -> bool:
+        """Whether one more may lose what it holds: no more than are tolerated, until they have caught up."""
+        machines = self.world.machines
+        for other in machines.values():
+            if other.wiped and other.node is not None and not other.node.agreement.barred:
+                other.wiped = False
+        newest = max(self.running(), key=lambda m: m.node.agreement.commit if m.node else 0)
+        assert newest.node is not None
+        voters = newest.node.agreement.voters
+        lost = [name for name in voters if machines[name].removed or machines[name].wiped]
+        return len({*lost, machine.name}) <= self.world.tolerated
+
+    def wipe(self) -> None:
+        """A machine loses its disk, and starts at its old address."""
+        machine = self.pick()
+        if machine is not None and self.may_lose(machine):
+            self.lose_disk(machine)
+
+    def replace(self) -> None:
+        """A machine is removed for good, and an empty one at a new address takes its place."""
+        machine = self.pick()
+        if machine is None or not self.may_lose(machine):
+            return
+        name = f"10.0.2.{next(self.fresh_names)}:7680"
+        fresh = self.world.add_machine(name, machine.zone, counts=True)
+        if self.rng.random() < 0.4:  # planned: the new one comes first
+            self.restart(fresh, 0.0)
+            self.world.at(self.rng.uniform(500.0, 2500.0), lambda: self.remove(machine))
+        else:
+            self.remove(machine)
+            self.restart(fresh, self.rng.uniform(300.0, 2500.0))
+
+    def remove(self, machine: Machine) -> None:
+        """Take a machine away for good, where the others can bear it."""
+        if machine.node is not None and self.may_lose(machine):
+            machine.removed = True
+            self.world.kill(machine, power=True)
+
+    def after_next_acknowledgement(self, fault: Callable[[], None]) -> None:
+        """Have a fault come right after an order was acknowledged."""
+        seen = len(self.world.history.calls)
+
+        def look() -> None:
+            if any(c.order is not None and c.status == TAKEN for c in self.world.history.calls[seen:]):
+                fault()
+            elif self.world.now < TROUBLE_UNTIL_MS - 500.0:
+                self.world.at(0.3, look)
+
+        look()
+
+    def lose_power_while_writing(self) -> None:
+        """Power goes in the middle of one of the next writes."""
+        machine = self.pick()
+        if machine is not None:
+            machine.disk.power_lost_at = machine.disk.operations + self.rng.randint(1, 12)
+
+    def wipe_one_and_lose_power_of_others(self) -> None:
+        """As many as are tolerated lose their disks, while all others lose power."""
+        running = self.running()
+        for machine in self.rng.sample(running, min(self.world.tolerated, len(running))):
+            if self.may_lose(machine):
+                self.lose_disk(machine)
+        self.lose_power_of_all()
+
+    def isolate_one_then_wipe_another(self) -> None:
+        """One machine misses what the others agree on; one of those loses its disk, and the others power."""
+        machine = self.pick()
+        if machine is None:
+            return
+        for other in self.running():
+            self.world.cut(machine.name, other.name, says_so=True)
+            self.world.at(1500.0, lambda other=other: self.world.heal(machine.name, other.name))
+        self.world.at(900.0, lambda: self.after_next_acknowledgement(lambda: self.wipe_beside(machine)))
+
+    def wipe_beside(self, spared: Machine) -> None:
+        """Another machine loses its disk, and a third its power."""
+        others = [m for m in self.running() if m is not spared]
+        self.rng.shuffle(others)
+        for machine in others[:1]:
+            if self.may_lose(machine):
+                self.lose_disk(machine)
+        for machine in others[1:]:
+            self.world.kill(machine, power=True)
+            self.restart(machine, self.rng.uniform(100.0, 4000.0))
+
+    def lose_disk(self, machine: Machine) -> None:
+        """A machine's disk is replaced by an empty one."""
+        machine.wiped = True
+        self.world.kill(machine, power=True)
+        machine.disk.wipe()
+        self.restart(machine, self.rng.uniform(100.0, 1500.0))
+
+    def heal_all(self) -> None:
+        """The end of all trouble."""
+        world = self.world
+        for one, other in list(world.cuts):
+            world.heal(one, other)
+        for machine in world.machines.values():
+            machine.disk.full, machine.slow_disk = False, 1.0
+            machine.disk.power_lost_at = 0
+            machine.stalled_until = machine.frozen_until = min(machine.stalled_until, world.now)
+            if machine.node is None:
+                self.restart(machine, 0.0)
--- a/tests/fleet/emulated_disk.py
+++ b/tests/fleet/emulated_disk.py
@@ -1,4 +1,4 @@
-"""A disk in memory that loses power, fills up and fails at a numbered operation: a `storage.files.FileSystem`."""
+"""A disk in memory that loses power, fills up and fails at numbered operations: a `FileSystem`."""
 
 import errno
 import random
@@ -37,7 +37,7 @@
 
 
 class EmulatedDisk:
-    """Files by path. `operations` counts the calls that change something; `fail_at` names the one that fails."""
+    """Files by path. `operations` counts the calls that change something, for the faults below."""
 
     def __init__(self, rng: random.Random, capacity: int = 2**40) -> None:
         self.rng, self.capacity = rng, capacity
--- /dev/null
+++ b/tests/fleet/play_config_histories.py
@@ -0,0 +1,27 @@
+"""Plays random histories of the configuration shard: `python -m tests.fleet.play_config_histories
+FIRST COUNT`.
+"""
+
+import sys
+import traceback
+
+from tests.fleet.config_schedules import Schedule
+
+
+def main(first: int, histories: int) -> int:
+    """Play them and print the seeds with problems: how many there were."""
+    found = 0
+    for seed in range(first, first + histories):
+        try:
+            problems = Schedule(seed).play()
+        except Exception:  # a seed that ends the simulation is a finding as well
+            problems = [traceback.format_exc()]
+        if problems:
+            found += 1
+            print(seed, *problems[:5], sep="\n  ", flush=True)
+    print(f"{histories} histories from seed {first}: {found} with problems")
+    return found
+
+
+if __name__ == "__main__":
+    sys.exit(bool(main(int(sys.argv[1]), int(sys.argv[2]))))
