Data plane: a half-closed client of a silent stream is taken as gone once clients give up

Cause: the end of a client's sending may be a half-close or the whole client leaving; a stream in its server's queue was held up to its deadline (15 s) for clients that were gone. Ruled out: taking each half-close as leaving (such clients are owed their answer); probing by interim answers (no client asked for them). Change: after the silence at which clients give a stream up by the protocol, the exchange ends and its server is freed.

--- a/brackenusher/data_plane/exchange.py
+++ b/brackenusher/data_plane/exchange.py
@@ -10,6 +10,7 @@
 """
 
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -47,6 +48,11 @@
     (408, 421, 429, 503)
 )  # statuses that promise that the request has not run and never will
 MISDIRECTED = 421
+# Clients give a stream up after a silence of the longest of these three.
+PATIENCE_MS = 2000.0
+PATIENCE_MARGIN_MS = 100.0  # the last event reaches the client later than it leaves here
+PATIENCE_AIMS = 4  # times the latency objective of the route
+PATIENCE_GAPS = 8  # times the longest pause that the route allows between events
 
 
 class State(Enum):
@@ -125,6 +131,9 @@
     def closed(self, exchange: "Exchange") -> None:
         """The exchange has had its final answer."""
 
+    def call_at(self, moment_s: float, callback: Callable[[], None]) -> None:
+        """Call back at this moment of the loop's clock."""
+
 
 @dataclass(slots=True)
 class HeldAnswer:
@@ -170,6 +179,7 @@
         self._position = StreamPosition(request.facts.last_event_id)
         self._events_passed = 0
         self._paused = False
+        self._progress_at = request.arrived_at  # seconds on the loop's clock: of the last event
 
     @property
     def may_have_run(self) -> bool:
@@ -242,6 +252,27 @@
         self._move(State.ANSWERED)
         self._owner.closed(self)
 
+    def client_ended(self) -> None:
+        """The client sends no more; after the silence at which clients give a stream up it is gone."""
+        if self.route.kind == RouteKind.STREAMING and self.state is not State.ANSWERED:
+            self._owner.call_at(self._progress_at + self._patience_s(), self._client_gave_up)
+
+    def _patience_s(self) -> float:
+        route = self.route
+        silence_ms = max(
+            PATIENCE_MS, PATIENCE_AIMS * route.target_latency_ms, PATIENCE_GAPS * route.gap_aim_ms
+        )
+        return (silence_ms + PATIENCE_MARGIN_MS) / 1000.0
+
+    def _client_gave_up(self) -> None:
+        if self.state is State.ANSWERED:
+            return
+        if self._owner.now_s() < self._progress_at + self._patience_s():
+            self.client_ended()  # events have come meanwhile
+            return
+        self.leave()
+        self._client.abort()
+
     def pause(self) -> None:
         """The client reads too slowly."""
         self._paused = True
@@ -426,6 +457,7 @@
             self._owner.event_passed(self, attempt.server_id, first=not attempt.events)
             attempt.events += 1
         self._events_passed += len(events)
+        self._progress_at = self._owner.now_s()
 
     def _end_relayed(self, attempt: Attempt) -> None:
         if self._is_stream and self._splitter.rest():
--- a/brackenusher/data_plane/front_connection.py
+++ b/brackenusher/data_plane/front_connection.py
@@ -53,6 +53,9 @@
     def resume(self) -> None:
         """The client has caught up."""
 
+    def client_ended(self) -> None:
+        """The client sends no more: it waits for its answer, or it is gone."""
+
 
 @dataclass(slots=True)
 class OwnAnswer:
@@ -146,6 +149,8 @@
         self._http.receive_data(b"")
         if not self._answering:
             self._read_events()
+        elif self._request is not None:
+            self._request.client_ended()
         return self._answering
 
     def connection_lost(self, exception: Exception | None) -> None:
--- a/brackenusher/data_plane/proxy.py
+++ b/brackenusher/data_plane/proxy.py
@@ -186,6 +186,10 @@
         """Seconds on the loop's clock."""
         return self._loop.time()
 
+    def call_at(self, moment_s: float, callback: Callable[[], None]) -> None:
+        """Call back at this moment of the loop's clock."""
+        self._loop.call_at(moment_s, callback)
+
     def not_sent(self, exchange: Exchange, server_id: str) -> None:
         """No connection: nothing was sent to the server."""
         self._perform(self._dispatcher.connection_failed(self._now_ms(), exchange.number, server_id))
--- a/tests/fleet/test_data_plane_clients.py
+++ b/tests/fleet/test_data_plane_clients.py
@@ -176,6 +176,21 @@
         self.assertEqual((reply.body, reply.headers["connection"]), (b"late", "close"))
         self.assertEqual(await client.reader.read(), b"")
 
+    async def test_a_client_that_half_closed_has_given_a_silent_stream_up_at_a_known_time(self) -> None:
+        (upstream,) = await self.serve(silent)
+        client = await self.client()
+        client.send(request_bytes("/stream/x"))
+        client.writer.write_eof()
+        await upstream.arrived.wait()
+        self.advance(1.9)
+        for _ in range(20):
+            await asyncio.sleep(0)
+        self.assertEqual(self.proxy.in_flight(), 1)
+        self.advance(0.2)
+        await upstream.ended.wait()
+        self.assertEqual(self.proxy.in_flight(), 0)
+        self.assertIn(("abandoned",), self.dispatcher.told)
+
 
 class Deadlines(DataPlaneTest):
     async def test_a_request_that_was_sent_is_answered_with_504_at_its_deadline(self) -> None:
