--- a/brackenusher/fronts/rpc/__init__.py
+++ b/brackenusher/fronts/rpc/__init__.py
@@ -8,7 +8,7 @@
 
 HOMES = {
     "BalancedChannel": "channel",
-    "CallRefused": "channel",
+    "CallRefused": "calls",
     "AsyncBalancedTransport": "transport",
     "BalancedTransport": "transport",
     "PrometheusMetrics": "metrics",
