Testbed: the whole fleet as real processes on loopback

`python -m testbed fleet` starts them on addresses of their own, with the engine model behind HTTP/1.1 servers that register by heartbeats, an operator who puts and patches a configuration, and clients; it shows a table and ends all it started. Ruled out: one loopback address for all machines, as internal ports are the same on each.

--- a/testbed/cli.py
+++ b/testbed/cli.py
@@ -15,6 +15,7 @@
 
 from testbed import experiments, results, scenario, words
 from testbed.experiments import FIGURES, RANDOM, Job, aligned, difference, play_all
+from testbed.fleet import commands as fleet
 from testbed.policies import POLICIES
 from testbed.processes import commands as processes
 from testbed.reference import table
@@ -101,6 +102,7 @@
     sockets.register(commands)
     processes.register(commands)
     week.register(commands)
+    fleet.register(commands)
 
     command("list", list_, "scenarios and policies")
     command("settings", settings, "the settings of a scenario, with defaults and ranges, as a table")
