Configuration shard: driver played in virtual time; restarted voters stand sooner

Typed configurations are made one after the other, so that a burst of changes can't starve them; a voter that finds a majority linked and no leader stands within 0.3 s.

--- a/barleybarrow/agreement.py
+++ b/barleybarrow/agreement.py
@@ -156,7 +156,6 @@
     heard_at: float = -inf
     sent_at: float = -inf
     round: int = 0
-    refused: int = -1  # the index in its last refusal, where nothing was taken since
 
 
 @dataclass(slots=True)
@@ -564,7 +563,6 @@
         if m.good:
             p.match = max(p.match, m.index) if m.counts else 0
             p.has = max(p.has, m.index)
-            p.refused = -1
             p.next = max(p.next, m.index + 1)
             self.advance(now)
             if p.next <= self.last:
@@ -573,9 +571,7 @@
             p.next = max(1, min(m.index + 1, self.last + 1))
             p.match = 0 if m.index < p.match else p.match
             p.has = min(p.has, m.index)
-            refused, p.refused = p.refused, m.index
-            if m.index != refused:  # else the same would come back at once; the next beat tries again
-                self.inform(now, sender, p)
+            self.inform(now, sender, p)
         self.confirm()
 
     def advance(self, now: float) -> None:
--- a/barleybarrow/consensus/config_node.py
+++ b/barleybarrow/consensus/config_node.py
@@ -33,6 +33,7 @@
 from barleybarrow.consensus.configuration_state import Command, ConfigurationState, Order, Witness
 from barleybarrow.consensus.durable_state import DurableState, encode_image, encode_record
 from barleybarrow.consensus.order_queue import OrderQueue
+from barleybarrow.consensus.paced_agreement import PacedAgreement
 from barleybarrow.consensus.voter_selection import (
     ControlProcess,
     choose_voters,
@@ -51,6 +52,8 @@
 LOST_MS = 1500.0  # silence after which a voter may be replaced: longer than most restarts take
 FRESH_MS = 700.0  # a standby heard within this is there: it answers every 300 ms
 CONFIRM_AGAIN_MS = 500.0
+RESTARTED_MS = (300.0, 700.0)  # until a voter stands that was started: links take 200 ms
+LINKED_MS = (60.0, 300.0)  # and once a majority is linked: a leader would have said so within 20 ms
 HAND_OVER_MS = 500.0  # a leader that has named a successor takes no orders on for so long
 ASK_MS = 300.0  # between two words of a learner without a leader to those who are said to vote
 LONGEST_SLEEP_MS = 200.0  # so that a pause of the process is noticed
@@ -59,6 +62,7 @@
 MAX_LOG_ENTRIES = 512
 
 NO_VOTERS: list[str] = []
+MESSAGES: msgpack.Decoder[Message] = msgpack.Decoder(Message)
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,14 +131,16 @@
     def _restored(self, now: float, kept: DurableState | None) -> Agreement:
         if kept is None:
             self.rewrite = True  # from now on an empty store means a lost one
-            return Agreement(self.name, [], self.rng, now, barred=not self.options.bootstrap)
+            return PacedAgreement(self.name, [], self.rng, now, barred=not self.options.bootstrap)
         snapshot = kept.snapshot
         if snapshot.index:
             self._restore(snapshot)
         voters, entries = snapshot.voters, kept.entries
-        return Agreement(
+        agreement = PacedAgreement(
             self.name, voters, self.rng, now, kept.term, kept.vote, snapshot, entries, kept.barred
         )
+        agreement.stands_at = now + self.rng.uniform(*RESTARTED_MS)
+        return agreement
 
     # What others need to know
 
@@ -183,7 +189,7 @@
         """Take a message of another process; what can't be read is left aside."""
         self._awake(now)
         try:
-            message = msgpack.decode(payload, type=Message)
+            message = MESSAGES.decode(payload)
         except DecodeError:
             return
         if isinstance(message, Submit) and not self._is_witness(message.data):
@@ -200,6 +206,14 @@
         self.invite_at = self.announce_at = min(now, self.invite_at)
         if self.is_leader and process.name in self.agreement.progress:
             self.agreement.inform(now, process.name, self.agreement.progress[process.name])
+        self._stand_soon(now)
+
+    def _stand_soon(self, now: float) -> None:
+        """Where a majority can be reached and none of them has said that it leads: do not wait for long."""
+        agreement = self.agreement
+        linked = sum(name in self.reachable for name in agreement.voters)
+        if not self.leader and linked + 1 >= agreement.majority and self.name in agreement.voters:
+            agreement.stands_at = min(agreement.stands_at, now + self.rng.uniform(*LINKED_MS))
 
     def link_down(self, now: float, name: str) -> None:
         """The link to a control process broke."""
@@ -353,7 +367,7 @@
             return
         voters = choose_voters(found, self.options.seeds, target)
         snapshot = Snapshot(1, 0, voters, b"")
-        self.agreement = Agreement(self.name, voters, self.rng, now, snapshot=snapshot)
+        self.agreement = PacedAgreement(self.name, voters, self.rng, now, snapshot=snapshot)
         self.orders.agreement = self.agreement
         self._restore(snapshot)
         self.rewrite, self.announce_at = True, now
--- a/brackenusher/control_plane/config_shard.py
+++ b/brackenusher/control_plane/config_shard.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Callable
 from itertools import count
+from math import inf
 from typing import TYPE_CHECKING
 
 import betterproto
@@ -36,6 +37,7 @@
 )
 from brackenusher.control_plane.config_storage import ConfigStorage
 from brackenusher.settings.local import LocalSettings
+from brackenusher.storage.files import FileSystem
 from brackenusher.storage.slot_store import SlotStore
 from brackenusher.storage.writer import StorageWriter
 
@@ -58,8 +60,17 @@
 class ConfigShard:
     """The interface of the configuration shard to the rest of a control process."""
 
-    def __init__(self, settings: LocalSettings, links: Links, check: Check, rng: random.Random) -> None:
+    def __init__(
+        self,
+        settings: LocalSettings,
+        links: Links,
+        check: Check,
+        rng: random.Random,
+        make_writer: Callable[[], StorageWriter] = StorageWriter,
+        files: FileSystem | None = None,
+    ) -> None:
         self.settings, self.links, self.check, self.rng = settings, links, check, rng
+        self._make_writer, self._files = make_writer, files
         self.on_committed: list[Callable[[Configuration], None]] = []
         self.on_voters: list[Callable[[list[str], int], None]] = []
         self._loop = asyncio.get_running_loop()
@@ -71,6 +82,7 @@
         self._members: ConfigMembers | None = None
         self._node: ConfigNode | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._due = inf  # of the timer, on the loop's clock
         self._pumping = False
         self._waiting: dict[
             int, Callable[[OrderOutcome], None]
@@ -79,7 +91,7 @@
         self._ids = count(rng.getrandbits(40) + 1)
         self._checked: dict[bytes, Configuration] = {}  # by the digest of the order that made it
         self._configuration: Configuration | None = None
-        self._checking: bytes = b""
+        self._typing = b""  # the digest of the order whose document is being made typed
         self._voters: list[str] = []
         self._leader = ""
         self._stopped = False
@@ -90,10 +102,10 @@
         """Load the store, and join or found the shard. Returns once the store is read."""
         settings = self.settings
         store = None
-        self._checker = StorageWriter()
+        self._checker = self._make_writer()
         if settings.data_dir:
-            self._writer = StorageWriter()
-            store = SlotStore(settings.data_dir, STORE_NAME)
+            self._writer = self._make_writer()
+            store = SlotStore(settings.data_dir, STORE_NAME, self._files)
         self._storage = ConfigStorage(store, self._writer, self._disk_in_trouble)
         kept = await self._storage.load()
         seeds = seed_names(settings)
@@ -309,33 +321,35 @@
             del self._checked[next(iter(self._checked))]
 
     def _applied(self) -> None:
-        """The document has changed: put its typed form in force."""
+        """The document has changed: put its typed form in force, one after the other, the newest next."""
         node = self._node
-        if node is None or node.state.document is None or not node.state.taken:
+        if node is None or self._typing or self._stopped or node.state.document is None:
             return
-        digest = next(reversed(node.state.taken))
-        if digest == self._checking:
+        if self._configuration is not None and self._configuration.generation >= node.state.version:
             return
-        self._checking = digest
+        digest = next(reversed(node.state.taken))
         configuration = self._checked.get(digest)
         if configuration is not None:
-            self._put_in_force(digest, configuration)
+            self._put_in_force(configuration)
             return
         assert self._checker is not None
+        self._typing = digest
         document = node.state.document
         future = self._checker.submit(lambda: self._check(document))
 
         def finished(done: "asyncio.Future[tuple[Configuration | None, str]]") -> None:
             found, error = done.result()
-            if found is not None:
-                self._put_in_force(digest, found)
-            else:
+            self._typing = b""
+            if found is None:
                 log.error("the committed configuration is not valid here: %s", error)
+                return
+            self._put_in_force(found)
+            self._applied()
 
         future.add_done_callback(finished)
 
-    def _put_in_force(self, digest: bytes, configuration: Configuration) -> None:
-        if self._stopped or digest != self._checking:
+    def _put_in_force(self, configuration: Configuration) -> None:
+        if self._stopped:
             return
         self._configuration = configuration
         for handler in self.on_committed:
@@ -382,14 +396,19 @@
         assert self._node is not None
         if self._stopped:
             return
+        self._due = inf
         self._node.tick(self._now())
         self._pump()
 
     def _schedule(self) -> None:
         assert self._node is not None
+        due = self._node.next_wakeup(self._now()) / 1000.0
+        if due >= self._due:
+            return
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._loop.call_at(self._node.next_wakeup(self._now()) / 1000.0, self._tick)
+        self._due = due
+        self._timer = self._loop.call_at(due, self._tick)
 
     def _pump(self) -> None:
         """Have done what the machine wants, and tell what came of it."""
--- a/tests/fleet/test_config_planted.py
+++ b/tests/fleet/test_config_planted.py
@@ -5,7 +5,6 @@
 
 from msgspec import msgpack
 
-from barleybarrow.agreement import Agreement
 from barleybarrow.consensus.config_node import ConfigNode, Work
 from barleybarrow.consensus.configuration_state import (
     ConfigurationState,
@@ -18,6 +17,7 @@
 )
 from barleybarrow.consensus.durable_state import StoredImage
 from barleybarrow.consensus.order_queue import Job, OrderQueue
+from barleybarrow.consensus.paced_agreement import PacedAgreement
 from brackenusher.storage.slot_store import RECORD, Loaded, SlotStore, record_checksum
 from tests.fleet.config_schedules import Schedule
 
@@ -163,7 +163,7 @@
         return 0
 
 
-class EarlyCommitAgreement(Agreement):
+class EarlyCommitAgreement(PacedAgreement):
     """Takes one disk for enough."""
 
     def advance(self, now: float) -> None:
