--- a/brackenusher/membership/members.py
+++ b/brackenusher/membership/members.py
@@ -9,7 +9,7 @@
 from brackenusher.config.platform import ConfigError
 from brackenusher.membership.frames import Line, Members, Who
 from brackenusher.membership.show import ask
-from brackenusher.membership.swim import STATES
+from brackenusher.membership.swim_messages import STATES
 
 MOST_ASKED = 30  # members whose own word is asked for the matrix: one that is down takes the whole wait
 MOST_COLUMNS = 30
--- a/brackenusher/membership/peers.py
+++ b/brackenusher/membership/peers.py
@@ -36,7 +36,9 @@
 )
 from brackenusher.membership.keeper import GATHER, Keeper
 from brackenusher.membership.snapshot import Snapshot
-from brackenusher.membership.swim import LONGEST, LONGEST_NAME, STATES, Swim
+from brackenusher.membership.swim import Swim
+from brackenusher.membership.swim_members import LONGEST
+from brackenusher.membership.swim_messages import LONGEST_NAME, STATES
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import Address, write
 from brackenusher.runtime.log import say
--- a/brackenusher/membership/swim.py
+++ b/brackenusher/membership/swim.py
@@ -12,201 +12,43 @@
 `counts` says what was dropped, and why.
 """
 
-import random
-from collections import Counter
-from collections.abc import Mapping
-from dataclasses import dataclass
-from heapq import nsmallest
-from ipaddress import ip_address
 from math import ceil, inf, log
-from typing import Annotated
 
 import msgspec
-from msgspec import Meta, Struct
 
-from barleybarrow.view_agreement import ViewAgreement
-from barleybarrow.view_messages import Body
-from barleybarrow.views import ALIVE, DEAD, LEFT, MOST_MEMBERS, SUSPECT, Stamp, View
-from brackenusher.membership.seal import DATAGRAM, SealError, overhead, seal, unseal
+from barleybarrow.views import ALIVE, DEAD, LEFT, MOST_MEMBERS, SUSPECT, View
+from brackenusher.membership.seal import DATAGRAM, SealError, unseal
+from brackenusher.membership.swim_members import BURST, LONGEST, RATE, SwimMembers
+from brackenusher.membership.swim_messages import (
+    ACK,
+    PAGE,
+    PING,
+    PING_FOR,
+    VIEW,
+    Address,
+    Member,
+    Message,
+    Probe,
+    Update,
+    Waiting,
+    usable,
+)
 
-Address = tuple[str, int]
-
-LONGEST = 1400  # bytes of a datagram: it fits one packet on every usual link
 MOST_WAITING = 256  # pings and pings on behalf of others whose answer is awaited
-MOST_RECORDS = 512  # opaque records that wait to be passed on
-RATE, BURST = 2000.0, 400.0  # datagrams a second looked at, and at once: 1,000 members send each some 4
 INDIRECT = 3  # others that ping on one's behalf; the paper's k
 ANSWER = 0.4  # of the period, until others are asked: the rest is theirs
 GOSSIP, FANOUT = 0.2, 3  # of the period, how often news goes to so many others (as memberlist does)
 BEHALF = 0.8  # of that, one that pings on another's behalf waits
 SOUNDING = 0.27  # of the period, a ping that the agreement wants waits for its answer
 STRANGE = 10  # periods, after which one that does not belong and does not answer is forgotten
-SPREAD = 3  # times the ln of the group: how often each piece of news is passed on
 FORGOTTEN = 300_000.0  # milliseconds for which a dead member is remembered, and looked for
 LOOK_FOR = 10  # periods between looks for the dead, and for seeds that nobody knows
-PAGES_AGAIN = 5_000.0  # milliseconds between two tellings of the whole list to one member
 LIST = 30  # periods, times the ln of the group, after which another member is asked for its whole list
-MOST_PAGES = 40
-MOST_UPDATES = 128  # in one datagram; no more would fit
-AT_ONCE = 32  # pieces of news that one datagram may carry
-WINDOW = 256  # numbers behind the greatest of which it is remembered whether they came
-
-STATES = ("alive", "suspect", "dead", "left")
-PING, ACK, PING_FOR, PAGE, VIEW = 0, 1, 2, 4, 5
-
-LONGEST_NAME = 64  # characters: two of them, in updates and outside, always fit a datagram
-
-Name = Annotated[str, Meta(min_length=1, max_length=LONGEST_NAME)]
-Number = Annotated[int, Meta(ge=0, le=2**53)]
-Nonce = Annotated[int, Meta(ge=0)]
-
-
-class Update(Struct, array_like=True, frozen=True):
-    """What is said of a member; fields that a later form adds behind are skipped."""
-
-    name: Name
-    host: Annotated[str, Meta(max_length=45)]
-    port: Annotated[int, Meta(ge=1, le=65_535)]
-    epoch: Number  # its life: Unix milliseconds on its own clock when it started
-    incarnation: Number
-    state: Annotated[int, Meta(ge=0, le=3)]
-    by: Annotated[str, Meta(max_length=LONGEST_NAME)] = ""  # who suspects it
-
-    @property
-    def rank(self) -> tuple[int, int, int]:
-        """The greater counts: a later life, then a later incarnation, then the worse news."""
-        return self.epoch, self.incarnation, self.state
-
-
-class Message(Struct, array_like=True, frozen=True):
-    """The body of a datagram."""
-
-    sender: Name
-    epoch: Number
-    serial: Number
-    kind: Annotated[int, Meta(ge=0, le=255)]
-    nonce: Nonce
-    target: Annotated[str, Meta(max_length=LONGEST_NAME)] = (
-        ""  # who is meant; of PING_FOR, who is to be pinged
-    )
-    joins: bool = False  # the sender knows nobody yet
-    updates: Annotated[list[Update], Meta(max_length=MOST_UPDATES)] = []
-    records: Annotated[list[bytes], Meta(max_length=MOST_UPDATES)] = []
-    stamp: Stamp = Stamp()
-    body: Body | None = None  # of VIEW
-
-
-@dataclass(slots=True)
-class Member:
-    """Another proxy."""
-
-    name: str
-    address: Address
-    epoch: int
-    incarnation: int
-    state: int
-    since: float
-    proved: bool = False  # this life has answered a nonce of ours
-    trusts: bool = False  # and we one of its: what we tell it is heard
-    heard_at: float = -inf
-    top: int = -1  # greatest number that came, and which of those behind it did
-    came: int = 0
-    paged_at: float = -inf
-
-    def update(self, by: str = "") -> Update:
-        return Update(self.name, *self.address, self.epoch, self.incarnation, self.state, by)
 
-    def fresh(self, serial: int) -> bool:
-        """Whether a number comes for the first time, as far as the window tells; RFC 4303, 3.4.3."""
-        if serial > self.top:
-            self.came = (self.came << min(serial - self.top, WINDOW) | 1) & (1 << WINDOW) - 1
-            self.top = serial
-            return True
-        bit = self.top - serial
-        if bit >= WINDOW or self.came >> bit & 1:
-            return False
-        self.came |= 1 << bit
-        return True
-
-
-@dataclass(slots=True)
-class Waiting:
-    """A ping whose answer is awaited."""
-
-    name: str  # empty for a seed of which only the address is known
-    address: Address
-    until: float
-    behalf: tuple[Address, int] | None = None  # whose ping it is, and their nonce
-    pages: bool = False  # it asked for the whole list, and gets it once it has answered
-    counted: bool = False  # that it stays unanswered
-
-
-@dataclass(slots=True)
-class Probe:
-    """The ping of this period."""
-
-    name: str
-    nonce: int
-    ask_at: float  # when others are asked
-    ends_at: float
-    asked: int = 0
 
-
-@dataclass(slots=True)
-class News:
-    """Something to be passed on, and how often it was."""
-
-    data: bytes
-    sent: int = 0
-
-
-class Swim:
+class Swim(SwimMembers):
     """One member. Whatever it returns is to be sent: datagrams with their addresses."""
 
-    def __init__(
-        self,
-        name: str,
-        address: Address,
-        epoch: int,
-        keys: Mapping[str, bytes],
-        kid: str,
-        seeds: tuple[Address, ...],
-        period: float,
-        rng: random.Random,
-        now: float,
-    ) -> None:
-        self.name, self.address, self.epoch, self.keys, self.kid = name, address, epoch, keys, kid
-        self.seeds_all = seeds
-        self.seeds, self.period, self.rng = [s for s in seeds if s != address], period, rng
-        self.incarnation = self.serial = 0
-        self.members: dict[str, Member] = {}
-        self.round: list[str] = []
-        self.probe: Probe | None = None
-        self.waiting: dict[int, Waiting] = {}
-        self.news: dict[str, News] = {}
-        self.records: dict[bytes, News] = {}
-        self.heard: list[bytes] = []  # records that came; whoever drives this takes them
-        self.changes: list[tuple[str, int]] = []  # members whose state changed, likewise
-        self.counts: Counter[str] = Counter()  # what was dropped, by why
-        self.next_probe, self.next_look, self.next_gossip, self.last = now, now, now, now
-        self.next_list, self.list_wait, self.listed = now + period, 2 * period, 0
-        self.allowance, self.allowed_at = BURST, now
-        self.encoder = msgspec.msgpack.Encoder()
-        self.decoder = msgspec.msgpack.Decoder(Message)
-        self.out: list[tuple[bytes, Address]] = []
-        self.left = False
-        self.views: list[tuple[int, View | None]] = []  # that came to hold; whoever drives this takes them
-        self.living: int | None = None  # members alive or suspect, where that is known
-        self.dazed = False  # it stood still, and nobody has answered it since
-        self.agreement = ViewAgreement(name, epoch, address, self.seeds_all, self.members, period, rng, now)
-        self.probes = self.failures = 0  # pings of its own, and those without an answer on any way
-
-    # What it is asked
-
-    def alive(self) -> list[Member]:
-        """Members that are not known to be gone."""
-        return [m for m in self.members.values() if m.state <= SUSPECT]
-
     def next(self) -> float:
         """When it next has something to do."""
         ends = [self.next_probe, self.next_look, self.agreement.next_look]
@@ -217,14 +59,6 @@
         ends += [w.until for w in self.waiting.values()]
         return min(ends)
 
-    def tell(self, key: bytes, record: bytes) -> None:
-        """Pass a record on; a later one of the same key takes its place."""
-        if key not in self.records and len(self.records) >= MOST_RECORDS:
-            oldest = max(self.records, key=lambda k: self.records[k].sent)
-            del self.records[oldest]
-            self.counts["records"] += 1
-        self.records[key] = News(record)
-
     def live(self, epoch: int) -> None:
         """Take a later life, before anything was sent."""
         self.epoch = self.agreement.life = epoch
@@ -238,8 +72,6 @@
             self.send(m.address, PAGE, 0)
         return self.flush()
 
-    # Time
-
     def tick(self, now: float) -> list[tuple[bytes, Address]]:
         """Do what is due."""
         late = now - max(self.last, min(self.next_probe, self.next_look))
@@ -316,16 +148,6 @@
         self.next_gossip = max(self.next_gossip, now)
         self.agreement.slept(now)
 
-    def group(self) -> int:
-        if self.living is None:
-            self.living = len(self.alive())
-        return self.living + 1
-
-    def changed(self, name: str, state: int) -> None:
-        """Note that a member's state is another one from now on."""
-        self.changes.append((name, state))
-        self.living = None
-
     def begin_probe(self, now: float) -> None:
         span = self.period
         self.next_probe = now + span
@@ -429,8 +251,6 @@
         for seed in unknown if alone else self.rng.sample(unknown, min(1, len(unknown))):
             self.knock(now, Waiting("", seed, now + self.period), joins=alone)
 
-    # Datagrams
-
     def receive(self, now: float, data: bytes, source: Address) -> list[tuple[bytes, Address]]:
         """Take a datagram as it came, whatever it is."""
         self.allowance = min(BURST, self.allowance + (now - self.allowed_at) * RATE / 1000.0)
@@ -547,8 +367,6 @@
             self.probe = None
             self.agreement.probed(now, True)
 
-    # News
-
     def take(self, now: float, update: Update) -> None:
         """Take up what is said of a member."""
         if update.name == self.name:
@@ -581,23 +399,6 @@
         m = self.members.get(by)
         return by == self.name or (m is not None and m.state == ALIVE)
 
-    def meet(self, now: float, update: Update, known: Member | None = None) -> None:
-        """Somebody new, or a new life, by hearsay: it still has to prove itself."""
-        if update.state > SUSPECT:
-            return
-        if known is None and len(self.members) >= MOST_MEMBERS:
-            self.counts["members"] += 1
-        elif not usable(update) or (update.host, update.port) == self.address:
-            self.counts["garbage"] += 1
-        else:
-            address = (update.host, update.port)
-            m = Member(update.name, address, update.epoch, update.incarnation, ALIVE, now)
-            self.members[m.name] = m
-            if known is None:
-                self.round.insert(self.rng.randrange(len(self.round) + 1), m.name)  # as the paper
-            self.changed(m.name, ALIVE)
-            self.note(m.update())
-
     def refute(self, now: float, update: Update) -> None:
         """Contradict what is said of this member."""
         if update.epoch > self.epoch:
@@ -611,99 +412,3 @@
             if not self.left:
                 self.incarnation = update.incarnation + 1
                 self.note(self.own())
-
-    def own(self) -> Update:
-        state = LEFT if self.left else ALIVE
-        return Update(self.name, *self.address, self.epoch, self.incarnation, state)
-
-    def note(self, update: Update) -> None:
-        """Pass an update on."""
-        self.news[update.name] = News(self.encoder.encode(update))
-
-    def page(self, now: float, m: Member) -> None:
-        """Tell one that joins of all, in a few datagrams."""
-        if now - m.paged_at < PAGES_AGAIN:
-            return
-        m.paged_at = now
-        rest = [self.encoder.encode(other.update()) for other in self.alive() if other is not m]
-        for _ in range(MOST_PAGES):
-            if not rest:
-                return
-            rest = self.write(m.address, PAGE, 0, "", False, rest, [])
-
-    def send(
-        self,
-        address: Address,
-        kind: int,
-        nonce: int,
-        target: str = "",
-        joins: bool = False,
-        about: Update | None = None,
-        news: bool = False,
-    ) -> None:
-        """Send a message, with as much news as fits where it will be heard, what was told least first."""
-        most = SPREAD * ceil(log(self.group() + 1))
-        updates = nsmallest(AT_ONCE, self.news.items() if news else (), key=lambda item: item[1].sent)
-        records = nsmallest(AT_ONCE, self.records.items() if news else (), key=lambda item: item[1].sent)
-        first = [self.encoder.encode(u) for u in (self.own(), about) if u is not None]
-        room = LONGEST - overhead(self.kid) - 96 - len(self.name.encode()) - len(target.encode())
-        room -= sum(map(len, first))
-        parts: list[bytes] = []
-        told: list[bytes] = []
-        for name, item in updates:
-            if len(item.data) > room:
-                break
-            room -= len(item.data)
-            parts.append(item.data)
-            item.sent += 1
-            if item.sent >= most:
-                del self.news[name]
-        for key, item in records:
-            if len(item.data) + 3 > room:
-                break
-            room -= len(item.data) + 3
-            told.append(item.data)
-            item.sent += 1
-            if item.sent >= most:
-                del self.records[key]
-        self.write(address, kind, nonce, target, joins, first + parts, told)
-
-    def write(
-        self,
-        address: Address,
-        kind: int,
-        nonce: int,
-        target: str,
-        joins: bool,
-        updates: list[bytes],
-        records: list[bytes],
-        body: Body | None = None,
-    ) -> list[bytes]:
-        """Seal a datagram; return the updates that did not fit."""
-        room, count = LONGEST - overhead(self.kid) - 96 - len(self.name.encode()) - len(target.encode()), 0
-        room -= sum(len(r) + 3 for r in records)
-        for update in updates[:MOST_UPDATES]:
-            room -= len(update)
-            if room < 0:
-                break
-            count += 1
-        self.serial += 1
-        raw = [msgspec.Raw(update) for update in updates[:count]]
-        whole = [self.name, self.epoch, self.serial, kind, nonce, target, joins, raw, records]
-        whole += [self.agreement.stamp(), body] if body is not None else [self.agreement.stamp()]
-        data = seal(self.keys[self.kid], self.kid, DATAGRAM, self.encoder.encode(whole))
-        self.out.append((data, address))
-        return updates[max(count, 1) :]
-
-    def flush(self) -> list[tuple[bytes, Address]]:
-        out, self.out = self.out, []
-        return out
-
-
-def usable(update: Update) -> bool:
-    """Whether an update names an address that can be sent to; names would have to be looked up."""
-    try:
-        ip = ip_address(update.host)
-    except ValueError:
-        return False
-    return not ip.is_multicast and not ip.is_unspecified and update.name.isprintable()
--- a/testbed/group.py
+++ b/testbed/group.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass
 
 from barleybarrow.views import ALIVE, DEAD, SUSPECT, View
-from brackenusher.membership.swim import Address, Swim
+from brackenusher.membership.swim import Swim
+from brackenusher.membership.swim_messages import Address
 from testbed import oracle_views as oracle
 from testbed.clockwork import Clockwork
 from testbed.schedule import Act, LinkFault, Schedule
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -6,9 +6,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from brackenusher.membership import swim
+from barleybarrow.views import ALIVE, DEAD, LEFT, MOST_MEMBERS, SUSPECT
+from brackenusher.membership import swim, swim_members, swim_messages
 from brackenusher.membership.seal import DATAGRAM, FRAME, seal
-from brackenusher.membership.swim import ALIVE, DEAD, LEFT, PAGE, PING, SUSPECT, Swim, Update
+from brackenusher.membership.swim import Swim
+from brackenusher.membership.swim_messages import PAGE, PING, Update
 from testbed.group import KEYS, PERIOD, Group
 
 HERE, THERE = ("10.1.0.1", 7000), ("10.1.0.2", 7000)
@@ -55,7 +57,7 @@
     group.restart(size - 1)
     group.run(75_000.0)
     assert group.joined()
-    assert group.longest <= swim.LONGEST
+    assert group.longest <= swim_members.LONGEST
 
 
 def test_one_that_stands_still_for_3_s_is_not_taken_for_dead_and_takes_nobody_for_dead():
@@ -126,10 +128,10 @@
 
 
 def test_a_number_counts_once_in_its_window():
-    m = swim.Member("x", HERE, 1, 0, ALIVE, 0.0)
+    m = swim_messages.Member("x", HERE, 1, 0, ALIVE, 0.0)
     assert m.fresh(1000) and m.fresh(900) and m.fresh(1001)
     assert not m.fresh(900) and not m.fresh(1000) and not m.fresh(1001)
-    assert not m.fresh(1001 - swim.WINDOW)  # too old to tell
+    assert not m.fresh(1001 - swim_messages.WINDOW)  # too old to tell
     assert m.fresh(10**6) and not m.fresh(1001)
 
 
@@ -172,20 +174,23 @@
     machine = alone()
     for _ in range(1000):
         machine.receive(1.0, b"x" * 100, THERE)
-    assert machine.counts["garbage"] <= swim.BURST and machine.counts["rate"] >= 1000 - swim.BURST
+    assert (
+        machine.counts["garbage"] <= swim_members.BURST
+        and machine.counts["rate"] >= 1000 - swim_members.BURST
+    )
 
 
 def test_names_and_waiting_answers_are_bounded():
     a, b = pair()
     me = a.members["you"]
-    for n in range(swim.MOST_MEMBERS + 50):
+    for n in range(MOST_MEMBERS + 50):
         a.take(0.0, Update(f"x{n}", f"10.2.{n >> 8}.{n & 255}", 7000, 1, 0, ALIVE))
-    assert len(a.members) == swim.MOST_MEMBERS and a.counts["members"] >= 50
+    assert len(a.members) == MOST_MEMBERS and a.counts["members"] >= 50
     for n in range(1000):
         a.ping(0.0, me, PERIOD)
         a.tell(b"%d" % n, b"r")
-    assert len(a.waiting) <= swim.MOST_WAITING and len(a.records) <= swim.MOST_RECORDS
-    assert all(len(data) <= swim.LONGEST for data, _ in a.flush())
+    assert len(a.waiting) <= swim.MOST_WAITING and len(a.records) <= swim_members.MOST_RECORDS
+    assert all(len(data) <= swim_members.LONGEST for data, _ in a.flush())
 
 
 def test_a_name_used_by_two_stays_with_the_first_while_it_answers():
