--- a/barleybarrow/routing/dispatcher.py
+++ b/barleybarrow/routing/dispatcher.py
@@ -9,7 +9,6 @@
 
 import random
 from collections.abc import Callable, Mapping, Sequence
-from math import inf
 
 from barleybarrow.documents import Route, RouteKind, Service
 from barleybarrow.routing import admission
@@ -30,11 +29,13 @@
 from barleybarrow.routing.exchange import Choice, Exchange
 from barleybarrow.routing.pool import ServerRecord, ServicePool
 from barleybarrow.routing.selection import Selector
+from barleybarrow.routing.silence import SilenceWatch, may_eject, silent_at
 
 BAD_GATEWAY, GATEWAY_TIMEOUT = 502, 504
 MISDIRECTED = 421
 FOREMOST, LAST = 0, 9  # priorities that a server knows
 FULL_SHARE_OF_AIM = 1 / 4  # a server that said it is full is busy for this share of the aim of the request
+SLOW_SHARE_OF_AIM = 0.5  # a connection that failed after so long met silence: one more try costs as much
 CONNECTION_TRIES = 3  # servers to which no connection could be opened; nothing was sent to them
 
 
@@ -61,6 +62,7 @@
         self._pools: dict[str, ServicePool] = {}
         self._lists: dict[str, list[ServerInfo]] = {}
         self._exchanges: dict[RequestId, Exchange] = {}
+        self._silence = SilenceWatch()
         self._selector = selector or Selector(rng)
 
     def configure(self, now: float, services: Mapping[str, Service], routes: Sequence[Route]) -> None:
@@ -91,7 +93,8 @@
         if found is None:
             return []
         exchange, server = found
-        self._broke(now, exchange, server)
+        slow = now - exchange.sent_at > SLOW_SHARE_OF_AIM * exchange.request.route.target_latency_ms
+        self._broke(now, exchange, server, for_sure=slow)
         exchange.attempts -= 1
         exchange.unreached += 1
         if exchange.unreached >= CONNECTION_TRIES:
@@ -122,6 +125,7 @@
         exchange = self._exchanges.get(request_id)
         if exchange is None or exchange.server is None or exchange.server.info.id != server_id:
             return []
+        exchange.server.heard_at = now
         if exchange.first_event_at is None:
             exchange.first_event_at = exchange.last_event_at = now
             self._learn(now, exchange, exchange.server)
@@ -130,8 +134,8 @@
     def event(self, now: float, request_id: RequestId, server_id: str, tokens: int) -> list[Action]:
         """A further event of a stream has come."""
         exchange = self._exchanges.get(request_id)
-        if exchange is not None:
-            exchange.last_event_at = now
+        if exchange is not None and exchange.server is not None and exchange.server.info.id == server_id:
+            exchange.last_event_at = exchange.server.heard_at = now
         return []
 
     def finished(self, now: float, request_id: RequestId, server_id: str, outcome: Outcome) -> list[Action]:
@@ -145,7 +149,10 @@
         exchange, server = found
         if outcome in (Outcome.SERVED, Outcome.ERROR_STATUS):
             failed = outcome is Outcome.ERROR_STATUS
-            server.health.answered(now, failed)
+            self._judge(now, exchange, server, failed)
+            if failed and self._may_move(exchange):
+                exchange.may_have_run = True
+                return self._send(now, exchange, RefusalReason.ALL_EJECTED)
             self._learn_stream(now, exchange)
             self.counters.add(outcome.value)
             del self._exchanges[request_id]
@@ -153,7 +160,9 @@
         if outcome is Outcome.CANCELLED:
             del self._exchanges[request_id]
             return []
-        self._broke(now, exchange, server)
+        if outcome is not Outcome.TIMED_OUT or server.heard_at <= exchange.sent_at:
+            self._broke(now, exchange, server)
+        exchange.may_have_run = True
         if self._may_move(exchange):
             return self._send(now, exchange, RefusalReason.ALL_EJECTED)
         return self._fail(exchange, outcome)
@@ -196,12 +205,33 @@
                 server.cache.sent(((news.subject, news.subject_tokens),))
 
     def tick(self, now: float) -> list[Action]:
-        """Do what has fallen due."""
-        return []
+        """Do what has fallen due: requests whose server keeps silent go on elsewhere where they may."""
+        actions: list[Action] = []
+        for exchange in self._silence.due(now):
+            actions += self._look_at(now, exchange)
+        return actions
 
     def next_wakeup(self) -> float:
         """When `tick` is to be called; infinity: not at all."""
-        return inf
+        return self._silence.next()
+
+    def _look_at(self, now: float, exchange: Exchange) -> list[Action]:
+        pool, server = self._pools.get(exchange.request.service), exchange.server
+        if pool is None or server is None:
+            return []
+        if silent_at(exchange, pool) > now:
+            self._silence.watch(exchange, pool)
+            return []
+        self.counters.add("silent")
+        self._eject(now, pool, server)
+        if not self._may_move(exchange, spend=False) or not self._selector.others(pool, exchange):
+            return []
+        if not self._may_repeat(exchange.request.service):
+            return []
+        exchange.may_have_run = True
+        self._release(now, exchange, server)
+        self.counters.add("moved")
+        return self._send(now, exchange, RefusalReason.ALL_EJECTED)
 
     def _send(self, now: float, exchange: Exchange, reason: RefusalReason) -> list[Action]:
         """Send to the best server that has not been tried, or give the request up."""
@@ -212,6 +242,8 @@
         choice = self._selector.pick(now, pool, exchange) if pool else None
         if pool is None or choice is None:
             return self._give_up(now, exchange, reason)
+        if choice.expected_ms > request.deadline_at - now and not exchange.may_have_run:
+            return self._refuse(now, exchange, RefusalReason.OVERLOADED)
         server = choice.server
         exchange.start(now, choice)
         server.in_flight += 1
@@ -225,6 +257,7 @@
         profile.reading.learn(choice.reading_ms)
         priority = min(max(request.priority, FOREMOST), LAST) if pool.service.engine else None
         self.counters.add("sent")
+        self._silence.watch(exchange, pool)
         return [Send(request.id, server.info.id, priority)]
 
     def _tell(self, request: DispatchRequest, server: ServerRecord, choice: Choice) -> None:
@@ -254,15 +287,14 @@
         self.counters.add(f"failed_{reason.value}")
         return [Fail(exchange.request.id, status, reason.value)]
 
-    def _may_move(self, exchange: Exchange) -> bool:
-        """Whether a request that may have run may be sent to another server."""
-        exchange.may_have_run = True
+    def _may_move(self, exchange: Exchange, spend: bool = True) -> bool:
+        """Whether a request that may have run may go elsewhere; `spend` takes from the retry budget."""
         route = exchange.request.route
         if not route.resumable and route.kind != RouteKind.SAFE:
             return False
         if exchange.attempts >= max(route.max_attempts, 1):
             return False
-        return self._may_repeat(exchange.request.service)
+        return not spend or self._may_repeat(exchange.request.service)
 
     def _take(
         self, now: float, request_id: RequestId, server_id: str
@@ -287,9 +319,14 @@
         if server.waiting.pop(exchange.request.id, None) is not None:
             server.waiting_ms = server.waiting_ms - exchange.reading_ms if server.waiting else 0.0
 
-    def _broke(self, now: float, exchange: Exchange, server: ServerRecord) -> None:
+    def _broke(self, now: float, exchange: Exchange, server: ServerRecord, for_sure: bool = False) -> None:
         self.counters.add("broke")
-        if server.health.broke(now):
+        pool = self._pools.get(exchange.request.service)
+        if pool is not None and (server.health.broke(now) or for_sure):
+            self._eject(now, pool, server)
+
+    def _eject(self, now: float, pool: ServicePool, server: ServerRecord) -> None:
+        if server.health.ejected_until <= now and may_eject(pool, server, now):
             server.health.eject(now)
             self.counters.add("ejected")
 
@@ -308,6 +345,16 @@
         aim_ms = exchange.request.route.target_latency_ms
         server.idle.learn(now, exchange.sent_at, server.in_flight, taken_ms, exchange.expected_ms, aim_ms)
 
+    def _judge(self, now: float, exchange: Exchange, server: ServerRecord, failed: bool) -> None:
+        """Take how an answer ended into the server's record, and leave it alone if it fails far too often."""
+        server.health.answered(now, failed)
+        pool = self._pools.get(exchange.request.service)
+        if pool is None:
+            return
+        pool.failures.learn(float(failed))
+        if failed and server.health.is_grey(pool.failures.value):
+            self._eject(now, pool, server)
+
     def _learn_stream(self, now: float, exchange: Exchange) -> None:
         """Take the length of a whole stream into the route's profile."""
         pool = self._pools.get(exchange.request.service)
--- a/barleybarrow/routing/outliers.py
+++ b/barleybarrow/routing/outliers.py
@@ -10,6 +10,7 @@
 BACKOFF_FACTOR = 2.0  # a server that fails again at once is left alone twice as long
 FORGIVEN_AFTER_MS = 10_000.0  # of serving well: then the next ejection starts from the shortest again
 FAILURE_WEIGHT = 1 / 8  # of an answer in the share that fails: some ten answers tell it
+UNSAFE_TRIAL_SHARE = 0.5  # of the ejection: so much later a request that cannot be repeated may be the trial
 GREY_SHARE = 0.4  # a server failing more often than this, and more than the others, is left alone
 GREY_OVER_OTHERS = 3.0  # times the share that fails at the others
 BREAKS_IN_A_ROW = 2  # one broken connection may be its idle timeout; two without an answer between are not
@@ -61,6 +62,10 @@
         self._span_ms = min(max(FIRST_EJECTION_MS, self._span_ms * BACKOFF_FACTOR), LONGEST_EJECTION_MS)
         self.ejected_until, self.trial, self._good_since = now + self._span_ms, True, inf
 
+    def open_to_trial(self, now: float, repeatable: bool) -> bool:
+        """Whether a request may find out if it is back: one that can be repeated first, any other later."""
+        return now >= self.ejected_until + (0.0 if repeatable else UNSAFE_TRIAL_SHARE * self._span_ms)
+
     def is_grey(self, others_share: float) -> bool:
         """Whether it answers, but fails far more often than the others do."""
         return self.failure_share > max(GREY_SHARE, GREY_OVER_OTHERS * others_share)
--- a/barleybarrow/routing/pool.py
+++ b/barleybarrow/routing/pool.py
@@ -21,6 +21,7 @@
 LARGE_FLEET = 24  # servers: up to here all are looked at for each request, beyond only a few
 
 
+FAILURES_WEIGHT = 1 / 64  # of an answer in the share that fails everywhere: far slower than one server's own
 RESPITE_MS = 10.0  # without a prompt to read, streams catch up: some ten tokens
 STREAMS_KEY = stable_hash("long streams")  # by which all proxies keep the same servers for them
 
@@ -37,6 +38,8 @@
         "reading_until",
         "reading_since",
         "for_streams",
+        "heard_at",
+        "cold_until",
         "health",
         "speed",
         "idle",
@@ -54,6 +57,8 @@
         self.waiting_ms = 0.0  # to read the prompts of those
         self.reading_until = 0.0  # when it will have read all prompts that are known of, also other proxies'
         self.reading_since = 0.0  # since when it has hardly paused in that
+        self.cold_until = now + info.cold_remaining_ms
+        self.heard_at = now  # the last event of any of its streams
         self.for_streams = False  # kept for long streams
         self.health = ServerHealth()
         self.speed = ServerSpeed(mean_ms, now)
@@ -73,11 +78,17 @@
             return reading_ms
         return max(now, self.reading_until) + reading_ms - self.reading_since
 
-    def overdue_ms(self, now: float) -> float:
-        """By how much the oldest request without a first event is late: others are ahead of it."""
-        for exchange in self.waiting.values():
-            return max(0.0, now - exchange.sent_at - exchange.expected_ms)
-        return 0.0
+    def backlog_ms(self, now: float) -> float:
+        """The wait for what is known to be read there first.
+
+        Where the oldest own request is later than expected, others are ahead that nothing is known of.
+        """
+        known_ms = self.reading_until - now
+        if not self.waiting:
+            return known_ms if known_ms > 0 else 0.0
+        oldest = next(iter(self.waiting.values()))
+        overdue_ms = now - oldest.sent_at - oldest.expected_ms
+        return max(known_ms, self.waiting_ms + (overdue_ms if overdue_ms > 0 else 0.0))
 
 
 class ServicePool:
@@ -90,7 +101,7 @@
         self.reading = ReadingTime()
         self.excess = Smoothed(EXCESS_WEIGHT)
         self.informed_share = 0.0  # of the proxies, those whose sends are known
-        self.failures = 0.0  # smoothed share of answers that fail, over all servers
+        self.failures = Smoothed(FAILURES_WEIGHT)  # share of answers that fail, over all servers
         self.ring: HashRing | None = None
         self.profiles: dict[str, RouteProfile] = {}  # by the route's name
         self._stream_order: list[ServerRecord] = []  # the same in every proxy
@@ -106,6 +117,7 @@
                 slots = max(info.slots, 1)
                 record = ServerRecord(info, slots / max(proxies, 1), kept_tokens, self.excess.value, now)
             record.info = info
+            record.cold_until = now + info.cold_remaining_ms
             self.servers[info.id] = record
         self.ready = [record for record in self.servers.values() if record.info.state == ServerState.READY]
         self.ring = HashRing(r.info.id for r in self.ready) if len(self.ready) > LARGE_FLEET else None
--- a/barleybarrow/routing/rendezvous.py
+++ b/barleybarrow/routing/rendezvous.py
@@ -21,8 +21,7 @@
 
 def weight(key_hash: int, server_hash: int) -> int:
     """The weight of a server for a key; the greatest weight is the key's home."""
-    mixed = ((key_hash ^ server_hash) * MIX_FACTOR) & MASK
-    return ((mixed ^ (mixed >> 29)) * MIX_FACTOR) & MASK
+    return ((key_hash ^ server_hash) * MIX_FACTOR) & MASK
 
 
 class HashRing:
--- a/barleybarrow/routing/selection.py
+++ b/barleybarrow/routing/selection.py
@@ -7,12 +7,14 @@
 
 import random
 from dataclasses import dataclass
-from typing import NamedTuple
+from math import inf
 
+from barleybarrow.documents import RouteKind
 from barleybarrow.routing.actions import DispatchRequest
 from barleybarrow.routing.exchange import Choice, Exchange
 from barleybarrow.routing.pool import ServerRecord, ServicePool
-from barleybarrow.routing.rendezvous import stable_hash, weight
+from barleybarrow.routing.prefix_cache import PromptParts
+from barleybarrow.routing.rendezvous import HASH_BITS, stable_hash, weight
 
 TIE_SHARE = 0.1  # estimates this near to the best are a tie: less than the spread left after smoothing
 TIE_MS = 1.0  # and so near in any case: less than a hop between zones
@@ -23,26 +25,32 @@
 SAFE_SHARE_OF_GAP = 0.4  # of the pause that a stream bears: reading for so long harms none of them
 STALL_WEIGHT = 0.5  # what a millisecond of reading beyond that costs, for the short streams on every server
 STREAMS_STALL_WEIGHT = 2.0  # and on a server that is kept for long streams
+COLD_FACTOR = 2.0  # by what a server that says it is still cold is thought slower
 ELSEWHERE_SHARE = 0.5  # of a subject's tokens that proxies which tell nothing are thought to have sent home
 
 
-class _Weighed(NamedTuple):
-    idle: bool
-    expected_ms: float
-    rank: int
-    choice: Choice
-
-
 @dataclass(slots=True)
 class _Query:
-    """One request to be weighed at several servers."""
+    """One request to be weighed at several servers, with what is the same at all of them."""
 
     now: float
-    pool: ServicePool
     request: DispatchRequest
     is_streaming: bool
-    key: int  # hash of the subject, by chance where there is none
-    home: ServerRecord | None = None  # first in the subject's order
+    ms_per_token: float
+    mean_excess_ms: float  # of the service
+    common_tokens: (
+        int  # of the prompt, to be read wherever nothing is kept: what precedes a subject always is
+    )
+    unheard_tokens: int  # of the subject, that others are thought to have sent to its home
+    safe_ms: float  # reading in one go that harms no stream
+    apart_ms: float  # what a long stream loses on a server that is not kept for streams
+
+
+@dataclass(slots=True)
+class _Weighed:
+    cost_ms: float
+    choice: Choice
+    idle: bool
 
 
 def subject_of(request: DispatchRequest) -> str | None:
@@ -61,35 +69,60 @@
         """The server to send to now; None if none may be tried."""
         request = exchange.request
         subject = subject_of(request)
-        key = stable_hash(subject) if subject else self._rng.getrandbits(64)
+        key = stable_hash(subject) if subject else self._rng.getrandbits(HASH_BITS)
         candidates = self._candidates(now, pool, exchange, key)
         if not candidates:
             return None
-        query = _Query(now, pool, request, pool.profile(request.route.name).is_streaming, key)
-        if subject and not query.is_streaming:
-            candidates.sort(key=lambda server: weight(key, server.hash), reverse=True)
-            query.home = candidates[0]
-            best = self._best(query, candidates[:HOMES])
-            if best.idle and best.expected_ms <= FAR_SHARE_OF_AIM * request.route.target_latency_ms:
+        ranked = [
+            server for _, server in sorted([(weight(key, s.hash), s) for s in candidates], reverse=True)
+        ]
+        query = self._query(now, pool, request)
+        if subject and not query.is_streaming and len(ranked) > HOMES:
+            best = self._best(query, ranked[:HOMES])
+            if best.idle and best.cost_ms <= FAR_SHARE_OF_AIM * request.route.target_latency_ms:
                 return best.choice
-        return self._best(query, candidates).choice
-
-    def _best(self, query: _Query, servers: list[ServerRecord]) -> _Weighed:
-        """The fastest idle one, or the fastest if none is idle; near-ties by the key's order."""
-        weighed = [self._weigh(query, server) for server in servers]
+        return self._best(query, ranked).choice
+
+    def others(self, pool: ServicePool, exchange: Exchange) -> bool:
+        """Whether there is a server that has not been tried."""
+        return any(server.info.id not in exchange.tried for server in pool.ready)
+
+    def _query(self, now: float, pool: ServicePool, request: DispatchRequest) -> _Query:
+        route, parts = request.route, request.prompt_parts
+        common = parts[-1][1] + parts[-2][1] if len(parts) >= 2 else request.prompt_tokens
+        unheard = ELSEWHERE_SHARE * (1 - pool.informed_share) * parts[-2][1] if len(parts) >= 2 else 0.0
+        return _Query(
+            now,
+            request,
+            pool.profile(route.name).is_streaming,
+            pool.reading.ms_per_token,
+            pool.excess.value,
+            common,
+            int(unheard),
+            SAFE_SHARE_OF_GAP * route.gap_aim_ms or inf,
+            APART_SHARE_OF_AIM * route.target_latency_ms,
+        )
+
+    def _best(self, query: _Query, ranked: list[ServerRecord]) -> _Weighed:
+        """The fastest idle one, or the fastest if none is idle; of near-ties the first in the key's order."""
+        home = ranked[0]
+        weighed = [self._weigh(query, server, server is home) for server in ranked]
         weighed = [entry for entry in weighed if entry.idle] or weighed
-        best_ms = min(entry.expected_ms for entry in weighed)
+        best_ms = min([entry.cost_ms for entry in weighed])
         within = best_ms + max(TIE_MS, TIE_SHARE * best_ms)
-        return max((entry for entry in weighed if entry.expected_ms <= within), key=lambda entry: entry.rank)
+        return next(entry for entry in weighed if entry.cost_ms <= within)
 
     def _candidates(self, now: float, pool: ServicePool, exchange: Exchange, key: int) -> list[ServerRecord]:
         """Servers that may be tried: those neither ejected nor full first, then any."""
         tried = exchange.tried
         untried = [server for server in self._sample(pool, key) if server.info.id not in tried]
+        route = exchange.request.route
+        repeatable = route.resumable or route.kind == RouteKind.SAFE
         well = [
             server
             for server in untried
-            if server.health.ejected_until <= now and not (server.health.trial and server.in_flight)
+            if not server.health.trial
+            or (server.health.open_to_trial(now, repeatable) and not server.in_flight)
         ]
         free = [server for server in well if server.health.full_until <= now]
         return free or well or untried
@@ -103,41 +136,36 @@
         found += [ready[int(self._rng.random() * size)] for _ in range(DRAWN)]
         return found
 
-    def _weigh(self, query: _Query, server: ServerRecord) -> _Weighed:
-        now, pool, request = query.now, query.pool, query.request
-        tokens_to_read = request.prompt_tokens - kept_tokens(request, server)
-        if server is query.home and request.prompt_parts[-2][0] not in server.cache:
-            unheard_share = 1 - pool.informed_share
-            tokens_to_read -= int(ELSEWHERE_SHARE * unheard_share * request.prompt_parts[-2][1])
-        reading_ms = tokens_to_read * pool.reading.ms_per_token
-        backlog_ms = max(server.waiting_ms + server.overdue_ms(now), server.reading_until - now)
-        expected_ms = reading_ms + backlog_ms + max(0.0, pool.excess.value)
-        expected_ms += server.speed.slower_ms(now, pool.excess.value)
-        expected_ms += self._harm_ms(query, server, reading_ms)
-        choice = Choice(server, tokens_to_read, reading_ms, server.waiting_ms, expected_ms)
-        idle = server.in_flight < server.idle.limit
-        return _Weighed(idle, expected_ms, weight(query.key, server.hash), choice)
-
-    def _harm_ms(self, query: _Query, server: ServerRecord, reading_ms: float) -> float:
-        """What it costs, as time, that prompts which are read hold up the streams beside them."""
-        route = query.request.route
+    def _weigh(self, query: _Query, server: ServerRecord, is_home: bool) -> _Weighed:
+        now = query.now
+        tokens = query.common_tokens - kept_tokens(query.request.prompt_parts, server)
+        if is_home and tokens == query.common_tokens:
+            tokens -= query.unheard_tokens
+        reading_ms = tokens * query.ms_per_token
+        expected_ms = reading_ms + query.mean_excess_ms + server.backlog_ms(now)
+        expected_ms += server.speed.slower_ms(now, query.mean_excess_ms)
+        if server.cold_until > now:
+            expected_ms *= COLD_FACTOR
+        cost_ms = expected_ms
         if query.is_streaming:
-            return 0.0 if server.for_streams else APART_SHARE_OF_AIM * route.target_latency_ms
-        over_ms = server.reading_span_ms(query.now, reading_ms) - SAFE_SHARE_OF_GAP * route.gap_aim_ms
-        if over_ms <= 0 or route.gap_aim_ms <= 0:
-            return 0.0
-        return over_ms * (STREAMS_STALL_WEIGHT if server.for_streams else STALL_WEIGHT)
+            cost_ms += 0.0 if server.for_streams else query.apart_ms
+        else:
+            over_ms = server.reading_span_ms(now, reading_ms) - query.safe_ms
+            if over_ms > 0:  # what is read in one go holds up the streams beside it
+                cost_ms += over_ms * (STREAMS_STALL_WEIGHT if server.for_streams else STALL_WEIGHT)
+        choice = Choice(server, tokens, reading_ms, server.waiting_ms, expected_ms)
+        return _Weighed(cost_ms, choice, server.in_flight < server.idle.limit)
 
 
-def kept_tokens(request: DispatchRequest, server: ServerRecord) -> int:
-    """Tokens of the prompt that the server is thought to keep, by what is known to have been sent there."""
-    parts = request.prompt_parts
+def kept_tokens(parts: PromptParts, server: ServerRecord) -> int:
+    """Tokens of the subject and the request's own part that the server is thought to keep.
+
+    Going by what is known to have been sent there. What comes before a subject is kept everywhere.
+    """
+    cache = server.cache
     if len(parts) < 2:
-        return server.cache.kept_tokens(parts)
+        return cache.kept_tokens(parts)
     subject, own = parts[-2], parts[-1]
-    kept = request.prompt_tokens - subject[1] - own[1]  # what comes before a subject is kept everywhere
-    if subject[0] in server.cache:
-        kept += subject[1]
-        if own[0] in server.cache:
-            kept += own[1]
-    return max(0, kept)
+    if subject[0] not in cache:
+        return 0
+    return subject[1] + own[1] if own[0] in cache else subject[1]
--- a/barleybarrow/routing/speed.py
+++ b/barleybarrow/routing/speed.py
@@ -77,7 +77,11 @@
 
     def slower_ms(self, now: float, mean_ms: float) -> float:
         """By how much it is slower than the mean, beyond what chance makes of so few answers."""
-        return max(0.0, self.at(now, mean_ms) - mean_ms - CHANCE_SHARE * self.spread_ms)
+        beyond = self.excess_ms - mean_ms
+        if not self.samples or beyond <= 0:
+            return 0.0
+        beyond *= exp((self._learned_at - now) / FADE_MS)
+        return max(0.0, beyond - CHANCE_SHARE * self.spread_ms)
 
 
 class Smoothed:
