Routing: proxies announce their sends by datagram; a first guess of the reading time

Also: before eight answers the time to read a token was taken as 0, so that the first sends ignored each other; the longest prompt seen now takes a quarter of its aim.

--- a/barleybarrow/routing/announcements.py
+++ b/barleybarrow/routing/announcements.py
@@ -4,10 +4,13 @@
 there. News may be lost or late and is never answered. Idleness stays judged by the proxy's own requests.
 """
 
+import json
 from collections import deque
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 MOST_KEPT = 256  # news not yet fetched: older ones are of no use by then
+FIELD_TYPES = (str, str, str, int, int)  # of an Announcement, in order
 PEER_FORGOTTEN_MS = 5_000.0  # a proxy that told nothing for so long no longer counts
 
 
@@ -28,10 +31,14 @@
     def __init__(self) -> None:
         self._outgoing: deque[Announcement] = deque(maxlen=MOST_KEPT)
         self._heard_at: dict[str, float] = {}
+        self.on_first: Callable[[], None] | None = None  # called when there is news and was none before
 
     def tell(self, announcement: Announcement) -> None:
         """Keep news until it is fetched."""
+        first = not self._outgoing
         self._outgoing.append(announcement)
+        if first and self.on_first is not None:
+            self.on_first()
 
     def take(self) -> list[Announcement]:
         """All own news since the last call."""
@@ -48,3 +55,26 @@
         for peer in [peer for peer, at in self._heard_at.items() if now - at > PEER_FORGOTTEN_MS]:
             del self._heard_at[peer]
         return 1 + len(self._heard_at)
+
+
+def encode(announcements: Sequence[Announcement]) -> bytes:
+    """Announcements as a JSON array of arrays: short, and read and written in C."""
+    rows = [[a.service, a.server_id, a.subject, a.subject_tokens, a.tokens_to_read] for a in announcements]
+    return json.dumps(rows, separators=(",", ":")).encode()
+
+
+def decode(data: bytes) -> list[Announcement]:
+    """What `encode` made. Raises ValueError where it can't be read."""
+    rows = json.loads(data)
+    if not isinstance(rows, list):
+        raise ValueError("announcements are not an array")
+    found = []
+    for row in rows:
+        if not isinstance(row, list) or len(row) != len(FIELD_TYPES):
+            raise ValueError("an announcement has other fields")
+        if not all(type(value) is kind for value, kind in zip(row, FIELD_TYPES, strict=True)):
+            raise ValueError("an announcement has fields of other types")
+        if row[3] < 0 or row[4] < 0:
+            raise ValueError("an announcement counts tokens below zero")
+        found.append(Announcement(*row))
+    return found
--- a/barleybarrow/routing/dispatcher.py
+++ b/barleybarrow/routing/dispatcher.py
@@ -30,6 +30,7 @@
 from barleybarrow.routing.pool import ServerRecord, ServicePool
 from barleybarrow.routing.selection import Selector
 from barleybarrow.routing.silence import SilenceWatch, may_eject, silent_at
+from barleybarrow.routing.speed import FEWEST_SAMPLES
 
 BAD_GATEWAY, GATEWAY_TIMEOUT = 502, 504
 MISDIRECTED = 421
@@ -56,7 +57,7 @@
     ) -> None:
         self.settings = settings
         self.counters = Counters()
-        self._box = AnnouncementBox()
+        self.news = AnnouncementBox()  # set its `on_first` to be told when there is something to fetch
         self._rng = rng
         self._may_repeat = may_repeat
         self._pools: dict[str, ServicePool] = {}
@@ -177,7 +178,7 @@
     def proxies_changed(self, now: float, proxies: int) -> None:
         """Take the number of proxies that send to the same servers, this one among them."""
         self.settings.proxies = max(1, proxies)
-        known = self._box.proxies(now) - 1
+        known = self.news.proxies(now) - 1
         for pool in self._pools.values():
             pool.inform(
                 min(1.0, (known + 1) / self.settings.proxies) if known else 0.0, self.settings.proxies
@@ -185,12 +186,12 @@
 
     def announcements(self) -> list[Announcement]:
         """What other proxies should be told now; each is given once."""
-        return self._box.take()
+        return self.news.take()
 
     def heard(self, now: float, peer: str, announcements: Sequence[Announcement]) -> None:
         """Another proxy tells what it has sent where."""
-        self._box.heard_from(now, peer)
-        known = self._box.proxies(now)
+        self.news.heard_from(now, peer)
+        known = self.news.proxies(now)
         self.settings.proxies = max(self.settings.proxies, known)
         for pool in self._pools.values():
             pool.inform(known / self.settings.proxies, self.settings.proxies)
@@ -239,6 +240,8 @@
         if now >= request.deadline_at:
             return self._give_up(now, exchange, RefusalReason.DEADLINE)
         pool = self._pools.get(request.service)
+        if pool is not None and pool.reading.samples < FEWEST_SAMPLES:
+            pool.reading.guess(request.route.target_latency_ms, request.prompt_tokens)
         choice = self._selector.pick(now, pool, exchange) if pool else None
         if pool is None or choice is None:
             return self._give_up(now, exchange, reason)
@@ -264,7 +267,7 @@
         subject, tokens = request.prompt_parts[-2] if len(request.prompt_parts) >= 2 else ("", 0)
         if choice.tokens_to_read > 0:
             news = Announcement(request.service, server.info.id, subject, tokens, choice.tokens_to_read)
-            self._box.tell(news)
+            self.news.tell(news)
 
     def _give_up(self, now: float, exchange: Exchange, reason: RefusalReason) -> list[Action]:
         if exchange.may_have_run:
--- a/barleybarrow/routing/speed.py
+++ b/barleybarrow/routing/speed.py
@@ -3,7 +3,7 @@
 Only estimates live here; which server is taken is decided elsewhere. Times are milliseconds.
 """
 
-from math import exp
+from math import exp, inf
 
 FORGET_AFTER_SAMPLES = 64  # the slope needs prompts of many sizes, and the engines of a service change rarely
 FEWEST_SAMPLES = 8  # a slope through fewer points is chance
@@ -11,7 +11,7 @@
 CHANCE_SHARE = 0.5  # of the spread: twice the error of a mean over the last sixteen answers or so
 FADE_MS = 4_000.0  # what was learned of a server fades toward the mean so fast: faults last for seconds
 PAUSE_WEIGHT = 1 / 32  # of a new time per token: events are many
-FIRST_SHARE_OF_AIM = 1 / 8  # before any answer, a mean request is thought to take this share of its aim
+FIRST_SHARE_OF_AIM = 1 / 4  # that reading a long prompt is thought to take before any was read
 
 
 class ReadingTime:
@@ -25,9 +25,9 @@
         self._guess = 0.0
 
     def guess(self, aim_ms: float, tokens: int) -> None:
-        """Before anything was served: a prompt of such a size takes a share of its aim."""
-        if not self.samples and tokens > 0:
-            self._guess = aim_ms * FIRST_SHARE_OF_AIM / tokens
+        """Before enough was served: even the longest prompt seen takes but a share of its aim."""
+        if self.samples < FEWEST_SAMPLES and tokens > 0:
+            self._guess = min(self._guess or inf, aim_ms * FIRST_SHARE_OF_AIM / tokens)
 
     def learn(self, tokens: float, first_event_ms: float) -> None:
         """Take one answer: tokens that had to be read, and the time to its first event."""
