--- a/brackenusher/fronts/http2/clients.py
+++ b/brackenusher/fronts/http2/clients.py
@@ -8,7 +8,8 @@
 from brackenusher.core.admission import Admission, Bar, Verdict
 from brackenusher.core.transaction import Answer, Transaction
 from brackenusher.fronts.http import Front, final, worded
-from brackenusher.fronts.http2.connection import Asked, Connection, Counts, Event, Held
+from brackenusher.fronts.http2.connection import Connection, Event
+from brackenusher.fronts.http2.streams import Asked, Counts, Held
 from brackenusher.fronts.listener import Listener, Room
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.driver import write
--- a/brackenusher/fronts/http2/connection.py
+++ b/brackenusher/fronts/http2/connection.py
@@ -11,12 +11,9 @@
 if it was handed out. Nothing here waits for ever: `due` says when `expire` is to be called.
 """
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
-from enum import Enum
+from collections.abc import Callable
 
 from h2.config import H2Configuration
-from h2.connection import H2Connection
 from h2.errors import ErrorCodes
 from h2.events import (
     DataReceived,
@@ -30,22 +27,21 @@
 from h2.events import Event as LibraryEvent
 from h2.exceptions import ProtocolError, StreamClosedError
 from h2.settings import SettingCodes
-from hpack import Decoder, HeaderTuple, NeverIndexedHeaderTuple
+from hpack import HeaderTuple, NeverIndexedHeaderTuple
 from hyperframe.frame import GoAwayFrame, SettingsFrame
 
 from brackenusher.config.operators import Http2Settings
-from brackenusher.core.admission import Request
 from brackenusher.core.message import LONGEST_BODY
 from brackenusher.fronts.http import Front, Headers, Rejection
 from brackenusher.fronts.http2.frames import END_STREAM, PREFACE, Frame, Gate, Http2Error, Kind
 from brackenusher.fronts.http2.heads import (
     USUAL_URGENCY,
-    Head,
     malformed,
     read_head,
     read_trailers,
     urgency,
 )
+from brackenusher.fronts.http2.streams import Asked, Counts, Gone, Held, Library, Reader, State, Stream
 
 WINDOW = 4 * 1024  # bytes a stream may send before there is room for its whole body: a turn takes far less
 STREAM = WINDOW  # bytes counted for a stream from its head on; what it is made of takes about as much
@@ -58,96 +54,11 @@
 PARTING_TIME = 250.0  # ms without a stream after the first GOAWAY: longer than what it crossed is on its way
 HIGHEST = 2**31 - 1  # the highest id of a stream
 MOST_EARLY = 16  # PRIORITY_UPDATE frames kept for streams that are to come
-MOST_CLOSED = 1024  # streams that h2 remembers for telling how they ended: its 65,536 would take 6 MB
 SHARE_OF_BLOCK = 2  # an encoded header block may be so many times as long as the list that is taken
 SPARE_LIST = 4  # a list so many times too long is still answered 431; beyond, the connection ends
-
-
-@dataclass(slots=True)
-class Asked:
-    """A request has come whole; `Connection.answer` is to be called once."""
-
-    stream: int
-    request: Request
-
-
-@dataclass(slots=True)
-class Gone:
-    """The client, or a fault of its own, ended a stream whose request was handed out."""
-
-    stream: int
-
-
 Event = Asked | Gone
 
 
-class State(Enum):
-    COMING = 1
-    ASKED = 2
-    SENDING = 3
-
-
-@dataclass(slots=True)
-class Counts:
-    """What became of streams and connections, over all connections."""
-
-    streams: int = 0
-    refused: int = 0  # streams told that they never ran: too many, no room, the end
-    reset: int = 0  # by their clients, before their answer was sent; also before they were taken
-    stuck: int = 0  # answers dropped, as the client did not take them in time or others needed the room
-    late: int = 0  # requests that did not come whole in time
-    floods: int = 0  # connections ended for what asks for nothing
-    faults: int = 0  # connections ended for other errors
-
-
-class Held:
-    """Bytes of bodies and answers that are held, over all connections; `most` is their bound."""
-
-    def __init__(self, most: int) -> None:
-        self.most, self.size, self.peak = most, 0, 0
-        self.aside, self.most_aside = (
-            0,
-            max(most * 3 // 4, LONGEST_BODY),
-        )  # for bodies; the rest for new streams
-
-    def add(self, size: int) -> None:
-        self.size += size
-        self.peak = max(self.peak, self.size)
-
-
-@dataclass(slots=True, eq=False)
-class Stream:
-    """An open stream."""
-
-    id: int
-    since: float  # its head came; or, once it sends, its answer was there
-    urgency: int
-    head: Head | None = None
-    state: State = State.COMING
-    ended: bool = False  # the client has sent its last byte of it
-    body: bytearray = field(default_factory=bytearray)
-    held: int = 0  # bytes counted for it
-    owed: int = 0  # bytes taken, for which its window was not opened again
-    roomy: bool = False  # there is room for its whole body
-    aside: int = 0  # bytes set aside for that, while it comes
-    answer: memoryview = memoryview(b"")  # what is still to be sent
-    fault: bool = False  # malformed: what it sends still is a protocol error
-
-
-class Reader(Decoder):
-    """Keeps the header list from h2, which would end the connection for one stream's malformed head."""
-
-    block: Headers = ()
-
-    def decode(self, data: bytes, raw: bool = False) -> Iterable[HeaderTuple]:
-        self.block = tuple((bytes(name), bytes(value)) for name, value in super().decode(data, raw=True))
-        return []
-
-
-class Library(H2Connection):
-    MAX_CLOSED_STREAMS = MOST_CLOSED
-
-
 class Connection:
     """One client connection. All times are in milliseconds of one clock."""
 
--- a/testbed/parts.py
+++ b/testbed/parts.py
@@ -9,6 +9,7 @@
 from barleybarrow.interface import Outcome
 from brackenusher.core.transaction import Answer, Attempt, Transaction
 from testbed import scenario as config
+from testbed.model import jobs
 from testbed.model import server as model
 from testbed.model.arrivals import Asked
 from testbed.model.network import Network
@@ -107,7 +108,7 @@
         "effects_seen",
     )
 
-    def __init__(self, asked: Asked, due: int, operation: model.Operation | None, worth: float) -> None:
+    def __init__(self, asked: Asked, due: int, operation: jobs.Operation | None, worth: float) -> None:
         self.asked, self.sent, self.due = asked, asked.sent, due
         self.klass, self.tenant, self.key = asked.klass, asked.tenant, asked.key
         self.operation, self.worth = operation, worth
@@ -245,4 +246,4 @@
     def host(self) -> Host | None: ...
 
     @property
-    def job(self) -> model.Job | None: ...
+    def job(self) -> jobs.Job | None: ...
--- a/testbed/proxy.py
+++ b/testbed/proxy.py
@@ -19,7 +19,7 @@
 from brackenusher.runtime.timers import Entry
 from brackenusher.upstream.listing import Listing
 from brackenusher.upstream.pool import Member, Pool
-from testbed.model.server import Job
+from testbed.model.jobs import Job
 from testbed.parts import Around, Host, Told, Try
 from testbed.policies import POLICIES
 
--- a/testbed/sockets/doors.py
+++ b/testbed/sockets/doors.py
@@ -6,6 +6,7 @@
 import struct
 from typing import Any, Protocol, cast
 
+from testbed.model import jobs
 from testbed.model import server as model
 from testbed.oracle import Pressed
 from testbed.sockets import http
@@ -57,7 +58,7 @@
         self.conn: Conn | None = conn
         self.begun, self.at, self.proxy, self.host = begun, at, proxy, host
         self.op, self.number = op, number
-        self.job: model.Job | None = None
+        self.job: jobs.Job | None = None
         self.declined, self.over_at = False, -1
 
 
--- a/testbed/sockets/fleet_answers.py
+++ b/testbed/sockets/fleet_answers.py
@@ -1,6 +1,6 @@
 """What servers answer, once their model is through with a request."""
 
-from testbed.model import server as model
+from testbed.model import jobs
 from testbed.sockets import http
 from testbed.sockets.doors import Conn, Host, Reached
 from testbed.sockets.fleet_state import FleetState
@@ -33,10 +33,10 @@
             self.over(host, job)
         self.mind(host)
 
-    def over(self, host: Host, job: model.Job) -> None:
+    def over(self, host: Host, job: jobs.Job) -> None:
         """A server is done with a request: its answer sets out."""
         reached: Reached = job.ticket
-        reached.over_at, reached.declined = self.now(), job.outcome == model.DECLINED
+        reached.over_at, reached.declined = self.now(), job.outcome == jobs.DECLINED
         operation = job.operation
         if operation is not None and operation.effects > 1 and job.counted:
             self.ran_twice += 1
@@ -55,13 +55,13 @@
         else:
             self.answer(conn, reached, job)
 
-    def answer(self, conn: Conn, reached: Reached, job: model.Job) -> None:
+    def answer(self, conn: Conn, reached: Reached, job: jobs.Job) -> None:
         if conn.reached is not reached:
             return
         conn.reached, conn.idle_from = None, self.loop.time()
-        if job.outcome == model.DECLINED:
+        if job.outcome == jobs.DECLINED:
             conn.write(http.answer(503, b"", b"Srv-Declined: 1"))
-        elif job.outcome == model.ERROR:
+        elif job.outcome == jobs.ERROR:
             conn.write(http.answer(500))
         else:
             name = b"%d.%d" % (reached.op, reached.number)
--- a/testbed/sockets/fleet_requests.py
+++ b/testbed/sockets/fleet_requests.py
@@ -1,5 +1,6 @@
 """Requests that come to servers, and what the oracle finds wrong with them."""
 
+from testbed.model import jobs
 from testbed.model import server as model
 from testbed.model.arrivals import attempt_noise
 from testbed.oracle import Pressed
@@ -52,7 +53,7 @@
         safe = conf.classes[klass].effect == "safe"
         operation = None if safe else self.ledger.find(op)
         window, group = self.windows[klass], host.group(conf.classes[klass].group)
-        job = model.Job(reached, work, asked.key, operation, window, group, now, NEVER)
+        job = jobs.Job(reached, work, asked.key, operation, window, group, now, NEVER)
         reached.job = job
         self.judge(now, reached, host, work)
         if self.logged < MOST_LOGGED:
--- a/testbed/sockets/fleet_state.py
+++ b/testbed/sockets/fleet_state.py
@@ -7,7 +7,7 @@
 
 from testbed import faults
 from testbed import scenario as config
-from testbed.model import server as model
+from testbed.model import jobs
 from testbed.model.arrivals import Arrivals
 from testbed.model.discovery import Registry
 from testbed.model.network import normals, stream, uniforms
@@ -34,7 +34,7 @@
         self.notice: Callable[[], float] = uniforms(stream(seed, "discovery")).__next__
         self.noise: Callable[[], float] = normals(stream(seed, "noise")).__next__
         self.fleet_rng = stream(seed, "fleet")
-        self.ledger = model.Ledger()
+        self.ledger = jobs.Ledger()
         self.tries_of: dict[int, int] = {}  # attempts of an operation so far
         self.attempts: dict[tuple[int, int], list[Reached]] = {}
         self.logged = 0
--- a/testbed/world_attempts.py
+++ b/testbed/world_attempts.py
@@ -4,7 +4,7 @@
 
 from barleybarrow import interface as face
 from barleybarrow.interface import Outcome
-from testbed.model import server as model
+from testbed.model import jobs
 from testbed.model.arrivals import attempt_noise
 from testbed.parts import Host, Try
 from testbed.proxy import RECORD, Carry, Proxy
@@ -13,9 +13,9 @@
 
 RECENT, NEAREST = 64, 9  # answers that a server's report of its latency knows of, and is the median of
 OUTCOMES = {
-    model.SERVED: Outcome.SERVED,
-    model.ERROR: Outcome.ERROR,
-    model.DECLINED: Outcome.FULL,
+    jobs.SERVED: Outcome.SERVED,
+    jobs.ERROR: Outcome.ERROR,
+    jobs.DECLINED: Outcome.FULL,
 }
 
 
@@ -51,7 +51,7 @@
         op.attempts += 1
         if link.fresh:
             work += self.scenario.kinds[place.kind].handshake_ms * 1000.0
-        carry.job = job = model.Job(
+        carry.job = job = jobs.Job(
             carry,
             work,
             op.key,
@@ -87,7 +87,7 @@
             self.over(host, job)
         self.mind(host)
 
-    def over(self, host: Host, job: model.Job) -> None:
+    def over(self, host: Host, job: jobs.Job) -> None:
         """A server is done with a request: its answer sets out."""
         carry, now, place = job.ticket, self.now, host.place
         if job.operation is not None:
@@ -95,7 +95,7 @@
         self.trace += RECORD.pack(
             now, carry.proxy.number, DONE, carry.t.number, place.index, float(job.outcome)
         )
-        if self.reports and job.outcome == model.SERVED:
+        if self.reports and job.outcome == jobs.SERVED:
             if host.recent is None:
                 host.recent = deque(maxlen=RECENT)
             host.recent.append((carry.crowd, now - carry.reached))
@@ -108,7 +108,7 @@
             delay += int(max(place.late) * 1000.0)
         self.at(now + delay, carry.proxy.answer, carry)
 
-    def look_at_effect(self, job: model.Job) -> None:
+    def look_at_effect(self, job: jobs.Job) -> None:
         """Let the oracle see what really ran."""
         carry, operation = job.ticket, job.operation
         if operation is not None:
--- a/testbed/world_clients.py
+++ b/testbed/world_clients.py
@@ -2,7 +2,7 @@
 
 from brackenusher.core.transaction import Answer, Refused, Served
 from testbed.counts import FAILED, IN_AIM, LATE, LEFT, REFUSED, SECOND, booked
-from testbed.model import server as model
+from testbed.model import jobs
 from testbed.model.arrivals import Asked
 from testbed.parts import Op, Try
 from testbed.proxy import RECORD, Made, Proxy
@@ -21,7 +21,7 @@
         worth = self.scenario.classes[klass].worth
         if self.quotas and not self.quotas[asked.tenant].take(asked.sent):
             worth *= self.scenario.rules.over_quota_worth
-        operation = None if self.safe[klass] else model.Operation()
+        operation = None if self.safe[klass] else jobs.Operation()
         op = Op(asked, asked.sent + self.deadlines[klass], operation, worth)
         self.open_ops += 1
         tally = self.tallies[klass][asked.tenant]
--- a/testbed/world_processes.py
+++ b/testbed/world_processes.py
@@ -7,6 +7,7 @@
 from brackenusher.upstream.listing import Host as Listed
 from testbed import scenario as config
 from testbed.counts import SECOND
+from testbed.model import jobs
 from testbed.model import server as model
 from testbed.model.arrivals import spread
 from testbed.model.discovery import Agent
@@ -202,10 +203,10 @@
         self.at(self.now + notice, self.end_of_drain, (host, host.life, host.leaves, gap))
 
 
-def spec_of(scenario: config.Scenario, kind: config.Kind, speed: float) -> model.Spec:
+def spec_of(scenario: config.Scenario, kind: config.Kind, speed: float) -> jobs.Spec:
     """What a server of a kind is."""
     keys, rules = scenario.keys, scenario.rules
-    return model.Spec(
+    return jobs.Spec(
         cores=kind.cores,
         speed=speed,
         slots=max(1, round(kind.slots_per_core * kind.cores)),
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -35,7 +35,8 @@
 from barleybarrow.settings import read_settings
 from brackenusher.config.operators import Http2Settings
 from brackenusher.fronts.http import Front
-from brackenusher.fronts.http2.connection import Asked, Connection, Counts, Held
+from brackenusher.fronts.http2.connection import Connection
+from brackenusher.fronts.http2.streams import Asked, Counts, Held
 
 MAX = 2**31 - 1
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -6,7 +6,8 @@
 import pytest
 
 from testbed.model.arrivals import Arrivals
-from testbed.model.server import DECLINED, ERROR, OVER, SERVED, Job, Operation, Server, Spec
+from testbed.model.jobs import DECLINED, ERROR, OVER, SERVED, Job, Operation, Spec
+from testbed.model.server import Server
 from testbed.scenario import Scenario
 
 MS = 1000
