Data plane: connections in large fleets, and none for servers that drain

Cause: with a hundred proxies the share of MaxConnections falls below one and requests would queue behind streams; a request that waits for a connection to a server could reach it later than DrainMs after it drains. Ruled out: no bound at all (a server resets what is beyond its limit). Change: at least 4 connections to a server; with a share below 2 idle ones are kept for 1 s only; who waits for a draining server is sent elsewhere. Measured: 105 tests pass on loopback; no trial of a large fleet yet.

--- a/brackenusher/data_plane/proxy.py
+++ b/brackenusher/data_plane/proxy.py
@@ -18,6 +18,7 @@
     Refuse,
     Send,
     ServerInfo,
+    ServerState,
 )
 from barleybarrow.routing.route_table import RouteTable, choose_service
 from brackenusher.data_plane.exchange import ClientRequest, Exchange, State
@@ -297,9 +298,11 @@
     def _list_connections(self, service_name: str) -> None:
         service = self._services.get(service_name)
         accepted = service.max_connections if service is not None else 0
-        limit = accepted // self.proxy_count if accepted else DEFAULT_CONNECTIONS
+        share = accepted / self.proxy_count if accepted else DEFAULT_CONNECTIONS
         for server in self._servers[service_name].values():
-            self.pool.list_server(server.id, server.address, limit)
+            self.pool.list_server(server.id, server.address, share)
+            if server.state == ServerState.DRAINING:
+                self.pool.send_nothing_more(server.id)
 
     # The dispatcher's actions
 
--- a/brackenusher/data_plane/upstream_pool.py
+++ b/brackenusher/data_plane/upstream_pool.py
@@ -16,6 +16,9 @@
 
 CONNECT_TIMEOUT_S = 0.3  # longer than round trips; a dropped opening packet comes again only after 1 s
 DEFAULT_CONNECTIONS = 64  # for each server, where the configuration states no MaxConnections
+LEAST_CONNECTIONS = 4  # to each server, however many proxies there are: most of them have fewer at a time
+LEAST_KEPT_SHARE = 2.0  # connections; with a smaller share, idle ones are kept for SHORT_REST_S only
+SHORT_REST_S = 1.0
 SETTLE_S = 0.002  # a server over its limit resets right after accepting; seen so soon, nothing was sent
 USED_IN_TURN = 4  # so many connections to a server are used in turn, so that none expires; more may
 
@@ -38,7 +41,8 @@
 
     server_id: str
     address: str
-    limit: int
+    limit: int = 1
+    keeps_idle: bool = True  # False: in a large fleet idle connections of all proxies would fill the server
     idle: list[UpstreamConnection] = field(default_factory=list)
     open: set[UpstreamConnection] = field(default_factory=set)
     connecting: int = 0
@@ -55,13 +59,14 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.opened = 0  # connections opened since the start
 
-    def list_server(self, server_id: str, address: str, limit: int) -> None:
-        """A server is listed, or its limit has changed."""
+    def list_server(self, server_id: str, address: str, share: float) -> None:
+        """A server is listed, or this process's share of the connections that it accepts has changed."""
         server = self._servers.get(server_id)
         if server is None or server.address != address:
             self.unlist_server(server_id)
-            server = self._servers[server_id] = ServerConnections(server_id, address, limit)
-        server.limit = max(1, limit)
+            server = self._servers[server_id] = ServerConnections(server_id, address)
+        server.limit = max(LEAST_CONNECTIONS, int(share))
+        server.keeps_idle = share >= LEAST_KEPT_SHARE
         server.listed = True
 
     def unlist_server(self, server_id: str) -> None:
@@ -77,6 +82,14 @@
             if not taker.cancelled:
                 taker.connection_failed()
 
+    def send_nothing_more(self, server_id: str) -> None:
+        """A server drains: who still waits for a connection to it is told that there is none."""
+        server = self._servers.get(server_id)
+        taker = self._next_waiting(server) if server is not None else None
+        while server is not None and taker is not None:
+            taker.connection_failed()
+            taker = self._next_waiting(server)
+
     def acquire(self, server_id: str, taker: ConnectionTaker) -> None:
         """Give the taker a connection: now if one is idle, else as soon as one is free or new."""
         server = self._servers.get(server_id)
@@ -186,6 +199,8 @@
     def _rest(self, server: ServerConnections, connection: UpstreamConnection) -> None:
         if not connection.used:
             connection.idle_until = self._loop.time() + connection.unused_idle_s()
+        if not server.keeps_idle:
+            connection.idle_until = min(connection.idle_until, self._loop.time() + SHORT_REST_S)
         server.idle.append(connection)
 
     def _next_waiting(self, server: ServerConnections) -> ConnectionTaker | None:
