--- a/brackenusher/assembly/control.py
+++ b/brackenusher/assembly/control.py
@@ -3,6 +3,9 @@
 import asyncio
 import os
 import random
+from typing import Any
+
+from returns.result import Result
 
 from barleybarrow.documents import Configuration
 from barleybarrow.limits.limits import Limits
@@ -20,7 +23,6 @@
 from brackenusher.control_plane.shares_driver import LIMITS_STORE, SharesDriver
 from brackenusher.runtime.metrics import Metrics
 from brackenusher.runtime.process_metrics import add_process_metrics
-from brackenusher.settings.documents import check_document
 from brackenusher.settings.local import LocalSettings
 from brackenusher.storage.slot_store import SlotStore
 from brackenusher.storage.writer import StorageWriter
@@ -29,6 +31,13 @@
 TICK_S = 0.1
 
 
+def check(document: dict[str, Any]) -> Result[Configuration, Exception]:
+    """Check a document. Its library takes a quarter of a second to import: not while the process starts."""
+    from brackenusher.settings.documents import check_document
+
+    return check_document(document)
+
+
 class ControlProcess:
     """One control process."""
 
@@ -39,7 +48,7 @@
         self.links = Links(greeting(settings, "control", settings.control_internal_port, rng), rng)
         self.writer = StorageWriter() if settings.data_dir else None
         store = SlotStore(settings.data_dir, REGISTRY_STORE) if settings.data_dir else None
-        self.shard = ConfigShard(settings, self.links, check_document, rng)
+        self.shard = ConfigShard(settings, self.links, check, rng)
         self.registry = RegistryService(
             settings, self.links, store, self.writer, self.shard.voters, lambda: loop.time() * 1000.0
         )
--- a/brackenusher/cluster/links.py
+++ b/brackenusher/cluster/links.py
@@ -21,7 +21,8 @@
 log = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 1.0  # a cut swallows the first packet; the next try must come soon after it heals
-FIRST_PAUSE_S = 0.1
+FIRST_PAUSE_S = 0.05  # peers that start together need some hundred milliseconds until they listen
+PAUSE_GROWTH = 1.5
 LONGEST_PAUSE_S = 0.8  # a healed cut must be used well within ContactMs
 KEEP_ALIVE_S = 0.5
 SILENCE_S = 1.6  # three keep-alives missed
@@ -246,7 +247,7 @@
                         pause = FIRST_PAUSE_S
                         await connection.ended
                     else:
-                        pause = min(pause * 2, LONGEST_PAUSE_S)
+                        pause = min(pause * PAUSE_GROWTH, LONGEST_PAUSE_S)
                 await asyncio.sleep(pause * (0.5 + self.rng.random()))
         finally:
             if connection is not None:
