--- a/barleybarrow/__init__.py
+++ b/barleybarrow/__init__.py
@@ -9,7 +9,7 @@
 
 
 def __getattr__(name: str) -> Any:
-    """Import `Balancer` when it is first asked for: processes of the fleet use other modules only (PEP 562)."""
+    """Import `Balancer` when it is first asked for: the fleet uses other modules only (PEP 562)."""
     if name == "Balancer":
         from barleybarrow.brain import Balancer
 
