--- a/barleybarrow/consensus/configuration_state.py
+++ b/barleybarrow/consensus/configuration_state.py
@@ -134,28 +134,39 @@
     """
     made = dict(document)
     made["Generation"] = generation_of(patch)
-    removals, upserts = patch.get("Remove") or {}, patch.get("Upsert") or {}
+    removals, upserts = given(patch, "Remove", {}), given(patch, "Upsert", {})
     if not isinstance(removals, dict) or not isinstance(upserts, dict):
         raise OrderError("Upsert and Remove: objects of lists are needed")
     for key in {**removals, **upserts}:
-        removed, added = removals.get(key) or [], upserts.get(key) or []
+        removed, added = given(removals, key, []), given(upserts, key, [])
         if key not in ITEM_LISTS or not isinstance(removed, list) or not isinstance(added, list):
             raise OrderError(f"{key}: only lists of {', '.join(ITEM_LISTS)} can be patched")
-        made[key] = patch_items(key, made.get(key) or [], removed, added)
+        made[key] = patch_items(key, given(made, key, []), removed, added)
     return made
 
 
+def given(document: Document, key: str, absent: Any) -> Any:
+    """The value of a key; null and no such key are the same."""
+    value = document.get(key)
+    return absent if value is None else value
+
+
 def patch_items(key: str, items: list[Document], removed: list[Any], added: list[Any]) -> list[Document]:
     """One list of named items after removals and additions; replaced items keep their place."""
     if not all(isinstance(name, str) for name in removed):
         raise OrderError(f"Remove.{key}: a list of names is needed")
-    gone = set(removed)
-    by_name = {item.get("Name"): item for item in items if item.get("Name") not in gone}
-    for item in added:
-        if not isinstance(item, dict) or not isinstance(item.get("Name"), str):
-            raise OrderError(f"Upsert.{key}: each item needs a Name")
-        by_name[item["Name"]] = item
-    return list(by_name.values())
+    if not all(isinstance(item, dict) and isinstance(item.get("Name"), str) for item in added):
+        raise OrderError(f"Upsert.{key}: each item needs a Name")
+    gone, new = set(removed), {item["Name"]: item for item in added}
+    made, replaced = list[Document](), set[Any]()
+    for item in items:
+        name = item.get("Name")
+        if name in new and name not in replaced:
+            made.append(new[name])
+            replaced.add(name)
+        elif name not in new and name not in gone:
+            made.append(item)
+    return made + [item for name, item in new.items() if name not in replaced]
 
 
 class ConfigurationState:
--- /dev/null
+++ b/tests/fleet/test_config_state.py
@@ -0,0 +1,214 @@
+"""The replicated state of the configuration, and what a replica keeps of it."""
+
+import json
+import unittest
+from random import Random
+from typing import Any
+
+from msgspec import msgpack
+
+from barleybarrow.agreement import Agreement, Entry, Ready, Snapshot
+from barleybarrow.consensus import configuration_state
+from barleybarrow.consensus.configuration_state import (
+    ConfigurationState,
+    OrderError,
+    OrderOutcome,
+    apply_patch,
+    make_order,
+    order_digest,
+    read_body,
+)
+from barleybarrow.consensus.durable_state import (
+    DurableStateError,
+    StoredRecord,
+    decode_state,
+    encode_image,
+    encode_record,
+)
+
+
+def ordered(state: ConfigurationState, kind: str, base: int, content: Any) -> OrderOutcome:
+    """Have a state apply an order."""
+    body = content if isinstance(content, bytes) else json.dumps(content).encode()
+    return state.apply(make_order(kind, base, body, 1))
+
+
+def replaced(state: ConfigurationState, base: int, generation: int, **more: Any) -> int:
+    """Have a state replaced: the status."""
+    return ordered(state, "replace", base, {"Generation": generation, **more}).status
+
+
+class VersionsTest(unittest.TestCase):
+    def test_the_base_must_be_the_current_version(self) -> None:
+        state = ConfigurationState()
+        self.assertEqual(replaced(state, 1, 5), 412)
+        self.assertEqual(replaced(state, 0, 5), 200)
+        for base in (0, 4, 6, 2**60):
+            self.assertEqual(replaced(state, base, 9), 412)
+        self.assertEqual(replaced(state, 5, 9), 200)
+        self.assertEqual(state.version, 9)
+
+    def test_the_new_version_must_be_above_the_current(self) -> None:
+        state = ConfigurationState()
+        replaced(state, 0, 5)
+        for generation in (5, 4, 0, -1):
+            self.assertEqual(replaced(state, 5, generation), 400)
+        for odd in (True, 7.0, "7", None, [7], 2**53):
+            self.assertEqual(ordered(state, "replace", 5, {"Generation": odd}).status, 400)
+        self.assertEqual(ordered(state, "replace", 5, {}).status, 400)
+        self.assertEqual(state.version, 5)
+
+    def test_what_cannot_be_read_changes_nothing(self) -> None:
+        state = ConfigurationState()
+        for body in (b"", b"{", b"[1]", b"7", b"\xff\xfe", b'{"Generation": 3', b"[" * 100_000):
+            self.assertEqual(ordered(state, "replace", 0, body).status, 400)
+        self.assertEqual(ordered(state, "other", 0, {"Generation": 3}).status, 400)
+        self.assertEqual((state.version, state.document), (0, None))
+
+
+class AgainTest(unittest.TestCase):
+    def test_an_order_that_was_taken_is_acknowledged_again(self) -> None:
+        state = ConfigurationState()
+        for base, generation in ((0, 2), (2, 4), (4, 9)):
+            self.assertEqual(replaced(state, base, generation), 200)
+        for base, generation in ((0, 2), (2, 4), (4, 9)):
+            self.assertEqual(replaced(state, base, generation), 200)
+        self.assertEqual(state.version, 9)
+        self.assertEqual([taken.version for taken in state.history()], [2, 4, 9])
+
+    def test_another_order_with_the_same_numbers_is_not(self) -> None:
+        state = ConfigurationState()
+        replaced(state, 0, 2, Routes=[])
+        self.assertEqual(replaced(state, 0, 2, Routes=[{"Name": "a"}]), 412)
+        self.assertEqual(ordered(state, "patch", 0, {"Generation": 2, "Routes": []}).status, 412)
+
+    def test_digests_tell_kind_base_and_body_apart(self) -> None:
+        orders = [("replace", 1, b"2"), ("patch", 1, b"2"), ("replace", 12, b""), ("replace", 1, b"\n2")]
+        self.assertEqual(len({order_digest(*order) for order in orders}), 4)
+
+    def test_what_is_remembered_is_bounded(self) -> None:
+        state, most = ConfigurationState(), configuration_state.MAX_TAKEN
+        for version in range(most + 10):
+            replaced(state, version, version + 1)
+        self.assertEqual(len(state.taken), most)
+        self.assertEqual(replaced(state, 10, 11), 200)
+        self.assertEqual(replaced(state, 9, 10), 412)
+
+    def test_a_snapshot_holds_all_of_it(self) -> None:
+        state, other = ConfigurationState(), ConfigurationState()
+        replaced(state, 0, 2, Routes=[{"Name": "a", "Weight": 1.5, "Umlaut": "\u00e4"}])
+        replaced(state, 2, 4, Routes=[])
+        other.restore(state.snapshot())
+        self.assertEqual((other.version, other.document), (state.version, state.document))
+        self.assertEqual(other.history(), state.history())
+        self.assertEqual(
+            replaced(other, 0, 2, Routes=[{"Name": "a", "Weight": 1.5, "Umlaut": "\u00e4"}]), 200
+        )
+        other.restore(b"")
+        self.assertEqual((other.version, other.document, other.taken), (0, None, {}))
+
+    def test_replicas_agree_whatever_the_way_they_came_to_it(self) -> None:
+        rng = Random(1)
+        whole, restored = ConfigurationState(), ConfigurationState()
+        for step in range(300):
+            kind = rng.choice(["replace", "patch"])
+            names = rng.sample("abcdef", 2)
+            content: dict[str, Any] = {"Generation": step + rng.randint(-1, 2)}
+            if kind == "patch":
+                content |= {
+                    "Upsert": {"Routes": [{"Name": names[0], "At": step}]},
+                    "Remove": {"Routes": names[1:]},
+                }
+            order = make_order(kind, rng.choice([whole.version, step]), json.dumps(content).encode(), step)
+            self.assertEqual(whole.apply(order), restored.apply(order))
+            if rng.random() < 0.2:
+                fresh = ConfigurationState()
+                fresh.restore(restored.snapshot())
+                restored = fresh
+        self.assertEqual(whole.snapshot(), restored.snapshot())
+        self.assertGreater(whole.version, 50)
+
+
+class PatchTest(unittest.TestCase):
+    document = {
+        "Generation": 5,
+        "Routes": [{"Name": "a", "X": 1}, {"Name": "b"}, {"Name": "c"}],
+        "Services": [{"Name": "s"}],
+        "Limits": {"MaxBodyBytes": 1},
+        "Extra": [1],
+    }
+
+    def test_items_are_added_replaced_and_removed_by_name(self) -> None:
+        patch = {
+            "Generation": 7,
+            "Upsert": {"Routes": [{"Name": "d"}, {"Name": "a", "Y": 2}], "Tenants": [{"Name": "t"}]},
+            "Remove": {"Routes": ["b", "absent"]},
+        }
+        made = apply_patch(self.document, patch)
+        self.assertEqual(made["Routes"], [{"Name": "a", "Y": 2}, {"Name": "c"}, {"Name": "d"}])
+        self.assertEqual(made["Tenants"], [{"Name": "t"}])
+        self.assertEqual((made["Generation"], made["Extra"], made["Limits"]), (7, [1], {"MaxBodyBytes": 1}))
+        self.assertEqual(self.document["Routes"], [{"Name": "a", "X": 1}, {"Name": "b"}, {"Name": "c"}])
+
+    def test_patches_that_cannot_be_read(self) -> None:
+        odd: list[dict[str, Any]] = [
+            {"Generation": 7, "Upsert": []},
+            {"Generation": 7, "Remove": "a"},
+            {"Generation": 7, "Upsert": {"Limits": [{"Name": "x"}]}},
+            {"Generation": 7, "Upsert": {"Routes": {"Name": "x"}}},
+            {"Generation": 7, "Upsert": {"Routes": [{"X": 1}]}},
+            {"Generation": 7, "Upsert": {"Routes": ["a"]}},
+            {"Generation": 7, "Remove": {"Routes": [1]}},
+            {"Upsert": {}},
+        ]
+        for patch in odd:
+            with self.subTest(patch=patch), self.assertRaises(OrderError):
+                apply_patch(self.document, patch)
+
+    def test_a_patch_needs_something_to_patch(self) -> None:
+        self.assertEqual(ordered(ConfigurationState(), "patch", 0, {"Generation": 3}).status, 412)
+
+
+class OrderBytesTest(unittest.TestCase):
+    def test_a_body_that_unpacks_to_more_than_is_allowed_is_not_read(self) -> None:
+        order = make_order("replace", 0, b"[" + b" " * configuration_state.MAX_BODY_BYTES + b"]", 1)
+        self.assertLess(len(order.body), 100_000)
+        with self.assertRaises(OrderError):
+            read_body(order)
+
+    def test_a_large_configuration_is_small_in_the_log(self) -> None:
+        routes = [{"Name": f"route-{i}", "PathPrefix": f"/p{i}/", "TimeoutMs": 15000} for i in range(430)]
+        body = json.dumps({"Generation": 3, "Routes": routes}).encode()
+        self.assertLess(len(make_order("replace", 0, body, 1).body), len(body) / 3)
+
+
+class DurableStateTest(unittest.TestCase):
+    def agreement(self) -> Agreement:
+        agreement = Agreement("a", ["a", "b"], Random(1), 0.0, term=3, vote="b")
+        agreement.entries = [Entry(1, 1, b"one"), Entry(2, 1, b"two")]
+        return agreement
+
+    def test_an_image_and_records_are_read_back(self) -> None:
+        agreement = self.agreement()
+        image = encode_image(agreement)
+        records = [
+            encode_record(agreement, Ready(hard=(4, ""))),
+            encode_record(agreement, Ready(hard=(5, "a"), first=3, entries=[Entry(5, 1, b"three")])),
+            encode_record(agreement, Ready(hard=(6, "b"), first=2, entries=[Entry(6, 1, b"other")])),
+        ]
+        state = decode_state(image, records)
+        self.assertEqual((state.term, state.vote, state.barred), (6, "b", False))
+        self.assertEqual(state.snapshot, Snapshot(0, 0, ["a", "b"], b""))
+        self.assertEqual([entry.data for entry in state.entries], [b"one", b"other"])
+
+    def test_a_gap_is_told(self) -> None:
+        record = msgpack.encode(StoredRecord(3, "", 9, [Entry(3, 1, b"")]))
+        with self.assertRaises(DurableStateError):
+            decode_state(encode_image(self.agreement()), [record])
+
+    def test_bytes_of_something_else_are_told(self) -> None:
+        for image in (b"", b"\x00", b"\x96\x02\x00\xa0\xc2\x90\x90", b"text"):
+            with self.assertRaises(DurableStateError):
+                decode_state(image, [])
+        with self.assertRaises(DurableStateError):
+            decode_state(encode_image(self.agreement()), [b"\xc1"])
