Interface: tests for what planted faults survived; a caller that leaves is not answered

New tests cover those that change what a caller sees; two branches that could not be reached are gone. What stays unseen is equal in effect or a boundary of a message's length. Found on the way: a caller that left amid a head was answered with 400, amid a body not; now neither.

--- a/brackenusher/control_plane/http_server.py
+++ b/brackenusher/control_plane/http_server.py
@@ -270,7 +270,7 @@
 
     async def _receive(self) -> None:
         data = await self.reader.read(READ_BYTES)
-        if not data and self.protocol.their_state is h11.SEND_BODY:
+        if not data and not self.resting:
             raise ConnectionResetError("the caller left amid its request")  # nobody is there for an answer
         self.protocol.receive_data(data)
 
@@ -302,9 +302,6 @@
 
     async def _refuse(self, refusal: _RefusedError) -> None:
         """Answer a request that can't be read whole, and end the connection without losing the answer."""
-        if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            self.broken = True
-            return
         self._ending = True
         response = HttpResponse(refusal.status, f"{refusal.reason}\n".encode(), TEXT)
         try:
--- a/brackenusher/settings/document_fields.py
+++ b/brackenusher/settings/document_fields.py
@@ -112,9 +112,7 @@
 
 
 def _reader_of(kind: Any, key: str) -> Callable[[object], Any]:
-    """The reader of a field of that type: plain, a list, or a part that may be absent."""
-    if kind in _PLAIN_READERS:
-        return partial(_PLAIN_READERS[kind], key)
+    """The reader of a field of that type: a list, or one value that may be absent."""
     if get_origin(kind) is list:
         return partial(_read_parts, get_args(kind)[0], key)
     present = [part for part in get_args(kind) if part is not type(None)] or [kind]
--- a/brackenusher/settings/reading.py
+++ b/brackenusher/settings/reading.py
@@ -28,12 +28,12 @@
     """Why the settings can't be used; `str` gives one line."""
 
     path: str
-    key: str  # empty: the file as a whole
+    key: str  # empty: the file as a whole, which has no value
     value: str
     remedy: str
 
     def __str__(self) -> str:
-        key = f" {self.key} = {self.value}:" if self.key else f" {self.value}:" if self.value else ""
+        key = f" {self.key} = {self.value}:" if self.key else ""
         return f"{self.path}:{key} {self.remedy}"
 
 
--- a/tests/fleet/test_api.py
+++ b/tests/fleet/test_api.py
@@ -5,6 +5,7 @@
 import unittest
 from dataclasses import dataclass, field
 from typing import Any
+from unittest import mock
 
 from barleybarrow.replication.records import InstanceModel, InstanceRecord, InstanceState
 from brackenusher.control_plane import config_api, heartbeat_api
@@ -161,7 +162,24 @@
         self.assertEqual(self.call("POST", "/-/Instances.Heartbeat/i-1", padded).status, 200)
         self.assertEqual(self.call("POST", "/-/Instances.Heartbeat/i-1", padded + b" ").status, 413)
 
+    def test_adapters(self) -> None:
+        cases: tuple[tuple[object, int], ...] = (
+            *((None, 200), ([], 200), (["a"], 200), ("a", 400), ([1], 400), ({}, 400)),
+        )
+        for adapters, status in cases:
+            with self.subTest(adapters):
+                models: object = [{"Name": "m", "Adapters": adapters}]
+                self.assertEqual(self.beat(Models=models).status, status)
+
+    def test_ports(self) -> None:
+        for port, status in (("1", 200), ("65535", 200), ("65536", 400), ("0", 400), ("", 400), ("8o", 400)):
+            with self.subTest(port):
+                self.assertEqual(self.beat(Address=f"10.0.0.1:{port}").status, status)
+
     def test_ids(self) -> None:
+        body = json.dumps(HEARTBEAT).encode()
+        self.assertEqual(self.call("POST", "/-/Instances.Heartbeat/" + "i" * 200, body).status, 200)
+        self.assertEqual(self.call("POST", "/-/Instances.Heartbeat/" + "i" * 201, body).status, 400)
         self.call("POST", "/-/Instances.Deregister/i%20a")
         self.assertEqual(self.registry.gone, ["i a"])
         for target in (
@@ -212,6 +230,22 @@
             self.assertEqual(self.order(body).status, 200)
         self.assertEqual(len(self.shard.orders), 4)
 
+    def test_what_was_taken_is_answered_alike(self) -> None:
+        response = self.order()
+        self.assertEqual((response.status, response.body, response.headers), (200, b"{}", []))
+
+    def test_a_base_version_that_is_missing_is_told_from_a_wrong_one(self) -> None:
+        self.assertIn("is missing", self.error(self.order(base=None)))
+        self.assertIn("is 'x'", self.error(self.order(base="x")))
+
+    def test_the_largest_base_version(self) -> None:
+        self.assertEqual(self.order(base="9" * config_api.MAX_VERSION_DIGITS).status, 200)
+
+    def test_bodies_over_the_bound(self) -> None:
+        with mock.patch.object(config_api, "MAX_DOCUMENT_BYTES", 16):
+            self.assertEqual(self.order(b'{"Generation":7}').status, 200)
+            self.assertEqual(self.order(b'{"Generation":17}').status, 413)
+
     def test_outcomes(self) -> None:
         for status in (400, 412, 413):
             with self.subTest(status):
@@ -258,6 +292,11 @@
         self.shard.document = {"Generation": 9}
         self.assertEqual(json.loads(self.call("GET", "/-/Config.Get?x=1").body), {"Generation": 9})
 
+    def test_a_document_is_written_once(self) -> None:
+        self.shard.document = {"Generation": 7}
+        first, second = (self.call("GET", "/-/Config.Get").body for _ in range(2))
+        self.assertIs(first, second)
+
     def test_get_without_a_majority_is_503(self) -> None:
         response = self.call("GET", "/-/Config.Get")
         self.assertEqual(response.status, 503)
--- a/tests/fleet/test_commands.py
+++ b/tests/fleet/test_commands.py
@@ -18,7 +18,7 @@
 from brackenusher.commands.client import Answer, ControlClient
 from brackenusher.commands.difference import differences
 from brackenusher.commands.errors import CommandError, ExitCode
-from brackenusher.commands.printing import as_text
+from brackenusher.commands.printing import LONGEST_CELL, as_text
 from tests.fleet.document_examples import example
 from tests.fleet.test_settings import SETTINGS
 
@@ -143,6 +143,13 @@
         named = {"BRACKENUSHER_CONTROL": "", "BRACKENUSHER_CONFIG": str(settings)}
         with mock.patch.dict("os.environ", named):
             self.assertEqual(self.run_command("status")[0], 0)
+            settings.write_text(SETTINGS.replace('"10.1.0.14:8665",', f'"{self.control.address}",'), "utf-8")
+            first_calls: list[list[str]] = []
+            with mock.patch("brackenusher.commands.application.ControlClient", first_calls.append):
+                with self.assertRaises(AttributeError):
+                    self.run_command("status")
+            own_first = ["10.1.0.14:8665", self.control.address, "10.2.0.32:8665"]
+            self.assertEqual(first_calls, [own_first])
         with mock.patch.dict("os.environ", {"BRACKENUSHER_CONTROL": ""}):
             self.fails(ExitCode.USAGE, "--control IP:PORT", "status")
 
@@ -158,6 +165,12 @@
         code, out, _ = self.run_command("config", "get")
         self.assertEqual((code, json.loads(out)), (0, example()))
 
+    def test_what_is_no_configuration(self) -> None:
+        self.control.replies["/-/Config.Get"] = [(404, {"Error": "no such call"})]
+        self.fails(ExitCode.REFUSED, "no such call", "config", "get")
+        self.control.replies["/-/Config.Get"] = [(200, [1])]
+        self.fails(ExitCode.REFUSED, "[1]", "config", "get")
+
     def test_put_and_patch_build_on_the_current_version(self) -> None:
         for verb, call in (("put", "/-/Config.Replace"), ("patch", "/-/Config.Patch")):
             with self.subTest(verb):
@@ -221,6 +234,11 @@
         self.addCleanup(patched.stop)
         return ControlClient(list(answers), pauses.append), calls, pauses
 
+    def test_any_5xx_is_unclear(self) -> None:
+        for status in (500, 502, 503, 504, 599, 408, 429):
+            client, calls, _ = self.client({"a": [Answer(status, b"{}")], "b": [Answer(200, b"3")]})
+            self.assertEqual((client.get("/x").status, len(calls)), (200, 2), status)
+
     def test_moves_on_after_failures(self) -> None:
         unclear: list[Answer | Exception] = [OSError("refused"), Answer(503, b"{}"), Answer(429, b"")]
         client, calls, pauses = self.client({"a": unclear, "b": [TimeoutError()], "c": [Answer(200, b"3")]})
@@ -292,6 +310,19 @@
         rows = [{"id": "i-1", "ready": True}, {"id": "i-22", "slots": [1, 2]}]
         self.assertEqual(as_text(rows), "id    ready  slots\ni-1   yes\ni-22         1,2")
 
+    def test_plain_values(self) -> None:
+        self.assertEqual(as_text(["a", 1, None]), "a\n1\n-")
+        self.assertEqual(
+            (as_text([]), as_text("a"), as_text(True), as_text(False)), ("none", "a", "yes", "no")
+        )
+        self.assertEqual(as_text([{"a": 1}, 2]), "a=1\n2")
+        self.assertEqual(as_text([{"a": {"b": 1, "c": None}}]), "a\nb=1 c=-")
+
+    def test_long_cells_are_cut_and_letters_of_any_kind_are_shown(self) -> None:
+        self.assertEqual(as_text("x" * LONGEST_CELL), "x" * LONGEST_CELL)
+        self.assertEqual(as_text("x" * (LONGEST_CELL + 1)), "x" * (LONGEST_CELL - 3) + "...")
+        self.assertEqual(as_text("törn"), "törn")
+
     def test_nested_objects_are_indented(self) -> None:
         document = {
             "version": 7,
--- a/tests/fleet/test_documents.py
+++ b/tests/fleet/test_documents.py
@@ -170,6 +170,10 @@
         lambda d: d["Routes"][1]["TrafficSplit"].append({"Service": "nobody", "Weight": 0}),
         "route r-two: names the unknown service nobody",
     ),
+    "unknown service beside a split": (
+        lambda d: d["Routes"][1].update(Service="nobody"),
+        "route r-two: names the unknown service nobody",
+    ),
     "no services": (_without("Services"), "names the unknown service oracle"),
     "weights of 0": (_weights(0, 0), "route r-two: its weights sum to 0"),
     "weights that cancel": (_weights(5, -5), "route r-two: a Weight is below 0"),
--- a/tests/fleet/test_fleet_log.py
+++ b/tests/fleet/test_fleet_log.py
@@ -41,6 +41,7 @@
     def test_messages_of_other_forms_are_one_event(self) -> None:
         self.assertEqual(self.fields("request %d: server %s", 3, "s"), 'event="request 3: server s"')
         self.assertEqual(self.fields("50% done"), 'event="50% done"')
+        self.assertEqual(self.fields("x: a=%s"), 'event="x: a=%s"')
         self.assertEqual(self.fields("x: a=%s and b=%s", 1, 2), 'event="x: a=1 and b=2"')
 
     def test_values_cannot_add_fields_or_lines(self) -> None:
--- a/tests/fleet/test_metrics.py
+++ b/tests/fleet/test_metrics.py
@@ -87,9 +87,14 @@
             'brackenusher_decisions_total{decision="sent"} 1',
         ]
         self.assertEqual(self.lines(), expected)
+        counts.update({f"{number:04}": 1.0 for number in range(MAX_SERIES - 2)})
+        self.assertEqual(len(self.lines()), MAX_SERIES)
+        self.assertNotIn("other", self.lines()[-1])
         counts.update({f"{number:04}": 1.0 for number in range(MAX_SERIES)})
         self.assertEqual(len(self.lines()), MAX_SERIES + 1)
         self.assertEqual(self.lines()[-1], 'brackenusher_decisions_total{decision="other"} 3.5')
+        with self.assertRaises(ValueError):
+            self.metrics.readings("counter", "decisions_total", "Decisions.", "decision", dict)
         for make in (self.metrics.counter, self.metrics.gauge):
             with self.assertRaises(ValueError):
                 make("decisions_total", "Decisions.", "decision")
