Testbed: runs and load on sockets in smaller files; rude clients left waiting are counted

testbed/sockets/run.py (591 lines) gives its child processes to children and its daemons to daemons, load.py (566) its connections to tries and its rude clients to rude.

--- a/benchmarks/sockets.py
+++ b/benchmarks/sockets.py
@@ -17,7 +17,8 @@
 from testbed import world  # noqa: E402
 from testbed.experiments import aligned, find  # noqa: E402
 from testbed.results import Result  # noqa: E402
-from testbed.sockets.run import RunError, play  # noqa: E402
+from testbed.sockets.daemons import RunError  # noqa: E402
+from testbed.sockets.run import play  # noqa: E402
 
 GOODPUT, P50 = 0.05, 1.3  # how far the two may be apart
 SCENARIOS = ["calm", "slow_quarter", "quick_errors"]
--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -29,8 +29,8 @@
 sys.path.insert(0, str(ROOT))
 
 from testbed.results import histogram  # noqa: E402
+from testbed.sockets.children import child, die_with_parent, receive  # noqa: E402
 from testbed.sockets.ports import free_port  # noqa: E402
-from testbed.sockets.run import child, die_with_parent, receive  # noqa: E402
 
 SERVERS, CONNECTIONS = 9, 16
 BODY = b"board" * 20
--- a/testbed/processes/several.py
+++ b/testbed/processes/several.py
@@ -26,8 +26,9 @@
 from testbed import scenario as config
 from testbed.processes.links import Links, known_host, own_host
 from testbed.schedule import Act, Schedule
+from testbed.sockets.daemons import Daemon
 from testbed.sockets.ports import free_port
-from testbed.sockets.run import Daemon, Run
+from testbed.sockets.run import Run
 
 PERIOD_MS = 200
 SEEDS = 3
--- a/testbed/sockets/commands.py
+++ b/testbed/sockets/commands.py
@@ -41,7 +41,8 @@
 
     from testbed import experiments, words
     from testbed.scenario import ScenarioError
-    from testbed.sockets.run import RunError, play
+    from testbed.sockets.daemons import RunError
+    from testbed.sockets.run import play
     from testbed.sockets.show import shown
 
     scenario = experiments.find(args.scenario)
--- a/testbed/sockets/demo.py
+++ b/testbed/sockets/demo.py
@@ -15,7 +15,8 @@
 from testbed import report
 from testbed.scenario import Scenario, ScenarioError, load, parse
 from testbed.sockets.commands import BROKEN, INTERRUPTED, UNUSABLE, end_as_interrupted, print_account
-from testbed.sockets.run import RunError, play
+from testbed.sockets.daemons import RunError
+from testbed.sockets.run import play
 from testbed.sockets.show import shown
 
 LEAST, MOST = 2.0, 3600.0  # seconds of a demo
--- a/testbed/sockets/load.py
+++ b/testbed/sockets/load.py
@@ -11,11 +11,10 @@
 import asyncio
 import contextlib
 import random
-import socket
 import time
 from array import array
 from collections import deque
-from typing import Any, cast
+from typing import Any
 
 import numpy as np
 
@@ -27,6 +26,8 @@
 from testbed.results import Breach, Tally, encode, histogram
 from testbed.sockets import http
 from testbed.sockets.lag import Lag
+from testbed.sockets.rude import RUDE, RUDE_S, ask_rudely
+from testbed.sockets.tries import Conn, Op, Try
 from testbed.world_clients import FRONT_NOTICE
 
 SECOND = 1_000_000
@@ -37,77 +38,9 @@
 BEHIND = 10_000  # a request written later than this was late
 BEHIND_SHARE = 0.01  # of a second's requests that may be, before the second counts as one of falling behind
 POLL_S = 0.25  # between two questions whether a proxy that was down is ready again
-RUDE_S = 3.0  # an error or a close is owed to a client that breaks the protocol within this time
 MOST_BREACHES = 100
 SERVED, REJECTED = 0, 3  # what a try came to, beside REFUSED and FAILED of the world
 
-RUDE = (  # what clients send that break the protocol
-    b"banana\r\n\r\n",
-    b"GET / HTTP/1.1\r\nHost: h\r\n\r\n",
-    b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: -5\r\n\r\n",
-    b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n",
-    b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-    b"GET /x HTTP/1.1\r\n" + b"X: y\r\n" * 4000,
-    b"GET /x HTTP/1.1\r\nHost: h\r\nReq-Deadline: soon\r\n\r\n",
-    b"GET /x HTT",
-    b"",
-)
-
-
-class Op:
-    """What a client wants done, over all its tries."""
-
-    __slots__ = ("asked", "number", "due", "worth", "tries")
-
-    def __init__(self, asked: Asked, number: int, due: int, worth: float) -> None:
-        self.asked, self.number, self.due, self.worth, self.tries = asked, number, due, worth, 0
-
-
-class Try:
-    """One request of a client, under an id of its own."""
-
-    __slots__ = ("op", "number", "proxy", "sent", "due", "conn", "limit", "leaving", "resent", "over")
-
-    def __init__(self, op: Op, proxy: int, sent: int, due: int) -> None:
-        self.op, self.number, self.proxy = op, op.tries, proxy
-        self.sent, self.due = sent, due
-        self.conn: Conn | None = None
-        self.limit: asyncio.TimerHandle | None = None
-        self.leaving: asyncio.TimerHandle | None = None
-        self.resent = self.over = False
-
-
-class Conn(asyncio.Protocol):
-    """A client's connection to a proxy; one request at a time."""
-
-    transport: asyncio.Transport
-
-    def __init__(self, load: "Load", proxy: int) -> None:
-        self.load, self.proxy, self.reader = load, proxy, http.Reader()
-        self.current: Try | None = None
-        self.used, self.idle_at, self.open = 0, 0.0, False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport, self.open = cast(asyncio.Transport, transport), True  # uvloop's is of no such class
-        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-
-    def data_received(self, data: bytes) -> None:
-        try:
-            messages = self.reader.feed(data)
-        except http.UnreadableMessageError:
-            self.load.unreadable(self)
-            return
-        for first, head, body in messages:
-            self.load.answered(self, first, head, body)
-
-    def connection_lost(self, error: Exception | None) -> None:
-        self.open = False
-        self.load.lost(self)
-
-    def close(self) -> None:
-        if self.open:
-            self.transport.abort()
-
 
 class Load:
     """All clients of a run."""
@@ -467,14 +400,9 @@
             return
         self.rude += 1
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.ports[proxy])
-            with contextlib.suppress(OSError):
-                writer.write(text)
-                await writer.drain()
-                got = await asyncio.wait_for(reader.read(4096), RUDE_S + WIRE / 1e6)
-                if got.startswith(b"HTTP/1.1 200"):
-                    self.breach("one_answer", self.now(), f"served {text[:40]!r}", proxy, -1)
-            writer.close()
+            got = await ask_rudely(self.ports[proxy], text, RUDE_S + WIRE / 1e6)
+            if got.startswith(b"HTTP/1.1 200"):
+                self.breach("one_answer", self.now(), f"served {text[:40]!r}", proxy, -1)
         except TimeoutError:
             self.rude_left += 1
         except OSError:
--- a/testbed/sockets/run.py
+++ b/testbed/sockets/run.py
@@ -10,34 +10,25 @@
 platform's rule holds: what came within 0.7 s is owed an answer.
 """
 
-import asyncio
 import contextlib
-import ctypes
 import json
 import math
 import multiprocessing as mp
-import os
-import signal
-import socket
 import subprocess
-import sys
 import tempfile
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from multiprocessing.connection import Connection
 from pathlib import Path
 from typing import Any
 
-import psutil
-
-import brackenusher
 from testbed import faults
 from testbed import scenario as config
 from testbed.counts import SecondBySecond
-from testbed.results import Acted, Breach, Live, Process, Result
-from testbed.sockets.fleet import Fleet
-from testbed.sockets.load import Load
+from testbed.results import Acted, Breach, Live, Result
+from testbed.sockets.children import child, run_fleet, run_load
+from testbed.sockets.daemons import Daemon, RunError
 from testbed.sockets.ports import free_port
 
 START_S = 30.0  # a process that is not ready by then will not be
@@ -46,199 +37,10 @@
 TERM_GRACE_S = 0.7  # what came so long after SIGTERM is not owed an answer
 KILLED_S = 0.5  # a connection that breaks within this time after a kill broke because of it
 SOCKETS, MEMORY_MB = 1024, 192  # of a daemon, as the platform limits it
-PR_SET_PDEATHSIG = 1
 EACH = "{proxy}"  # in the operators' file's name: the proxy's number, where each has a file of its own
 TIMED = ("in_time", "drain")  # promises that are broken by the clock alone
 
 
-class RunError(Exception):
-    """The run cannot be made; the text is one line."""
-
-
-def die_with_parent() -> None:
-    """Have the kernel end this process when its parent ends, however it ends."""
-    ctypes.CDLL(None, use_errno=True).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-
-
-def new_loop() -> asyncio.AbstractEventLoop:
-    """An event loop of uvloop where it is installed: twice the requests a second for the load."""
-    try:
-        import uvloop
-    except ImportError:
-        return asyncio.new_event_loop()
-    loop: asyncio.AbstractEventLoop = uvloop.new_event_loop()
-    return loop
-
-
-def child(work: Callable[..., Any], pipe: Connection, *arguments: Any) -> None:
-    """What a process of the testbed runs; Ctrl-C is its parent's business."""
-    die_with_parent()
-    signal.signal(signal.SIGINT, signal.SIG_IGN)
-    with asyncio.Runner(loop_factory=new_loop) as runner:
-        try:
-            runner.run(work(pipe, *arguments))
-        except (EOFError, BrokenPipeError):
-            pass  # the parent went, or wants nothing more
-
-
-async def receive(pipe: Connection) -> Any:
-    """The parent's next word; a thread waits for it, as the pipe must stay a blocking one."""
-    return await asyncio.get_running_loop().run_in_executor(None, pipe.recv)
-
-
-async def run_fleet(pipe: Connection, scenario: config.Scenario, seed: int) -> None:
-    """The fleet's process: listens, tells where, begins at a word, sums up at the next."""
-    fleet = Fleet(scenario, seed)
-    await fleet.listen()
-    pipe.send(fleet.addresses())
-    fleet.begin(await receive(pipe))
-    last = time.process_time(), time.monotonic()
-
-    async def tell() -> None:
-        nonlocal last
-        while True:
-            await asyncio.sleep(1.0)
-            fleet.tidy()
-            now = time.process_time(), time.monotonic()
-            busy = (now[0] - last[0]) / (now[1] - last[1])
-            last = now
-            pipe.send(("fleet", fleet.sight(), list(fleet.events), busy))
-
-    telling = asyncio.ensure_future(tell())
-    await receive(pipe)
-    telling.cancel()
-    pipe.send(("sum", fleet.summary()))
-
-
-async def run_load(pipe: Connection, scenario: config.Scenario, seed: int, ports: list[int]) -> None:
-    """The load's process."""
-    load = Load(scenario, seed, ports)
-    pipe.send("ready")
-    origin = await receive(pipe)
-    last = time.process_time(), time.monotonic()
-
-    async def tell() -> None:
-        nonlocal last
-        while True:
-            await asyncio.sleep(1.0)
-            now = time.process_time(), time.monotonic()
-            busy = (now[0] - last[0]) / (now[1] - last[1])
-            last = now
-            pipe.send(("load", load.sight(), busy))
-
-    telling = asyncio.ensure_future(tell())
-    await load.run(origin)
-    telling.cancel()
-    pipe.send(("sum", load.summary()))
-    await receive(pipe)
-
-
-@dataclass
-class Life:
-    """One life of a daemon's process; instants in seconds on the monotonic clock."""
-
-    process: "subprocess.Popen[bytes]"
-    began: float
-    stopped_at: float | None = None  # SIGTERM or SIGKILL was sent
-    killed: bool = False
-    seen: psutil.Process | None = None
-    cpu: float = 0.0
-
-
-@dataclass
-class Daemon:
-    """One proxy, over all its lives."""
-
-    number: int
-    port: int
-    agent: str
-    folder: Path
-    options: list[str]
-    lives: list[Life] = field(default_factory=list)
-    facts: Process = field(default_factory=lambda: Process(proxy=0))
-    of_second: dict[int, float] = field(default_factory=dict)
-    environ: dict[str, str] = field(default_factory=dict)  # beside what the parent has
-
-    @property
-    def life(self) -> Life:
-        return self.lives[-1]
-
-    def start(self) -> None:
-        log = (self.folder / f"proxy{self.number}.log").open("ab")
-        root = str(Path(brackenusher.__file__).parent.parent)
-        planted = str(self.folder.resolve())  # where a test may have put a bug to be found
-        path = os.pathsep.join(p for p in (root, planted, os.environ.get("PYTHONPATH", "")) if p)
-        environ = {name: value for name, value in os.environ.items() if not name.startswith("GW_")}
-        environ |= {"PYTHONPATH": path, "GW_CONFIG": str(self.folder / f"proxy{self.number}.json")}
-        environ |= self.environ
-        with log:
-            process = subprocess.Popen(
-                [sys.executable, "-m", "brackenusher", "serve", *self.options],
-                cwd=self.folder,
-                env=environ,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-                start_new_session=True,  # Ctrl-C in the terminal goes to the parent alone, which ends it
-                preexec_fn=die_with_parent,
-            )
-        life = Life(process, time.monotonic())
-        with contextlib.suppress(psutil.Error):
-            life.seen = psutil.Process(process.pid)
-        self.lives.append(life)
-
-    def ready(self) -> bool:
-        if self.life.process.poll() is not None:
-            raise RunError(f"proxy {self.number} ended at its start: {self.last_words()}")
-        with contextlib.suppress(OSError), socket.create_connection(("127.0.0.1", self.port), 1.0) as sock:
-            sock.sendall(b"GET /health/ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
-            return sock.recv(64).startswith(b"HTTP/1.1 200")
-        return False
-
-    def last_words(self) -> str:
-        text = (self.folder / f"proxy{self.number}.log").read_text(encoding="utf-8", errors="replace")
-        return text.strip().splitlines()[-1] if text.strip() else "without a word"
-
-    def sample(self, origin: float) -> None:
-        """Look at what it takes of the machine."""
-        life, facts = self.life, self.facts
-        if life.seen is None:
-            return
-        with contextlib.suppress(psutil.Error, OSError):
-            with life.seen.oneshot():
-                times = life.seen.cpu_times()
-                used = times.user + times.system
-                facts.memory_mb = max(facts.memory_mb, life.seen.memory_info().rss / 1e6)
-                facts.descriptors = max(facts.descriptors, life.seen.num_fds())
-            second = math.floor(time.monotonic() - origin) if origin < math.inf else -1
-            if second >= 0:
-                self.of_second[second] = self.of_second.get(second, 0.0) + used - life.cpu
-                facts.cpu_s += used - life.cpu  # its first start is not counted, a restart is
-            life.cpu = used
-
-    def stop(self, at_once: bool) -> None:
-        life = self.life
-        if life.process.poll() is None:
-            life.stopped_at, life.killed = time.monotonic(), at_once
-            life.process.send_signal(signal.SIGKILL if at_once else signal.SIGTERM)
-
-    def again(self) -> None:
-        """A new life; the old one is killed if it has not ended."""
-        life = self.life
-        if life.stopped_at is None:
-            return
-        self.end()
-        self.facts.lives += 1
-        self.start()
-
-    def end(self) -> None:
-        life = self.life
-        if life.process.poll() is None:
-            life.stopped_at, life.killed = time.monotonic(), True  # what it still owed is not held against it
-            life.process.kill()
-        life.process.wait()
-
-
 @dataclass
 class Look:
     """What a run looks like just now, for those who watch it."""
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -15,7 +15,8 @@
 from testbed.results import Breach
 from testbed.sockets import http, ports
 from testbed.sockets.commands import print_account
-from testbed.sockets.run import Run, RunError, play
+from testbed.sockets.daemons import RunError
+from testbed.sockets.run import Run, play
 
 BASE = """
 name = "short"
