--- a/tests/fleet/test_feed_planted.py
+++ b/tests/fleet/test_feed_planted.py
@@ -73,7 +73,7 @@
         self.found("DRAIN", Confirmation, "needed", 1, first_day=25)
 
     def test_drains_that_newer_heartbeats_undo_are_found(self) -> None:
-        self.found("STALE", Registry, "merge", newest_wins(Registry.merge), first_day=9)
+        self.found("DRAIN", Registry, "merge", newest_wins(Registry.merge), first_day=9)
 
     def test_believing_one_source_on_silence_is_found(self) -> None:
         self.found("", FeedView, "_judge", any_silence, first_day=2)
