Membership: a missed change is mended, a control process that starts takes nobody away

Cause: a proxy kept members whose removal it had missed while its link was down, and believed the last teller alone. Now the first word after a link comes up is the whole list, lists of tellers are joined, and those of former tellers are dropped. Members that are suspected do not count as running proxies. Ruled out: lost datagrams (10%) leading to suspicion in a minute.

--- a/barleybarrow/replication/monitoring.py
+++ b/barleybarrow/replication/monitoring.py
@@ -188,3 +188,47 @@
             for monitor, (_, at) in list(member.reports.items()):
                 if now - at >= REPORT_KEPT_MS:
                     del member.reports[monitor]
+
+
+class ToldMembers:
+    """The members as several control processes tell them to one: who any of them lists belongs.
+
+    The first message of a control process after its link came up is its whole list, the others are changes.
+    A control process that starts lists few at first, so none replaces what another tells.
+    """
+
+    def __init__(self) -> None:
+        self._lists: dict[str, dict[str, View]] = {}
+        self._expects_all: set[str] = set()
+
+    def linked(self, teller: str) -> None:
+        """The link of a control process came up: its next message is its whole list."""
+        self._expects_all.add(teller)
+
+    def told(self, teller: str, views: Iterable[View]) -> None:
+        """A control process tells its whole list, or changes of it."""
+        known = self._lists.setdefault(teller, {})
+        if teller in self._expects_all:
+            self._expects_all.discard(teller)
+            known.clear()
+        for view in views:
+            if view.removed:
+                known.pop(view.address, None)
+            else:
+                known[view.address] = view
+
+    def keep_tellers(self, tellers: Iterable[str]) -> None:
+        """Drop the lists of others: they tell this process no more, and what they told grows old."""
+        kept = set(tellers)
+        if kept & self._lists.keys():
+            self._lists = {teller: known for teller, known in self._lists.items() if teller in kept}
+
+    def members(self) -> dict[str, View]:
+        """All members by address; suspected are those that nobody lists without suspicion."""
+        joined: dict[str, View] = {}
+        for known in self._lists.values():
+            for address, view in known.items():
+                other = joined.get(address)
+                if other is None or other.suspected:
+                    joined[address] = view
+        return joined
--- a/brackenusher/cluster/monitor.py
+++ b/brackenusher/cluster/monitor.py
@@ -13,7 +13,7 @@
 
 import betterproto
 
-from barleybarrow.replication.monitoring import Member, MemberTable, PeerMonitor, Report, View
+from barleybarrow.replication.monitoring import Member, MemberTable, PeerMonitor, Report, ToldMembers, View
 from barleybarrow.replication.rendezvous import ranked
 from brackenusher.cluster import messages
 from brackenusher.cluster.frames import FrameError, FrameReader, encode_frame
@@ -43,6 +43,7 @@
         self._loop = asyncio.get_running_loop()
         self._pings = PeerMonitor(self._own)
         self._table = MemberTable()
+        self._told = ToldMembers()
         if self._is_control:
             self._table.linked(self._own, _member(links.own))
         self._voters: list[str] = []
@@ -77,9 +78,11 @@
             self._tell_changes(now)
 
     def proxies(self) -> int:
-        """How many proxies there are, as far as known; this one counts."""
-        count = sum(view.role == PROXY for view in self.members.values())
-        return count if self._is_control or self._own in self.members else count + 1
+        """How many proxies run, as far as known; this one counts."""
+        running = {a for a, view in self.members.items() if view.role == PROXY and not view.suspected}
+        if not self._is_control:
+            running.add(self._own)
+        return len(running)
 
     # Datagrams
 
@@ -141,6 +144,8 @@
 
     def _link_changed(self, address: str, hello: messages.Hello | None) -> None:
         if not self._is_control:
+            if hello is not None:
+                self._told.linked(address)
             return
         if hello is None:
             self._table.unlinked(address, self._now())
@@ -156,11 +161,14 @@
         for address in self._links.connected():
             if self._tells(address):
                 self._send_views(address, changed)
-        self._apply([to_message(view) for view in changed])
+        self._use({view.address: view for view in self._table.views(now)})
 
     def _tells(self, address: str) -> bool:
         """Whether it is this control process that tells a member: each is told by few."""
-        return not self._voters or self._own in ranked(address, self._voters)[:TELLERS]
+        return not self._voters or self._own in self._tellers(address)
+
+    def _tellers(self, address: str) -> list[str]:
+        return ranked(address, self._voters)[:TELLERS]
 
     def _send_views(self, address: str, views: list[View]) -> None:
         self._links.send(address, messages.MemberViews([to_message(view) for view in views]))
@@ -168,15 +176,14 @@
     def _take_views(self, sender: str, message: betterproto.Message) -> None:
         assert isinstance(message, messages.MemberViews)
         if not self._is_control:
-            self._apply(message.members)
-
-    def _apply(self, views: list[messages.MemberView]) -> None:
-        for view in views:
-            if view.incarnation == 0:
-                self.members.pop(view.address, None)
-            else:
-                self.members[view.address] = view
-        self._pings.set_members(self.members)
+            self._told.told(sender, [from_message(view) for view in message.members])
+            if self._voters:
+                self._told.keep_tellers(self._tellers(self._own))
+            self._use(self._told.members())
+
+    def _use(self, members: dict[str, View]) -> None:
+        self.members = {address: to_message(view) for address, view in members.items()}
+        self._pings.set_members(members)
         for handler in self.on_members:
             handler(list(self.members.values()))
 
@@ -203,3 +210,16 @@
         incarnation=0 if view.removed else view.incarnation,
         suspected=view.suspected,
     )
+
+
+def from_message(message: messages.MemberView) -> View:
+    """A message as a view."""
+    return View(
+        address=message.address,
+        role=message.role,
+        node_name=message.node_name,
+        zone=message.zone,
+        incarnation=message.incarnation,
+        suspected=message.suspected,
+        removed=message.incarnation == 0,
+    )
