--- a/brackenusher/assembly/proxy.py
+++ b/brackenusher/assembly/proxy.py
@@ -16,6 +16,7 @@
 from brackenusher.cluster.monitor import Monitor
 from brackenusher.control_plane.http_server import HttpServer
 from brackenusher.control_plane.ready_api import ReadyApi
+from brackenusher.data_plane.announcer import Announcer
 from brackenusher.data_plane.feed_client import FeedClient
 from brackenusher.data_plane.limits_driver import LimitsDriver
 from brackenusher.data_plane.proxy import Proxy
@@ -26,6 +27,8 @@
 from brackenusher.settings.local import LocalSettings
 
 TICK_S = 0.1
+PROXY = "proxy"
+MOST_ANNOUNCING_PROXIES = 32  # each hears of all sends: with more, that takes over 2% of a small core
 STATUS_PERIOD_S = 1.0  # between two words to the voters on what is in force here, unless it changes
 
 
@@ -71,6 +74,7 @@
         )
         self.feed = FeedClient(settings, self.links, self._configured, self._servers_changed)
         self.feed.on_voters.append(self.limits_driver.voters_changed)
+        self.announcer = Announcer(loop, self.dispatcher, settings.ip, settings.internal_port_range[0])
         self.monitor = Monitor(settings, self.links, rng)
         self.monitor.on_controls.append(self.feed.learn)
         self.monitor.on_members.append(lambda members: self._members_changed())
@@ -98,6 +102,8 @@
         count = self.monitor.proxies()
         if count != self.proxy.proxy_count:
             self.proxy.set_proxy_count(count)
+        proxies = [view.address for view in self.monitor.members.values() if view.role == PROXY]
+        self.announcer.set_peers(proxies if len(proxies) <= MOST_ANNOUNCING_PROXIES else ())
 
     def _servers_changed(self, service: str, records: list[InstanceRecord]) -> None:
         self.proxy.set_servers(service, [server_info(record) for record in records])
@@ -110,6 +116,7 @@
         self.limits_driver.start()
         await self.feed.start()
         await self.monitor.start()
+        await self.announcer.start()
         self._ticker = asyncio.get_running_loop().create_task(self._keep_ticking())
 
     async def _keep_ticking(self) -> None:
@@ -147,6 +154,7 @@
         await self.readiness.stop()
         if self._ticker is not None:
             self._ticker.cancel()
+        self.announcer.stop()
         await self.monitor.stop()
         await self.feed.stop()
         self.limits_driver.stop()
