--- a/tests/fleet/test_feed_paths.py
+++ b/tests/fleet/test_feed_paths.py
@@ -9,7 +9,8 @@
 from barleybarrow.replication.records import InstanceState
 from brackenusher.control_plane.final_records import FinalRecords
 from brackenusher.control_plane.registry_service import RegistryService
-from tests.fleet.feed_world import World, configuration
+from tests.fleet.fake_links import pair
+from tests.fleet.feed_world import ProxyProcess, World, configuration
 from tests.fleet.virtual_time import play
 
 
@@ -163,6 +164,62 @@
         world.stores[world.voters[2]].refuses = False
         self.assertTrue(await world.call(world.voters[0], "heartbeat", server.record()))
 
+    @story
+    async def test_a_proxy_follows_new_voters_and_leaves_the_old_ones(self, world: World) -> None:
+        world.start_server("s0")
+        await asyncio.sleep(3.0)
+        old, new = world.voters[0], "10.0.0.9:7000"
+        world.start_control(new)
+        world.voters, world.voters_index = [*world.voters[1:], new], 2
+        world.start_control(old)  # what is told at the start of a link is what has changed
+        for address in world.voters:
+            for proxy in world.proxies.values():
+                world.network.reset(*pair(address, proxy.address))
+        await asyncio.sleep(3.0)
+        for proxy in world.proxies.values():
+            self.assertEqual(sorted(proxy.client.voters), sorted(world.voters))
+            self.assertEqual(proxy.links.wanted_peers, set(world.voters))
+            self.assertTrue(proxy.uses("i0"))
+
+    @story
+    async def test_a_proxy_whose_seeds_are_down_is_found_by_what_peers_tell(self, world: World) -> None:
+        world.commit(configuration(3))
+        links = world.network.open(world.hello("10.1.0.9:7001", "proxy"))
+        proxy = ProxyProcess(world, "10.1.0.9:7001", links, ["10.0.0.77"])
+        world.spawn(proxy.run())
+        await asyncio.sleep(3.0)
+        self.assertEqual(proxy.client.version, 0)
+        proxy.client.learn(world.voters[:1])
+        await asyncio.sleep(3.0)
+        self.assertTrue(proxy.client.ready)
+        self.assertEqual(links.wanted_peers, set(world.voters))
+
+    @story
+    async def test_a_new_server_at_an_address_silences_the_one_before(self, world: World) -> None:
+        first = world.start_server("s0")
+        world.start_server("s0")
+        await asyncio.sleep(3.0)
+        first.crash()
+        following = world.start_server("s1")
+        following.address = first.address
+        await asyncio.sleep(0.5)
+        for proxy in world.proxies.values():
+            self.assertFalse(proxy.uses(first.id))
+            self.assertTrue(proxy.uses(following.id) and proxy.uses("i1"))
+
+    @story
+    async def test_a_proxy_costs_little_traffic_when_nothing_changes(self, world: World) -> None:
+        for number in range(30):
+            world.start_server(f"s{number % 2}")
+        world.commit(configuration(3))
+        await asyncio.sleep(10.0)
+        before = {address: control.links.sent_bytes for address, control in world.controls.items()}
+        await asyncio.sleep(20.0)
+        sent = sum(control.links.sent_bytes - before[a] for a, control in world.controls.items())
+        self.assertLess(
+            sent / 20.0, 10_000
+        )  # bytes a second between three control processes, and to two proxies
+
     @story
     async def test_a_proxy_serves_on_and_comes_back_when_the_core_restarts(self, world: World) -> None:
         world.commit(configuration(3))
