Configuration shard: voters spread over the zones again once a lost zone is back

While a zone is cut its voter is replaced by one elsewhere; nothing brought it back, so the next lost zone could have taken the majority. A leader with all voters reachable now takes a standby of a zone that lacks one and lets the surplus go, one at a time. Histories have slow links, planned removals and ends of processes without a disk as well.

--- a/barleybarrow/consensus/voter_selection.py
+++ b/barleybarrow/consensus/voter_selection.py
@@ -54,6 +54,17 @@
     return [process.name for process in chosen]
 
 
+def evening_out(
+    voters: list[str], standbys: list[ControlProcess], zones: Mapping[str, str]
+) -> list[ControlProcess]:
+    """The standbys whose zones lack a voter that another zone has too many of, as a lost zone leaves it."""
+    if any(name not in zones for name in voters):  # one that was not met since this process started
+        return []
+    held = Counter(zones[name] for name in voters)
+    most = max(held.values(), default=0)
+    return [process for process in standbys if held[process.zone] + 2 <= most]
+
+
 def next_change(
     own: str,
     voters: list[str],
@@ -76,7 +87,9 @@
         remaining = [name for name in voters if name != leaving[0]]
         left = len(set(remaining) & set(alive))
         return remaining if left >= len(remaining) // 2 + 1 else None
-    if standbys and (lost or len(voters) < target) and len(voters) < MAX_VOTERS:
+    if not lost and len(voters) == target:
+        standbys = evening_out(voters, standbys, zones)
+    if standbys and len(voters) < MAX_VOTERS:
         if len(alive) + 1 < (len(voters) + 1) // 2 + 1:
             return None
         held = Counter(zones.get(name, "") for name in alive)
--- a/tests/fleet/config_schedules.py
+++ b/tests/fleet/config_schedules.py
@@ -61,6 +61,9 @@
             self.wipe_one_and_lose_power_of_others,
             self.isolate_one_then_wipe_another,
             self.isolate_one_then_wipe_another,
+            self.slow_link,
+            self.kill_door,
+            self.stop_and_remove,
         ]
         self.world.on_power_lost = lambda machine: self.restart(machine, self.rng.uniform(100.0, 1500.0))
 
@@ -291,6 +294,29 @@
             machine.disk.full = True
             self.world.at(self.rng.uniform(500.0, 4000.0), lambda: setattr(machine.disk, "full", False))
 
+    def slow_link(self) -> None:
+        """All links of a machine are slow for a while."""
+        machine = self.pick()
+        if machine is not None:
+            machine.slow_link = self.rng.uniform(50.0, 900.0)
+            self.world.at(self.rng.uniform(500.0, 4000.0), lambda: setattr(machine, "slow_link", 0.0))
+
+    def kill_door(self) -> None:
+        """A process without a disk ends, and is back soon."""
+        doors = [m for m in self.world.machines.values() if m.node is not None and not m.counts]
+        if doors:
+            self.kill(self.rng.choice(doors))
+
+    def stop_and_remove(self) -> None:
+        """A planned replacement: the new machine comes first, and the old one is told to end."""
+        machine = self.pick()
+        if machine is None or not self.may_lose(machine):
+            return
+        name = f"10.0.3.{next(self.fresh_names)}:7680"
+        self.restart(self.world.add_machine(name, machine.zone, counts=True), 0.0)
+        self.world.at(1500.0, lambda: self.world.stop(machine))
+        self.world.at(1600.0, lambda: self.remove(machine))
+
     def freeze(self) -> None:
         """A process stands still for a while."""
         machine = self.pick()
@@ -395,7 +421,7 @@
         for one, other in list(world.cuts):
             world.heal(one, other)
         for machine in world.machines.values():
-            machine.disk.full, machine.slow_disk = False, 1.0
+            machine.disk.full, machine.slow_disk, machine.slow_link = False, 1.0, 0.0
             machine.disk.power_lost_at = 0
             machine.stalled_until = machine.frozen_until = min(machine.stalled_until, world.now)
             if machine.node is None:
--- a/tests/fleet/fleet_simulation.py
+++ b/tests/fleet/fleet_simulation.py
@@ -64,6 +64,7 @@
     writing: Work | None = None
     tick_due: float = inf
     slow_disk: float = 1.0
+    slow_link: float = 0.0  # milliseconds that each message takes more
     stalled_until: float = 0.0
     frozen_until: float = 0.0
     removed: bool = False
@@ -263,7 +264,8 @@
         if pair(sender.name, to) in self.cuts:
             session.lossy = True
             return True
-        due = max(self.now + self.rng.uniform(*self.delay_ms), session.free_at.get(to, 0.0))
+        slow = sender.slow_link + self.machines[to].slow_link
+        due = max(self.now + self.rng.uniform(*self.delay_ms) + slow, session.free_at.get(to, 0.0))
         session.free_at[to] = due
         receiver = self.machines[to]
 
--- a/tests/fleet/test_config_node.py
+++ b/tests/fleet/test_config_node.py
@@ -213,6 +213,13 @@
         self.assertIsNone(self.change("abcd", "a", ""))
         self.assertIsNone(self.change("abcdef", "ab", "", target=5))
 
+    def test_zones_are_evened_out_once_all_are_back(self) -> None:
+        zones = {"a": "x", "b": "x", "c": "z", "d": "y", "e": "z"}
+        back = [ControlProcess("e", "z", True), ControlProcess("d", "y", True)]
+        self.assertEqual(next_change("a", list("abc"), 3, set("abcde"), back, zones), list("abcd"))
+        self.assertEqual(next_change("a", list("abcd"), 3, set("abcde"), back[:1], zones), list("acd"))
+        self.assertIsNone(next_change("a", list("acd"), 3, set("abcde"), back[:1], zones))
+
     def test_of_too_many_the_own_and_the_zones_stay(self) -> None:
         zones = {"a": "x", "b": "y", "c": "z", "d": "z"}
         self.assertEqual(next_change("d", list("abcd"), 3, set("abcd"), [], zones), list("abd"))
--- a/tests/fleet/test_config_scenarios.py
+++ b/tests/fleet/test_config_scenarios.py
@@ -199,6 +199,22 @@
         self.assertEqual(order(world, "10.0.1.1:7680", 0, 4).status, 412)
         self.assertEqual(order(world, "10.0.1.1:7680", 3, 4).status, TAKEN)
 
+    def test_a_zone_that_was_cut_has_a_voter_again_once_it_is_back(self) -> None:
+        for seed in range(SEEDS):
+            world = started(seed, machines=6)
+            world.run_until(3000.0)
+            cut = [m.name for m in world.machines.values() if m.zone == "zone-1"]
+            pairs = [(one, other) for one in cut for other in world.machines if other not in cut]
+            for one, other in pairs:
+                world.cut(one, other, says_so=False)
+            world.run_until(world.now + 6000.0)
+            held = sorted(world.machines[name].zone for name in voters(world))
+            self.assertEqual((len(held), "zone-1" in held), (3, False))
+            for one, other in pairs:
+                world.heal(one, other)
+            world.run_until(world.now + 4000.0)
+            self.assertEqual(len({world.machines[name].zone for name in voters(world)}), 3)
+
     def test_a_voter_that_is_away_for_a_moment_is_not_replaced(self) -> None:
         world = started(1, machines=4)
         world.run_until(3000.0)
