Registry service: groups, confirmations and silence are modules of their own

Cause: one file of 440 lines did four jobs. Who holds a shard, the wait for a majority, and the patience with servers now stand by themselves; behaviour is unchanged.

--- a/brackenusher/control_plane/registry_service.py
+++ b/brackenusher/control_plane/registry_service.py
@@ -8,63 +8,40 @@
 import asyncio
 import logging
 from collections.abc import Callable, Coroutine, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 import betterproto
 
 from barleybarrow.replication.records import FINALITY, InstanceRecord, InstanceState, Renewal
 from barleybarrow.replication.registry import Entry, Registry
-from barleybarrow.replication.rendezvous import SHARDS, replica_group, shard_of
+from barleybarrow.replication.rendezvous import shard_of
+from barleybarrow.replication.silence import SilenceWatch
 from brackenusher.cluster import messages
 from brackenusher.cluster.links import Links
 from brackenusher.cluster.records import from_messages, from_renewals, to_message, to_messages, to_renewals
+from brackenusher.control_plane.confirmations import Confirmation, Confirmations
 from brackenusher.control_plane.final_records import FinalRecords
+from brackenusher.control_plane.replica_groups import CONTROL, ReplicaGroups
 from brackenusher.settings.local import LocalSettings
 from brackenusher.storage.slot_store import SlotStore
 from brackenusher.storage.writer import StorageWriter
 
 log = logging.getLogger(__name__)
 
-CONFIRM_TIMEOUT_S = 0.7  # the caller gives up after 1 s and goes to the next control process
 RENEWALS_MS = 300.0  # between two batches of renewals to a replica group
 SILENCE_CHECK_MS = 300.0
 COMPARE_MS = (
-    15_000.0  # between two pulls from a peer, each time the next: mends what a lost connection took along
+    15_000.0  # between two pulls, from each peer in turn: they mend what a lost connection took along
 )
 FORGET_CHECK_MS = 30_000.0
-MISSED_HEARTBEATS = 3
-SILENCE_SLACK_MS = 700.0  # a heartbeat's second to arrive, less than a batch of renewals
 SETTLED_HEARTBEATS = 2  # in which every server that runs has sent one
 SETTLED_SLACK_MS = 500.0
-FROZEN_MS = 1500.0  # between two ticks: this process stood still, and the heartbeats missed are its own fault
 PULL_PAUSE_MS = 1000.0  # between two pulls from one peer because of unknown ids
 RECORDS_PER_MESSAGE = 500
 
-CONTROL = "control"
-
 ChangeHandler = Callable[[int, list[InstanceRecord]], None]
 
 
-@dataclass(slots=True)
-class Confirmation:
-    """A change that waits for a majority of its replica group."""
-
-    group: frozenset[str]
-    done: asyncio.Future[bool]
-    held_by: set[str] = field(default_factory=set)
-
-    @property
-    def needed(self) -> int:
-        return len(self.group) // 2 + 1
-
-    def confirm(self, address: str) -> None:
-        """This member holds the change."""
-        if address in self.group:
-            self.held_by.add(address)
-        if len(self.held_by) >= self.needed and not self.done.done():
-            self.done.set_result(True)
-
-
 class RegistryService:
     """The registry of one control process. Times of `now` are milliseconds of a monotonic clock."""
 
@@ -82,20 +59,17 @@
         self.on_settled: list[Callable[[], None]] = []
         self._settings = settings
         self._links = links
-        self._voters = voters
         self._now = now
-        self._own = links.own.address
+        self._groups = ReplicaGroups(links, voters, settings.fault_tolerance.machines)
         self._final = FinalRecords(store, writer, self._final_records)
-        self._number = 0
-        self._waiting: dict[int, Confirmation] = {}
+        self._confirmations = Confirmations()
         self._unconfirmed: set[str] = set()  # ids whose newest change came here and has no majority yet
         self._held: dict[str, int] = {}  # finality that a majority is known to hold, by id
         self._renewals: dict[str, int] = {}  # newest sequences that the replica groups have not been told
-        self._owned_since = [0.0] * SHARDS
-        self._owned: set[int] = set()
         self._started_at = now()
+        self._silence = SilenceWatch(settings.heartbeat_ms, self._started_at)
         self._settled = False
-        self._ticked_at = self._renewed_at = self._checked_at = self._forgot_at = self._started_at
+        self._renewed_at = self._checked_at = self._forgot_at = self._started_at
         self._compared_at = self._started_at
         self._pulled_at: dict[str, float] = {}
         self._compared_with = ""
@@ -126,7 +100,7 @@
             self._publish([entry.record(self._now())])
         if not self._needs_majority(record.id, entry):
             self._renewals[record.id] = entry.heard
-            return self._reaches_majority(shard_of(entry.details.service))
+            return self._groups.reaches_majority(shard_of(entry.details.service))
         return await self._replicate(record.id, entry)
 
     async def deregister(self, instance_id: str) -> bool:
@@ -150,16 +124,14 @@
     def tick(self) -> None:
         """Do what is due; call it every 100 ms or more often."""
         now = self._now()
-        if now - self._ticked_at > FROZEN_MS:
-            self._owned_since = [now] * SHARDS
-        self._ticked_at = now
+        self._silence.ticked(now)
         self._settle(now)
         if now - self._renewed_at >= RENEWALS_MS:
             self._renewed_at = now
             self._send_renewals()
         if now - self._checked_at >= SILENCE_CHECK_MS:
             self._checked_at = now
-            self._reach_voters()
+            self._groups.reach_voters()
             self._mark_silent(now)
         if now - self._compared_at >= COMPARE_MS:
             self._compared_at = now
@@ -173,10 +145,10 @@
         states: dict[str, int] = {}
         for entry in self.registry.entries.values():
             states[entry.state.name] = states.get(entry.state.name, 0) + 1
-        return {"settled": self._settled, "owned_shards": sorted(self._owned), "states": states}
+        return {"settled": self._settled, "owned_shards": sorted(self._silence.owned), "states": states}
 
     def _take_address(self, record: InstanceRecord) -> None:
-        """A new server at an address: who was there before has ended, or its next heartbeat says otherwise."""
+        """A new server at an address: who was there has ended, or its next heartbeat says otherwise."""
         now = self._now()
         earlier = [i for i in self.registry.at_address(record.address) if i != record.id]
         self._tell_silence([self.registry.silence(instance_id, now) for instance_id in earlier])
@@ -188,32 +160,14 @@
             return True
         return entry.finality > 0 and self._held.get(instance_id) != entry.finality
 
-    def _reaches_majority(self, shard: int) -> bool:
-        """Whether renewals get to a majority of a replica group; else servers had better call elsewhere."""
-        group = self._group(shard)
-        in_touch = {self._own, *self._peers()}
-        return len(in_touch.intersection(group)) * 2 > len(group)
-
     async def _replicate(self, instance_id: str, entry: Entry) -> bool:
         """Send an entry to all control processes; True once a majority of its replica group holds it."""
         record = entry.record(self._now())
-        confirmation = Confirmation(
-            group=frozenset(self._group(shard_of(record.service))),
-            done=asyncio.get_running_loop().create_future(),
-        )
-        self._number += 1
-        number = self._number
-        self._waiting[number] = confirmation
-        reached = self._spread(number, record, entry.heard)
+        confirmation = self._confirmations.open(self._groups.group(shard_of(record.service)))
+        reached = self._spread(confirmation.number, record, entry.heard)
         self._spawn(self._hold_here(record, confirmation))
-        try:
-            if len(confirmation.group & (reached | {self._own})) < confirmation.needed:
-                return False  # no use in waiting: the caller shall try another process
-            await asyncio.wait_for(confirmation.done, CONFIRM_TIMEOUT_S)
-        except TimeoutError:
+        if not await self._confirmations.wait(confirmation, reached | {self._groups.own}):
             return False
-        finally:
-            del self._waiting[number]
         self._confirmed(instance_id, record)
         return True
 
@@ -234,11 +188,11 @@
             records=[to_message(record)],
             renewals=to_renewals([Renewal(record.id, heard)]),
         )
-        return {peer for peer in self._peers() if self._links.send(peer, update)}
+        return {peer for peer in self._groups.peers() if self._links.send(peer, update)}
 
     async def _hold_here(self, record: InstanceRecord, confirmation: Confirmation) -> None:
         if await self._keep([record]):
-            confirmation.confirm(self._own)
+            confirmation.confirm(self._groups.own)
 
     async def _keep(self, records: Iterable[InstanceRecord]) -> bool:
         """Write the drains and ends among these to disk; whether all that had to be written was."""
@@ -294,7 +248,7 @@
         """Pass a change on, once, to those that its source may not reach."""
         for record in records:
             update = messages.RegistryUpdate(shard=shard_of(record.service), records=[to_message(record)])
-            for peer in self._peers():
+            for peer in self._groups.peers():
                 if peer != sender:
                     self._links.send(peer, update)
 
@@ -303,9 +257,7 @@
         if message.id == 0:
             self._now_settled()  # a settled peer has sent all that it knows
             return
-        confirmation = self._waiting.get(message.id)
-        if confirmation is not None:
-            confirmation.confirm(sender)
+        self._confirmations.confirmed(message.id, sender)
 
     def _take_pull(self, sender: str, message: betterproto.Message) -> None:
         assert isinstance(message, messages.RegistryPull)
@@ -327,7 +279,7 @@
 
     def _compare(self) -> None:
         """Ask the next peer for all that it knows."""
-        peers = sorted(self._peers())
+        peers = sorted(self._groups.peers())
         if peers:
             following = [peer for peer in peers if peer > self._compared_with]
             self._compared_with = (following or peers)[0]
@@ -338,19 +290,7 @@
             self._pulled_at[peer] = now
             self._links.send(peer, messages.RegistryPull())
 
-    # Groups, owners, silence
-
-    def _peers(self) -> list[str]:
-        connected = self._links.connected()
-        return [a for a, hello in connected.items() if hello.role == CONTROL and a != self._own]
-
-    def _group(self, shard: int) -> list[str]:
-        return replica_group(shard, self._voters(), self._settings.fault_tolerance.machines)
-
-    def _reach_voters(self) -> None:
-        for voter in self._voters():
-            if voter != self._own:
-                self._links.connect(voter)
+    # Settling, renewals, silence
 
     def _settle(self, now: float) -> None:
         waited = now - self._started_at
@@ -373,31 +313,16 @@
                 shards.setdefault(shard_of(entry.details.service), []).append(Renewal(instance_id, sequence))
         for shard, renewals in shards.items():
             update = messages.RegistryUpdate(shard=shard, renewals=to_renewals(renewals))
-            for member in self._group(shard):
-                if member != self._own:
+            for member in self._groups.group(shard):
+                if member != self._groups.own:
                     self._links.send(member, update)
 
-    def _owned_shards(self) -> set[int]:
-        """The shards of whose replica group this process is the first that it is in touch with."""
-        in_touch = {self._own, *self._peers()}
-        owned = set()
-        for shard in range(SHARDS):
-            owner = next((member for member in self._group(shard) if member in in_touch), "")
-            if owner == self._own:
-                owned.add(shard)
-        return owned
-
     def _mark_silent(self, now: float) -> None:
         if not self._settled:
             return
-        owned = self._owned_shards()
-        for shard in owned - self._owned:
-            self._owned_since[shard] = now
-        self._owned = owned
-        patience = MISSED_HEARTBEATS * self._settings.heartbeat_ms + SILENCE_SLACK_MS
-        long_owned = {shard for shard in owned if now - self._owned_since[shard] >= patience}
-        overdue = self.registry.overdue(long_owned, now - patience)
-        self._tell_silence([self.registry.silence(instance_id, now) for instance_id in overdue])
+        overdue = self._silence.overdue(self._groups.owned(), now)
+        silent = self.registry.overdue(overdue.shards, overdue.heard_before)
+        self._tell_silence([self.registry.silence(instance_id, now) for instance_id in silent])
 
     def _tell_silence(self, silent: list[InstanceRecord]) -> None:
         if not silent:
@@ -405,7 +330,7 @@
         log.info("servers silent: ids=%s", ",".join(record.id for record in silent))
         self._publish(silent)
         update = messages.RegistryUpdate(records=to_messages(silent))
-        for peer in self._peers():
+        for peer in self._groups.peers():
             self._links.send(peer, update)
 
     def _forget(self, now: float) -> None:
--- a/tests/fleet/test_feed_planted.py
+++ b/tests/fleet/test_feed_planted.py
@@ -9,8 +9,9 @@
 from barleybarrow.replication.feed_view import FeedView
 from barleybarrow.replication.records import InstanceRecord, InstanceState
 from barleybarrow.replication.registry import Entry, Registry
+from brackenusher.control_plane.confirmations import Confirmation
 from brackenusher.control_plane.feed_source import FeedSource
-from brackenusher.control_plane.registry_service import Confirmation, RegistryService
+from brackenusher.control_plane.registry_service import RegistryService
 from tests.fleet.feed_schedules import play_day
 
 MOST_DAYS = 40
@@ -54,7 +55,7 @@
 
 def patience_of_none(self: RegistryService, now: float) -> None:
     """Marks silent whatever was not heard of lately, from the first moment on."""
-    overdue = self.registry.overdue(self._owned_shards(), now - 600.0)
+    overdue = self.registry.overdue(self._groups.owned(), now - 600.0)
     self._tell_silence([self.registry.silence(instance_id, now) for instance_id in overdue])
 
 
