--- a/barleybarrow/routing/dispatcher.py
+++ b/barleybarrow/routing/dispatcher.py
@@ -60,7 +60,7 @@
         self.news = AnnouncementBox()  # set its `on_first` to be told when there is something to fetch
         self._rng = rng
         self._may_repeat = may_repeat
-        self._pools: dict[str, ServicePool] = {}
+        self.pools: dict[str, ServicePool] = {}
         self._lists: dict[str, list[ServerInfo]] = {}
         self._exchanges: dict[RequestId, Exchange] = {}
         self._silence = SilenceWatch()
@@ -68,19 +68,19 @@
 
     def configure(self, now: float, services: Mapping[str, Service], routes: Sequence[Route]) -> None:
         """Take a new configuration."""
-        for name in [name for name in self._pools if name not in services]:
-            del self._pools[name]
+        for name in [name for name in self.pools if name not in services]:
+            del self.pools[name]
         for name, service in services.items():
-            pool = self._pools.get(name)
+            pool = self.pools.get(name)
             if pool is None:
-                pool = self._pools[name] = ServicePool(service)
+                pool = self.pools[name] = ServicePool(service)
                 pool.update(now, self._lists.get(name, ()), self.settings.proxies)
             pool.service = service
 
     def servers(self, now: float, service: str, servers: Sequence[ServerInfo]) -> None:
         """Take a new list of the servers of a service."""
         self._lists[service] = list(servers)
-        if pool := self._pools.get(service):
+        if pool := self.pools.get(service):
             pool.update(now, servers, self.settings.proxies)
 
     def arrived(self, now: float, request: DispatchRequest) -> list[Action]:
@@ -179,7 +179,7 @@
         """Take the number of proxies that send to the same servers, this one among them."""
         self.settings.proxies = max(1, proxies)
         known = self.news.proxies(now) - 1
-        for pool in self._pools.values():
+        for pool in self.pools.values():
             pool.inform(
                 min(1.0, (known + 1) / self.settings.proxies) if known else 0.0, self.settings.proxies
             )
@@ -193,10 +193,10 @@
         self.news.heard_from(now, peer)
         known = self.news.proxies(now)
         self.settings.proxies = max(self.settings.proxies, known)
-        for pool in self._pools.values():
+        for pool in self.pools.values():
             pool.inform(known / self.settings.proxies, self.settings.proxies)
         for news in announcements:
-            service = self._pools.get(news.service)
+            service = self.pools.get(news.service)
             server = service.servers.get(news.server_id) if service else None
             if service is None or server is None:
                 continue
@@ -217,7 +217,7 @@
         return self._silence.next()
 
     def _look_at(self, now: float, exchange: Exchange) -> list[Action]:
-        pool, server = self._pools.get(exchange.request.service), exchange.server
+        pool, server = self.pools.get(exchange.request.service), exchange.server
         if pool is None or server is None:
             return []
         if silent_at(exchange, pool) > now:
@@ -239,7 +239,7 @@
         request = exchange.request
         if now >= request.deadline_at:
             return self._give_up(now, exchange, RefusalReason.DEADLINE)
-        pool = self._pools.get(request.service)
+        pool = self.pools.get(request.service)
         if pool is not None and pool.reading.samples < FEWEST_SAMPLES:
             pool.reading.guess(request.route.target_latency_ms, request.prompt_tokens)
         choice = self._selector.pick(now, pool, exchange) if pool else None
@@ -314,7 +314,7 @@
         server.in_flight -= 1
         self._began(exchange, server)
         exchange.server = None
-        if pool := self._pools.get(exchange.request.service):
+        if pool := self.pools.get(exchange.request.service):
             pool.profile(exchange.request.route.name).count(now, -1)
 
     def _began(self, exchange: Exchange, server: ServerRecord) -> None:
@@ -324,7 +324,7 @@
 
     def _broke(self, now: float, exchange: Exchange, server: ServerRecord, for_sure: bool = False) -> None:
         self.counters.add("broke")
-        pool = self._pools.get(exchange.request.service)
+        pool = self.pools.get(exchange.request.service)
         if pool is not None and (server.health.broke(now) or for_sure):
             self._eject(now, pool, server)
 
@@ -337,7 +337,7 @@
         """Take the time to a first event into the estimates."""
         self._began(exchange, server)
         server.health.answered(now, failed=False)
-        pool = self._pools.get(exchange.request.service)
+        pool = self.pools.get(exchange.request.service)
         if pool is None:
             return
         taken_ms = now - exchange.sent_at
@@ -351,7 +351,7 @@
     def _judge(self, now: float, exchange: Exchange, server: ServerRecord, failed: bool) -> None:
         """Take how an answer ended into the server's record, and leave it alone if it fails far too often."""
         server.health.answered(now, failed)
-        pool = self._pools.get(exchange.request.service)
+        pool = self.pools.get(exchange.request.service)
         if pool is None:
             return
         pool.failures.learn(float(failed))
@@ -360,7 +360,7 @@
 
     def _learn_stream(self, now: float, exchange: Exchange) -> None:
         """Take the length of a whole stream into the route's profile."""
-        pool = self._pools.get(exchange.request.service)
+        pool = self.pools.get(exchange.request.service)
         if pool is None or pool.service.engine is None or exchange.first_event_at is None:
             return
         pool.profile(exchange.request.route.name).streaming.learn(now - exchange.first_event_at)
--- a/barleybarrow/routing/selection.py
+++ b/barleybarrow/routing/selection.py
@@ -25,6 +25,7 @@
 SAFE_SHARE_OF_GAP = 0.4  # of the pause that a stream bears: reading for so long harms none of them
 STALL_WEIGHT = 0.5  # what a millisecond of reading beyond that costs, for the short streams on every server
 STREAMS_STALL_WEIGHT = 2.0  # and on a server that is kept for long streams
+OWN_STALL_WEIGHT = 0.3  # what a millisecond of reading costs beside each stream of this proxy's own
 COLD_FACTOR = 2.0  # by what a server that says it is still cold is thought slower
 ELSEWHERE_SHARE = 0.5  # of a subject's tokens that proxies which tell nothing are thought to have sent home
 
@@ -146,7 +147,7 @@
         expected_ms += server.speed.slower_ms(now, query.mean_excess_ms)
         if server.cold_until > now:
             expected_ms *= COLD_FACTOR
-        cost_ms = expected_ms
+        cost_ms = expected_ms + OWN_STALL_WEIGHT * reading_ms * (server.in_flight - len(server.waiting))
         if query.is_streaming:
             cost_ms += 0.0 if server.for_streams else query.apart_ms
         else:
--- /dev/null
+++ b/tests/fleet/test_engines.py
@@ -0,0 +1,198 @@
+"""The emulated engines and the emulated fleet: figures, order, memory, faults, and that a seed tells all."""
+
+import unittest
+from dataclasses import replace
+
+from testbed.engines.clock import Clock
+from testbed.engines.engine import QUEUE_FULL, TOO_LARGE, Engine, EngineFigures, Job
+from testbed.engines.fleet import Fleet
+from testbed.engines.memory import KvMemory
+from testbed.engines.plain import PlainFigures, PlainJob, PlainServer
+from testbed.engines.policies import POLICIES
+from testbed.engines.scenario import Fault, Scenario, example
+
+FIGURES = EngineFigures(
+    batch=2,
+    queue=1,
+    step_ms=1.0,
+    step_ms_per_slot=0.0,
+    context_ms_per_k=0.0,
+    prefill_tokens_per_ms=100.0,
+    pairs_ms_per_m=0.0,
+    first_ms=5.0,
+    stride=10,
+    chunk=1_000,
+    kv_tokens=10_000,
+    report_lag_ms=50.0,
+)
+
+
+class EngineCase(unittest.TestCase):
+    """One engine, and the times at which events of its jobs came."""
+
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.engine = Engine(self.clock, FIGURES)
+        self.events: dict[str, list[tuple[float, int, bool]]] = {}
+
+    def job(
+        self, name: str, prompt: int = 1_000, output: int = 1, priority: int = 5, shared: str = ""
+    ) -> Job:
+        own = self.events.setdefault(name, [])
+        parts = ((shared, 500), (name, prompt - 500)) if shared else ((name, prompt),)
+        return Job(parts, output, priority, lambda n, last: own.append((round(self.clock.now, 6), n, last)))
+
+
+class EngineTests(EngineCase):
+    def test_the_first_token_comes_after_the_prompt_is_read(self) -> None:
+        self.engine.submit(self.job("a", prompt=2_000))
+        self.clock.run_until(1_000.0)
+        # Two chunks of 10 ms and a step of 1 ms each, then the delay of a first token.
+        self.assertEqual(self.events["a"], [(27.0, 1, True)])
+
+    def test_an_event_holds_a_stride_of_tokens(self) -> None:
+        self.engine.submit(self.job("a", output=21))
+        self.clock.run_until(1_000.0)
+        self.assertEqual(self.events["a"], [(16.0, 1, False), (26.0, 11, False), (36.0, 21, True)])
+
+    def test_reading_slows_the_streams_beside_it(self) -> None:
+        self.engine.submit(self.job("a", output=11))
+        self.clock.run_until(12.0)
+        self.engine.submit(self.job("b", prompt=3_000))
+        self.clock.run_until(1_000.0)
+        # Of ten steps three read a chunk and take 11 ms each.
+        self.assertEqual(self.events["a"][-1], (56.0, 11, True))
+
+    def test_a_kept_part_is_not_read_again(self) -> None:
+        self.engine.submit(self.job("a", shared="s"))
+        self.clock.run_until(100.0)
+        self.engine.submit(self.job("b", shared="s"))
+        self.clock.run_until(200.0)
+        self.assertEqual(self.events["b"], [(111.0, 1, True)])
+        self.assertEqual(self.engine.counters.tokens_kept, 500)
+
+    def test_a_full_queue_and_a_request_beyond_its_memory_are_turned_away(self) -> None:
+        self.assertEqual(self.engine.submit(self.job("big", prompt=10_001)), TOO_LARGE)
+        self.assertEqual(
+            [self.engine.submit(self.job(name)) for name in "abcd"], [None, None, None, QUEUE_FULL]
+        )
+
+    def test_the_more_urgent_is_admitted_first(self) -> None:
+        engine = Engine(self.clock, replace(FIGURES, queue=9))
+        for name, priority in (("a", 5), ("b", 5), ("late", 9), ("urgent", 0)):
+            engine.submit(self.job(name, priority=priority))
+        self.clock.run_until(1_000.0)
+        self.assertLess(self.events["urgent"][0][0], self.events["late"][0][0])
+
+    def test_the_newest_of_the_least_urgent_is_preempted_and_goes_on(self) -> None:
+        engine = Engine(self.clock, replace(FIGURES, kv_tokens=2_040))
+        engine.submit(self.job("a", output=31, priority=0))
+        engine.submit(self.job("b", output=31, priority=5))
+        self.clock.run_until(2_000.0)
+        self.assertGreater(engine.counters.preemptions, 0)
+        self.assertEqual([event[1] for event in self.events["b"]], [1, 11, 21, 31])
+        self.assertLess(self.events["a"][-1][0], self.events["b"][-1][0])
+
+    def test_a_cancelled_request_makes_room(self) -> None:
+        first = self.job("a", output=500)
+        self.engine.submit(first)
+        self.engine.submit(self.job("b", output=500))
+        self.engine.submit(self.job("c"))
+        self.clock.run_until(50.0)
+        self.assertEqual(self.events["c"], [])
+        self.engine.cancel(first)
+        self.clock.run_until(100.0)
+        self.assertEqual(len(self.events["c"]), 1)
+
+    def test_a_crashed_engine_says_nothing(self) -> None:
+        self.engine.submit(self.job("a"))
+        self.engine.crash()
+        self.clock.run_until(1_000.0)
+        self.assertEqual(self.events["a"], [])
+
+    def test_a_report_is_late(self) -> None:
+        self.clock.run_until(100.0)
+        self.engine.submit(self.job("a", output=500))
+        self.clock.run_until(120.0)
+        self.assertEqual(self.engine.report().running, 0)
+        self.clock.run_until(151.0)
+        self.assertEqual(self.engine.report().running, 1)
+
+
+class MemoryTests(unittest.TestCase):
+    def test_the_parts_unused_longest_give_way_but_never_those_in_use(self) -> None:
+        memory = KvMemory(1_000)
+        memory.pin((("a", 400),))
+        memory.pin((("b", 400),))
+        memory.unpin((("b", 400),))
+        memory.pin((("c", 400),))
+        self.assertTrue(memory.make_room())
+        self.assertEqual([memory.kept_tokens(((name, 400),)) for name in "abc"], [400, 0, 400])
+        memory.pin((("d", 400),))
+        self.assertFalse(memory.make_room())
+
+    def test_a_part_counts_only_after_all_before_it(self) -> None:
+        memory = KvMemory(1_000)
+        memory.pin((("b", 100),))
+        self.assertEqual(memory.kept_tokens((("a", 100), ("b", 100))), 0)
+
+
+class PlainServerTests(unittest.TestCase):
+    def test_slots_then_queue_then_rejection(self) -> None:
+        clock, done = Clock(), list[float]()
+        server = PlainServer(clock, PlainFigures(slots=1, queue=1))
+        taken = [server.submit(PlainJob(10.0, lambda: done.append(clock.now))) for _ in range(3)]
+        clock.run_until(100.0)
+        self.assertEqual(taken, [True, True, False])
+        self.assertEqual(done, [10.0, 20.0])
+
+
+class FleetTests(unittest.TestCase):
+    def scenario(self, *faults: Fault) -> Scenario:
+        scenario = example()
+        scenario.length_ms = 4_000.0
+        scenario.faults = list(faults)
+        return scenario
+
+    def test_a_seed_tells_all(self) -> None:
+        first, second = (Fleet(self.scenario(), POLICIES["shipped"], 3).play() for _ in range(2))
+        self.assertEqual((first.share, first.counters), (second.share, second.counters))
+
+    def test_a_calm_run_serves_nearly_all_in_time(self) -> None:
+        scenario = self.scenario()
+        scenario.news_ms = 10.0
+        results = Fleet(scenario, POLICIES["shipped"], 1).play()
+        self.assertGreater(results.share, 0.95)
+
+    def test_without_announcements_less_is_in_time_but_nothing_is_lost(self) -> None:
+        results = Fleet(self.scenario(), POLICIES["shipped"], 1).play()
+        self.assertGreater(results.share, 0.9)
+        self.assertEqual(sum(kind.owed for kind in results.kinds.values()), results.counters["served"])
+
+    def test_all_requests_end_under_every_policy(self) -> None:
+        for name, policy in POLICIES.items():
+            fleet = Fleet(self.scenario(Fault("crash", 1_000.0, 1_000.0, 0.2, service="llm")), policy, 2)
+            fleet.play()
+            self.assertEqual([len(proxy.out) for proxy in fleet.proxies], [0] * len(fleet.proxies), name)
+            in_flight = [
+                server.in_flight
+                for proxy in fleet.proxies
+                for pool in proxy.dispatcher.pools.values()
+                for server in pool.servers.values()
+            ]
+            self.assertEqual(set(in_flight), {0}, name)
+
+    def test_a_crash_costs_little_of_the_worth(self) -> None:
+        crash = Fault("crash", 1_000.0, 1_500.0, 0.2, service="llm")
+        results = Fleet(self.scenario(crash), POLICIES["shipped"], 1).play()
+        self.assertGreater(results.share, 0.85)
+
+    def test_a_server_gone_dark_is_left_alone(self) -> None:
+        dark = Fault("dark", 1_000.0, 3_000.0, 0.2, service="llm")
+        results = Fleet(self.scenario(dark), POLICIES["shipped"], 1).play()
+        self.assertGreater(results.share, 0.8)
+        self.assertGreater(results.counters["ejected"], 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
