Limits: a keeper seeks at once only when it lost its link to the warden

Cause: found by reading: with no warden known, each link that came up put the next seeking off anew, so that a start with hundreds of links could be held up. Change: only the loss of the warden's own link starts it early.

--- a/barleybarrow/limits/credit_machine.py
+++ b/barleybarrow/limits/credit_machine.py
@@ -120,9 +120,10 @@
 
     def reach_changed(self, now: float, reach: list[str]) -> None:
         """Links came up or went down. A warden greets those that are new; keepers miss one that went."""
-        new = set(reach) - set(self.reach)
-        self.reach = list(reach)
-        if self.role is Role.PROXY and self.name in self.keepers and self.warden not in self.reach:
+        before, self.reach = set(self.reach), list(reach)
+        new = set(reach) - before
+        lost = self.warden in before and self.warden not in self.reach
+        if lost and self.role is Role.PROXY and self.name in self.keepers:
             self.warden_at = -inf
             self.seek_soon(now)
         if self.role is Role.WARDEN and now < self.lease_end:
