Configuration shard: checks in a module of their own; failing handlers stop nothing

A handler of on_committed or on_voters that raised could have stopped the replica in the middle of applying; it is logged now. An unexpected error of a write is retried as a refusal is.

--- a/brackenusher/control_plane/config_shard.py
+++ b/brackenusher/control_plane/config_shard.py
@@ -12,7 +12,6 @@
 from collections.abc import Callable
 from itertools import count
 from math import inf
-from typing import TYPE_CHECKING
 
 import betterproto
 
@@ -29,6 +28,7 @@
 from barleybarrow.documents import Configuration
 from brackenusher.cluster import messages
 from brackenusher.cluster.links import Links
+from brackenusher.control_plane.config_checks import Check, ConfigChecks
 from brackenusher.control_plane.config_members import (
     CONTROL_ROLE,
     ConfigMembers,
@@ -41,9 +41,6 @@
 from brackenusher.storage.slot_store import SlotStore
 from brackenusher.storage.writer import StorageWriter
 
-if TYPE_CHECKING:
-    from returns.result import Result
-
 log = logging.getLogger(__name__)
 
 MACHINE = "config"
@@ -52,9 +49,6 @@
 PAUSE_S = 0.05  # between two tries
 CONFIRM_AGAIN_S = 0.3  # between two questions whether all that was committed is here
 HAND_OVER_S = 0.5  # a leader that ends waits for its successor at most so long
-MAX_CACHED = 4  # configurations that were checked and are not in force yet
-
-Check = Callable[[Document], "Result[Configuration, Exception]"]
 
 
 class ConfigShard:
@@ -75,23 +69,17 @@
         self.on_voters: list[Callable[[list[str], int], None]] = []
         self._loop = asyncio.get_running_loop()
         self._writer: StorageWriter | None = None
-        self._checker: StorageWriter | None = (
-            None  # a thread of its own: a check takes up to 100 ms of a core
-        )
+        self._checks: ConfigChecks | None = None
         self._storage: ConfigStorage | None = None
         self._members: ConfigMembers | None = None
         self._node: ConfigNode | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._due = inf  # of the timer, on the loop's clock
         self._pumping = False
-        self._waiting: dict[
-            int, Callable[[OrderOutcome], None]
-        ] = {}  # by the ticket of an order at this leader
-        self._forwarded: dict[int, asyncio.Future[OrderOutcome]] = {}  # by the id of an order passed on
+        # Who waits for an order: by its ticket at this leader, by its id where it was passed on.
+        self._waiting: dict[int, Callable[[OrderOutcome], None]] = {}
+        self._forwarded: dict[int, asyncio.Future[OrderOutcome]] = {}
         self._ids = count(rng.getrandbits(40) + 1)
-        self._checked: dict[bytes, Configuration] = {}  # by the digest of the order that made it
-        self._configuration: Configuration | None = None
-        self._typing = b""  # the digest of the order whose document is being made typed
         self._voters: list[str] = []
         self._leader = ""
         self._stopped = False
@@ -102,7 +90,7 @@
         """Load the store, and join or found the shard. Returns once the store is read."""
         settings = self.settings
         store = None
-        self._checker = self._make_writer()
+        self._checks = ConfigChecks(self.check, self._make_writer(), self._in_force)
         if settings.data_dir:
             self._writer = self._make_writer()
             store = SlotStore(settings.data_dir, STORE_NAME, self._files)
@@ -145,9 +133,10 @@
             self._members.close()
         if self._storage is not None:
             self._storage.close()
-        for writer in (self._writer, self._checker):
-            if writer is not None:
-                writer.close()
+        if self._checks is not None:
+            self._checks.close()
+        if self._writer is not None:
+            self._writer.close()
 
     # What the rest of the process asks
 
@@ -179,7 +168,7 @@
 
     def configuration(self) -> Configuration | None:
         """The typed form of the newest committed document."""
-        return self._configuration
+        return self._checks.configuration if self._checks is not None else None
 
     async def confirm(self, timeout_s: float) -> bool:
         """Wait until all that was committed at this moment is applied here; False where that takes too
@@ -291,71 +280,23 @@
         if future is not None:
             settle(future, OrderOutcome(result.status, result.error))
 
-    # Checks, on a thread
-
     def _start_check(self, request: CheckRequest) -> None:
-        assert self._checker is not None
-        future = self._checker.submit(lambda: self._check(request.document))
-
-        def finished(done: "asyncio.Future[tuple[Configuration | None, str]]") -> None:
-            if self._stopped or self._node is None:
-                return
-            configuration, error = done.result()
-            if configuration is not None:
-                self._remember(request.digest, configuration)
-            self._node.checked(self._now(), request.digest, error)
-            self._pump()
+        assert self._checks is not None
 
-        future.add_done_callback(finished)
+        def checked(digest: bytes, error: str) -> None:
+            if self._node is not None:
+                self._node.checked(self._now(), digest, error)
+                self._pump()
 
-    def _check(self, document: Document) -> tuple[Configuration | None, str]:
-        try:
-            result = self.check(document)
-            configuration = result.value_or(None)
-            return configuration, "" if configuration is not None else str(result.failure())
-        except Exception as error:  # a check that fails must refuse, not end the process
-            log.exception("check of a configuration failed")
-            return None, f"the configuration can't be checked: {error}"
-
-    def _remember(self, digest: bytes, configuration: Configuration) -> None:
-        self._checked[digest] = configuration
-        while len(self._checked) > MAX_CACHED:
-            del self._checked[next(iter(self._checked))]
+        self._checks.check_order(request.digest, request.document, checked)
 
     def _applied(self) -> None:
-        """The document has changed: put its typed form in force, one after the other, the newest next."""
-        node = self._node
-        if node is None or self._typing or self._stopped or node.state.document is None:
-            return
-        if self._configuration is not None and self._configuration.generation >= node.state.version:
-            return
-        digest = next(reversed(node.state.taken))
-        configuration = self._checked.get(digest)
-        if configuration is not None:
-            self._put_in_force(configuration)
-            return
-        assert self._checker is not None
-        self._typing = digest
-        document = node.state.document
-        future = self._checker.submit(lambda: self._check(document))
-
-        def finished(done: "asyncio.Future[tuple[Configuration | None, str]]") -> None:
-            found, error = done.result()
-            self._typing = b""
-            if found is None:
-                log.error("the committed configuration is not valid here: %s", error)
-                return
-            self._put_in_force(found)
-            self._applied()
-
-        future.add_done_callback(finished)
-
-    def _put_in_force(self, configuration: Configuration) -> None:
-        if self._stopped:
-            return
-        self._configuration = configuration
+        if self._node is not None and self._checks is not None:
+            self._checks.applied(self._node.state)
+
+    def _in_force(self, configuration: Configuration) -> None:
         for handler in self.on_committed:
-            handler(configuration)
+            guarded(lambda handler=handler: handler(configuration))  # type: ignore[misc]
 
     # Links
 
@@ -399,8 +340,11 @@
         if self._stopped:
             return
         self._due = inf
-        self._node.tick(self._now())
-        self._pump()
+        try:
+            self._node.tick(self._now())
+            self._pump()
+        finally:
+            self._schedule()
 
     def _schedule(self) -> None:
         assert self._node is not None
@@ -472,10 +416,18 @@
             self._voters = list(voters)
             log.info("configuration shard: voters=%s index=%d", " ".join(voters), index)
             for handler in self.on_voters:
-                handler(list(voters), index)
+                guarded(lambda handler=handler: handler(list(voters), index))  # type: ignore[misc]
         members.tell_changes()
 
 
+def guarded(call: Callable[[], None]) -> None:
+    """Call what another part has registered: its failure must not stop the shard."""
+    try:
+        call()
+    except Exception:
+        log.exception("a handler of the configuration shard failed")
+
+
 def settle(future: "asyncio.Future[OrderOutcome]", outcome: OrderOutcome) -> None:
     """Give a waiting caller its outcome, if it still waits."""
     if not future.done():
--- a/brackenusher/control_plane/config_storage.py
+++ b/brackenusher/control_plane/config_storage.py
@@ -70,14 +70,12 @@
             if error is None:
                 self._failures = 0
                 then()
-            elif isinstance(error, StorageError):
-                self._refused(error, work, then)
             else:
-                raise error
+                self._refused(error, work, then)
 
         future.add_done_callback(finished)
 
-    def _refused(self, error: StorageError, work: Work, then: Callable[[], None]) -> None:
+    def _refused(self, error: BaseException, work: Work, then: Callable[[], None]) -> None:
         if not self._failures:
             log.error("configuration store refused a write, trying again: %s", error)
         self._failures += 1
--- /dev/null
+++ b/tests/fleet/emulated_machine.py
@@ -0,0 +1,80 @@
+"""Machines of a simulated fleet, and the line of time of all their events. Times are milliseconds."""
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+from math import inf
+
+from barleybarrow.consensus.config_node import ConfigNode, Work
+from barleybarrow.consensus.configuration_state import OrderOutcome
+from brackenusher.storage.slot_store import SlotStore
+from tests.fleet.emulated_disk import EmulatedDisk
+
+
+@dataclass
+class Session:
+    """One connection between two processes."""
+
+    alive: bool = True
+    lossy: bool = False
+    free_at: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass
+class Machine:
+    """One machine with a control process, which may be down (`node` is None)."""
+
+    name: str
+    zone: str
+    counts: bool
+    disk: EmulatedDisk
+    node: ConfigNode | None = None
+    store: SlotStore | None = None
+    life: int = 0  # of the process; what was begun in an earlier one is void
+    sessions: dict[str, Session] = field(default_factory=dict)
+    wanted: set[str] = field(default_factory=set)
+    waiting: dict[int, Callable[[OrderOutcome], None]] = field(default_factory=dict)  # by ticket
+    forwarded: dict[int, Callable[[OrderOutcome], None]] = field(default_factory=dict)  # by id
+    writing: Work | None = None
+    tick_due: float = inf
+    slow_disk: float = 1.0
+    slow_link: float = 0.0  # milliseconds that each message takes more
+    stalled_until: float = 0.0
+    frozen_until: float = 0.0
+    removed: bool = False
+    wiped: bool = False  # since it last was trusted
+
+
+class Timeline:
+    """Events in the order of their times; of one time, in the order they were set."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.sequence = count()
+
+    def at(self, delay: float, action: Callable[[], None]) -> None:
+        """Have something happen after a while."""
+        heapq.heappush(self.events, (self.now + delay, next(self.sequence), action))
+
+    def run_until(self, end: float) -> None:
+        """Play all that happens up to a moment."""
+        while self.events and self.events[0][0] <= end:
+            self.now, _, action = heapq.heappop(self.events)
+            action()
+        self.now = end
+
+    def on(self, machine: Machine, delay: float, action: Callable[[], None]) -> None:
+        """Have a process do something after a while, if it still runs then; a frozen one does it later."""
+        life = machine.life
+
+        def run() -> None:
+            if machine.life != life:
+                return
+            if machine.frozen_until > self.now:
+                self.at(machine.frozen_until - self.now, run)
+                return
+            action()
+
+        self.at(delay, run)
--- a/tests/fleet/fleet_simulation.py
+++ b/tests/fleet/fleet_simulation.py
@@ -4,11 +4,9 @@
 network and the operating system would do. Times are milliseconds.
 """
 
-import heapq
 import json
 import random
 from collections.abc import Callable, Generator
-from dataclasses import dataclass, field
 from itertools import count
 from math import inf
 from typing import Any
@@ -21,6 +19,7 @@
 from brackenusher.storage.slot_store import SlotStore
 from tests.fleet.config_oracle import Call, History, SentOrder
 from tests.fleet.emulated_disk import EmulatedDisk, PowerLost
+from tests.fleet.emulated_machine import Machine, Session, Timeline
 
 SILENCE_MS = 1600.0  # until a cut that says nothing is noticed
 CONNECT_MS = 150.0  # between two tries for a link
@@ -37,51 +36,16 @@
 Story = Generator[Step, Any, None]
 
 
-@dataclass
-class Session:
-    """One connection between two processes."""
-
-    alive: bool = True
-    lossy: bool = False
-    free_at: dict[str, float] = field(default_factory=dict)
-
-
-@dataclass
-class Machine:
-    """One machine with a control process, which may be down (`node` is None)."""
-
-    name: str
-    zone: str
-    counts: bool
-    disk: EmulatedDisk
-    node: ConfigNode | None = None
-    store: SlotStore | None = None
-    life: int = 0  # of the process; what was begun in an earlier one is void
-    sessions: dict[str, Session] = field(default_factory=dict)
-    wanted: set[str] = field(default_factory=set)
-    waiting: dict[int, Callable[[OrderOutcome], None]] = field(default_factory=dict)  # by ticket
-    forwarded: dict[int, Callable[[OrderOutcome], None]] = field(default_factory=dict)  # by id
-    writing: Work | None = None
-    tick_due: float = inf
-    slow_disk: float = 1.0
-    slow_link: float = 0.0  # milliseconds that each message takes more
-    stalled_until: float = 0.0
-    frozen_until: float = 0.0
-    removed: bool = False
-    wiped: bool = False  # since it last was trusted
-
-
-class World:
+class World(Timeline):
     """All machines and what is between them."""
 
     node_class: type[ConfigNode] = ConfigNode  # tests plant faults by a class of their own
     store_class: type[SlotStore] = SlotStore
 
     def __init__(self, seed: int, machines: int = 3, tolerated: int = 1, doors: int = 1) -> None:
+        super().__init__()
         self.rng = random.Random(seed)
-        self.now = 0.0
-        self.events: list[tuple[float, int, Callable[[], None]]] = []
-        self.sequence, self.ids = count(), count(1)
+        self.ids = count(1)
         self.history = History()
         self.tolerated = tolerated
         self.disk_ms, self.delay_ms = self.rng.choice(DISKS_MS), self.rng.choice(DELAYS_MS)
@@ -95,33 +59,6 @@
         self.seeds = list(self.machines)[:3]
         self.at(CONNECT_MS, self.connect)
 
-    # Time
-
-    def at(self, delay: float, action: Callable[[], None]) -> None:
-        """Have something happen after a while."""
-        heapq.heappush(self.events, (self.now + delay, next(self.sequence), action))
-
-    def run_until(self, end: float) -> None:
-        """Play all that happens up to a moment."""
-        while self.events and self.events[0][0] <= end:
-            self.now, _, action = heapq.heappop(self.events)
-            action()
-        self.now = end
-
-    def on(self, machine: Machine, delay: float, action: Callable[[], None]) -> None:
-        """Have a process do something after a while, if it still runs then; a frozen one does it later."""
-        life = machine.life
-
-        def run() -> None:
-            if machine.life != life:
-                return
-            if machine.frozen_until > self.now:
-                self.at(machine.frozen_until - self.now, run)
-                return
-            action()
-
-        self.at(delay, run)
-
     # Machines
 
     def add_machine(self, name: str, zone: str, counts: bool) -> Machine:
--- a/tests/fleet/test_config_shard.py
+++ b/tests/fleet/test_config_shard.py
@@ -140,6 +140,22 @@
 
         self.story(story)
 
+    def test_a_handler_that_fails_stops_nothing(self) -> None:
+        async def story(world: ShardWorld) -> None:
+            def fail(*arguments: object) -> None:
+                raise ValueError("planted")
+
+            for control in world.controls:
+                control.up.on_committed.insert(0, fail)
+                control.up.on_voters.insert(0, fail)
+            self.assertEqual((await world.controls[0].take(7, 5)).status, 200)
+            self.assertEqual((await world.controls[3].take(8, 7)).status, 200)
+            await asyncio.sleep(0.3)
+            self.assertEqual(world.controls[3].committed, [5, 7, 8])
+
+        with self.assertLogs("brackenusher.control_plane.config_shard"):
+            self.story(story)
+
     def test_the_voters_are_told(self) -> None:
         async def story(world: ShardWorld) -> None:
             told = list[list[str]]()
