Feed client: bad pieces cost little, a minority of voters is not the core

Cause: a source whose pieces can't be read would have been asked ten times a second; now the usual patience holds. A proxy in touch with a minority of the voters it knows tries seeds and learnt addresses too, since the others may have been replaced. A link that is up without a subscription is subscribed. Ruled out: going back to an older version by a late piece.

--- a/barleybarrow/replication/configuration_fetch.py
+++ b/barleybarrow/replication/configuration_fetch.py
@@ -49,11 +49,6 @@
         self.asked, self._patience = "", FIRST_PATIENCE_MS
         self._judge()
 
-    def refused(self, source: str) -> None:
-        """What a source sent can't be used: ask the next one."""
-        if self.asked == source:
-            self._asked_at = float("-inf")
-
     def ask(self, now: float) -> str | None:
         """The source to be asked now, if any."""
         newer = sorted(source for source, offer in self._offers.items() if offer.version > self.version)
--- a/brackenusher/data_plane/feed_client.py
+++ b/brackenusher/data_plane/feed_client.py
@@ -1,8 +1,8 @@
 """The feeds of a proxy: the newest configuration and the list of servers, from all voters at once.
 
 The seeds are asked first; they name the voters, and from then on links are kept to every voter. Each is
-subscribed to and tailed; what they tell is merged. While no voter is in touch, the proxy serves on with what
-it has and tries seeds, voters and addresses heard from peers.
+subscribed to and tailed; what they tell is merged. While most voters are out of touch, the proxy serves on
+with what it has and tries seeds, voters and addresses heard from peers.
 """
 
 import asyncio
@@ -32,7 +32,7 @@
 MAX_LEARNT = 16  # addresses of control processes that peers told
 READY_WITHOUT_CORE_MS = 4000.0  # then what is known is served with: the core is down
 ANSWER_MS = 3000.0  # for the whole list after a subscription; a snapshot over a narrow link takes a second
-ALONE_MS = 1500.0  # without a voter in touch; then all known addresses are tried
+ALONE_MS = 1500.0  # without most voters in touch; then all known addresses are tried
 FORGET_CHECK_MS = 60_000.0
 MAX_DOCUMENT_BYTES = 64 * 1024 * 1024  # of a configuration after decompression; more is not one
 
@@ -141,7 +141,7 @@
 
     def _keep_links(self, now: float) -> None:
         connected = self._links.connected()
-        if any(voter in connected for voter in self.voters):
+        if sum(voter in connected for voter in self.voters) * 2 > len(self.voters):
             self._in_touch_at = now
         wanted = set(self.voters[:MAX_LINKS])
         if not self.voters:
@@ -155,6 +155,8 @@
             self._links.disconnect(address)
             self._forget_source(address, now)
         self._wanted = wanted
+        for address in sorted(wanted.intersection(connected).difference(self._subscribed)):
+            self._subscribe(address)
 
     def _forget_source(self, address: str, now: float) -> None:
         self._subscribed.pop(address, None)
@@ -226,8 +228,7 @@
             configuration = self._read_piece(message)
         except (zlib.error, msgspec.MsgspecError, configuration_delta.DeltaMismatchError) as error:
             log.warning("configuration not taken: source=%s error=%s", sender, error)
-            self._fetch.refused(sender)
-            return
+            return  # the next source is asked as if nothing had come: a bad one costs little
         self._configuration = configuration
         self._fetch.taken(message.version)
         log.info("configuration in force: version=%d source=%s", message.version, sender)
