--- a/brackenusher/control_plane/config_members.py
+++ b/brackenusher/control_plane/config_members.py
@@ -24,9 +24,15 @@
     return [f"{seed.rpartition(':')[0]}:{port}" for seed in settings.seed_nodes]
 
 
-def control_process(hello: messages.Hello) -> ControlProcess:
+def failure_domain(settings: LocalSettings, zone: str) -> str:
+    """What is lost with a machine of this zone: voters spread over regions where one of those may be lost."""
+    return settings.zones.get(zone, zone) if settings.fault_tolerance.regions else zone
+
+
+def control_process(settings: LocalSettings, hello: messages.Hello) -> ControlProcess:
     """What the machine needs of a Hello."""
-    return ControlProcess(hello.address, hello.zone, hello.counts_for_quorum and hello.has_disk)
+    domain = failure_domain(settings, hello.zone)
+    return ControlProcess(hello.address, domain, hello.counts_for_quorum and hello.has_disk)
 
 
 class ConfigMembers:
--- a/brackenusher/control_plane/config_shard.py
+++ b/brackenusher/control_plane/config_shard.py
@@ -33,6 +33,7 @@
     CONTROL_ROLE,
     ConfigMembers,
     control_process,
+    failure_domain,
     seed_names,
 )
 from brackenusher.control_plane.config_storage import ConfigStorage
@@ -99,7 +100,7 @@
         seeds = seed_names(settings)
         options = NodeOptions(
             name=self.links.own.address,
-            zone=settings.zone,
+            zone=failure_domain(settings, settings.zone),
             counts=settings.counts_for_quorum and bool(settings.data_dir),
             seeds=seeds,
             bootstrap=settings.bootstrap,
@@ -321,7 +322,7 @@
         else:
             members.greet(address)
             if hello.role == CONTROL_ROLE:
-                node.link_up(self._now(), control_process(hello))
+                node.link_up(self._now(), control_process(self.settings, hello))
         self._pump()
 
     def _give_up(self, address: str) -> None:
--- a/tests/fleet/test_config_shard.py
+++ b/tests/fleet/test_config_shard.py
@@ -6,6 +6,10 @@
 from collections.abc import Awaitable, Callable
 
 from barleybarrow.consensus.configuration_state import MAX_BODY_BYTES
+from barleybarrow.consensus.voter_selection import ControlProcess
+from brackenusher.cluster import messages
+from brackenusher.control_plane.config_members import control_process, failure_domain, seed_names
+from brackenusher.settings.local import LocalSettings
 from tests.fleet.shard_world import ShardWorld, body, until
 from tests.fleet.virtual_time import play
 
@@ -115,6 +119,26 @@
         self.story(story)
 
 
+class FailureDomainTest(unittest.TestCase):
+    def test_regions_count_where_one_may_be_lost(self) -> None:
+        settings = LocalSettings(
+            "n", "control", "10.0.0.1", "east-1", zones={"east-1": "east", "west-1": "west"}
+        )
+        self.assertEqual(failure_domain(settings, "west-1"), "west-1")
+        settings.fault_tolerance.regions = 1
+        self.assertEqual(failure_domain(settings, "west-1"), "west")
+        self.assertEqual(failure_domain(settings, "unknown"), "unknown")
+        hello = messages.Hello(
+            "10.0.0.2:7680", "control", zone="west-1", counts_for_quorum=True, has_disk=False
+        )
+        self.assertEqual(control_process(settings, hello), ControlProcess("10.0.0.2:7680", "west", False))
+
+    def test_seeds_are_known_by_their_internal_addresses(self) -> None:
+        settings = LocalSettings("n", "control", "10.0.0.1", "z", internal_port_range=[7680, 7695])
+        settings.seed_nodes = ["10.0.0.1:8665", "10.2.0.3:8665"]
+        self.assertEqual(seed_names(settings), ["10.0.0.1:7680", "10.2.0.3:7680"])
+
+
 class CommittedTest(ShardTest):
     def test_every_process_is_told_of_each_version_once(self) -> None:
         async def story(world: ShardWorld) -> None:
