--- a/brackenusher/control_plane/config_checks.py
+++ b/brackenusher/control_plane/config_checks.py
@@ -36,7 +36,7 @@
         self.configuration: Configuration | None = None
 
     def check_order(self, digest: bytes, document: Document, then: Callable[[bytes, str], None]) -> None:
-        """Check what an order would make, then call with its digest and the error, empty where it is valid."""
+        """Check what an order would make, then call with its digest and the error, empty if valid."""
         future = self._worker.submit(lambda: self._run(document))
 
         def finished(done: "asyncio.Future[Checked]") -> None:
