--- a/testbed/fleet/clients.py
+++ b/testbed/fleet/clients.py
@@ -1,4 +1,7 @@
-"""Clients of a fleet on loopback: each sends one request after the other, through any proxy."""
+"""Clients of a fleet on loopback: each sends one request after the other, through any proxy.
+
+A request that is refused is sent again when the answer says, with an id of its own, as clients do.
+"""
 
 import asyncio
 import itertools
@@ -8,7 +11,7 @@
 from dataclasses import dataclass, field
 from statistics import median
 
-from testbed.fleet.http_calls import ANSWER_FAILURES, HttpCall, call
+from testbed.fleet.http_calls import ANSWER_FAILURES, HttpAnswer, HttpCall, call
 from testbed.fleet.layout import Machine
 from testbed.fleet.operator import HOST, TENANTS, key_of
 
@@ -17,6 +20,9 @@
 PLAIN_SHARE = 0.2  # of requests that are no streams
 SUBJECTS = 12  # first parts of prompts, shared by requests
 SUBJECT_TOKENS, OWN_TOKENS, OUTPUT_TOKENS = 2000, 300, 200
+MOST_TRIES = 4
+DEFAULT_RETRY_S = 0.2  # where a refusal does not say when to come back
+PROMISES = frozenset({429, 503})  # the request has not run and never will
 KEPT_TIMES = 2000  # for the quantiles
 
 
@@ -24,7 +30,8 @@
 class ClientFigures:
     """What clients have seen since the start."""
 
-    sent: int = 0
+    sent: int = 0  # requests, each counted once
+    retried: int = 0  # further tries of them
     streams: int = 0
     events: int = 0
     statuses: Counter[int] = field(default_factory=Counter)  # 0: no whole answer
@@ -81,34 +88,40 @@
 
     async def _keep_sending(self) -> None:
         while not self._ending:
-            number = next(self._numbers)
-            tenant = self._rng.choice(TENANTS)
-            machine = self._rng.choice(self._machines)
-            if self._rng.random() < PLAIN_SHARE:
-                await self._send(machine, client_call("/lookup/one", number, key_of(tenant)))
-            else:
-                await self._send_stream(machine, chat(number, self._rng.randrange(SUBJECTS), tenant))
+            self.figures.sent += 1
+            self.figures.statuses[await self._send()] += 1
             await asyncio.sleep(PAUSE_S)
 
-    async def _send(self, machine: Machine, request: HttpCall) -> None:
-        self.figures.sent += 1
-        try:
-            status = (await call(machine.front, request, DEADLINE_MS / 1000.0)).status
-        except ANSWER_FAILURES:
-            status = 0
-        self.figures.statuses[status] += 1
-
-    async def _send_stream(self, machine: Machine, request: HttpCall) -> None:
+    async def _send(self) -> int:
+        """Send one request until it is answered or tried often enough; its last status, 0: no answer."""
+        tenant = self._rng.choice(TENANTS)
+        plain, subject = self._rng.random() < PLAIN_SHARE, self._rng.randrange(SUBJECTS)
+        self.figures.streams += not plain
+        answer = HttpAnswer(0)
+        for turn in range(MOST_TRIES):
+            self.figures.retried += turn > 0
+            number = next(self._numbers)
+            request = client_call("/lookup/one", number, key_of(tenant))
+            if not plain:
+                request = self._timed(chat(number, subject, tenant))
+            try:
+                answer = await call(self._rng.choice(self._machines).front, request, DEADLINE_MS / 1000.0)
+            except ANSWER_FAILURES:
+                return 0
+            if answer.status not in PROMISES:
+                break
+            await asyncio.sleep(float(answer.headers.get("retry-after", DEFAULT_RETRY_S)))
+        return answer.status
+
+    def _timed(self, request: HttpCall) -> HttpCall:
+        """The request, with its events counted and the time to the first one noted."""
         began = time.monotonic()
         first: list[float] = []
 
         def take(data: bytes) -> None:
-            if not first:
+            if not first and data:
                 first.append((time.monotonic() - began) * 1000.0)
+                self.figures.first_event_ms.extend(first)
             self.figures.events += data.count(b"\n\n")
 
-        self.figures.streams += 1
-        await self._send(
-            machine, HttpCall(request.method, request.target, request.headers, request.body, take)
-        )
-        self.figures.first_event_ms.extend(first)
+        return HttpCall(request.method, request.target, request.headers, request.body, take)
--- a/testbed/fleet/demo.py
+++ b/testbed/fleet/demo.py
@@ -65,7 +65,8 @@
         served = self.clients.statuses[200]
         half, most = self.clients.quantiles()
         figures = (
-            f"{served} of {self.clients.sent} served, {self.clients.events} events, first event"
+            f"{served} of {self.clients.sent} served, {self.clients.retried} tried again,"
+            f" {self.clients.events} events, first event"
             f" {half:.0f} ms (p99 {most:.0f}), {self.changes} changes in force within"
             f" {self.slowest_change_s:.2f} s, ready after {self.ready_after_s:.1f} s"
         )
@@ -94,7 +95,7 @@
                 try:
                     await self._play()
                 except TimeoutError as error:
-                    self.result.problems.append(str(error) or "an order got no clear answer")
+                    self.result.problems.append(str(error) or "no answer in time")
                 finally:
                     await asyncio.gather(*(server.stop() for server in self._servers))
                 self._note_ended(processes)
@@ -143,6 +144,9 @@
         ]
         for server in self._servers:
             await server.start()
+        async with asyncio.timeout(START_S):
+            for server in self._servers:
+                await server.acknowledged.wait()
         proxies = self.layout.proxy_machines()
         await watch.wait_until("every proxy ready", lambda: watch.all_ready(proxies), START_S)
         self.result.ready_after_s = time.monotonic() - self._began
