--- a/brackenusher/data_plane/attempt.py
+++ b/brackenusher/data_plane/attempt.py
@@ -20,6 +20,9 @@
     def attempt_not_sent(self, attempt: "Attempt") -> None:
         """There is no connection; nothing was sent."""
 
+    def attempt_unsent(self, attempt: "Attempt", reason: str) -> None:
+        """The connection ended before the request was written whole: it cannot have run."""
+
     def attempt_head(self, attempt: "Attempt", status: int, headers: list[Header]) -> None:
         """The head of the answer."""
 
@@ -100,3 +103,10 @@
         self._connection = None
         if not self.cancelled:
             self._owner.attempt_broken(self, reason)
+
+    def request_unsent(self, reason: str) -> None:
+        """From the connection, which is closed."""
+        self._connection = None
+        self.sent = False
+        if not self.cancelled:
+            self._owner.attempt_unsent(self, reason)
--- a/brackenusher/data_plane/exchange.py
+++ b/brackenusher/data_plane/exchange.py
@@ -311,6 +311,12 @@
         self._attempt_gone()
         self._owner.not_sent(self, attempt.server_id)
 
+    def attempt_unsent(self, attempt: Attempt, reason: str) -> None:
+        """The request was not written whole: it cannot have run."""
+        log.info("request %d: server %s: not sent whole: %s", self.number, attempt.server_id, reason)
+        self.sends -= 1
+        self.attempt_not_sent(attempt)
+
     def attempt_head(self, attempt: Attempt, status: int, headers: list[Header]) -> None:
         """Hold the head until it is known what to do with it."""
         self._held = HeldAnswer(status, headers)
--- a/brackenusher/data_plane/upstream_connection.py
+++ b/brackenusher/data_plane/upstream_connection.py
@@ -27,7 +27,7 @@
 
 
 class AnswerReceiver(Protocol):
-    """Who is told about an answer; each ends with exactly one of `answer_end` and `answer_broken`."""
+    """Who is told about an answer; it ends with one of `answer_end`, `answer_broken` and `request_unsent`."""
 
     request_id: bytes | None  # that the answer has to echo
 
@@ -43,6 +43,9 @@
     def answer_broken(self, reason: str) -> None:
         """No more will come, and the answer is not whole."""
 
+    def request_unsent(self, reason: str) -> None:
+        """The connection ended before the request was written whole: the server cannot have run it."""
+
 
 class UpstreamConnection(asyncio.Protocol):
     """A connection to one server; `on_idle` and `on_closed` are its pool's."""
@@ -67,6 +70,8 @@
         self._receiver: AnswerReceiver | None = None
         self._request: h11.Request | None = None
         self._skipping = False  # an answer to an earlier request is being read away
+        self._unwritten = False  # bytes of the request have not reached the kernel yet
+        self._answered = False  # bytes of the answer have come
         self._reusable = True
         self._idle_limit_s = ASSUMED_IDLE_LIMIT_S
 
@@ -79,6 +84,7 @@
         """The connection is up."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        transport.set_write_buffer_limits(high=0)  # tells as soon as all is written
         sock = transport.get_extra_info("socket")
         configure_socket(sock)
         self._poll.register(sock.fileno(), select.POLLIN)
@@ -98,13 +104,24 @@
         self._receiver = receiver
         self._skipping = False
         self.used = True
+        self._unwritten = self._answered = False
         self._transport.write(data)
+        if self._transport.is_closing():  # the write failed at once; `connection_lost` follows
+            self._unwritten = True
 
     def _encode(self, request: h11.Request, body: bytes) -> bytes:
         head = self._http.send(request) or b""
         content = (self._http.send(h11.Data(data=body)) or b"") if body else b""
         return head + content + (self._http.send(h11.EndOfMessage()) or b"")
 
+    def pause_writing(self) -> None:
+        """Not all of the request could be written at once."""
+        self._unwritten = True
+
+    def resume_writing(self) -> None:
+        """All of the request is written."""
+        self._unwritten = False
+
     def pause(self) -> None:
         """Read no more until `resume`."""
         if self._transport is not None and not self.closed:
@@ -142,6 +159,7 @@
         if self._receiver is None:
             self.close()  # they belong to no request
             return
+        self._answered = True
         self._http.receive_data(data)
         self._read_events()
 
@@ -161,7 +179,11 @@
     def _break(self, reason: str) -> None:
         receiver, self._receiver = self._receiver, None
         self.close()
-        if receiver is not None:
+        if receiver is None:
+            return
+        if self._unwritten and not self._answered:
+            receiver.request_unsent(reason)
+        else:
             receiver.answer_broken(reason)
 
     def _read_events(self) -> None:
@@ -222,7 +244,13 @@
         receiver, self._receiver = self._receiver, None
         assert receiver is not None
         trailing, ended = self._http.trailing_data
-        reusable = self._reusable and not trailing and not ended and self._http.our_state is h11.DONE
+        reusable = (
+            self._reusable
+            and not self._unwritten
+            and not trailing
+            and not ended
+            and self._http.our_state is h11.DONE
+        )
         if reusable:
             self._http.start_next_cycle()
             self.idle_until = self._clock() + max(0.0, self._idle_limit_s - IDLE_MARGIN_S)
--- a/tests/fleet/test_upstream_pool.py
+++ b/tests/fleet/test_upstream_pool.py
@@ -150,6 +150,24 @@
 
 
 class Resets(DataPlaneTest):
+    async def test_a_reset_before_the_last_byte_was_written_is_proof(self) -> None:
+        _, second = await self.serve(hello, hello)
+
+        async def reset(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readexactly(10)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+
+        listener = await asyncio.start_server(reset, "127.0.0.1", 0, limit=4096)
+        address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+        self.proxy.set_servers("app", [ServerInfo("full", address), ServerInfo("s1", await_address(second))])
+        reply = await self.ask(request_bytes("/unsafe/x", body=b"x" * 15_000_000))
+        listener.close()
+        self.assertEqual(reply.status, 200)
+        self.assertIn(("connection_failed", "full"), self.dispatcher.told)
+        self.assertEqual(len(second.seen[0].body), 15_000_000)
+
     async def test_a_server_that_resets_new_connections_is_proved_not_to_have_run(self) -> None:
         _, second = await self.serve(hello, hello)
         listener = socket.create_server(("127.0.0.1", 0))
