Configuration shard: not founded by fewer than tolerated losses leave standing

After 1.5 s the first seed founded the shard with whoever it had met, were it alone: an order would have been acknowledged on one disk. It now waits for more counting processes than may be lost, for 6 s at most. 17 scenario tests pass.

--- a/barleybarrow/consensus/config_node.py
+++ b/barleybarrow/consensus/config_node.py
@@ -50,6 +50,7 @@
 
 GATHER_MS = 600.0  # the machines of a first start begin within 300 ms of one another
 GATHER_LONGEST_MS = 1500.0  # where fewer than wanted are there; the first order is due 4 s after the start
+GATHER_ANYWAY_MS = 6000.0  # before, none votes whose loss together with all others is tolerated
 QUIET_MS = 200.0  # all seeds are there and nobody new came for so long: nobody else is expected
 ANNOUNCE_MS = 250.0  # between two words to the first voters that they vote
 WITNESS_MS = 400.0  # between two requests of a barred process
@@ -373,7 +374,7 @@
         found = eligible(self.known())
         disks = any(process.counts for process in found)
         target = target_voters(self.options.tolerated_machines, disks)
-        if not self._gathered(now, found if disks else [], target):
+        if not self._gathered(now, len(found), target if disks else inf):
             return
         voters = choose_voters(found, self.options.seeds, target)
         snapshot = Snapshot(1, 0, voters, b"")
@@ -382,12 +383,12 @@
         self._restore(snapshot)
         self.rewrite, self.announce_at = True, now
 
-    def _gathered(self, now: float, found: list[ControlProcess], target: int) -> bool:
+    def _gathered(self, now: float, found: int, target: float) -> bool:
         waited = now - self.started_at
-        if waited >= GATHER_LONGEST_MS:
+        if waited >= GATHER_ANYWAY_MS:
             return True
-        if len(found) < target:
-            return False
+        if found < target:
+            return waited >= GATHER_LONGEST_MS and found > self.options.tolerated_machines
         seeds_are_here = all(seed == self.name or seed in self.reachable for seed in self.options.seeds)
         return waited >= GATHER_MS or (seeds_are_here and now - self.news_at >= QUIET_MS)
 
--- a/tests/fleet/test_config_scenarios.py
+++ b/tests/fleet/test_config_scenarios.py
@@ -91,6 +91,18 @@
             world.run_until(6000.0)
             self.assertEqual(len(voters(world)), 3)
 
+    def test_one_machine_does_not_found_alone_what_may_lose_one(self) -> None:
+        world = World(1)
+        seed = world.machines["10.0.0.1:7680"]
+        world.start(seed, True)
+        world.run_until(4000.0)
+        self.assertIsNone(leader(world))
+        for machine in world.machines.values():
+            if machine is not seed:
+                world.start(machine, True)
+        world.run_until(5500.0)
+        self.assertEqual(len(voters(world)), 3)
+
     def test_without_any_disk_all_vote(self) -> None:
         for seed in range(SEEDS):
             world = started(seed, machines=0, doors=5)
