Routing: no import cycles between records and exchanges, nor in the emulator

The layer tests, which count imports for types too, found pool and exchange, and results and fleet, importing each other.

--- a/barleybarrow/routing/pool.py
+++ b/barleybarrow/routing/pool.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from barleybarrow.documents import Service
 from barleybarrow.routing.actions import RequestId, ServerInfo, ServerState
@@ -15,9 +15,6 @@
 from barleybarrow.routing.speed import EXCESS_WEIGHT, ReadingTime, ServerSpeed, Smoothed
 from barleybarrow.routing.thresholds import IdleThreshold
 
-if TYPE_CHECKING:
-    from barleybarrow.routing.exchange import Exchange
-
 LARGE_FLEET = 24  # servers: up to here all are looked at for each request, beyond only a few
 
 
@@ -26,6 +23,13 @@
 STREAMS_KEY = stable_hash("long streams")  # by which all proxies keep the same servers for them
 
 
+class WaitingRequest(Protocol):
+    """A request without a first event, as its server's record needs it."""
+
+    sent_at: float
+    expected_ms: float  # to the first event, when it was sent
+
+
 class ServerRecord:
     """One server: what it says of itself and what this proxy learned."""
 
@@ -53,7 +57,9 @@
         self.info = info
         self.hash = stable_hash(info.id)
         self.in_flight = 0  # own requests there
-        self.waiting: dict[RequestId, Exchange] = {}  # own requests there without a first event, oldest first
+        self.waiting: dict[
+            RequestId, WaitingRequest
+        ] = {}  # own requests there without a first event, oldest first
         self.waiting_ms = 0.0  # to read the prompts of those
         self.reading_until = 0.0  # when it will have read all prompts that are known of, also other proxies'
         self.reading_since = 0.0  # since when it has hardly paused in that
--- a/testbed/engines/fleet.py
+++ b/testbed/engines/fleet.py
@@ -109,7 +109,8 @@
         for fault in self.scenario.faults:
             self.clock.at(fault.at_ms, partial(self._strike, fault))
         self.clock.run_until(self.scenario.length_ms + 20_000.0)
-        self.results.close(self)
+        engines = [server.model for server in self.servers.values() if isinstance(server.model, Engine)]
+        self.results.close(engines, [proxy.dispatcher.counters for proxy in self.proxies])
         return self.results
 
     def _make_proxies(self, policy: Policy, seed: int) -> list[Proxy]:
--- a/testbed/engines/results.py
+++ b/testbed/engines/results.py
@@ -1,14 +1,11 @@
 """What a run earned: worth by kind and by time, answers in time and late, and what was read again."""
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
+from barleybarrow.routing.actions import Counters
 from testbed.engines.engine import Engine
 from testbed.engines.scenario import RequestKind, Scenario
-
-if TYPE_CHECKING:
-    from testbed.engines.fleet import Fleet
-    from testbed.engines.workload import Wanted
+from testbed.engines.workload import Wanted
 
 WINDOW_MS = 3_000.0  # of the worst window
 SIZE_BASE, SIZE_SHARE, MOST_WORTH = 0.3, 0.7, 4.0  # worth by size, as the rules have it
@@ -18,7 +15,7 @@
 class Try:
     """One try of a client: when its events came."""
 
-    wanted: "Wanted"
+    wanted: Wanted
     number: int
     began: float
     first_at: float | None = None
@@ -68,7 +65,7 @@
         self._windows: dict[int, list[float]] = {}
         self._mean_size: dict[str, float] = {}
 
-    def owe(self, wanted: "Wanted") -> None:
+    def owe(self, wanted: Wanted) -> None:
         """Note a request that is worth something from now on."""
         result = self.kinds[wanted.kind.name]
         result.owed += 1
@@ -107,15 +104,14 @@
         self.sends += 1
         self.cross_zone += cross_zone
 
-    def close(self, fleet: "Fleet") -> None:
-        """Take up what the servers and the proxies counted."""
-        engines = [s.model for s in fleet.servers.values() if isinstance(s.model, Engine)]
+    def close(self, engines: list[Engine], counters: list[Counters]) -> None:
+        """Take up what the engines and the proxies counted."""
         self.tokens_read = sum(engine.counters.tokens_read for engine in engines)
         self.tokens_kept = sum(engine.counters.tokens_kept for engine in engines)
         busy = sum(engine.counters.busy_ms for engine in engines)
         self.busy_share = busy / max(1, len(engines)) / self.scenario.length_ms
-        for proxy in fleet.proxies:
-            for name, count in proxy.dispatcher.counters.counts.items():
+        for own in counters:
+            for name, count in own.counts.items():
                 self.counters[name] = self.counters.get(name, 0) + count
 
     @property
@@ -138,14 +134,14 @@
     def _window(self, at_ms: float) -> list[float]:
         return self._windows.setdefault(int(at_ms / WINDOW_MS), [0.0, 0.0])
 
-    def _worth(self, wanted: "Wanted") -> float:
+    def _worth(self, wanted: Wanted) -> float:
         kind = wanted.kind
         if not kind.chain:
             return kind.worth
         mean = self._mean_size.setdefault(kind.name, self._expected_size(wanted))
         return kind.worth * min(MOST_WORTH, SIZE_BASE + SIZE_SHARE * wanted.size / mean)
 
-    def _expected_size(self, wanted: "Wanted") -> float:
+    def _expected_size(self, wanted: Wanted) -> float:
         kind = wanted.kind
         stride = 1
         for figures in self.scenario.services:
