Testbed: the fleet's machines have eight internal ports and tolerate what they can lose

Proxies now use a third internal port for announcements, which the layout of two ports left to chance; and a fleet of one control process said that one may be lost, so that founding the shard waited 6 s (test of the small fleet: 12 s). Eight ports in a row are reserved, and the tolerated losses follow from the voters.

--- a/testbed/fleet/demo.py
+++ b/testbed/fleet/demo.py
@@ -24,7 +24,7 @@
 SERVERS = 3
 CLIENTS_A_PROXY = 3
 VERSION_STEP = 2
-GRACE_S = 4.0
+GRACE_S = 1.2  # of the planned end, while nothing is under way
 
 
 @dataclass(frozen=True, slots=True)
--- a/testbed/fleet/layout.py
+++ b/testbed/fleet/layout.py
@@ -16,11 +16,12 @@
 SEEDS = 3
 ZONES = ("zone-a", "zone-b", "zone-c")
 PORT_TRIES = 50
+INTERNAL_PORTS = 8  # in a row, for what processes of a machine say to each other; real machines have 16
 
 
 @dataclass(frozen=True, slots=True)
 class Ports:
-    """Ports that all machines of a fleet use. `internal` and the next one are for processes of the fleet."""
+    """Ports that all machines of a fleet use; `internal` is the first of `INTERNAL_PORTS`."""
 
     front: int
     ready: int
@@ -90,7 +91,7 @@
     count = max(proxies, controls)
     if proxies < 1 or controls < 1 or count > MOST_MACHINES:
         raise ValueError(f"a fleet has 1 to {MOST_MACHINES} proxies and control processes")
-    ports = Ports(free_port(), free_port(), free_port(), _free_pair())
+    ports = Ports(free_port(), free_port(), free_port(), _free_row())
     voters = min(controls, MOST_VOTERS)
     machines = [
         Machine(number, ports, has_control=number <= controls, has_disk=number <= voters)
@@ -105,13 +106,13 @@
     return replace(layout.machines[0], number=number, has_control=False, has_disk=False)
 
 
-def _free_pair() -> int:
-    """A free port whose next one is free as well."""
+def _free_row() -> int:
+    """The first of the internal ports, all of them free."""
     for _ in range(PORT_TRIES):
         port = free_port()
-        if _is_free(port + 1) and claim(port + 1):
+        if all(_is_free(other) and claim(other) for other in range(port + 1, port + INTERNAL_PORTS)):
             return port
-    raise OSError("no two free ports in a row")
+    raise OSError(f"no {INTERNAL_PORTS} free ports in a row")
 
 
 def _is_free(port: int) -> bool:
@@ -126,6 +127,7 @@
 def settings_text(machine: Machine, role: str, layout: FleetLayout, folder: Path) -> str:
     """The settings file of one process."""
     disk = role == CONTROL and machine.has_disk
+    voters = sum(other.has_disk for other in layout.machines)
     listen = {"Control": machine.control} if role == CONTROL else {}
     if role == PROXY:
         listen = {"Front": machine.front, "Ready": machine.ready}
@@ -137,7 +139,7 @@
         "Ip": machine.ip,
         "Zone": machine.zone,
         "Region": "loopback",
-        "InternalPortRange": [machine.ports.internal, machine.ports.internal + 1],
+        "InternalPortRange": [machine.ports.internal, machine.ports.internal + INTERNAL_PORTS - 1],
         "SeedNodes": [seed.control for seed in layout.controls()[:SEEDS]],
         "Bootstrap": True,
         "CountsForQuorum": machine.has_disk,
@@ -149,7 +151,7 @@
         "Zones": dict.fromkeys(ZONES, "loopback"),
         "Listen": dict(listen),
         "Limits": {"CpuShare": 1.0, "CpuCores": 1, "MemoryMb": 260, "MaxFds": 1000},
-        "FaultTolerance": {"Machines": 1, "Zones": 0, "Regions": 0},
+        "FaultTolerance": {"Machines": (voters - 1) // 2, "Zones": 0, "Regions": 0},
         "Bounds": dict(layout.bounds),
     }
     lines = _lines(plain)
--- a/tests/fleet/test_fleet_demo.py
+++ b/tests/fleet/test_fleet_demo.py
@@ -19,7 +19,7 @@
 from testbed.fleet import commands, demo, display, processes, watch
 from testbed.fleet.clients import Clients, chat, client_call
 from testbed.fleet.http_calls import HttpAnswer, HttpCall, call
-from testbed.fleet.layout import CONTROL, PROXY, plan_fleet, settings_text, spare_machine
+from testbed.fleet.layout import CONTROL, INTERNAL_PORTS, PROXY, plan_fleet, settings_text, spare_machine
 from testbed.fleet.model_server import PLAIN_BODY, ModelServer
 
 WAIT_S = 20.0
@@ -33,9 +33,8 @@
         self.assertEqual(len({machine.ip for machine in layout.machines}), 4)
         self.assertEqual(len({machine.ports for machine in layout.machines}), 1)
         ports = layout.machines[0].ports
-        self.assertEqual(
-            len({ports.front, ports.ready, ports.control, ports.internal, ports.internal + 1}), 5
-        )
+        internal = range(ports.internal, ports.internal + INTERNAL_PORTS)
+        self.assertEqual(len({ports.front, ports.ready, ports.control, *internal}), 3 + INTERNAL_PORTS)
         self.assertEqual(len(layout.roles()), 7)
 
     def test_each_settings_file_can_be_used(self) -> None:
@@ -45,6 +44,7 @@
                 case Success(settings):
                     self.assertEqual(settings.ip, machine.ip)
                     self.assertEqual(settings.bounds.grace_s, 1.5)
+                    self.assertEqual(settings.fault_tolerance.machines, 1)
                     self.assertEqual(len(settings.seed_nodes), 3)
                     self.assertEqual(bool(settings.data_dir), role == CONTROL and machine.number <= 3)
                     self.assertEqual(bool(settings.listen.control), role == CONTROL)
@@ -52,6 +52,14 @@
                 case failure:
                     self.fail(str(failure))
 
+    def test_one_control_process_can_not_be_lost(self) -> None:
+        layout = plan_fleet(1, 1)
+        match read_settings(settings_text(layout.machines[0], CONTROL, layout, Path("/disks"))):
+            case Success(settings):
+                self.assertEqual(settings.fault_tolerance.machines, 0)
+            case failure:
+                self.fail(str(failure))
+
     def test_a_spare_machine_has_an_address_of_its_own(self) -> None:
         layout = plan_fleet(2, 3)
         self.assertNotIn(spare_machine(layout).ip, {machine.ip for machine in layout.machines})
