Layers: the driver of the limits stands beside the links it uses; the log level is used

Cause: the control plane imported the data plane for it, which the layers' test turns away. Both roles use it, over links only. The setting LogLevel was read and not used.

--- a/brackenusher/assembly/process.py
+++ b/brackenusher/assembly/process.py
@@ -98,7 +98,7 @@
     settings = read_settings()
     if settings is None:
         return EXIT_BAD_SETTINGS
-    set_up(settings.role)
+    set_up(settings.role, settings.log_level)
     try:
         asyncio.run(_serve(make, settings))
     except OSError as error:
--- a/brackenusher/assembly/proxy.py
+++ b/brackenusher/assembly/proxy.py
@@ -11,6 +11,7 @@
 from barleybarrow.routing.dispatcher import Dispatcher
 from brackenusher.assembly.process import greeting, limit_bounds, run
 from brackenusher.cluster import messages
+from brackenusher.cluster.limits_driver import LimitsDriver
 from brackenusher.cluster.link_metrics import add_link_metrics
 from brackenusher.cluster.links import Links, split_address
 from brackenusher.cluster.monitor import Monitor
@@ -18,7 +19,6 @@
 from brackenusher.control_plane.ready_api import ReadyApi
 from brackenusher.data_plane.announcer import Announcer
 from brackenusher.data_plane.feed_client import FeedClient
-from brackenusher.data_plane.limits_driver import LimitsDriver
 from brackenusher.data_plane.proxy import Proxy
 from brackenusher.data_plane.proxy_metrics import add_proxy_metrics
 from brackenusher.data_plane.server import DataPlaneServer
--- a/brackenusher/control_plane/shares_driver.py
+++ b/brackenusher/control_plane/shares_driver.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 
 from barleybarrow.limits.limits import Limits
+from brackenusher.cluster.limits_driver import LimitsDriver
 from brackenusher.cluster.links import Links
-from brackenusher.data_plane.limits_driver import LimitsDriver
 from brackenusher.storage.files import StorageError
 from brackenusher.storage.slot_store import SlotStore
 from brackenusher.storage.writer import StorageWriter
--- a/tests/fleet/test_limits.py
+++ b/tests/fleet/test_limits.py
@@ -13,8 +13,8 @@
 from barleybarrow.limits.retries import RetryBudget
 from barleybarrow.limits.tenants import TenantTable, request_cost
 from brackenusher.cluster import messages as cluster_messages
+from brackenusher.cluster.limits_driver import MACHINE, LimitsDriver
 from brackenusher.control_plane.shares_driver import SharesDriver
-from brackenusher.data_plane.limits_driver import MACHINE, LimitsDriver
 from brackenusher.storage.files import StorageError
 from brackenusher.storage.slot_store import Loaded
 
