Routing: first events correct what was thought still to be read; refusals need learned latency

Cause: a time per token that is thought too long made the wait at every server grow without bound, and a wait beyond the deadline refuses: with too few samples all would have been refused though idle. A first event now proves that all sent before it is read, and a refusal needs a learned time to the first event beyond the aim.

--- a/barleybarrow/routing/dispatcher.py
+++ b/barleybarrow/routing/dispatcher.py
@@ -245,7 +245,8 @@
         choice = self._selector.pick(now, pool, exchange) if pool else None
         if pool is None or choice is None:
             return self._give_up(now, exchange, reason)
-        if choice.expected_ms > request.deadline_at - now and not exchange.may_have_run:
+        overdue = choice.expected_ms > request.deadline_at - now
+        if overdue and pool.first.value > request.route.target_latency_ms and not exchange.may_have_run:
             return self._refuse(now, exchange, RefusalReason.OVERLOADED)
         server = choice.server
         exchange.start(now, choice)
@@ -253,6 +254,7 @@
         server.waiting[request.id] = exchange
         server.waiting_ms += choice.reading_ms
         server.will_read(now, choice.reading_ms)
+        exchange.read_until = server.unshifted_until
         server.cache.sent(request.prompt_parts)
         self._tell(request, server, choice)
         profile = pool.profile(request.route.name)
@@ -341,6 +343,8 @@
         if pool is None:
             return
         taken_ms = now - exchange.sent_at
+        server.has_read(now, exchange.read_until)
+        pool.first.learn(taken_ms)
         pool.reading.learn(exchange.tokens_to_read, taken_ms - exchange.backlog_ms)
         excess_ms = taken_ms - exchange.backlog_ms - exchange.reading_ms
         server.speed.learn(now, excess_ms, pool.excess.value)
--- a/barleybarrow/routing/exchange.py
+++ b/barleybarrow/routing/exchange.py
@@ -34,6 +34,7 @@
     reading_ms: float = 0.0
     backlog_ms: float = 0.0
     expected_ms: float = 0.0
+    read_until: float = 0.0  # `unshifted_until` of its server once it was sent
 
     def start(self, now: float, choice: Choice) -> None:
         """Note that it goes out to a server now."""
--- a/barleybarrow/routing/pool.py
+++ b/barleybarrow/routing/pool.py
@@ -41,6 +41,7 @@
         "waiting_ms",
         "reading_until",
         "reading_since",
+        "shifted_ms",
         "for_streams",
         "heard_at",
         "cold_until",
@@ -65,6 +66,7 @@
         self.reading_since = 0.0  # since when it has hardly paused in that
         self.cold_until = now + info.cold_remaining_ms
         self.heard_at = now  # the last event of any of its streams
+        self.shifted_ms = 0.0  # by which first events have proved `reading_until` too late, in all
         self.for_streams = False  # kept for long streams
         self.health = ServerHealth()
         self.speed = ServerSpeed(mean_ms, now)
@@ -78,6 +80,18 @@
             self.reading_since = now
         self.reading_until = max(now, self.reading_until) + reading_ms
 
+    def has_read(self, now: float, read_until: float) -> None:
+        """A prompt is read that was thought to be read by `read_until`: so is all that came before it."""
+        early_ms = read_until - self.shifted_ms - now
+        if early_ms > 0:
+            self.reading_until -= early_ms
+            self.shifted_ms += early_ms
+
+    @property
+    def unshifted_until(self) -> float:
+        """When all that is known of will be read, on a scale that later proofs do not move."""
+        return self.reading_until + self.shifted_ms
+
     def reading_span_ms(self, now: float, reading_ms: float) -> float:
         """For how long it will have read without a pause once a prompt that is sent now is read."""
         if now > self.reading_until + RESPITE_MS:
@@ -107,6 +121,7 @@
         self.reading = ReadingTime()
         self.excess = Smoothed(EXCESS_WEIGHT)
         self.informed_share = 0.0  # of the proxies, those whose sends are known
+        self.first = Smoothed(EXCESS_WEIGHT)  # time to the first event, of all routes
         self.failures = Smoothed(FAILURES_WEIGHT)  # share of answers that fail, over all servers
         self.ring: HashRing | None = None
         self.profiles: dict[str, RouteProfile] = {}  # by the route's name
--- a/tests/fleet/test_routing_parts.py
+++ b/tests/fleet/test_routing_parts.py
@@ -234,7 +234,32 @@
         ejected = [s.health.ejected_until > 40.0 for s in self.dispatcher.pools["app"].ready]
         self.assertLessEqual(sum(ejected), 2)
 
+    def test_an_estimate_alone_refuses_nothing(self) -> None:
+        for name in "abcd":
+            self.dispatcher.pools["llm"].servers[name].reading_until = 60_000.0
+        self.send(0.0, VERDICTS)
+
+    def test_first_events_correct_an_estimate_that_runs_away(self) -> None:
+        server = self.dispatcher.pools["llm"].servers["a"]
+        for turn in range(100):
+            now = turn * 20.0
+            server.will_read(now, 100.0)  # thought five times as long as it takes
+            server.has_read(now + 15.0, server.unshifted_until)
+            self.assertLessEqual(server.backlog_ms(now + 15.0), 100.0)
+
+    def test_a_correction_counts_once(self) -> None:
+        server = self.dispatcher.pools["llm"].servers["a"]
+        server.will_read(0.0, 100.0)
+        first = server.unshifted_until
+        server.will_read(0.0, 100.0)
+        second = server.unshifted_until
+        server.has_read(40.0, first)
+        self.assertEqual(server.reading_until, 140.0)
+        server.has_read(140.0, second)
+        self.assertEqual(server.reading_until, 140.0)
+
     def test_what_cannot_be_served_in_its_time_is_refused_at_once(self) -> None:
+        self.dispatcher.pools["llm"].first.learn(1_500.0)
         for name in "abcd":
             self.dispatcher.pools["llm"].servers[name].reading_until = 60_000.0
         self.next_id += 1
