--- a/brackenusher/assembly/proxy.py
+++ b/brackenusher/assembly/proxy.py
@@ -15,6 +15,7 @@
 from brackenusher.cluster.link_metrics import add_link_metrics
 from brackenusher.cluster.links import Links, split_address
 from brackenusher.cluster.monitor import Monitor
+from brackenusher.cluster.status_calls import StatusResponder
 from brackenusher.control_plane.http_server import HttpServer
 from brackenusher.control_plane.ready_api import ReadyApi
 from brackenusher.data_plane.announcer import Announcer
@@ -24,6 +25,7 @@
 from brackenusher.data_plane.server import DataPlaneServer
 from brackenusher.runtime.metrics import Metrics
 from brackenusher.runtime.process_metrics import add_process_metrics
+from brackenusher.runtime.request_journal import RequestJournal
 from brackenusher.settings.local import LocalSettings
 
 TICK_S = 0.1
@@ -65,12 +67,15 @@
             now,
             lambda service: self.limits.may_repeat(loop.time() * 1000.0, service),
         )
+        self.journal = RequestJournal(loop.time)
+        StatusResponder(self.links, self.journal.tell)
         self.proxy = Proxy(
             loop,
             self.dispatcher,
             self.limits,
             settings.limits.memory_mb,
             ask_quota=self.limits_driver.admit,
+            journal=self.journal,
         )
         self.feed = FeedClient(settings, self.links, self._configured, self._servers_changed)
         self.feed.on_voters.append(self.limits_driver.voters_changed)
--- a/brackenusher/data_plane/proxy.py
+++ b/brackenusher/data_plane/proxy.py
@@ -26,6 +26,7 @@
 from brackenusher.data_plane.headers import request_base
 from brackenusher.data_plane.ports import DispatcherPort, LimitsPort
 from brackenusher.data_plane.upstream_pool import DEFAULT_CONNECTIONS, UpstreamPool
+from brackenusher.runtime.request_journal import RequestJournal
 
 log = logging.getLogger(__name__)
 
@@ -51,6 +52,7 @@
         memory_mb: int,
         proxy_count: int = 1,
         ask_quota: AskQuota | None = None,
+        journal: RequestJournal | None = None,
     ) -> None:
         self.proxy_count = proxy_count  # how many share the connections that a server accepts
         self.leaving = False
@@ -61,6 +63,7 @@
         self._dispatcher = dispatcher
         self._limits = limits
         self._ask_quota = ask_quota
+        self._journal = journal
         self._routes = RouteTable(())
         self._services: dict[str, Service] = {}
         self._servers: dict[str, dict[str, ServerInfo]] = {}  # by service and id
@@ -193,10 +196,12 @@
 
     def not_sent(self, exchange: Exchange, server_id: str) -> None:
         """No connection: nothing was sent to the server."""
+        self._note(exchange, "not connected", server_id)
         self._perform(self._dispatcher.connection_failed(self._now_ms(), exchange.number, server_id))
 
     def rejected(self, exchange: Exchange, server_id: str, status: int, retry_after_ms: float | None) -> None:
         """The server said that it did not run the request."""
+        self._note(exchange, "rejected", server_id, status)
         self._perform(
             self._dispatcher.rejected(self._now_ms(), exchange.number, server_id, status, retry_after_ms)
         )
@@ -213,12 +218,14 @@
 
     def attempt_over(self, exchange: Exchange, server_id: str, outcome: Outcome) -> None:
         """The attempt ended in this way."""
+        self._note(exchange, "attempt over", server_id, outcome.value)
         self._perform(self._dispatcher.finished(self._now_ms(), exchange.number, server_id, outcome))
         if exchange.state is State.ATTEMPTING and exchange.attempt is None and exchange.has_held_answer():
             exchange.pass_held_answer()
 
     def closed(self, exchange: Exchange) -> None:
         """The exchange has had its final answer."""
+        self._note(exchange, "closed")
         self._exchanges.pop(exchange.number, None)
         timer = self._deadlines.pop(exchange.number, None)
         if timer is not None:
@@ -251,6 +258,7 @@
             if not done.cancelled() and done.result():
                 self._dispatch(exchange, tenant)
             else:
+                self._note(exchange, "refused", 429, OVER_QUOTA)
                 exchange.refuse(429, OVER_QUOTA, self._limits.retry_after_ms(self._now_ms(), tenant, cost))
 
         verdict.add_done_callback(decided)
@@ -271,8 +279,16 @@
         self._deadlines[exchange.number] = self._loop.call_at(deadline_at, self._deadline_reached, exchange)
         return exchange
 
+    def _note(self, exchange: Exchange, event: str, *details: object) -> None:
+        """Remember an event of a request for the operator's command `explain`."""
+        request_id = exchange.request.facts.request_id
+        if self._journal is not None and request_id:
+            self._journal.note(request_id.decode("latin-1"), event, *details)
+
     def _dispatch(self, exchange: Exchange, tenant: Tenant | None) -> None:
         now = self._now_ms()
+        version = self.configuration.generation if self.configuration is not None else 0
+        self._note(exchange, "dispatched", exchange.route.name, exchange.service, "version", version)
         self._limits.requested(now, exchange.service)
         self._perform(self._dispatcher.arrived(now, dispatch_request(exchange, tenant)))
 
@@ -312,9 +328,11 @@
                 self._send(action)
             elif isinstance(action, Refuse):
                 if refused := self._exchanges.get(action.request_id):
+                    self._note(refused, "refused", action.status, action.reason)
                     refused.refuse(action.status, action.reason, action.retry_after_ms)
             elif isinstance(action, Fail):
                 if failed := self._exchanges.get(action.request_id):
+                    self._note(failed, "failed", action.status, action.reason)
                     failed.fail(action.status, action.reason)
             elif isinstance(action, Probe):
                 log.debug("no probes yet: %s", action)
@@ -328,6 +346,7 @@
             log.error("request %d may have run and was not sent again", exchange.number)
             exchange.fail(502, "the request may have run")
             return
+        self._note(exchange, "sent", action.server_id)
         attempt = exchange.start_attempt(action.server_id, action.priority)
         self.pool.acquire(action.server_id, attempt)
 
