--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -2,9 +2,9 @@
 
     python -m benchmarks.capacity [PART ...]
 
-Parts: `memory`, `data-plane`, `control`, `changes`, `limits` (all of them where none is named). Each slope is
-printed with its fit and the runs that it comes from. Loopback only; processor time is that of the measured
-processes, so a busy machine slows waits but hardly changes it; how busy it was is printed at both ends.
+Parts: `memory`, `data-plane`, `profile`, `control`, `changes`, `limits` (all of them where none is named). Each
+slope is printed with its fit and the runs that it comes from. Loopback only. A busy machine makes the same work
+dearer, too: the load and the time of a plain loop's step are printed around each part.
 """
 
 import argparse
@@ -12,7 +12,7 @@
 import os
 import time
 
-from benchmarks import capacity_control, capacity_memory, capacity_proxy, limits_scale
+from benchmarks import capacity_control, capacity_memory, capacity_profile, capacity_proxy, limits_scale
 from benchmarks.capacity_fit import show
 
 LOOP_STEPS = 2_000_000
@@ -57,6 +57,7 @@
 PARTS = {
     "memory": capacity_memory.main,
     "data-plane": capacity_proxy.main,
+    "profile": capacity_profile.main,
     "control": lambda: asyncio.run(capacity_control.run_proxies_and_heartbeats()),
     "changes": lambda: asyncio.run(capacity_control.run_changes()),
     "limits": limits,
