--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -3,8 +3,8 @@
     python -m benchmarks.capacity [PART ...]
 
 Parts: `memory`, `data-plane`, `profile`, `control`, `changes`, `limits` (all of them where none is named).
-Each slope is printed with its fit and the runs that it comes from. Loopback only. A busy machine makes the same
-work dearer, too: the load and the time of a plain loop's step are printed around each part.
+Each slope is printed with its fit and the runs that it comes from. Loopback only. A busy machine makes the
+same work dearer, too: the load and the time of a plain loop's step are printed around each part.
 """
 
 import argparse
