--- a/brackenusher/assembly/proxy.py
+++ b/brackenusher/assembly/proxy.py
@@ -107,6 +107,7 @@
         count = self.monitor.proxies()
         if count != self.proxy.proxy_count:
             self.proxy.set_proxy_count(count)
+            self.dispatcher.proxies_changed(asyncio.get_running_loop().time() * 1000.0, count)
         proxies = [view.address for view in self.monitor.members.values() if view.role == PROXY]
         self.announcer.set_peers(proxies if len(proxies) <= MOST_ANNOUNCING_PROXIES else ())
 
