--- a/tests/fleet/fake_links.py
+++ b/tests/fleet/fake_links.py
@@ -37,6 +37,7 @@
     def __init__(self, network: "FakeNetwork", own: messages.Hello) -> None:
         self.own, self.network = own, network
         self.alive = True
+        self.frozen_until = 0.0
         self.wanted_peers: set[str] = set()
         self.sessions: dict[str, tuple[Session, messages.Hello]] = {}
         self.sent_bytes = 0
@@ -115,7 +116,12 @@
         if pair(sender, receiver) in self.cuts:
             session.lossy = True
         elif session.alive:
-            self.processes[receiver].take(sender, session, frame)
+            links = self.processes[receiver]
+            if links.frozen_until > self.loop.time():
+                due = session.free_at[receiver] = max(links.frozen_until, session.free_at[receiver]) + APART_S
+                self.loop.call_at(due, self._deliver, sender, receiver, session, frame)
+            else:
+                links.take(sender, session, frame)
 
     def cut(self, one: str, other: str) -> None:
         """Nothing passes between two processes any more; both notice late."""
@@ -134,6 +140,19 @@
         """The connection ends; what is under way is lost."""
         self._end(one, other)
 
+    def freeze(self, address: str, seconds: float) -> None:
+        """A process stands still for a while; peers end its links once it has been silent for long."""
+        links = self.processes[address]
+        links.frozen_until = self.loop.time() + seconds
+        if seconds > SILENCE_S:
+            for key, session in self.sessions.items():
+                if address in key:
+                    self.loop.call_later(SILENCE_S, self._end_if_same, *key, session)
+
+    def _end_if_same(self, one: str, other: str, session: Session) -> None:
+        if self.sessions.get((one, other)) is session:
+            self._end(one, other)
+
     def kill(self, address: str, silent: bool) -> None:
         """A process ends; with `silent` its machine says nothing, and peers notice late."""
         self.processes[address].alive = False
@@ -170,6 +189,8 @@
         key, peer = pair(one, other), self.processes.get(other)
         if peer is None or not peer.alive or not self.processes[one].alive:
             return
+        if max(peer.frozen_until, self.processes[one].frozen_until) > self.loop.time():
+            return
         if key in self.sessions or key in self.cuts or self.rng.random() < 0.5:
             return
         session = self.sessions[key] = Session()
--- a/tests/fleet/feed_schedules.py
+++ b/tests/fleet/feed_schedules.py
@@ -60,6 +60,9 @@
             self._heal,
             self._kill_all,
             self._disk,
+            self._disk_slow,
+            self._freeze,
+            self._freeze,
             self._restart_proxy,
         ]
         self.rng.choice(troubles)()
@@ -169,6 +172,18 @@
         store = self.world.stores[self.rng.choice(self.world.voters)]
         store.refuses = not store.refuses
 
+    def _disk_slow(self) -> None:
+        control = self.world.controls[self.rng.choice(sorted(self.world.controls))]
+        control.writer.delay_s = self.rng.choice((0.002, 0.05, 0.4, 2.0))
+
+    def _freeze(self) -> None:
+        address = self.rng.choice(sorted(self.world.controls))
+        if self.world.controls[address].links.alive:
+            seconds = self.rng.uniform(0.3, 6.0)
+            self.world.trouble("core")
+            self.world.network.freeze(address, seconds)
+            asyncio.get_running_loop().call_later(seconds, self.world.trouble, "core")
+
     def _restart_proxy(self) -> None:
         address = self.rng.choice(list(self.world.proxies))
         self.world.network.kill(address, silent=False)
@@ -179,6 +194,8 @@
     def _repair(self) -> None:
         for store in self.world.stores.values():
             store.refuses = False
+        for control in self.world.controls.values():
+            control.writer.delay_s = 0.002
         while self.down:
             self._restart()
         for one, other in sorted(self.world.network.cuts):
--- a/tests/fleet/feed_world.py
+++ b/tests/fleet/feed_world.py
@@ -364,7 +364,7 @@
         settings = settings_of(address.partition(":")[0], [])
         registry = RegistryService(settings, links, store, writer, shard.voters, self.now_ms)
         feeds = FeedSource(links, shard, registry)
-        ticker = asyncio.create_task(self._tick(registry, shard))
+        ticker = asyncio.create_task(self._tick(registry, shard, links))
         control = self.controls[address] = Control(address, links, writer, shard, registry, feeds, ticker)
         self._note_voters()
         return control
@@ -392,7 +392,8 @@
     async def call(self, address: str, method: str, argument: Any) -> bool:
         """A call from outside, with its delay, its time-out, and loss with the process."""
         control = self.controls[address]
-        await asyncio.sleep(self.rng.uniform(0.001, 0.01))
+        called_at = self.now()
+        await asyncio.sleep(self.rng.uniform(0.001, 0.01) + max(0.0, control.links.frozen_until - called_at))
         if not control.links.alive:
             return False
         try:
@@ -401,7 +402,8 @@
             )
         except TimeoutError:
             return False
-        return bool(done) and control.links.alive
+        in_time = self.now() - called_at < ACK_TIMEOUT_S
+        return bool(done) and in_time and control.links.alive
 
     async def call_late(self, record: InstanceRecord) -> None:
         """A copy of a heartbeat that arrives late, anywhere."""
@@ -441,9 +443,9 @@
         """Note that something was done to the core or to a proxy's links."""
         self.troubles.append((self.now(), whom))
 
-    async def _tick(self, registry: RegistryService, shard: FakeShard) -> None:
+    async def _tick(self, registry: RegistryService, shard: FakeShard, links: Any) -> None:
         while True:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(max(0.05, links.frozen_until - self.now()))
             registry.tick()
             if self.commits and shard.majority():
                 shard.take(self.commits[-1])  # as agreement brings up who was cut off
--- a/tests/fleet/test_feed_paths.py
+++ b/tests/fleet/test_feed_paths.py
@@ -6,7 +6,9 @@
 from collections.abc import Awaitable, Callable
 from unittest import mock
 
-from barleybarrow.replication.records import InstanceState
+from barleybarrow.replication.records import InstanceRecord, InstanceState
+from barleybarrow.replication.registry import Entry, Registry
+from brackenusher.control_plane.confirmations import Confirmation
 from brackenusher.control_plane.final_records import FinalRecords
 from brackenusher.control_plane.registry_service import RegistryService
 from tests.fleet.fake_links import pair
@@ -106,8 +108,22 @@
         await asyncio.sleep(1.0)
         late.sequence += 10
         await world.call(world.voters[0], "heartbeat", late)
-        await asyncio.sleep(5.0)
-        self.assertFalse(proxy.uses("i0"))
+        newcomer = world.start_proxy("10.1.0.8:7001")
+        await asyncio.sleep(2.0)
+        self.assertFalse(proxy.uses("i0") or newcomer.uses("i0"))
+        await asyncio.sleep(3.0)
+        self.assertFalse(proxy.uses("i0") or newcomer.uses("i0"))
+
+    def test_drains_that_newer_heartbeats_undo_are_found(self) -> None:
+        def newest_wins(registry: Registry, record: InstanceRecord, now: float) -> bool:
+            entry = registry.entries.get(record.id)
+            if entry is not None and record.sequence > entry.heard:
+                del registry.entries[record.id]
+            return plain(registry, record, now)
+
+        plain = Registry.merge
+        with mock.patch.object(Registry, "merge", newest_wins), self.assertRaises(AssertionError):
+            self.test_drains_outlive_the_restart_of_all_control_processes()
 
     def test_forgetting_what_the_disk_keeps_is_found(self) -> None:
         with mock.patch.object(FinalRecords, "load", lambda final: []), self.assertRaises(AssertionError):
@@ -130,6 +146,30 @@
         self.assertTrue(await world.call(one, "heartbeat", server.record()))
         self.assertIn("i0", world.controls[others[0]].registry.registry.entries)
 
+    def test_a_majority_of_one_is_found(self) -> None:
+        with mock.patch.object(Confirmation, "needed", 1), self.assertRaises(AssertionError):
+            self.test_nothing_is_acknowledged_without_a_majority()
+
+    @story
+    async def test_a_server_that_falls_silent_comes_back_with_its_next_heartbeat(self, world: World) -> None:
+        server = world.start_server("s0")
+        world.start_server("s0")
+        await asyncio.sleep(3.0)
+        server.pause_s = 7.0
+        await asyncio.sleep(7.0)
+        self.assertFalse(any(proxy.uses("i0") for proxy in world.proxies.values()))
+        await asyncio.sleep(3.0)
+        self.assertTrue(all(proxy.uses("i0") for proxy in world.proxies.values()))
+
+    def test_silence_that_a_heartbeat_does_not_end_is_found(self) -> None:
+        def heard(registry: Registry, entry: Entry, sequence: int, now: float) -> None:
+            if entry.silent_at < entry.heard:
+                plain(registry, entry, sequence, now)
+
+        plain = Registry._heard
+        with mock.patch.object(Registry, "_heard", heard), self.assertRaises(AssertionError):
+            self.test_a_server_that_falls_silent_comes_back_with_its_next_heartbeat()
+
     @story
     async def test_processes_tell_each_other_all_when_a_link_comes_up(self, world: World) -> None:
         await asyncio.sleep(1.0)
