Tests: 30 MB through a busy machine, and a peak that the kernel notes late

A stream of 30 MB took longer than the route's 4 s, so it ended as it should: the test gives it ten minutes, its assertions are as before. The peak of memory was 0.3% under what was resident, since the kernel notes it late: the figure is now never below what is resident, the test is unchanged.

--- a/brackenusher/runtime/process_metrics.py
+++ b/brackenusher/runtime/process_metrics.py
@@ -26,5 +26,5 @@
 
 
 def peak_bytes() -> float:
-    """The most memory that was in use at once."""
-    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024.0
+    """The most memory that was in use at once; not less than now, as the kernel notes its figure late."""
+    return max(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024.0, resident_bytes())
--- a/tests/fleet/test_streams.py
+++ b/tests/fleet/test_streams.py
@@ -9,6 +9,7 @@
     Script,
     SeenRequest,
     chunk,
+    configuration,
     event,
     rejection,
     request_bytes,
@@ -96,6 +97,10 @@
             writer.write(chunk(b""))
 
         await self.serve(endless)
+        patient = configuration()
+        for route in patient.routes:
+            route.timeout_ms = 600_000.0  # 30 MB take more than the usual deadline on a busy machine
+        self.proxy.configure(patient)
         client = await self.client()
         client.writer.transport.pause_reading()  # type: ignore[attr-defined]
         client.send(request_bytes("/stream/x"))
