Registry: where zones may be lost, all voters hold each shard

Cause: a replica group of 2F+1 is chosen without regard to zones, so one zone could hold most of it; a deployment that must bear the loss of a zone could lose acknowledged drains. Such deployments now take all voters as the group of each shard; others are unchanged. Ruled out: any change on the standard sites, which tolerate machines only.

--- a/brackenusher/control_plane/registry_service.py
+++ b/brackenusher/control_plane/registry_service.py
@@ -60,7 +60,7 @@
         self._settings = settings
         self._links = links
         self._now = now
-        self._groups = ReplicaGroups(links, voters, settings.fault_tolerance.machines)
+        self._groups = ReplicaGroups(links, voters, settings.fault_tolerance)
         self._final = FinalRecords(store, writer, self._final_records)
         self._confirmations = Confirmations()
         self._unconfirmed: set[str] = set()  # ids whose newest change came here and has no majority yet
--- a/brackenusher/control_plane/replica_groups.py
+++ b/brackenusher/control_plane/replica_groups.py
@@ -4,18 +4,22 @@
 
 from barleybarrow.replication.rendezvous import SHARDS, replica_group
 from brackenusher.cluster.links import Links
+from brackenusher.settings.local import FaultTolerance
 
 CONTROL = "control"
+MOST_VOTERS = 7  # of the configuration shard
 
 
 class ReplicaGroups:
     """The replica groups of all shards, as this process sees them."""
 
-    def __init__(self, links: Links, voters: Callable[[], list[str]], tolerated_machines: int) -> None:
+    def __init__(self, links: Links, voters: Callable[[], list[str]], tolerance: FaultTolerance) -> None:
         self.own = links.own.address
         self._links = links
         self._voters = voters
-        self._tolerated = tolerated_machines
+        # A zone may hold most of a small group: where zones may be lost, all voters hold each shard.
+        whole_places = tolerance.zones > 0 or tolerance.regions > 0
+        self._tolerated = MOST_VOTERS // 2 if whole_places else tolerance.machines
 
     def peers(self) -> list[str]:
         """The other control processes that are in touch."""
--- a/tests/fleet/test_registry_merge.py
+++ b/tests/fleet/test_registry_merge.py
@@ -2,11 +2,14 @@
 
 import random
 import unittest
+from unittest import mock
 
 from barleybarrow.replication import registry as registry_module
 from barleybarrow.replication.records import InstanceModel, InstanceRecord, InstanceState, Renewal
 from barleybarrow.replication.registry import Registry
 from barleybarrow.replication.rendezvous import SHARDS, replica_group, shard_of
+from brackenusher.control_plane.replica_groups import ReplicaGroups
+from brackenusher.settings.local import FaultTolerance
 
 WORLDS = 300
 READY, DRAINING, GONE, SILENT = (
@@ -197,6 +200,14 @@
             self.assertLessEqual(set(before) - {voters[3]}, set(after))
             self.assertEqual(before, replica_group(shard, reversed(voters), 1))
 
+    def test_where_zones_may_be_lost_all_voters_hold_each_shard(self) -> None:
+        voters = [f"10.0.0.{i}:7000" for i in range(6)]
+        links = mock.Mock()
+        links.own.address = voters[0]
+        for tolerance, size in ((FaultTolerance(1), 3), (FaultTolerance(1, 1), 6), (FaultTolerance(2), 5)):
+            groups = ReplicaGroups(links, lambda: voters, tolerance)
+            self.assertEqual({len(groups.group(shard)) for shard in range(SHARDS)}, {size})
+
 
 if __name__ == "__main__":
     unittest.main()
