--- a/brackenusher/control_plane/config_shard.py
+++ b/brackenusher/control_plane/config_shard.py
@@ -48,6 +48,7 @@
 STORE_NAME = "configuration"
 ATTEMPT_S = 1.0  # for one try at the leader; it answers within two round trips
 PAUSE_S = 0.05  # between two tries
+LEAST_WAIT_S = 0.001  # less than a timer's grain is no time left: waiting for it would only spin
 CONFIRM_AGAIN_S = 0.3  # between two questions whether all that was committed is here
 HAND_OVER_S = 0.5  # a leader that ends waits for its successor at most so long
 
@@ -150,7 +151,7 @@
         if kind not in tuple(OrderKind):
             return OrderOutcome(OrderStatus.INVALID, f"{kind}: an unknown kind of order")
         ends = self._loop.time() + timeout_s
-        while (left := ends - self._loop.time()) > 0:
+        while (left := ends - self._loop.time()) > LEAST_WAIT_S:
             outcome = await self._attempt(kind, base_version, body, min(left, ATTEMPT_S))
             if outcome.status != OrderStatus.UNCLEAR:
                 return outcome
@@ -180,7 +181,7 @@
             return False
         event, tokens = asyncio.Event(), list[int]()
         ends = self._loop.time() + timeout_s
-        while not event.is_set() and (left := ends - self._loop.time()) > 0:
+        while not event.is_set() and (left := ends - self._loop.time()) > LEAST_WAIT_S:
             tokens.append(node.confirm(self._now(), event.set))
             self._pump()
             try:
