--- a/barleybarrow/fates.py
+++ b/barleybarrow/idempotency_records.py
@@ -102,7 +102,7 @@
     until: float = 0.0
 
 
-class Fates:
+class IdempotencyRecords:
     """One proxy's part. Times are milliseconds on its own monotonic clock."""
 
     def __init__(self, name: str, now: float) -> None:
--- a/barleybarrow/lives.py
+++ b/barleybarrow/incarnations.py
@@ -17,7 +17,7 @@
 
 
 @dataclass
-class Lives:
+class Incarnations:
     """What is remembered; `kept` makes it so once it is on disk."""
 
     met: dict[str, Life] = field(default_factory=dict)
--- a/barleybarrow/marks.py
+++ b/barleybarrow/overrides.py
@@ -10,7 +10,7 @@
 
 from msgspec import DecodeError, Meta, Struct, ValidationError, msgpack
 
-from barleybarrow.causal import Entry, State
+from barleybarrow.version_vectors import Entry, State
 
 KINDS = ("server", "block", "tenant")
 NAME = re.compile(r"^[A-Za-z0-9._:@\-]{1,128}$")
--- a/barleybarrow/policy.py
+++ b/barleybarrow/policy.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from barleybarrow.budget import Repeats
-from barleybarrow.door import LONGEST_KEY, Limit
+from barleybarrow.rate_limiter import LONGEST_KEY, Limit
 
 LONGEST = 64 * 1024  # bytes of a document
 MOST_TENANTS = 1000
--- a/barleybarrow/governed.py
+++ b/barleybarrow/policy_gate.py
@@ -13,7 +13,7 @@
 
 from barleybarrow.agreement import Agreement, Appended, Entry, Message, Ready, Role, Snapshot
 from barleybarrow.policy import PolicyError, Rules, read, stricter
-from barleybarrow.taking_up import FORCE, JOINT, WITHDRAWN, Book, Command, Conductor, Join, Step, Word
+from barleybarrow.rollout import FORCE, JOINT, WITHDRAWN, Book, Command, Conductor, Join, Step, Word
 
 ASK = 200.0  # milliseconds between two questions up to where it is agreed, while that has to be known
 RENEW = 300.0  # and while a lease has to be kept
@@ -62,7 +62,7 @@
     lease_left: float  # milliseconds; infinite without leases
 
 
-class Governed:
+class PolicyGate:
     """One proxy. Times are milliseconds on its own monotonic clock."""
 
     def __init__(
--- a/barleybarrow/door.py
+++ b/barleybarrow/rate_limiter.py
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True)
-class DoorSettings:
+class RateLimiterSettings:
     """Which limit goes for whom."""
 
     by_address: bool = False
@@ -54,10 +54,10 @@
         return float(math.ceil((1.0 - self.level) / rate))
 
 
-class Door:
+class RateLimiter:
     """All buckets; where there is no room for another, the one that was idle longest makes way."""
 
-    def __init__(self, settings: DoorSettings) -> None:
+    def __init__(self, settings: RateLimiterSettings) -> None:
         self.settings = settings
         self.buckets: OrderedDict[str, Bucket] = OrderedDict()  # the one that was asked last stands last
 
--- a/barleybarrow/recovery.py
+++ b/barleybarrow/recovery.py
@@ -10,7 +10,7 @@
 from msgspec import msgpack
 
 from barleybarrow.agreement import Entry, Kind, Ready, Snapshot
-from barleybarrow.taking_up import Book
+from barleybarrow.rollout import Book
 
 TERMS = 1000  # beyond all that were seen: whoever is gone may have seen a few more
 
--- a/barleybarrow/replica.py
+++ b/barleybarrow/replica.py
@@ -2,7 +2,8 @@
 
 A machine without I/O. It must never call a write acknowledged that a majority of the keepers has not on disk,
 never say that it has caught up while something acknowledged before it asked may be missing, and never merge
-in silence what differs and must not. The state itself is `causal`; why it is so: docs/design/replica.md.
+in silence what differs and must not. The state itself is `version_vectors`; why it is so:
+docs/design/replica.md.
 
 | stage | what it does | leaves it |
 | --- | --- | --- |
@@ -19,7 +20,7 @@
 
 from msgspec import Meta, Struct
 
-from barleybarrow.causal import (
+from barleybarrow.version_vectors import (
     MOST_REMOVED,
     RANGES,
     Dot,
--- a/barleybarrow/shares.py
+++ b/barleybarrow/shares.py
@@ -17,7 +17,6 @@
 
 from msgspec import Meta, Struct
 
-from barleybarrow.door import LONGEST_KEY, Bucket, Door, DoorSettings, Limit
 from barleybarrow.limits.warden_lease import (
     DRIFT,
     Here,
@@ -28,8 +27,9 @@
     Token,
     WardenLease,
 )
+from barleybarrow.rate_limiter import LONGEST_KEY, Bucket, Limit, RateLimiter, RateLimiterSettings
 
-__all__ = ["Here", "Parts", "Promise", "Report", "Role", "Seek", "SharedDoor", "Shares"]
+__all__ = ["Here", "Parts", "Promise", "Report", "Role", "Seek", "SharedRateLimiter", "Shares"]
 
 LEASE = 3000.0  # milliseconds that a keeper promises itself to one warden
 GRANT = 2000.0  # a part counts so long, from the question
@@ -337,10 +337,10 @@
         return Parts(self.term, m.number, self.serial, base, found)
 
 
-class SharedDoor(Door):
-    """Door limits of tenants that count over all proxies."""
+class SharedRateLimiter(RateLimiter):
+    """Rate limits of tenants that count over all proxies."""
 
-    def __init__(self, settings: DoorSettings) -> None:
+    def __init__(self, settings: RateLimiterSettings) -> None:
         super().__init__(settings)
         self.shares: Shares | None = None
         self.parts: dict[str, float] = {}
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -25,11 +25,11 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))  # run as a file, from anywhere
 
-from barleybarrow.governed import DRIFT, LEASE, Governed
-from barleybarrow.taking_up import Propose
+from barleybarrow.policy_gate import DRIFT, LEASE, PolicyGate
+from barleybarrow.rollout import Propose
 from brackenusher.group import policies
 from brackenusher.group.policies import wish
-from testbed.council import Council
+from testbed.policy_group import PolicyGroup
 from testbed.processes.grouped import Grouped
 from testbed.processes.several import Several
 from testbed.schedule import by_chance
@@ -204,7 +204,7 @@
 
 def in_council(size: int, seed: int, fence: bool = False, silent: bool = False, dead: bool = False) -> float:
     """Virtual milliseconds from a proposal until the last that lives acts upon it."""
-    c = Council(size, min(5, size), seed, fence)
+    c = PolicyGroup(size, min(5, size), seed, fence)
     c.run(3000.0)
     c.first()
     lead = c.leader()
@@ -231,7 +231,7 @@
 
 def paid() -> float:
     """Microseconds that a request pays at the gate, over a call that does nothing; the least of five."""
-    g = Governed("n0", ["n0"], random.Random(1), 0.0)
+    g = PolicyGate("n0", ["n0"], random.Random(1), 0.0)
     g.caught = True
 
     def gate() -> float:
@@ -248,7 +248,7 @@
 
 def storm(seed: int) -> tuple[int, list[str]]:
     size, voters = ((3, 3), (5, 3), (5, 5), (7, 5), (9, 3))[seed % 5]
-    c = Council(size, voters, seed, seed % 2 == 1, within=6000.0)
+    c = PolicyGroup(size, voters, seed, seed % 2 == 1, within=6000.0)
     c.run(3000.0)
     c.first()
     c.clients(5.0)
--- a/benchmarks/replica.py
+++ b/benchmarks/replica.py
@@ -26,12 +26,12 @@
 import psutil
 from msgspec import msgpack
 
-from barleybarrow.causal import Entry, State
-from barleybarrow.door import Door, DoorSettings, Limit
-from barleybarrow.marks import Effect, Mark
+from barleybarrow.overrides import Effect, Mark
+from barleybarrow.rate_limiter import Limit, RateLimiter, RateLimiterSettings
 from barleybarrow.replica import Kept, Message, Ready, Replica
-from barleybarrow.shares import SharedDoor, Shares
-from brackenusher.group.shelf import Shelf
+from barleybarrow.shares import SharedRateLimiter, Shares
+from barleybarrow.version_vectors import Entry, State
+from brackenusher.group.replica_store import ReplicaStore
 from testbed.copies import Copies
 from testbed.portions import Portions
 from testbed.processes.grouped import Grouped
@@ -176,7 +176,7 @@
 def shelf_of(path: Path, origin: str, size: int) -> None:
     """A keeper's folder, as if staff had marked so many servers."""
     path.mkdir(parents=True)
-    shelf = Shelf(str(path))
+    shelf = ReplicaStore(str(path))
     keys = {e.key: [e] for e in entries(size)}
     shelf.keep(Ready(keys=keys, facts=Kept(origin, True, [], {"n0~0": size}, {}, 1, {})))
     shelf.db.close()
@@ -247,8 +247,10 @@
         state.take(entry)
     effect.follow(state, list(state.slots))
     shares = Shares("n0", ["n0"], random.Random(1), 0.0, 9, lambda key: 1e6)
-    shared, own = (kind(DoorSettings(tenant=Limit(1e9, 1e9))) for kind in (SharedDoor, Door))
-    assert isinstance(shared, SharedDoor)
+    shared, own = (
+        kind(RateLimiterSettings(tenant=Limit(1e9, 1e9))) for kind in (SharedRateLimiter, RateLimiter)
+    )
+    assert isinstance(shared, SharedRateLimiter)
     shared.shares = shares
     shares.grants["t"] = (0.5, 1e12)
 
--- a/benchmarks/week.py
+++ b/benchmarks/week.py
@@ -35,33 +35,33 @@
 View.majority = property(lambda self: len(self.members) // 2)
 """,
     "policy: joint left out": """
-from barleybarrow.governed import Governed
+from barleybarrow.policy_gate import PolicyGate
 from barleybarrow.policy import read
-Governed.read_rules = lambda self: read(self.book.text(self.book.force))
+PolicyGate.read_rules = lambda self: read(self.book.text(self.book.force))
 """,
     "policy: joint is the new alone": """
-from barleybarrow import governed
-governed.stricter = lambda old, new: new
+from barleybarrow import policy_gate
+policy_gate.stricter = lambda old, new: new
 """,
     "policy: admits before it has caught up": """
-from barleybarrow.governed import Governed
-right = Governed.__init__
+from barleybarrow.policy_gate import PolicyGate
+right = PolicyGate.__init__
 def init(self, *a, **k):
     right(self, *a, **k)
     self.caught = True
-Governed.__init__ = init
+PolicyGate.__init__ = init
 """,
     "policy: says more than it has taken up": """
 from msgspec import msgpack
-from barleybarrow import governed
-right = governed.Governed.take_up
+from barleybarrow import policy_gate
+right = policy_gate.PolicyGate.take_up
 def take_up(self):
     right(self)
-    self.agreement.note = msgpack.encode(governed.Note(self.agreement.last + 5))
-governed.Governed.take_up = take_up
+    self.agreement.note = msgpack.encode(policy_gate.Note(self.agreement.last + 5))
+policy_gate.PolicyGate.take_up = take_up
 """,
     "policy: silence is taken for being down": """
-from barleybarrow.taking_up import Conductor
+from barleybarrow.rollout import Conductor
 right = Conductor.conduct
 Conductor.conduct = lambda s, n, b, w, waited: right(s, n, b, w, 200.0)
 """,
@@ -70,15 +70,15 @@
 Agreement.majority = property(lambda self: max(1, len(self.voters) // 2))
 """,
     "policy: anything applied counts as caught up": """
-from barleybarrow.governed import Governed
-right = Governed.settle
+from barleybarrow.policy_gate import PolicyGate
+right = PolicyGate.settle
 def settle(self, now):
     right(self, now)
     self.caught = self.caught or bool(self.book.applied)
-Governed.settle = settle
+PolicyGate.settle = settle
 """,
     "policy: a version is in force as soon as it is joint": """
-from barleybarrow.taking_up import Book, Step
+from barleybarrow.rollout import Book, Step
 right = Book.step
 def step(self, index, s):
     right(self, index, s)
@@ -91,7 +91,7 @@
 Replica.majority = property(lambda self: 1)
 """,
     "marks: a write supersedes nothing": """
-from barleybarrow.causal import State
+from barleybarrow.version_vectors import State
 right = State.write
 def write(self, origin, key, value):
     entry = right(self, origin, key, value)
@@ -99,7 +99,7 @@
 State.write = write
 """,
     "marks: forgotten removals are not superseded": """
-from barleybarrow.causal import State
+from barleybarrow.version_vectors import State
 right = State.write
 def write(self, origin, key, value):
     held, self.pruned = self.pruned, {}
@@ -110,7 +110,7 @@
 State.write = write
 """,
     "marks: of two that knew nothing of each other the first stays": """
-from barleybarrow.causal import State, Taken, covers
+from barleybarrow.version_vectors import State, Taken, covers
 right = State.take
 def take(self, entry):
     slot = self.slots.get(entry.key, ())
--- a/brackenusher/config/operators.py
+++ b/brackenusher/config/operators.py
@@ -9,7 +9,7 @@
 
 from barleybarrow import interface as face
 from barleybarrow.connections import ConnectionSettings
-from barleybarrow.door import DoorSettings, Limit
+from barleybarrow.rate_limiter import Limit, RateLimiterSettings
 from barleybarrow.subsets import Subset
 from barleybarrow.tokens import KID, TokenSettings
 from brackenusher.config.platform import ConfigError, read_address
@@ -107,7 +107,7 @@
 class Operator:
     """The features that are on; None for one that is off."""
 
-    door: DoorSettings | None = None
+    door: RateLimiterSettings | None = None
     capture: CaptureSettings | None = None
     token: TokenSettings | None = None
     figures: FiguresSettings | None = None
@@ -200,8 +200,8 @@
 BURST = whole(1, 1_000_000)
 
 
-def read_door(entries: Entries) -> DoorSettings:
-    least = DoorSettings()
+def read_door(entries: Entries) -> RateLimiterSettings:
+    least = RateLimiterSettings()
     address = Limit(
         entries.take("door.rate.address", rate, least.address.rate),
         entries.take("door.burst.address", BURST, least.address.burst),
@@ -211,7 +211,7 @@
         name: Limit(rates.get(name, least.tenant.rate), bursts.get(name, least.tenant.burst))
         for name in rates | bursts
     }
-    return DoorSettings(
+    return RateLimiterSettings(
         by_address=entries.take("door.key", choice("tenant", "address"), "tenant") == "address",
         address=address,
         tenants=tenants,
--- a/brackenusher/core/admission.py
+++ b/brackenusher/core/admission.py
@@ -12,9 +12,9 @@
 
 from barleybarrow import interface as face
 from barleybarrow import tokens
-from barleybarrow.door import LONGEST_KEY, Door
 from barleybarrow.graceful_shutdown import GracefulShutdown
 from barleybarrow.interface import Effect
+from barleybarrow.rate_limiter import LONGEST_KEY, RateLimiter
 from brackenusher.core.message import Content, Message
 from brackenusher.core.transaction import Answer, Served, Transaction, Transactions, stays
 
@@ -98,7 +98,7 @@
         self,
         owner: Transactions,
         settings: face.Settings,
-        door: Door | None = None,
+        door: RateLimiter | None = None,
         token_settings: tokens.TokenSettings | None = None,
         wall: Callable[[], float] = time.time,
     ) -> None:
--- a/brackenusher/daemon.py
+++ b/brackenusher/daemon.py
@@ -12,9 +12,9 @@
 from typing import TYPE_CHECKING
 
 from barleybarrow.brain import Balancer
-from barleybarrow.door import Door
 from barleybarrow.graceful_shutdown import GracefulShutdown, Phase
 from barleybarrow.lifecycle import Lifecycle, Stage
+from barleybarrow.rate_limiter import RateLimiter
 from brackenusher.config.operators import Operator, doubts, read_subset
 from brackenusher.config.platform import Config, ConfigError
 from brackenusher.core.admission import Admission, Bar
@@ -91,7 +91,7 @@
         self.transactions = Transactions(balancer, clock, deadlines, self.upstream)
         self.upstream.owner = self.transactions
         most_kept = int(config.sockets * KEPT_PART)
-        door = Door(operator.door) if operator.door else None
+        door = RateLimiter(operator.door) if operator.door else None
         self.admission = Admission(self.transactions, settings, door, operator.token)
         front = Front(settings, with_tokens=operator.token is not None)
         share = Room(for_clients)
@@ -179,12 +179,12 @@
 
     def gather(self, buffers: Buffers) -> None:
         """Act upon what the group agrees on, and on what it holds together."""
-        from brackenusher.group.house import House
+        from brackenusher.group.group_parts import GroupParts
         from brackenusher.group.streams import Streams
 
         operator, peers = self.operator, self.peers
         assert operator.peers is not None and peers is not None
-        house = House(Streams(self.loop, buffers, operator.peers, self.config.name, peers.where))
+        house = GroupParts(Streams(self.loop, buffers, operator.peers, self.config.name, peers.where))
         peers.group = house
         parts = (self.loop, self.transactions, self.pool, self.config.name)
         if operator.policy is not None:
@@ -194,12 +194,12 @@
             self.admission.gates.append((Bar.POLICY, self.node))
             self.clients.gates.append(self.node.ready)
         if operator.replica is not None:
-            from barleybarrow.shares import SharedDoor
+            from barleybarrow.shares import SharedRateLimiter
             from brackenusher.group.replicator import Replicator
 
             door = None
             if operator.door is not None and operator.replica.limits and not operator.door.by_address:
-                door = self.admission.door = SharedDoor(operator.door)
+                door = self.admission.door = SharedRateLimiter(operator.door)
             settings, wanted = operator.replica, self.config.settings
             self.replicator = Replicator(*parts, settings, house, peers, door, wanted)
             self.admission.past = self.replicator.past
--- a/brackenusher/group/acting.py
+++ b/brackenusher/group/acting.py
@@ -7,8 +7,8 @@
 from dataclasses import replace
 
 from barleybarrow.budget import Budget
-from barleybarrow.door import CLOSED_WAIT, Door, DoorSettings
 from barleybarrow.policy import Rules, sooner
+from barleybarrow.rate_limiter import CLOSED_WAIT, RateLimiter, RateLimiterSettings
 from brackenusher.core.admission import Request, name_of
 from brackenusher.core.transaction import Transactions
 from brackenusher.upstream.listing import Host
@@ -23,7 +23,7 @@
 
     def __init__(self, transactions: Transactions, pool: Pool) -> None:
         self.transactions, self.pool = transactions, pool
-        self.rules, self.door = Rules(), Door(DoorSettings())
+        self.rules, self.door = Rules(), RateLimiter(RateLimiterSettings())
         self.budget: Budget | None = None
         self.connections = pool.planner.settings  # what the operators' file says, be it stricter
         self.counts = {"door": 0, "shares": 0, "repeats": 0}  # turned away
@@ -61,7 +61,7 @@
         before, self.rules = self.rules, rules
         if rules.tenants != before.tenants:
             held = self.door.buckets
-            self.door = Door(DoorSettings(tenants=rules.tenants))
+            self.door = RateLimiter(RateLimiterSettings(tenants=rules.tenants))
             for key, bucket in held.items():
                 if key in rules.tenants:
                     bucket.limit = rules.tenants[key]
--- a/brackenusher/group/house.py
+++ b/brackenusher/group/group_parts.py
@@ -16,7 +16,7 @@
 Deed = Callable[[Wish], Any]
 
 
-class House:
+class GroupParts:
     """What the peers' driver hands streams and wishes to."""
 
     def __init__(self, streams: Streams) -> None:
--- a/brackenusher/group/pasts.py
+++ b/brackenusher/group/keyed_requests.py
@@ -1,4 +1,4 @@
-"""Looks on at keyed requests for `barleybarrow.fates`; says at admission what became of an earlier try."""
+"""Looks on at keyed requests for `idempotency_records`; says at admission what became of an earlier try."""
 
 from collections.abc import Sequence
 from hashlib import blake2b
@@ -6,7 +6,7 @@
 
 from barleybarrow import interface as face
 from barleybarrow.brain import PROVEN
-from barleybarrow.fates import LONGEST_ANSWER, Answer, Fates
+from barleybarrow.idempotency_records import LONGEST_ANSWER, Answer, IdempotencyRecords
 from barleybarrow.interface import Effect, Group
 from brackenusher.core import transaction as core
 from brackenusher.core.admission import Before, Request
@@ -30,10 +30,12 @@
     return found.digest()
 
 
-class Pasts:
+class KeyedRequests:
     """A `brackenusher.core.admission.Past`, and an observer of the transactions."""
 
-    def __init__(self, fates: Fates, owner: "core.Transactions", settings: face.Settings) -> None:
+    def __init__(
+        self, fates: IdempotencyRecords, owner: "core.Transactions", settings: face.Settings
+    ) -> None:
         self.fates, self.owner, self.classes = fates, owner, settings.classes
         self.answers = self.bound = 0
 
--- a/brackenusher/group/node.py
+++ b/brackenusher/group/node.py
@@ -15,17 +15,17 @@
 from msgspec import msgpack
 
 from barleybarrow.agreement import Entry, Message, Ready
-from barleybarrow.governed import Governed
-from barleybarrow.lives import Lives
+from barleybarrow.incarnations import Incarnations
 from barleybarrow.policy import PolicyError, Rules, read
-from barleybarrow.taking_up import MOST_VOTERS, Drop, Electorate, Propose
+from barleybarrow.policy_gate import PolicyGate
+from barleybarrow.rollout import MOST_VOTERS, Drop, Electorate, Propose
 from brackenusher.config.operators import PolicySettings
 from brackenusher.core.admission import Request
 from brackenusher.core.transaction import Transactions
 from brackenusher.group.acting import Acting
 from brackenusher.group.database import Worker, opened
-from brackenusher.group.house import House
-from brackenusher.group.inorder import InOrder
+from brackenusher.group.group_parts import GroupParts
+from brackenusher.group.ordered_output import OrderedOutput
 from brackenusher.group.store import Kept, Store
 from brackenusher.membership.frames import Wish
 from brackenusher.runtime.log import say
@@ -53,7 +53,7 @@
         pool: Pool,
         name: str,
         settings: PolicySettings,
-        house: House,
+        house: GroupParts,
     ) -> None:
         self.loop, self.name, self.settings = loop, name, settings
         self.store: Store | None = None  # who does not vote, and never was to, needs none
@@ -64,11 +64,11 @@
             self.store, kept = self.open(settings.folder)
             self.worker = Worker()
         self.lives = kept.lives
-        self.met = Lives(kept.met)
+        self.met = Incarnations(kept.met)
         self.meets = dict(kept.met)  # what is to be on disk of it
         self.cleared: set[str] = {name}
         self.old = False  # somebody knows its store to be later than it is
-        self.governed = Governed(
+        self.governed = PolicyGate(
             name,
             list(settings.voters),
             random.Random(random.SystemRandom().getrandbits(64)),
@@ -91,7 +91,7 @@
         self.streams.takers[b""] = self.heard
         self.streams.refused, self.streams.opened = self.refused, self.opened
         self.streams.known, self.streams.lives = self.known, self.lives
-        self.inorder: InOrder[Ready] = InOrder(
+        self.inorder: OrderedOutput[Ready] = OrderedOutput(
             loop, self.worker, self.needs, self.keep, self.stored, "policy"
         )
         house.deeds.update(
--- a/brackenusher/group/inorder.py
+++ b/brackenusher/group/ordered_output.py
@@ -19,7 +19,7 @@
 R = TypeVar("R")
 
 
-class InOrder(Generic[R]):
+class OrderedOutput(Generic[R]):
     """One at a time: `keep` is called on the store's thread, `after` on the loop's once that is durable.
 
     While one is being stored its machine collects what comes next, so that a slow disk makes no queue here.
--- a/brackenusher/group/recovery.py
+++ b/brackenusher/group/recovery.py
@@ -22,7 +22,7 @@
 from brackenusher.config.platform import ConfigError
 from brackenusher.group.database import DatabaseDamagedError, F, K
 from brackenusher.group.policies import wish
-from brackenusher.group.shelf import Shelf
+from brackenusher.group.replica_store import ReplicaStore
 from brackenusher.group.store import Store
 
 DONE, WRONG, REFUSED = 0, 1, 3  # exit codes
@@ -85,7 +85,7 @@
 
 def folders_of(operator: Operator) -> dict[str, Path]:
     """Where a proxy keeps what it must not forget, by the file's name."""
-    parts = ((operator.policy, Store), (operator.replica, Shelf))
+    parts = ((operator.policy, Store), (operator.replica, ReplicaStore))
     return {kind.NAME: Path(part.folder) for part, kind in parts if part is not None and part.folder}
 
 
@@ -234,7 +234,9 @@
     for path in paths:
         note = path / NOTE
         files = (
-            [path] if path.is_file() else [f for f in (path / Store.NAME, path / Shelf.NAME) if f.exists()]
+            [path]
+            if path.is_file()
+            else [f for f in (path / Store.NAME, path / ReplicaStore.NAME) if f.exists()]
         )
         if not files:
             raise ConfigError(f"{path}: no store and no backup is there")
@@ -251,8 +253,8 @@
 
 
 def said_of(file: Path) -> str:
-    if file.name == Shelf.NAME:
-        kept = read_file(Shelf, file, Shelf.load)
+    if file.name == ReplicaStore.NAME:
+        kept = read_file(ReplicaStore, file, ReplicaStore.load)
         marks = sum(e.value is not None for e in kept.entries)
         return f"{marks} marks, {len(kept.entries) - marks} removals, started {kept.starts} times"
     held = held_in(file, "", ())
@@ -310,9 +312,11 @@
     answers, found, held, marks = heard(operator, peers), list[Objection](), None, None
     if Store.NAME in folders and operator.policy is not None:
         held = held_in(source / Store.NAME, "", operator.policy.voters)
-    if Shelf.NAME in folders:
+    if ReplicaStore.NAME in folders:
         marks = {
-            e.key for e in read_file(Shelf, source / Shelf.NAME, Shelf.load).entries if e.value is not None
+            e.key
+            for e in read_file(ReplicaStore, source / ReplicaStore.NAME, ReplicaStore.load).entries
+            if e.value is not None
         }
     if answers:
         why = f"{' '.join(sorted(answers))} answer: start with an empty folder, and all is told to it"
@@ -347,7 +351,7 @@
         with closing(store.db):
             store.facts(lives=0)
     else:
-        shelf = Shelf(str(folder))
+        shelf = ReplicaStore(str(folder))
         with closing(shelf.db):
             shelf.keep(Ready(facts=replace(shelf.load(), entries=[], starts=0)))
 
--- a/brackenusher/group/shelf.py
+++ b/brackenusher/group/replica_store.py
@@ -4,8 +4,8 @@
 
 from msgspec import DecodeError, msgpack
 
-from barleybarrow.causal import Entry
 from barleybarrow.replica import Kept, Ready
+from barleybarrow.version_vectors import Entry
 from brackenusher.group.database import DatabaseDamagedError, File
 from brackenusher.runtime.points import reach
 
@@ -16,7 +16,7 @@
     return blake2b(key.encode() + b"\0" + data, digest_size=8).digest()
 
 
-class Shelf(File):
+class ReplicaStore(File):
     """A keeper's file."""
 
     NAME = "replica.db"
--- a/brackenusher/group/replicas.py
+++ b/brackenusher/group/replicas.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any, TextIO
 
-from barleybarrow.marks import MarkError, key_of
+from barleybarrow.overrides import MarkError, key_of
 from brackenusher.config.operators import PeersSettings
 from brackenusher.config.platform import ConfigError
 from brackenusher.group.policies import CommandRefusedError, wish
--- a/brackenusher/group/replicator.py
+++ b/brackenusher/group/replicator.py
@@ -14,22 +14,22 @@
 from msgspec import msgpack
 
 from barleybarrow import interface as face
-from barleybarrow.door import CLOSED_WAIT, LONGEST_KEY
-from barleybarrow.fates import Fates
-from barleybarrow.fates import Message as Told
-from barleybarrow.marks import KINDS, Effect, Lapses, Mark, MarkError, key_of, read
+from barleybarrow.idempotency_records import IdempotencyRecords
+from barleybarrow.idempotency_records import Message as Told
+from barleybarrow.overrides import KINDS, Effect, Lapses, Mark, MarkError, key_of, read
+from barleybarrow.rate_limiter import CLOSED_WAIT, LONGEST_KEY
 from barleybarrow.replica import Kept, Ready, Replica, Stage
 from barleybarrow.replica import Message as Copied
 from barleybarrow.shares import Message as Shared
-from barleybarrow.shares import SharedDoor, Shares
+from barleybarrow.shares import SharedRateLimiter, Shares
 from brackenusher.config.operators import ReplicaSettings
 from brackenusher.core.admission import Request
 from brackenusher.core.transaction import Transactions
 from brackenusher.group.database import Worker, opened
-from brackenusher.group.house import CommandRefusedError, House
-from brackenusher.group.inorder import InOrder
-from brackenusher.group.pasts import Pasts
-from brackenusher.group.shelf import Shelf
+from brackenusher.group.group_parts import CommandRefusedError, GroupParts
+from brackenusher.group.keyed_requests import KeyedRequests
+from brackenusher.group.ordered_output import OrderedOutput
+from brackenusher.group.replica_store import ReplicaStore
 from brackenusher.membership.frames import Wish
 from brackenusher.membership.peers import Peers
 from brackenusher.runtime.log import say
@@ -59,9 +59,9 @@
         pool: Pool,
         name: str,
         settings: ReplicaSettings,
-        house: House,
+        house: GroupParts,
         peers: Peers,
-        door: SharedDoor | None,
+        door: SharedRateLimiter | None,
         wanted: face.Settings,
     ) -> None:
         self.loop, self.transactions, self.pool, self.name = loop, transactions, pool, name
@@ -69,13 +69,13 @@
         keepers = list(settings.keepers)
         kept, self.worker, shelf = None, None, None
         if name in keepers:
-            shelf, kept = opened(Shelf, Shelf.load, settings.folder, "replica")
+            shelf, kept = opened(ReplicaStore, ReplicaStore.load, settings.folder, "replica")
             kept = kept or Kept()
             if settings.from_empty and kept.origin:
                 kept, aside = Kept(), shelf.set_aside()
                 say(log, logging.WARNING, "store_left", "replica: left aside as %(aside)s", aside=aside)
             self.worker = Worker()
-        self.shelf: Shelf | None = shelf
+        self.shelf: ReplicaStore | None = shelf
         rng = random.Random(random.SystemRandom().getrandbits(64))
         self.machine = Replica(name, keepers, rng, clock(), kept, settings.entries)
         self.effect, self.lapses = Effect(), Lapses(keepers.index(name) if name in keepers else -1)
@@ -87,9 +87,9 @@
                 name, keepers, rng, clock(), wanted.proxies, lambda key: door.limit(key).rate
             )
             door.shares = self.shares
-        self.fates = Fates(name, clock()) if settings.fates else None
-        self.past = Pasts(self.fates, transactions, wanted) if self.fates is not None else None
-        self.inorder: InOrder[Ready] = InOrder(
+        self.fates = IdempotencyRecords(name, clock()) if settings.fates else None
+        self.past = KeyedRequests(self.fates, transactions, wanted) if self.fates is not None else None
+        self.inorder: OrderedOutput[Ready] = OrderedOutput(
             loop, self.worker, self.needs, self.keep, self.stored, "replica"
         )
         self.copied: msgpack.Decoder[Copied] = msgpack.Decoder(Copied)
--- a/brackenusher/records/replay.py
+++ b/brackenusher/records/replay.py
@@ -18,7 +18,7 @@
 
 from barleybarrow import interface as face
 from barleybarrow.brain import Balancer
-from barleybarrow.door import Door, DoorSettings
+from barleybarrow.rate_limiter import RateLimiter, RateLimiterSettings
 from barleybarrow.settings import read_settings
 from brackenusher.config.operators import Operator
 from brackenusher.config.platform import ConfigError
@@ -104,8 +104,8 @@
 class Replay:
     """One run, fed to a module of its own."""
 
-    def __init__(self, run: Run, door: DoorSettings | None) -> None:
-        self.run, self.head, self.door = run, run.head, Door(door) if door else None
+    def __init__(self, run: Run, door: RateLimiterSettings | None) -> None:
+        self.run, self.head, self.door = run, run.head, RateLimiter(door) if door else None
         self.events: dict[int, tuple[float, Any]] = {}  # by number: clock time, and what to do
         self.expected: dict[int, list[tuple[int, str]]] = defaultdict(list)  # by number: request, decision
         self.made: dict[int, list[str]] = defaultdict(list)  # by request, what is decided now
--- a/testbed/cli.py
+++ b/testbed/cli.py
@@ -13,7 +13,7 @@
 from rich.console import Console
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
 
-from testbed import experiments, results, scenario, words
+from testbed import experiments, result_text, results, scenario
 from testbed.experiments import FIGURES, RANDOM, Job, aligned, difference, play_all
 from testbed.fleet import commands as fleet
 from testbed.policies import POLICIES
@@ -116,7 +116,7 @@
     result = experiments.play(job)
     cost = result.cost
     log.info("ran", wall_s=round(cost.wall_s, 2), events=cost.events, memory_mb=round(cost.memory_mb))
-    words.keep(args.json, [result])
+    result_text.keep(args.json, [result])
     head = ["class", "tenant", "asked", "in aim", "late", "refused", "failed", "left", "goodput"]
     rows = [head]
     for t in result.tallies:
@@ -126,11 +126,11 @@
     print(aligned(rows))
     for fault in result.acted:
         print(f"fault {fault.kind}: {fault.at:.0f} to {fault.until:.0f} ms {fault.text}".rstrip())
-    for line in words.breaches(result):
+    for line in result_text.breaches(result):
         print(line)
     attempts, wasted = result.attempts_a_request(), result.wasted()
     print(f"attempts a request {attempts:.3f}, work wasted {wasted:.3f}, virtual {result.seconds:.1f} s")
-    print(words.figures(result))
+    print(result_text.figures(result))
     return BROKEN if result.breaches else 0
 
 
@@ -162,7 +162,7 @@
     cases = [(v, experiments.altered(base, path, v), p) for v in values for p in policies]
     jobs = [Job(changed, p, seed) for _, changed, p in cases for seed in seeds]
     found = play_shown("sweep", jobs, args.cores)
-    words.keep(args.json, found)
+    result_text.keep(args.json, found)
     rows = [[path, "policy", *FIGURES, "refused", "breaches"]]
     for n, (value, _, policy) in enumerate(cases):
         runs = found[n * len(seeds) : (n + 1) * len(seeds)]
@@ -191,7 +191,7 @@
             sides.append(play_shown(side, jobs, args.cores))
         else:
             sides.append(read(side))
-    words.keep(args.json, sides[0] + sides[1])
+    result_text.keep(args.json, sides[0] + sides[1])
     pairs = experiments.paired(*sides)
     if not pairs:
         raise ScenarioError(f"{args.a} and {args.b}: no scenario and seed in common")
@@ -228,7 +228,7 @@
     found += play_shown("report", jobs, args.cores)
     if not found:
         raise ScenarioError("report: --from FILE or --scenario NAME is wanted")
-    words.keep(args.json, found)
+    result_text.keep(args.json, found)
     try:
         Path(args.out).write_text(page(found), encoding="utf-8")
     except OSError as error:
@@ -242,10 +242,10 @@
     policy, seeds = experiments.known(args.policy), experiments.seeds(args.seeds)
     jobs = [Job(experiments.find(f"{RANDOM}{seed}"), policy, seed) for seed in seeds]
     found = play_shown("storm", jobs, args.cores)
-    words.keep(args.json, found)
+    result_text.keep(args.json, found)
     broken = [r for r in found if r.breaches]
     for r in broken:
-        for line in words.breaches(r):
+        for line in result_text.breaches(r):
             print(line)
         before = min(b.at for b in r.breaches)
         print(f"  simulate {RANDOM}{r.seed} --seed {r.seed} --policy {policy} --until {before:.3f}")
--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -6,7 +6,7 @@
 import random
 from typing import Any
 
-from testbed.clockwork import Clockwork
+from testbed.event_queue import EventQueue
 from testbed.schedule import Act, LinkFault, Schedule
 
 PERIOD = 200.0  # milliseconds: the schedules' unit
@@ -15,7 +15,7 @@
 MOST_WAITING = 200  # messages for one that stands still
 
 
-class Cluster(Clockwork):
+class Cluster(EventQueue):
     """Members 0 to size - 1, known as n0 and so on; times in milliseconds."""
 
     def __init__(self, size: int, seed: int) -> None:
--- a/testbed/copies.py
+++ b/testbed/copies.py
@@ -7,8 +7,8 @@
 import copy
 import random
 
-from barleybarrow.causal import Dot, Entry, Vector
 from barleybarrow.replica import Kept, Ready, Replica, Stage
+from barleybarrow.version_vectors import Dot, Entry, Vector
 from testbed import oracle_replica as oracle
 from testbed.cluster import PERIOD, Machines
 from testbed.schedule import Schedule
--- a/testbed/clockwork.py
+++ b/testbed/event_queue.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 
-class Clockwork:
+class EventQueue:
     """Calls things at their times; `now` is in whatever unit the world counts."""
 
     def __init__(self) -> None:
--- a/testbed/group.py
+++ b/testbed/group.py
@@ -11,7 +11,7 @@
 from brackenusher.membership.swim import Swim
 from brackenusher.membership.swim_messages import Address
 from testbed import oracle_views as oracle
-from testbed.clockwork import Clockwork
+from testbed.event_queue import EventQueue
 from testbed.schedule import Act, LinkFault, Schedule
 
 KEYS = {"k1": b"testbed-testbed!"}
@@ -48,7 +48,7 @@
     view: View | None
 
 
-class Group(Clockwork):
+class Group(EventQueue):
     """Members by number; times are milliseconds of virtual time."""
 
     def __init__(self, size: int, seed: int, loss: float = 0.0, seeds: int = 3) -> None:
--- a/testbed/keyed.py
+++ b/testbed/keyed.py
@@ -1,6 +1,6 @@
 """Keyed moves through proxies that tell each other their fates, in virtual time: crashes, cuts, lost answers.
 
-The machines are those that ship (`barleybarrow.fates`). Servers remember a key for the class's window from
+The machines are those that ship (`idempotency_records`). Servers remember a key for the class's window from
 when its attempt came; clients whose proxy is silent ask another one again, with the same key. What ran where
 is noted as the servers saw it, for the oracle (`breaches`): it knows nothing of what was told.
 """
@@ -9,7 +9,7 @@
 from functools import partial
 from typing import Any
 
-from barleybarrow.fates import DELAY, Answer, Fates
+from barleybarrow.idempotency_records import DELAY, Answer, IdempotencyRecords
 from testbed.cluster import DELAY as WAY
 from testbed.cluster import PERIOD, TURN, Machines
 from testbed.schedule import Schedule
@@ -44,7 +44,7 @@
 
     def __init__(self, size: int, seed: int) -> None:
         super().__init__(size, seed)
-        self.members: list[Fates] = [self.machine(i) for i in range(size)]
+        self.members: list[IdempotencyRecords] = [self.machine(i) for i in range(size)]
         self.attempts: list[Attempt] = []
         self.moves: list[Move] = []
         self.requests = 0
@@ -54,8 +54,8 @@
         for i in range(size):
             self.start(i)
 
-    def machine(self, i: int) -> Fates:
-        found = Fates(f"n{i}", self.clock(i))
+    def machine(self, i: int) -> IdempotencyRecords:
+        found = IdempotencyRecords(f"n{i}", self.clock(i))
         found.reach = [f"n{j}" for j in range(self.size) if j != i]
         return found
 
--- a/testbed/sight.py
+++ b/testbed/observation.py
@@ -3,7 +3,7 @@
 from testbed.parts import Around, Front, Host
 
 
-class Sight:
+class Observation:
     """The servers' true state as one proxy may be shown it; a `testbed.policies.View`."""
 
     def __init__(self, world: Around, proxy: Front) -> None:
--- a/testbed/oracle_replica.py
+++ b/testbed/oracle_replica.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
-from barleybarrow.causal import Dot, Entry, State, Vector, covers
+from barleybarrow.version_vectors import Dot, Entry, State, Vector, covers
 
 
 @dataclass(frozen=True)
--- a/testbed/council.py
+++ b/testbed/policy_group.py
@@ -1,6 +1,6 @@
 """Proxies under an agreed policy in virtual time: disks, crashes, cuts, pauses, proposals, and clients.
 
-The machines are those that ship (`barleybarrow.governed`). A disk keeps what was stored; what was not
+The machines are those that ship (`barleybarrow.policy_gate`). A disk keeps what was stored; what was not
 stored yet is lost with a crash. Who admits what is noted as clients would see it, for the oracle.
 """
 
@@ -10,12 +10,12 @@
 from typing import Any
 
 from barleybarrow.agreement import Entry, Ready
-from barleybarrow.governed import Governed
-from barleybarrow.taking_up import FORCE, Electorate, Propose
+from barleybarrow.policy_gate import PolicyGate
+from barleybarrow.rollout import FORCE, Electorate, Propose
 from testbed import oracle_policy as oracle
-from testbed.ballots import Disk
 from testbed.cluster import PERIOD, Machines
-from testbed.linear import one_order
+from testbed.consensus import Disk
+from testbed.linearizability import one_order
 from testbed.schedule import Schedule
 
 SYNC = (0.5, 8.0)  # milliseconds that a disk takes
@@ -27,7 +27,7 @@
     return "".join(f"[door.tenants.{t}]\nrate = 0\n" for i, t in enumerate(TENANTS) if i != number % 3)
 
 
-class Council(Machines):
+class PolicyGroup(Machines):
     """Members 0 to size - 1, the first of them voters; times in milliseconds."""
 
     def __init__(
@@ -39,7 +39,7 @@
         self.busy: list[list[Ready]] = [[] for _ in range(size)]
         self.disks = [Disk() for _ in range(size)]
         self.keeps = [i < voters for i in range(size)]  # whether there is a store
-        self.members: list[Governed] = []
+        self.members: list[PolicyGate] = []
         self.proposed = 0
         self.proposals: dict[str, tuple[float, int, float]] = {}  # by id: begun, by whom, seen there
         self.asks: list[oracle.Asked] = []
@@ -52,13 +52,13 @@
         for i in range(size):
             self.start(i)
 
-    def machine(self, i: int) -> Governed:
+    def machine(self, i: int) -> PolicyGate:
         disk = self.disks[i]
         if not self.keeps[i]:
             disk = Disk()  # learners keep nothing
         rng = random.Random(self.rng.random())
         kept = disk.term, disk.vote, disk.snapshot, list(disk.entries)
-        machine = partial(Governed, f"n{i}", self.voters, rng, self.clock(i), self.fence, self.within)
+        machine = partial(PolicyGate, f"n{i}", self.voters, rng, self.clock(i), self.fence, self.within)
         return machine(*kept, barred=False, keeps=self.keeps[i])
 
     def begin(self, i: int) -> None:
@@ -230,7 +230,7 @@
         made = {id: (began, seen) for id, (began, _, seen) in self.proposals.items()}
         return found + oracle.breaches(versions, self.asks) + one_order(made, numbers)
 
-    def leader(self) -> Governed | None:
+    def leader(self) -> PolicyGate | None:
         up = [m for i, m in enumerate(self.members) if self.up[i] and m.agreement.role.value == "leader"]
         return max(up, key=lambda m: m.agreement.term) if up else None
 
--- a/testbed/portions.py
+++ b/testbed/portions.py
@@ -6,8 +6,8 @@
 import random
 from typing import Any
 
-from barleybarrow.door import DoorSettings, Limit
-from barleybarrow.shares import SharedDoor, Shares
+from barleybarrow.rate_limiter import Limit, RateLimiterSettings
+from barleybarrow.shares import SharedRateLimiter, Shares
 from testbed.cluster import PERIOD, Machines
 
 LOOK = 20.0  # milliseconds between two looks at the parts in use
@@ -23,7 +23,7 @@
         self.keepers = [f"n{i}" for i in range(keepers)]
         self.rate, self.burst, self.proxies = rate, burst, proxies or size
         self.shares: list[Shares] = []
-        self.doors: list[SharedDoor] = []
+        self.doors: list[SharedRateLimiter] = []
         for _ in range(size):
             self.shares.append(None)  # type: ignore[arg-type]
             self.doors.append(None)  # type: ignore[arg-type]
@@ -38,7 +38,7 @@
 
     def begin(self, i: int) -> None:
         rng = random.Random(self.rng.random())
-        door = SharedDoor(DoorSettings(tenant=Limit(self.rate, self.burst)))
+        door = SharedRateLimiter(RateLimiterSettings(tenant=Limit(self.rate, self.burst)))
         shares = Shares(f"n{i}", self.keepers, rng, self.clock(i), self.proxies, lambda key: self.rate)
         door.shares = shares
         self.shares[i], self.doors[i] = shares, door
--- a/testbed/processes/governing.py
+++ b/testbed/processes/governing.py
@@ -10,7 +10,7 @@
 
 from brackenusher.group import policies
 from testbed import oracle_policy as oracle
-from testbed.linear import one_order
+from testbed.linearizability import one_order
 from testbed.processes.grouped import NUMBERS, Grouped
 
 
--- a/testbed/processes/moves.py
+++ b/testbed/processes/moves.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from barleybarrow.fates import ECHO
+from barleybarrow.idempotency_records import ECHO
 from testbed.processes.grouped import NUMBERS, Grouped
 from testbed.processes.several import scene
 from testbed.standins import host, response
--- a/testbed/processes/replicated.py
+++ b/testbed/processes/replicated.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any, Self
 
-from barleybarrow.marks import key_of
+from barleybarrow.overrides import key_of
 from brackenusher.config.platform import ConfigError
 from brackenusher.group import replicas
 from testbed import oracle_replica as oracle
--- a/testbed/sockets/commands.py
+++ b/testbed/sockets/commands.py
@@ -39,7 +39,7 @@
     """0; 1 where a promise was broken; 2 where the scenario cannot be played; 130 on Ctrl-C."""
     import msgspec
 
-    from testbed import experiments, words
+    from testbed import experiments, result_text
     from testbed.scenario import ScenarioError
     from testbed.sockets.daemons import RunError
     from testbed.sockets.run import play
@@ -61,14 +61,14 @@
     except KeyboardInterrupt:
         print("testbed: stopped", file=sys.stderr)
         return INTERRUPTED
-    words.keep(args.json, [result])
+    result_text.keep(args.json, [result])
     print_account(result)
     return BROKEN if result.breaches else 0
 
 
 def print_account(result: "Result") -> None:
     """What a run came to: a table by class and tenant, faults, daemons, and the figures as the last lines."""
-    from testbed import words
+    from testbed import result_text
     from testbed.experiments import aligned
     from testbed.results import histogram
 
@@ -85,7 +85,7 @@
     print(aligned(rows))
     for fault in result.acted:
         print(f"fault {fault.kind}: {fault.at:.0f} to {fault.until:.0f} ms {fault.text}".rstrip())
-    for line in words.breaches(result):
+    for line in result_text.breaches(result):
         print(line)
     for p in result.live.processes:
         per = p.cpu_s / max(1.0, result.total("asked") / len(result.live.processes)) * 1e6
@@ -104,4 +104,4 @@
     for line in live.behind:
         print(f"behind: {line}")
     print(f"attempts a request {result.attempts_a_request():.3f}, work wasted {result.wasted():.3f}")
-    print(words.figures(result).rpartition("\n")[0])  # no digest: no two runs are the same
+    print(result_text.figures(result).rpartition("\n")[0])  # no digest: no two runs are the same
--- a/testbed/steps.py
+++ b/testbed/steps.py
@@ -1,6 +1,6 @@
 """A search of how a change of policy takes hold: all ways from rest, each state once.
 
-The machines are those that ship (`barleybarrow.governed`): one voter, which leads, and learners; `ballots`
+The machines are those that ship (`policy_gate`): one voter, which leads, and learners; `consensus`
 searches the log that several voters agree on. A way is links that deliver what is on them, in any order, time
 that passes, proposals, and so many faults: links that lose or repeat, crashes. A process that has crashed may
 start at any time. After each act it is judged who admits whom, as clients would see it.
@@ -16,10 +16,10 @@
 from msgspec import msgpack
 
 from barleybarrow.agreement import Append, Appended, Message
-from barleybarrow.governed import Governed, Note
-from barleybarrow.taking_up import FORCE, Propose
-from testbed.ballots import Disk
-from testbed.council import TENANTS, document
+from barleybarrow.policy_gate import Note, PolicyGate
+from barleybarrow.rollout import FORCE, Propose
+from testbed.consensus import Disk
+from testbed.policy_group import TENANTS, document
 
 PASS = 310.0  # milliseconds that go by in one act: some questions are put, and one silence becomes a proof
 WITHIN = 900.0  # until a change is withdrawn: three of them, as many as a proof that one is down takes
@@ -41,10 +41,10 @@
         self.proposed = 0
         self.found: list[str] = []
 
-    def machine(self, name: str) -> Governed:
+    def machine(self, name: str) -> PolicyGate:
         d = self.disk
         kept = (d.term, d.vote, d.snapshot, list(d.entries)) if name == self.names[0] else ()
-        return Governed(name, self.names[:1], random.Random(1), self.now, False, WITHIN, *kept)
+        return PolicyGate(name, self.names[:1], random.Random(1), self.now, False, WITHIN, *kept)
 
     def rest(self) -> None:
         """Have all caught up and a first version in force."""
--- a/testbed/week/virtual.py
+++ b/testbed/week/virtual.py
@@ -6,12 +6,12 @@
 
 from functools import partial
 
-from barleybarrow.taking_up import Drop, Electorate
+from barleybarrow.rollout import Drop, Electorate
 from testbed import cluster
 from testbed import oracle_views as views
 from testbed.copies import Copies
-from testbed.council import Council
 from testbed.group import PERIOD, Group
+from testbed.policy_group import PolicyGroup
 from testbed.week.plan import FIXED, Plan
 
 CALM = 10.0  # periods until the group has come together
@@ -39,7 +39,7 @@
 
 
 def of_policy(plan: Plan) -> list[str]:
-    c = Council(plan.size, min(FIXED, plan.size), plan.seed, plan.fence, within=8000.0)
+    c = PolicyGroup(plan.size, min(FIXED, plan.size), plan.seed, plan.fence, within=8000.0)
     c.run(3000.0)
     c.first()
     c.clients(LOOK if plan.size > MANY else 10.0)
@@ -66,20 +66,20 @@
     return c.breaches() + ([] if c.settled() else ["settles: not one policy at all"])
 
 
-def elect(c: Council, names: list[str], i: int) -> None:
+def elect(c: PolicyGroup, names: list[str], i: int) -> None:
     if c.runs(i):
         c.members[i].submit(c.clock(i), Electorate(names, "staff"))
         c.carry(i)
 
 
-def withdraw(c: Council, i: int) -> None:
+def withdraw(c: PolicyGroup, i: int) -> None:
     member = c.members[i]
     if c.runs(i) and member.book.pending:
         member.withdraw(c.clock(i), member.book.pending, "staff")
         c.carry(i)
 
 
-def drop(c: Council, i: int) -> None:
+def drop(c: PolicyGroup, i: int) -> None:
     """Have one that is down taken off the roster, by whoever is next and runs."""
     for j in (n % c.size for n in range(i + 1, i + c.size)):
         if c.runs(j):
--- a/testbed/world.py
+++ b/testbed/world.py
@@ -20,10 +20,10 @@
 from testbed import faults
 from testbed import scenario as config
 from testbed.counts import FAILED, SECOND
+from testbed.observation import Observation
 from testbed.oracle import LOOK, SWEEP
 from testbed.proxy import RECORD, Proxy
 from testbed.results import Acted, Result, encode, histogram
-from testbed.sight import Sight
 from testbed.world_clients import WorldClients
 from testbed.world_processes import LOST_WATCH
 from testbed.world_state import FAULT, MOST_BREACHES, NEVER
@@ -187,8 +187,8 @@
         if agent.known < self.registry.seq:
             self.will_tell(proxy, agent)
 
-    def sight(self, proxy: Proxy) -> Sight:
-        return Sight(self, proxy)
+    def sight(self, proxy: Proxy) -> Observation:
+        return Observation(self, proxy)
 
     def look(self, _: None) -> None:
         self.oracle.look(self.now, self.proxies, [place.host for place in self.places])
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -3,7 +3,7 @@
 import pytest
 from helpers import SETTINGS
 
-from barleybarrow.door import Door, DoorSettings, Limit
+from barleybarrow.rate_limiter import Limit, RateLimiter, RateLimiterSettings
 from barleybarrow.settings import read_settings
 from barleybarrow.tokens import TokenSettings, issue
 from brackenusher.core.admission import Admission, Bar, Request, Verdict
@@ -34,7 +34,7 @@
         self.module, self.seen = Module(), []
         self.owner = Transactions(self.module, lambda: 1000.0, Deadlines(), None)
         self.owner.observers = Observers(turned_away=(lambda request, words: self.seen.append(words),))
-        self.door = Door(DoorSettings(tenants={"kente-wars": Limit(2.0, burst)}))
+        self.door = RateLimiter(RateLimiterSettings(tenants={"kente-wars": Limit(2.0, burst)}))
         self.admission = Admission(self.owner, CONF, self.door, KEYS, lambda: 1_000.0)
 
     def admit(self, name=b"a", token=GOOD, beyond=False):
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -5,12 +5,12 @@
 
 import pytest
 
-from barleybarrow import agreement, governed, replica, taking_up
+from barleybarrow import agreement, policy_gate, replica, rollout
 from barleybarrow.agreement import Agreement, Appended, Role
-from barleybarrow.causal import Entry, State, Taken, range_of
-from barleybarrow.governed import Governed
+from barleybarrow.policy_gate import PolicyGate
 from barleybarrow.replica import AskRange, Kept, Replica
-from barleybarrow.taking_up import Book, Join
+from barleybarrow.rollout import Book, Join
+from barleybarrow.version_vectors import Entry, State, Taken, range_of
 from brackenusher.config.operators import PeersSettings
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.group import streams
@@ -48,21 +48,21 @@
 
 def test_learners_and_the_roster(monkeypatch):
     monkeypatch.setattr(agreement, "MOST_LEARNERS", 5)
-    monkeypatch.setattr(taking_up, "MOST_ROSTER", 3)
+    monkeypatch.setattr(rollout, "MOST_ROSTER", 3)
     a, book = leader(), Book()
     for n in range(9):
         a.appended(2.0, f"m{n}", Appended(a.term, True, 0, 0, b"", False))
-        book.apply(n + 1, governed.msgpack.encode(Join(f"m{n}")))
-        book.apply(n + 1, governed.msgpack.encode(Join("m0")))  # one that is there needs no room
+        book.apply(n + 1, policy_gate.msgpack.encode(Join(f"m{n}")))
+        book.apply(n + 1, policy_gate.msgpack.encode(Join("m0")))  # one that is there needs no room
     assert len(a.progress) == 5 and a.counts["learners"] == 6  # the two voters are among the five
     assert list(book.roster) == ["m0", "m1", "m2"] and book.refused == 6
 
 
 def test_questions_that_nobody_answers():
-    g = Governed("n9", THREE, random.Random(1), 0.0)
+    g = PolicyGate("n9", THREE, random.Random(1), 0.0)
     for n in range(100):
         g.tick(200.0 * n)
-    assert 0 < len(g.asked) <= governed.MOST_QUESTIONS
+    assert 0 < len(g.asked) <= policy_gate.MOST_QUESTIONS
 
 
 def alone(held=0, keys=lambda n: f"server x{n}", room=10_000):
@@ -107,7 +107,7 @@
 
 
 def test_entries_and_origins_of_a_copy(monkeypatch):
-    monkeypatch.setattr("barleybarrow.causal.MOST_ORIGINS", 3)
+    monkeypatch.setattr("barleybarrow.version_vectors.MOST_ORIGINS", 3)
     state = State(5)
     found = [state.take(Entry(f"server s{n}", f"o{n}", 1, {}, b"1")) for n in range(5)]
     assert found == [Taken.NEWS] * 3 + [Taken.ROOM] * 2 and state.counts["room"] == 2
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -8,7 +8,7 @@
 import pytest
 from helpers import ROOT, Program, TurnServer, command, read_request, write_config
 
-from barleybarrow.door import CLOSED_WAIT, Door, DoorSettings, Limit
+from barleybarrow.rate_limiter import CLOSED_WAIT, Limit, RateLimiter, RateLimiterSettings
 from brackenusher.config.operators import Operator, load_operator, read_operator
 from brackenusher.config.platform import ConfigError
 from brackenusher.core.admission import name_of
@@ -17,7 +17,10 @@
 def test_who_comes_back_after_the_wait_is_let_in_and_a_refusal_is_not_charged():
     # guards against a wait rounded down, or lost to the clock's fractions: the client would be refused again
     for rate in (0.7, 3.0, 119.9, 500.0, 1000.0, 7001.0):
-        door, now = Door(DoorSettings(tenant=Limit(rate, 2))), 1e10 + 0.789  # up for four months
+        door, now = (
+            RateLimiter(RateLimiterSettings(tenant=Limit(rate, 2))),
+            1e10 + 0.789,
+        )  # up for four months
         for _ in range(200):
             while not (wait := door.ask("a", now)):
                 now += 0.013
@@ -27,18 +30,22 @@
 
 
 def test_a_bucket_holds_its_burst_and_no_more_and_each_tenant_has_its_own():
-    door = Door(DoorSettings(tenants={"a": Limit(10.0, 3)}))
+    door = RateLimiter(RateLimiterSettings(tenants={"a": Limit(10.0, 3)}))
     assert [door.ask("a", 1e9) for _ in range(4)] == [0.0, 0.0, 0.0, 100.0]
     assert sum(door.ask("oware-duel", 1e9) == 0.0 for _ in range(500)) == 400
 
 
 def test_a_rate_of_0_refuses_even_the_first_and_says_when_to_ask_again():
-    assert Door(DoorSettings(tenants={"a": Limit(0.0, 3)})).ask("a", 0.0) == CLOSED_WAIT < float("inf")
+    assert (
+        RateLimiter(RateLimiterSettings(tenants={"a": Limit(0.0, 3)})).ask("a", 0.0)
+        == CLOSED_WAIT
+        < float("inf")
+    )
 
 
 def test_the_table_is_bounded_and_forgets_who_was_idle_longest():
     # guards against a flood that is refused being forgotten, and let in again, while newcomers pass
-    door = Door(DoorSettings(by_address=True, address=Limit(1.0, 1), table=3))
+    door = RateLimiter(RateLimiterSettings(by_address=True, address=Limit(1.0, 1), table=3))
     assert not any(door.ask(a, 0.0) for a in "abc")
     assert door.ask("a", 0.0) > 0 and door.ask("d" * 99, 0.0) == 0
     assert list(door.buckets) == ["c", "a", "d" * 64]
--- a/tests/test_fates.py
+++ b/tests/test_fates.py
@@ -9,7 +9,17 @@
 from helpers import Proxy
 
 from barleybarrow import interface as face
-from barleybarrow.fates import DELAY, ECHO, MOST_GROUP, Answer, Ask, Fates, Said, Told, Verdict
+from barleybarrow.idempotency_records import (
+    DELAY,
+    ECHO,
+    MOST_GROUP,
+    Answer,
+    Ask,
+    IdempotencyRecords,
+    Said,
+    Told,
+    Verdict,
+)
 from barleybarrow.interface import Effect, Group, Outcome
 from testbed.keyed import storm
 from testbed.processes.moves import Moves
@@ -20,7 +30,7 @@
 
 def pair():
     """Two proxies that hear each other; carry hands over what waits, later by so many milliseconds."""
-    made = {name: Fates(name, 0.0) for name in ("a", "b")}
+    made = {name: IdempotencyRecords(name, 0.0) for name in ("a", "b")}
     made["a"].reach, made["b"].reach = ["b"], ["a"]
     return made
 
@@ -104,9 +114,9 @@
 
 
 def test_tables_are_bounded_and_an_earlier_word_changes_nothing(monkeypatch):
-    monkeypatch.setattr("barleybarrow.fates.MOST_FATES", 3)
-    monkeypatch.setattr("barleybarrow.fates.MOST_BYTES", 10)
-    f = Fates("a", 0.0)
+    monkeypatch.setattr("barleybarrow.idempotency_records.MOST_FATES", 3)
+    monkeypatch.setattr("barleybarrow.idempotency_records.MOST_BYTES", 10)
+    f = IdempotencyRecords("a", 0.0)
     f.asked[1] = 0.0
     for n in range(5):
         f.receive(10.0, "b", Told(1, [Said(b"%d" % n, n + 1, 0.0, WINDOW, ["s0"], Answer(b"x" * 6))]))
@@ -146,8 +156,8 @@
         right(self, now, request, server)
         self.waiting, self.waits_from, self.tell_at = held
 
-    right = Fates.sent
-    monkeypatch.setattr(Fates, "sent", sent)
+    right = IdempotencyRecords.sent
+    monkeypatch.setattr(IdempotencyRecords, "sent", sent)
 
 
 def takes_the_sender_s_word_for_its_age(monkeypatch):
@@ -157,13 +167,13 @@
         for said in m.said:
             self.hold(sender, said, now, said.age)
 
-    right = Fates.receive
-    monkeypatch.setattr(Fates, "receive", receive)
+    right = IdempotencyRecords.receive
+    monkeypatch.setattr(IdempotencyRecords, "receive", receive)
 
 
 def one_of_two_will_do(monkeypatch):
-    right = Fates.ask
-    monkeypatch.setattr(Fates, "ask", lambda self, key, now, shared: right(self, key, now, True))
+    right = IdempotencyRecords.ask
+    monkeypatch.setattr(IdempotencyRecords, "ask", lambda self, key, now, shared: right(self, key, now, True))
 
 
 def a_later_word_takes_the_place_of_another_s(monkeypatch):
@@ -172,13 +182,15 @@
             self.fates[said.key].words.clear()
         right(self, origin, said, now, age)
 
-    right = Fates.hold
-    monkeypatch.setattr(Fates, "hold", hold)
+    right = IdempotencyRecords.hold
+    monkeypatch.setattr(IdempotencyRecords, "hold", hold)
 
 
 def what_is_given_up_counts_as_not_run(monkeypatch):
-    right = Fates.ended
-    monkeypatch.setattr(Fates, "ended", lambda self, now, r, a, proven: right(self, now, r, a, True))
+    right = IdempotencyRecords.ended
+    monkeypatch.setattr(
+        IdempotencyRecords, "ended", lambda self, now, r, a, proven: right(self, now, r, a, True)
+    )
 
 
 @pytest.mark.parametrize(
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,6 +1,6 @@
 """A policy that is agreed on: documents, the log, the steps, the store; by themselves and in virtual time.
 
-Promises are named as in docs/design/policy.md; `testbed.ballots`, `.council` and `.oracle_policy` judge.
+Promises are named as in docs/design/policy.md; `testbed.consensus`, `.policy_group`, `.oracle_policy` judge.
 """
 
 import select
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 from msgspec import msgpack
 
-from barleybarrow import governed
+from barleybarrow import policy_gate
 from barleybarrow.agreement import (
     Agreement,
     Append,
@@ -28,11 +28,11 @@
 )
 from barleybarrow.budget import Budget, Repeats
 from barleybarrow.connections import ConnectionSettings
-from barleybarrow.door import Limit
-from barleybarrow.governed import Governed, Note
-from barleybarrow.lives import Life, Lives
+from barleybarrow.incarnations import Incarnations, Life
 from barleybarrow.policy import PolicyError, Rules, read, stricter
-from barleybarrow.taking_up import FORCE, Book, Conductor, Drop, Join, Propose, Step, Version, Word
+from barleybarrow.policy_gate import Note, PolicyGate
+from barleybarrow.rate_limiter import Limit
+from barleybarrow.rollout import FORCE, Book, Conductor, Drop, Join, Propose, Step, Version, Word
 from brackenusher.config.operators import PeersSettings
 from brackenusher.core.deadlines import Deadlines
 from brackenusher.group.acting import FULL_WAIT, REPEAT_WAIT, Acting
@@ -41,9 +41,9 @@
 from brackenusher.group.streams import Streams
 from brackenusher.runtime.buffers import Buffers
 from brackenusher.runtime.loop import Loop
-from testbed import ballots, linear, oracle_policy, steps
-from testbed.ballots import Disk, Table, search, storm
-from testbed.council import Council
+from testbed import consensus, linearizability, oracle_policy, steps
+from testbed.consensus import Disk, Table, search, storm
+from testbed.policy_group import PolicyGroup
 from testbed.schedule import Act, LinkFault, Schedule, by_chance
 
 # documents
@@ -264,7 +264,7 @@
 
 def lone(entries=(), term=2, vote="", size=3, **more):
     a = Agreement(
-        "n0", [f"n{i}" for i in range(size)], ballots.Even(), 0.0, term, vote, None, entries, **more
+        "n0", [f"n{i}" for i in range(size)], consensus.Even(), 0.0, term, vote, None, entries, **more
     )
     return a
 
@@ -302,7 +302,7 @@
 
 
 def test_what_was_compacted_is_sent_whole_and_voters_are_kept():
-    a, b = lone([], size=1), Agreement("n9", ["n0"], ballots.Even(), 0.0)
+    a, b = lone([], size=1), Agreement("n9", ["n0"], consensus.Even(), 0.0)
     a.stand(0.0, True)
     a.stored(0.0, a.take())
     for i in range(5):
@@ -384,7 +384,7 @@
 
 
 def test_a_change_waits_for_no_beat():
-    c = Council(3, 3, 11)
+    c = PolicyGroup(3, 3, 11)
     c.run(3000.0)
     c.first()
     lead, began, force = c.leader(), c.now, max(c.forces) + 1
@@ -398,7 +398,7 @@
 
 def play(seed, quiet=60.0, elections=0.0):
     size, voters = ((3, 3), (5, 3), (5, 5), (7, 5), (9, 3))[seed % 5]
-    c = Council(size, voters, seed, fence=seed % 2 == 1, within=6000.0)
+    c = PolicyGroup(size, voters, seed, fence=seed % 2 == 1, within=6000.0)
     c.run(3000.0)
     c.first()
     c.clients(5.0)
@@ -419,31 +419,31 @@
 
 
 def leaves_joint_out(monkeypatch):
-    monkeypatch.setattr(Governed, "read_rules", lambda self: read(self.book.text(self.book.force)))
+    monkeypatch.setattr(PolicyGate, "read_rules", lambda self: read(self.book.text(self.book.force)))
 
 
 def joins_to_the_new_alone(monkeypatch):
-    monkeypatch.setattr(governed, "stricter", lambda old, new: new)
+    monkeypatch.setattr(policy_gate, "stricter", lambda old, new: new)
 
 
 def admits_before_it_caught_up(monkeypatch):
-    right = Governed.__init__
+    right = PolicyGate.__init__
 
     def init(self, *args, **more):
         right(self, *args, **more)
         self.caught = True
 
-    monkeypatch.setattr(Governed, "__init__", init)
+    monkeypatch.setattr(PolicyGate, "__init__", init)
 
 
 def says_more_than_it_has_taken_up(monkeypatch):
-    right = Governed.take_up
+    right = PolicyGate.take_up
 
     def take_up(self):
         right(self)
         self.agreement.note = msgpack.encode(Note(self.agreement.last + 5))
 
-    monkeypatch.setattr(Governed, "take_up", take_up)
+    monkeypatch.setattr(PolicyGate, "take_up", take_up)
 
 
 def test_every_way_of_a_change_with_one_fault_keeps_the_promises():
@@ -511,14 +511,14 @@
 
 
 def votes_without_a_store(monkeypatch):
-    right = Governed.__init__
+    right = PolicyGate.__init__
 
     def init(self, *args, **more):
         right(self, *args, **more)
         self.keeps = True
 
-    monkeypatch.setattr(Governed, "__init__", init)
-    monkeypatch.setattr(Council, "able", lambda self, what: None)
+    monkeypatch.setattr(PolicyGate, "__init__", init)
+    monkeypatch.setattr(PolicyGroup, "able", lambda self, what: None)
     monkeypatch.setattr(Disk, "keep", lambda self, ready: None)
 
 
@@ -537,14 +537,14 @@
 
 
 def test_a_lease_counts_from_the_question():
-    g = Governed("n0", ["n0", "n1", "n2"], ballots.Even(), 0.0, fence=True)
+    g = PolicyGate("n0", ["n0", "n1", "n2"], consensus.Even(), 0.0, fence=True)
     g.agreement.leader = "n1"
     g.book.roster["n0"] = None
     g.tick(0.0)
     for at in (500.0, 1000.0):
         g.tick(at)
     g.receive(1200.0, "n1", ReadUpTo(min(g.asked), 0))
-    assert g.lease_end == 0.0 + governed.LEASE and g.verdict(1300.0) == ""
+    assert g.lease_end == 0.0 + policy_gate.LEASE and g.verdict(1300.0) == ""
     for at in (2000.0, 2900.0):
         g.tick(at)
     assert g.verdict(3001.0) == "lease"
@@ -552,7 +552,7 @@
 
 def test_one_that_stands_still_before_it_has_caught_up_still_has_to():
     # seed 20916: a proxy that was stopped just after its start opened 2 s after it woke, under old rules
-    g = Governed("n3", ["n0", "n1", "n2"], ballots.Even(), 0.0)
+    g = PolicyGate("n3", ["n0", "n1", "n2"], consensus.Even(), 0.0)
     g.tick(5000.0)
     g.tick(5500.0)
     for at in range(6000, 10_000, 500):
@@ -564,7 +564,7 @@
 
 
 def test_one_that_stood_still_admits_nothing_before_it_has_asked():
-    g = Governed("n5", ["n0", "n1", "n2"], ballots.Even(), 0.0, fence=True)
+    g = PolicyGate("n5", ["n0", "n1", "n2"], consensus.Even(), 0.0, fence=True)
     g.caught, g.lease_end = True, 9e9
     g.last = 0.0
     assert g.verdict(500.0) == "" and g.verdict(5000.0) == "behind"
@@ -572,7 +572,7 @@
 
 def test_one_that_cannot_read_what_is_in_force_admits_nothing():
     # a release that does not know a section, among others that do
-    g = Governed("n0", ["n0"], ballots.Even(), 0.0)
+    g = PolicyGate("n0", ["n0"], consensus.Even(), 0.0)
     g.caught = True
     g.book.versions[1] = Version(1, "a", "", "", 0.0, "[tomorrow]\n", FORCE)
     g.book.force = 1
@@ -583,7 +583,7 @@
 def test_a_silent_one_holds_a_change_up_or_is_fenced():
     # wait: silence proves nothing; fence: its lease has run out before anybody else acts
     for fence in (False, True):
-        c = Council(5, 3, 7, fence=fence, within=8000.0)
+        c = PolicyGroup(5, 3, 7, fence=fence, within=8000.0)
         c.run(3000.0)
         c.first()
         c.clients(5.0)
@@ -607,7 +607,7 @@
 
 
 def test_a_one_sided_cut_unseats_no_leader_again_and_again():
-    c = Council(3, 3, 5)
+    c = PolicyGroup(3, 3, 5)
     c.run(3000.0)
     lead = c.leader()
     other = next(m for m in c.members if m is not lead)
@@ -641,7 +641,7 @@
 
 def test_a_run_that_shows_its_count_again_has_no_old_store_and_another_run_has():
     # a stream that broke between its opening and the answer: a voter barred itself for good
-    met = Lives()
+    met = Incarnations()
     for name, lives, run, before in (
         ("n0", 1, 11, 0),
         ("n0", 1, 11, 0),
@@ -741,13 +741,15 @@
     ],
 )
 def test_numbers_keep_to_when_proposals_were_made_and_told(made, numbers, right):
-    assert (linear.one_order(made, numbers) == []) == right
+    assert (linearizability.one_order(made, numbers) == []) == right
 
 
 def test_an_operation_without_an_end_may_have_had_its_effect_or_not():
-    reads = [linear.Operation(3, 4, "read", 1), linear.Operation(5, 6, "read", 0)]
+    reads = [linearizability.Operation(3, 4, "read", 1), linearizability.Operation(5, 6, "read", 0)]
     step = lambda state, what: (1, None) if what == "write" else (state, state)  # noqa: E731
-    begun = linear.Operation(0, linear.inf, "write")
-    assert linear.explained([begun, reads[0]], step, 0) and linear.explained([begun, reads[1]], step, 0)
-    assert linear.explained([begun, *reads], step, 0) is False  # what was read once is not unread
-    assert linear.explained([begun, *reads], step, 0, most=1) is None
+    begun = linearizability.Operation(0, linearizability.inf, "write")
+    assert linearizability.explained([begun, reads[0]], step, 0) and linearizability.explained(
+        [begun, reads[1]], step, 0
+    )
+    assert linearizability.explained([begun, *reads], step, 0) is False  # what was read once is not unread
+    assert linearizability.explained([begun, *reads], step, 0, most=1) is None
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -11,7 +11,7 @@
 
 from barleybarrow.agreement import Entry, Kind, Snapshot
 from barleybarrow.recovery import TERMS, Held, lacking, objections, recovered
-from barleybarrow.taking_up import FORCE, JOINT, Join, Propose, Step
+from barleybarrow.rollout import FORCE, JOINT, Join, Propose, Step
 from testbed.processes.governing import Governed
 from testbed.processes.whole import Whole
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -13,11 +13,11 @@
 from hypothesis import strategies as st
 
 from barleybarrow import replica
-from barleybarrow.causal import Entry, State, Taken, covers, range_of, within
-from barleybarrow.marks import Effect, Lapses, MarkError, key_of, read
+from barleybarrow.overrides import Effect, Lapses, MarkError, key_of, read
 from barleybarrow.replica import Kept, Part, Ready, Replica, Stage, Tell
+from barleybarrow.version_vectors import Entry, State, Taken, covers, range_of, within
 from brackenusher.group.database import DatabaseDamagedError, opened
-from brackenusher.group.shelf import Shelf
+from brackenusher.group.replica_store import ReplicaStore
 from testbed import oracle_replica as oracle
 from testbed.copies import Copies, Disk
 from testbed.oracle_replica import Deed, kept
@@ -535,12 +535,12 @@
 
 def test_what_is_kept_is_there_again_and_damage_is_noticed(tmp_path):
     entry = Entry("server a", "n0~1", 1, {}, b"1")
-    shelf, kept = opened(Shelf, Shelf.load, str(tmp_path), "replica")
+    shelf, kept = opened(ReplicaStore, ReplicaStore.load, str(tmp_path), "replica")
     assert kept == Kept()
     facts = Kept("n0~1", True, [], {"n0~1": 1}, {"x": 2}, 3, {"n1": (4, 5)})
     shelf.keep(Ready(keys={"server a": [entry], "server b": []}, facts=facts))
     shelf.db.close()
-    shelf, kept = opened(Shelf, Shelf.load, str(tmp_path), "replica")
+    shelf, kept = opened(ReplicaStore, ReplicaStore.load, str(tmp_path), "replica")
     facts.entries = [entry]
     assert kept == facts
     shelf.keep(Ready(keys={"server a": []}))
@@ -550,14 +550,14 @@
     with pytest.raises(DatabaseDamagedError, match="server a"):
         shelf.load()
     shelf.db.close()
-    again, kept = opened(Shelf, Shelf.load, str(tmp_path), "replica")
+    again, kept = opened(ReplicaStore, ReplicaStore.load, str(tmp_path), "replica")
     assert kept is None and again.load() == Kept() and (tmp_path / "replica.db.damaged").exists()
     again.db.close()
     (tmp_path / "replica.db").write_bytes(b"no database" * 100)
-    again, kept = opened(Shelf, Shelf.load, str(tmp_path), "replica")
+    again, kept = opened(ReplicaStore, ReplicaStore.load, str(tmp_path), "replica")
     assert kept is None and again.load() == Kept()
     with pytest.raises(sqlite3.Error):
         again.db.close()
         again.facts(a=1)
     with pytest.raises(ValueError, match=r"replica\.folder"):
-        opened(Shelf, Shelf.load, "/dev/null/x", "replica")
+        opened(ReplicaStore, ReplicaStore.load, "/dev/null/x", "replica")
--- a/tests/test_replica_processes.py
+++ b/tests/test_replica_processes.py
@@ -14,10 +14,10 @@
 import pytest
 from msgspec import msgpack
 
-from barleybarrow.causal import Entry
-from barleybarrow.marks import Mark
+from barleybarrow.overrides import Mark
 from barleybarrow.replica import Ready
-from brackenusher.group.shelf import Shelf, sum_of
+from barleybarrow.version_vectors import Entry
+from brackenusher.group.replica_store import ReplicaStore, sum_of
 from testbed.processes.replicated import Replicated
 from testbed.schedule import LinkFault, by_chance
 
@@ -297,7 +297,7 @@
         group.leave(1)
         for n in (0, 1):  # as if staff had been busy
             folder = group.folder(n) / "replica"
-            shelf = Shelf(str(folder))
+            shelf = ReplicaStore(str(folder))
             kept = shelf.load()
             mark = msgpack.encode(Mark("me", "it burns" * 20, 0.0, 0.0))
             many = {f"server x{i}": [Entry(f"server x{i}", "n0~0", i + 1, {}, mark)] for i in range(size)}
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -4,8 +4,19 @@
 
 import pytest
 
-from barleybarrow.door import DoorSettings, Limit
-from barleybarrow.shares import GRANT, LEASE, Here, Parts, Promise, Report, Role, Seek, SharedDoor, Shares
+from barleybarrow.rate_limiter import Limit, RateLimiterSettings
+from barleybarrow.shares import (
+    GRANT,
+    LEASE,
+    Here,
+    Parts,
+    Promise,
+    Report,
+    Role,
+    Seek,
+    SharedRateLimiter,
+    Shares,
+)
 from testbed.cluster import PERIOD
 from testbed.portions import Portions
 from testbed.schedule import LinkFault, by_chance
@@ -157,7 +168,7 @@
 
 
 def test_a_door_takes_up_its_part_and_gains_nothing_by_the_change():
-    door = SharedDoor(DoorSettings(tenant=Limit(100.0, 100), table=2))
+    door = SharedRateLimiter(RateLimiterSettings(tenant=Limit(100.0, 100), table=2))
     shares = Shares("n0", ["n0"], random.Random(1), 0.0, 4, lambda key: 100.0)
     door.shares = shares
     assert sum(door.ask("t", 0.0) == 0.0 for _ in range(100)) == 25
--- a/tests/test_week.py
+++ b/tests/test_week.py
@@ -5,8 +5,8 @@
 import pytest
 from msgspec.structs import replace
 
-from barleybarrow.governed import Governed
 from barleybarrow.policy import read
+from barleybarrow.policy_gate import PolicyGate
 from testbed.cli import main
 from testbed.schedule import LinkFault, ScheduleError
 from testbed.week import virtual
@@ -15,9 +15,9 @@
 from testbed.week.report import page
 
 JOINT_LEFT_OUT = """
-from barleybarrow.governed import Governed
+from barleybarrow.policy_gate import PolicyGate
 from barleybarrow.policy import read
-Governed.read_rules = lambda self: read(self.book.text(self.book.force))
+PolicyGate.read_rules = lambda self: read(self.book.text(self.book.force))
 """
 
 
@@ -36,7 +36,7 @@
 
 
 def test_a_bug_that_is_planted_is_found_in_a_week_of_virtual_time(monkeypatch):
-    monkeypatch.setattr(Governed, "read_rules", lambda self: read(self.book.text(self.book.force)))
+    monkeypatch.setattr(PolicyGate, "read_rules", lambda self: read(self.book.text(self.book.force)))
     assert any(virtual.of_policy(drawn(seed, 5)) for seed in range(2000, 2008))
 
 
