--- a/barleybarrow/documents.py
+++ b/barleybarrow/documents.py
@@ -1,7 +1,7 @@
 """The operator's configuration as typed values, shared by the control plane and the data plane.
 
-Plain data: no checks and no I/O here. `brackenusher.settings.documents` reads and checks what an operator sends
-(keys in Pascal case) and makes a `Configuration` of it; feeds carry it as JSON with these field names.
+Plain data: no checks and no I/O here. `brackenusher.settings.documents` reads and checks what an operator
+sends (keys in Pascal case) and makes a `Configuration` of it; feeds carry it as JSON with these field names.
 """
 
 from dataclasses import dataclass, field
@@ -119,7 +119,7 @@
 
 @dataclass(slots=True)
 class ConfigurationDelta:
-    """What turns the configuration of one version into that of another: whole items by name, and names to remove."""
+    """What turns one version into another: whole items by name, and names to remove."""
 
     base_generation: int
     generation: int
--- a/barleybarrow/views.py
+++ b/barleybarrow/views.py
@@ -1,8 +1,8 @@
 """Views of a group as values: who belongs, what a change makes of it, and whom reports speak against.
 
 Nothing here waits, sends or looks at a clock. What members say of each other goes in, a decision comes out;
-`view_agreement` brings the reports together and has a majority agree. Observers and two thresholds follow Suresh
-and others, "Stable and Consistent Membership at Scale with Rapid" (USENIX ATC 2018).
+`view_agreement` brings the reports together and has a majority agree. Observers and two thresholds follow
+Suresh and others, "Stable and Consistent Membership at Scale with Rapid" (USENIX ATC 2018).
 """
 
 from collections.abc import Collection, Iterable, Mapping
