Limits: keepers that forgot the roster keep nobody waiting past RecoverS

Change: a base is void 8 s after the last answer, not 20 s, which is the span that such a warden waits; a keeper that missed a roster when a majority had taken it is sent it again. A shorter base only lowers what may be used out of touch.

--- a/barleybarrow/limits/credit_machine.py
+++ b/barleybarrow/limits/credit_machine.py
@@ -181,6 +181,8 @@
             self.make_plan(now, books)
         elif now >= books.roster_at:
             self.send_roster(now, books)
+        if books.pending is None and now >= books.roster_at:
+            self.send_to_missing(now, books)
         if not books.members.is_known(now):
             self.ask_rosters(now, books)
 
@@ -235,11 +237,20 @@
             if name != self.name and name not in books.taken:
                 self.out.append((name, RosterUpdate(books.version, books.entries)))
 
+    def send_to_missing(self, now: float, books: Term) -> None:
+        """Have keepers that a majority did not wait for, or that came later, remember the roster as well."""
+        if not books.taken:
+            return  # nothing was planned in this term yet
+        books.roster_at = now + spans.ROSTER_REPEAT
+        for name in self.keepers:
+            if name != self.name and name not in books.taken:
+                self.out.append((name, RosterUpdate(books.version, books.entries)))
+
     def roster_taken(self, now: float, books: Term, name: str, version: int) -> None:
-        if version != books.version or books.pending is None or name not in self.keepers:
+        if version != books.version or name not in self.keepers:
             return
         books.taken.add(name)
-        if len(books.taken) >= self.majority:
+        if books.pending is not None and len(books.taken) >= self.majority:
             books.members.planned, books.members.raising = books.pending, True
             books.pending = None
             if books.first:
--- a/barleybarrow/limits/spans.py
+++ b/barleybarrow/limits/spans.py
@@ -11,7 +11,8 @@
 )
 CREDIT_LIFE = 800.0  # credit counts so long from the question whose answer is the newest
 FALL = 950.0  # from the newest answer until a proxy uses its base; the warden stops using it before
-BASE_LIFE = 20_000.0  # from the newest answered question until the base is void
+BASE_LIFE = 8000.0  # from the newest answered question until the base is void: keepers that have forgotten
+# the roster wait so long until anything is granted, which must be well within RecoverS
 REPORT_LEAST, REPORT_MOST = 120.0, 300.0  # between two reports of a proxy that has nothing to say
 REPORT_EACH = 3.0  # more for each proxy
 URGENT_GAP = 2.0  # between two reports of one proxy for requests that wait
--- a/tests/fleet/test_limits_worlds.py
+++ b/tests/fleet/test_limits_worlds.py
@@ -69,6 +69,41 @@
                 self.assertEqual(broken(world), "")
 
 
+class RostersAreRepaired(unittest.TestCase):
+    """What keepers remember of the proxies' bases, after some of them have missed or forgotten it."""
+
+    def test_a_keeper_that_was_cut_off_while_a_plan_was_taken_learns_it_later(self) -> None:
+        world = World(3, [token_tenant("under", 100_000.0)], seed=3, durable=True)
+        world.run(3000.0)
+        warden = world.wardens()[0]
+        late = next(name for name in world.keepers if name != warden)
+        world.cut_off(late)
+        world.kill("p1")
+        world.run(5000.0)
+        world.start("p1")
+        world.run(9000.0)
+        world.join(late)
+        world.run(11_000.0)
+        versions = {
+            name: process.machine.machine.kept.version
+            for name, process in world.processes.items()
+            if name in world.keepers and process.machine is not None
+        }
+        self.assertEqual(set(versions.values()), {max(versions.values())}, versions)
+        self.assertGreater(max(versions.values()), 1)
+
+    def test_all_that_forgot_everything_grant_whole_limits_well_within_twelve_seconds(self) -> None:
+        world = World(3, [token_tenant("under", 100_000.0)], seed=4)
+        world.run(4000.0)
+        for name in [*world.keepers, *world.proxies]:
+            world.kill(name)
+        world.run(4900.0)
+        for name in [*world.keepers, *world.proxies]:
+            world.start(name)
+        world.run(4900.0 + 11_000.0)
+        self.assertGreater(world.lent(), 0.99)
+
+
 class PlantedBugs(unittest.TestCase):
     """Each bug is one that the design guards against; the checks of `WhateverFails` must find it."""
 
