Limits: keepers store whom they promised the lease to, so its holder follows at once

Cause: after all processes were killed or lost power, a keeper promised nobody anything for 1.26 s, since it may have promised itself before; until then there is no warden and every request with a quota is refused by 429 after 150 ms. Two smaller causes beside it: a link's pause between calls grew to 0.8 s, and a call to a machine without power hung for 1.0 s, so that three of eleven proxies heard of the voters 0.5 s after the others.

Ruled out: the election of the configuration shard (0.1 to 0.2 s after the start) and the configuration's way to the proxies (0.07 s after it); the debt that new buckets begin with (0.08 s for large tenants).

Change: the stored roster also holds the newest promise and the keepers of that time. A promise to another seeker counts only once it is stored; renewals are not stored. A keeper that starts again takes the seeker of its stored promise at once, any other after the lease; with other keepers the stored promise says nothing. The process that held the lease seeks at once. Links: the pause grows by 1.15, calls wait 0.2 s at first.

Tests: limits in virtual time, keepers with disks killed again and again, a promise that counts before it is stored is found; links to a machine that is down, in virtual time.

--- a/barleybarrow/limits/credit_machine.py
+++ b/barleybarrow/limits/credit_machine.py
@@ -6,9 +6,12 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from math import inf
 from random import Random
 
+import msgspec
+
 from barleybarrow.limits import spans
 from barleybarrow.limits.bounds import KeyLimit
 from barleybarrow.limits.credit_client import CreditClient
@@ -26,7 +29,7 @@
     RosterTaken,
     RosterUpdate,
 )
-from barleybarrow.limits.warden_lease import DRIFT, Here, Role, WardenLease
+from barleybarrow.limits.warden_lease import DRIFT, Here, Promise, Role, Seek, WardenLease
 
 CLEAN_EVERY = 2000.0  # milliseconds between two looks for entries that nobody uses
 
@@ -48,6 +51,15 @@
         self.plan_at = now
 
 
+@dataclass(frozen=True, slots=True)
+class Untold:
+    """Word to a warden or seeker that waits until what it says is stored."""
+
+    name: str
+    word: RosterTaken | Promise
+    revision: int
+
+
 class CreditMachine(WardenLease):
     """All parts of one process. `asks`: it is a proxy. `fresh`: this is the first start of the system."""
 
@@ -65,7 +77,10 @@
         self.limit_of = limit_of
         self.kept = KeptRoster(fresh, 0, [])
         self.durable = False  # what this keeper remembers is stored before it says so
-        self.to_tell: list[tuple[str, int]] = []  # who is to hear that a version is stored
+        self.revision = 0  # of what this keeper remembers: rises with each change in this process
+        self.stored_revision = 0
+        self.promise_revision = 0  # the revision that first held the newest promise
+        self.to_tell: list[Untold] = []  # who is to hear once a revision is stored
         self.client = CreditClient(self.run, now, limit_of) if asks else None
         self.books: Term | None = None
         self.heard: dict[str, float] = {}  # proxies, and when they reported last
@@ -77,6 +92,7 @@
         self.keepers = list(keepers)
         if joins:
             self.promised_until = max(self.promised_until, now + self.times.lease * DRIFT)
+            self.seek_again(now)
         elif self.name not in keepers and self.role is not Role.PROXY:
             self.give_back()
             self.step_down(now)
@@ -100,9 +116,15 @@
             self.warden_at = -inf
             self.seek_soon(now)
 
+    def seek_again(self, now: float) -> None:
+        """Where the process before this one was the warden, nobody else can be: seek at once."""
+        if self.role is Role.PROXY and not self.warden and self.is_remembered(self.name):
+            self.warden_at = -inf
+            self.seek_at = now
+
     def seek_soon(self, now: float) -> None:
         """As a keeper: seek when the promise to the warden that went is over."""
-        own = self.promised == self.name
+        own = self.promised == self.name or (not self.promised and self.is_remembered(self.name))
         free_at = now if own else max(now, self.promised_until)
         self.seek_at = free_at + self.rng.uniform(0.0, spans.SEEK_AGAIN)
 
@@ -128,6 +150,8 @@
             self.seek_soon(now)
         if self.role is Role.WARDEN and now < self.lease_end:
             self.out.extend((name, Here(self.term)) for name in sorted(new))
+        elif self.role is Role.SEEKING:
+            self.out.extend((name, Seek(self.run, self.token)) for name in sorted(new & set(self.keepers)))
 
     def resign(self, now: float) -> None:
         """Planned end: another warden may follow at once, and others may use what this proxy held."""
@@ -232,7 +256,7 @@
 
     def send_roster(self, now: float, books: Term) -> None:
         books.roster_at = now + spans.ROSTER_REPEAT
-        self.keep(now, self.name, KeptRoster(True, books.version, books.entries))
+        self.keep(now, self.name, books.version, books.entries)
         for name in self.keepers:
             if name != self.name and name not in books.taken:
                 self.out.append((name, RosterUpdate(books.version, books.entries)))
@@ -258,23 +282,61 @@
 
     # The roster: as a keeper
 
-    def keep(self, now: float, warden: str, roster: KeptRoster) -> None:
-        """Remember a roster, and tell the warden, once it is stored where this keeper stores anything."""
-        self.kept = roster
-        self.to_tell = [waiting for waiting in self.to_tell if waiting[0] != warden]
-        self.to_tell.append((warden, roster.version))
+    def restore(self, now: float, kept: KeptRoster) -> None:
+        """Before the start: what an earlier process of this keeper has stored."""
+        self.kept, self.remembered = kept, kept.promised
+        if self.name in self.keepers:
+            self.seek_again(now)
+
+    def is_remembered(self, name: str) -> bool:
+        """A stored promise says something only while the keepers are those of its time."""
+        return super().is_remembered(name) and set(self.kept.keepers) == set(self.keepers)
+
+    def promise_made(self, now: float, name: str, token: int) -> None:
+        """A new promise is stored before it counts; one that is renewed need not be stored again."""
         if not self.durable:
-            self.stored(now, roster.version)
-
-    def stored(self, now: float, version: int) -> None:
-        """What this keeper remembers is stored, up to this version."""
-        ready = [waiting for waiting in self.to_tell if waiting[1] <= version]
-        self.to_tell = [waiting for waiting in self.to_tell if waiting[1] > version]
-        for warden, taken in ready:
-            if warden != self.name:
-                self.out.append((warden, RosterTaken(taken)))
-            elif self.books is not None:
-                self.roster_taken(now, self.books, self.name, taken)
+            self.confirm_promise(now, name, token)
+            return
+        if self.kept.promised != name or self.kept.keepers != self.keepers:
+            self.remember(msgspec.structs.replace(self.kept, promised=name, keepers=list(self.keepers)))
+            self.promise_revision = self.revision
+        if self.stored_revision >= self.promise_revision:
+            self.confirm_promise(now, name, token)
+        else:
+            self.tell_when_stored(name, Promise(token, True))
+
+    def keep(self, now: float, warden: str, version: int, entries: list[RosterEntry]) -> None:
+        """Remember a roster, and tell the warden, once it is stored where this keeper stores anything."""
+        changed = msgspec.structs.replace(self.kept, known=True, version=version, entries=entries)
+        if changed != self.kept:
+            self.remember(changed)
+        self.tell_when_stored(warden, RosterTaken(version))
+        if not self.durable or self.stored_revision >= self.revision:
+            self.stored(now, self.revision)
+
+    def remember(self, kept: KeptRoster) -> None:
+        self.kept = kept
+        self.revision += 1
+
+    def tell_when_stored(self, name: str, word: RosterTaken | Promise) -> None:
+        others = [old for old in self.to_tell if (old.name, type(old.word)) != (name, type(word))]
+        self.to_tell = [*others, Untold(name, word, self.revision)]
+
+    def stored(self, now: float, revision: int) -> None:
+        """What this keeper remembers is stored, up to this revision."""
+        self.stored_revision = max(self.stored_revision, revision)
+        ready = [untold for untold in self.to_tell if untold.revision <= revision]
+        self.to_tell = [untold for untold in self.to_tell if untold.revision > revision]
+        for untold in ready:
+            self.tell(now, untold.name, untold.word)
+
+    def tell(self, now: float, name: str, word: RosterTaken | Promise) -> None:
+        if isinstance(word, Promise):
+            self.confirm_promise(now, name, word.token)
+        elif name != self.name:
+            self.out.append((name, word))
+        elif self.books is not None:
+            self.roster_taken(now, self.books, self.name, word.version)
 
     # Messages
 
@@ -289,7 +351,7 @@
                 self.client.answer(now, m)
         elif isinstance(m, RosterUpdate):
             if sender == self.promised and m.version >= self.kept.version:
-                self.keep(now, sender, KeptRoster(True, m.version, m.entries))
+                self.keep(now, sender, m.version, m.entries)
         elif isinstance(m, RosterAsk):
             self.out.append(
                 (sender, RosterReply(m.term, self.kept.known, self.kept.version, self.kept.entries))
--- a/barleybarrow/limits/limits.py
+++ b/barleybarrow/limits/limits.py
@@ -163,25 +163,25 @@
 
     # What a keeper with a disk stores
 
-    def restore(self, stored: bytes | None) -> None:
-        """Before the start: from now on rosters are stored, and this is the last one; None: there is none."""
+    def restore(self, now: float, stored: bytes | None) -> None:
+        """Before the start: from now on what is kept is stored, and this was last; None: there is nothing."""
         self.machine.durable = True
         if stored is not None:
             try:
-                self.machine.kept = decode_roster(stored)
+                self.machine.restore(now, decode_roster(stored))
             except MessageError:
                 return
 
     def to_store(self) -> tuple[int, bytes] | None:
-        """A roster that waits to be stored, and its version; `stored` is called when it is synced."""
+        """What waits to be stored, and its revision; `stored` is called when it is synced."""
         machine = self.machine
-        if not machine.durable or not machine.to_tell:
+        if not machine.durable or machine.stored_revision >= machine.revision:
             return None
-        return machine.kept.version, encode_roster(machine.kept)
+        return machine.revision, encode_roster(machine.kept)
 
-    def stored(self, now: float, version: int) -> None:
-        """A roster is stored and synced."""
-        self.machine.stored(now, version)
+    def stored(self, now: float, revision: int) -> None:
+        """A revision is stored and synced."""
+        self.machine.stored(now, revision)
 
     # Time and messages
 
--- a/barleybarrow/limits/messages.py
+++ b/barleybarrow/limits/messages.py
@@ -13,6 +13,7 @@
 
 MOST_ITEMS = 200  # entries in one report; the others go with the next
 MOST_MEMBERS = 4096
+MOST_KEEPERS = 64
 
 Key = Annotated[str, Meta(max_length=200)]
 Amount = Annotated[float, Meta(ge=0.0, le=1e15)]
@@ -104,6 +105,8 @@
     known: bool
     version: Token
     entries: Annotated[list[RosterEntry], Meta(max_length=MOST_MEMBERS)]
+    promised: Key = ""  # the last seeker that this keeper promised itself to
+    keepers: Annotated[list[Key], Meta(max_length=MOST_KEEPERS)] = []  # all keepers at that time
 
 
 Message = (
--- a/barleybarrow/limits/warden_lease.py
+++ b/barleybarrow/limits/warden_lease.py
@@ -78,6 +78,7 @@
         self.warden, self.term, self.warden_at = "", 0, now
         self.promised, self.promised_until = "", now + times.lease * DRIFT  # it may have before it started
         self.promised_for = (0, 0)  # run and token of the question
+        self.remembered = ""  # whom the process before this one had promised itself to; "": not known
         self.role = Role.PROXY
         self.run, self.token, self.token_at = rng.getrandbits(60), rng.getrandbits(40), -inf
         self.promises: set[str] = set()
@@ -103,6 +104,14 @@
         """Whom a warden tells that it is there."""
         return self.reach
 
+    def promise_made(self, now: float, name: str, token: int) -> None:
+        """As a keeper: this process has promised itself to this seeker, which may be told now."""
+        self.confirm_promise(now, name, token)
+
+    def is_remembered(self, name: str) -> bool:
+        """Whether an earlier process of this keeper is known to have promised itself to nobody else."""
+        return bool(name) and name == self.remembered
+
     # Time
 
     def patience(self) -> float:
@@ -166,16 +175,24 @@
         self.token, self.token_at = self.token + 1, now
         self.promises = set()
         if self.promise(now, self.name, (self.run, self.token)):
-            self.promises.add(self.name)
+            self.promise_made(now, self.name, self.token)
         for name in self.keepers:
             if name != self.name:
                 self.out.append((name, Seek(self.run, self.token)))
-        self.count(now)
+
+    def confirm_promise(self, now: float, name: str, token: int) -> None:
+        """Tell a seeker, which may be this process, that this keeper has promised itself to it."""
+        if name != self.name:
+            self.out.append((name, Promise(token, True)))
+        elif token == self.token:
+            self.promises.add(name)
+            self.count(now)
 
     def promise(self, now: float, name: str, what: tuple[int, int]) -> bool:
         """As a keeper: whether this one is promised to nobody else; an old question changes nothing."""
         old = self.promised == name and self.promised_for[0] == what[0] and what[1] <= self.promised_for[1]
-        if old or (now < self.promised_until and self.promised != name):
+        holder = self.promised or (name if self.is_remembered(name) else "")
+        if old or (now < self.promised_until and holder != name):
             return False
         self.promised, self.promised_for = name, what
         self.promised_until = now + self.times.lease * DRIFT
@@ -208,8 +225,10 @@
         if self.name not in self.keepers or sender not in self.keepers:
             return
         if not m.give:
-            good = self.promise(now, sender, (m.run, m.token))
-            self.out.append((sender, Promise(m.token, good)))
+            if self.promise(now, sender, (m.run, m.token)):
+                self.promise_made(now, sender, m.token)
+            else:
+                self.out.append((sender, Promise(m.token, False)))
         elif self.promised == sender and self.promised_for == (m.run, m.token):
             self.promised_until = now
             self.freed(now)
--- a/brackenusher/assembly/process.py
+++ b/brackenusher/assembly/process.py
@@ -99,6 +99,7 @@
     if settings is None:
         return EXIT_BAD_SETTINGS
     set_up(settings.role, settings.log_level)
+    log.info("event=starting role=%s node=%s", settings.role, settings.node_name)
     try:
         asyncio.run(_serve(make, settings))
     except OSError as error:
--- a/brackenusher/cluster/links.py
+++ b/brackenusher/cluster/links.py
@@ -20,9 +20,11 @@
 
 log = logging.getLogger(__name__)
 
+FIRST_TIMEOUT_S = 0.2  # a machine that is just coming up swallows the first packet: try again soon
+TIMEOUT_GROWTH = 1.5  # regions far apart need longer than the first limit
 CONNECT_TIMEOUT_S = 1.0  # a cut swallows the first packet; the next try must come soon after it heals
 FIRST_PAUSE_S = 0.05  # peers that start together need some hundred milliseconds until they listen
-PAUSE_GROWTH = 1.5
+PAUSE_GROWTH = 1.15  # a peer that comes up is found within about a seventh of the time it was away
 LONGEST_PAUSE_S = 0.8  # a healed cut must be used well within ContactMs
 KEEP_ALIVE_S = 0.5
 SILENCE_S = 1.6  # three keep-alives missed
@@ -237,29 +239,30 @@
     # Tasks
 
     async def _keep_connected(self, address: str) -> None:
-        pause = FIRST_PAUSE_S
+        pause, timeout = FIRST_PAUSE_S, FIRST_TIMEOUT_S
         connection: LinkConnection | None = None
         try:
             while True:
                 if address not in self._current:
-                    connection = await self._connect_once(address)
+                    connection = await self._connect_once(address, timeout)
                     if connection is not None:
-                        pause = FIRST_PAUSE_S
+                        pause, timeout = FIRST_PAUSE_S, FIRST_TIMEOUT_S
                         await connection.ended
                     else:
                         pause = min(pause * PAUSE_GROWTH, LONGEST_PAUSE_S)
+                        timeout = min(timeout * TIMEOUT_GROWTH, CONNECT_TIMEOUT_S)
                 await asyncio.sleep(pause * (0.5 + self.rng.random()))
         finally:
             if connection is not None:
                 connection.abort()
 
-    async def _connect_once(self, address: str) -> LinkConnection | None:
+    async def _connect_once(self, address: str, timeout_s: float) -> LinkConnection | None:
         host, port = split_address(address)
         self.counters.connects += 1
         try:
             _, connection = await asyncio.wait_for(
                 self.loop.create_connection(lambda: LinkConnection(self, address), host, port),
-                CONNECT_TIMEOUT_S,
+                timeout_s,
             )
         except (OSError, TimeoutError):
             self.counters.failures += 1
--- a/brackenusher/control_plane/shares_driver.py
+++ b/brackenusher/control_plane/shares_driver.py
@@ -1,7 +1,7 @@
 """Connects a control process's part in the limits (a keeper of the lease, or the warden) to links and disk.
 
-A keeper with a disk stores the roster of proxies before it says that it remembers it: so the limits are
-whole again at once after all keepers were killed.
+A keeper with a disk stores the roster of proxies, and whom it has promised itself to, before it says so: then
+the limits are whole again at once after all keepers were killed, with the same warden.
 """
 
 import asyncio
@@ -40,7 +40,7 @@
         """As `LimitsDriver.start`, after what was stored is loaded."""
         if self.store is not None and self.writer is not None:
             try:
-                self.limits.restore(self.store.load().snapshot)
+                self.limits.restore(self.now(), self.store.load().snapshot)
             except StorageError as error:
                 log.warning("roster of the limits not read: error=%s", error)
                 self.store = None
@@ -56,18 +56,18 @@
         if waiting is None or self.store is None or self.writer is None or not self._running:
             return
         self._writing = True
-        version, roster = waiting
+        revision, kept = waiting
         store = self.store
-        done = self.writer.submit(lambda: store.replace(roster))
-        done.add_done_callback(lambda future: self._stored(version, future))
+        done = self.writer.submit(lambda: store.replace(kept))
+        done.add_done_callback(lambda future: self._stored(revision, future))
 
-    def _stored(self, version: int, done: "asyncio.Future[None]") -> None:
+    def _stored(self, revision: int, done: "asyncio.Future[None]") -> None:
         self._writing = False
         if done.cancelled():
             return
         error = done.exception()
         if error is None:
-            self.limits.stored(self.now(), version)
+            self.limits.stored(self.now(), revision)
             self._run()
         else:
             log.warning("roster of the limits not stored: error=%s", error)
--- a/tests/fleet/limits_world.py
+++ b/tests/fleet/limits_world.py
@@ -90,6 +90,7 @@
         self.loss, self.doubled, self.late = loss, doubled, late
         self.durable = durable  # keepers have disks
         self.disks: dict[str, bytes] = {}
+        self.sync_ms = SYNC
         self.now = 0.0
         self.number = count()
         self.events: list[tuple[float, int, str, tuple]] = []
@@ -121,7 +122,7 @@
         asks = name in self.proxies
         process.machine = Limits(name, list(self.keepers), rng, clock, self.bounds, asks, fresh)
         if self.durable and not asks:
-            process.machine.restore(self.disks.get(name))
+            process.machine.restore(clock, self.disks.get(name))
         process.machine.configure(clock, list(self.tenants.values()), self.services)
         self.links()
         self.wake(process)
@@ -252,7 +253,7 @@
                 self.decided(found[0], found[1], admitted, self.now - found[2])
         stored = machine.to_store()
         if stored is not None:
-            self.at(self.now + SYNC, "stored", process, machine, *stored)
+            self.at(self.now + self.sync_ms, "stored", process, machine, *stored)
         self.wake(process)
 
     # Requests
--- a/tests/fleet/test_limits.py
+++ b/tests/fleet/test_limits.py
@@ -17,6 +17,7 @@
 from brackenusher.control_plane.shares_driver import SharesDriver
 from brackenusher.storage.files import StorageError
 from brackenusher.storage.slot_store import Loaded
+from tests.fleet.virtual_time import VirtualLoop
 
 TOKENS = LimitBounds(quota_slack=72_000.0)
 
@@ -287,22 +288,6 @@
         return True
 
 
-class FastLoop(asyncio.SelectorEventLoop):
-    """A loop whose time jumps to the next timer when nothing else is to be done."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.virtual = 0.0
-
-    def time(self) -> float:
-        return self.virtual
-
-    def _run_once(self) -> None:
-        if not self._ready and self._scheduled:  # type: ignore[attr-defined]
-            self.virtual = max(self.virtual, self._scheduled[0].when())  # type: ignore[attr-defined]
-        super()._run_once()  # type: ignore[misc]
-
-
 class MemoryStore:
     """A store of one snapshot that may refuse to write."""
 
@@ -336,13 +321,13 @@
     """A control process with a disk."""
 
     def run_keeper(self, store: MemoryStore, fresh: bool) -> Limits:
-        loop = FastLoop()
+        loop = VirtualLoop()
         try:
             return loop.run_until_complete(self.keeper(loop, store, fresh))
         finally:
             loop.close()
 
-    async def keeper(self, loop: FastLoop, store: MemoryStore, fresh: bool) -> Limits:
+    async def keeper(self, loop: VirtualLoop, store: MemoryStore, fresh: bool) -> Limits:
         limits = Limits("c", [], random.Random(1), 0.0, TOKENS, asks=False, fresh=fresh)
         driver = SharesDriver(
             limits,
@@ -381,6 +366,49 @@
         self.assertFalse(limits.machine.kept.known)
 
 
+class StoredPromise(unittest.TestCase):
+    """What a keeper does that starts again and has stored whom it had promised itself to."""
+
+    def restarted(self, keepers: list[str]) -> Limits:
+        before = Limits("a", ["a", "b", "c"], random.Random(1), 0.0, TOKENS, asks=False)
+        before.restore(0.0, None)
+        before.receive(2000.0, "b", messages.encode(warden_lease.Seek(1, 1)))
+        stored = before.to_store()
+        assert stored is not None
+        after = Limits("a", keepers, random.Random(2), 0.0, TOKENS, asks=False)
+        after.restore(0.0, stored[1])
+        return after
+
+    def answer(self, limits: Limits, now: float, seeker: str) -> list[bool]:
+        limits.receive(now, seeker, messages.encode(warden_lease.Seek(9, 1)))
+        found = [messages.decode(payload) for _, payload in limits.outbox()]
+        return [word.good for word in found if isinstance(word, warden_lease.Promise)]
+
+    def test_the_one_that_had_it_gets_it_at_once(self) -> None:
+        limits = self.restarted(["a", "b", "c"])
+        self.assertEqual(self.answer(limits, 10.0, "b"), [True])
+
+    def test_others_wait_for_a_lease(self) -> None:
+        limits = self.restarted(["a", "b", "c"])
+        self.assertEqual(self.answer(limits, 10.0, "c"), [False])
+        self.assertEqual(self.answer(limits, 1200.0, "c"), [False])
+
+    def test_among_other_keepers_it_says_nothing(self) -> None:
+        limits = self.restarted(["a", "b", "d"])
+        self.assertEqual(self.answer(limits, 10.0, "b"), [False])
+
+    def test_it_is_told_only_once_it_is_stored(self) -> None:
+        limits = Limits("a", ["a", "b", "c"], random.Random(1), 0.0, TOKENS, asks=False)
+        limits.restore(0.0, None)
+        self.assertEqual(self.answer(limits, 2000.0, "b"), [])
+        stored = limits.to_store()
+        assert stored is not None
+        limits.stored(2010.0, stored[0])
+        found = [messages.decode(payload) for _, payload in limits.outbox()]
+        self.assertEqual(found, [warden_lease.Promise(1, True)])
+        self.assertIsNone(limits.to_store())
+
+
 class KeeperChanges(unittest.TestCase):
     def test_one_that_joins_promises_nobody_anything_for_a_lease(self) -> None:
         limits = Limits("d", ["a", "b", "c"], random.Random(1), 0.0, TOKENS, asks=False)
@@ -400,13 +428,13 @@
 
 class Driver(unittest.TestCase):
     def test_requests_wait_for_the_warden(self) -> None:
-        loop = FastLoop()
+        loop = VirtualLoop()
         try:
             loop.run_until_complete(self.conversation(loop))
         finally:
             loop.close()
 
-    async def conversation(self, loop: FastLoop) -> None:
+    async def conversation(self, loop: VirtualLoop) -> None:
         paying = tenant("one", 20_000.0, unit=QuotaUnit.TOKENS)
         net: dict[str, FakeLinks] = {}
         drivers = {}
--- a/tests/fleet/test_limits_worlds.py
+++ b/tests/fleet/test_limits_worlds.py
@@ -48,6 +48,17 @@
             with self.subTest(seed=seed):
                 self.assertEqual(broken(troubled_world(seed, LENGTH)), "")
 
+    def test_keepers_with_disks_killed_again_and_again(self) -> None:
+        for seed in range(200, 212):
+            with self.subTest(seed=seed):
+                world = troubled_world(seed, LENGTH, pause=3000.0, lossy=False)
+                world.durable = True
+                for at in (7000.0, 8300.0, 9500.0, 12_000.0):
+                    for index, name in enumerate(world.keepers):
+                        world.at(at, "call", "kill", name)
+                        world.at(at + 300.0 + 150.0 * index, "call", "start", name)
+                self.assertEqual(broken(world), "")
+
     def test_all_keepers_killed_at_once(self) -> None:
         for seed in range(100, 108):
             with self.subTest(seed=seed):
@@ -260,6 +271,39 @@
         with mock.patch.object(warden_lease.WardenLease, "__init__", init):
             self.assertIn("wardens", self.restarted_keeper())
 
+    def test_promise_that_counts_before_it_is_stored(self) -> None:
+        original = credit_machine.CreditMachine.promise_made
+
+        def promise_made(self: credit_machine.CreditMachine, now: float, name: str, token: int) -> None:
+            original(self, now, name, token)
+            self.confirm_promise(now, name, token)
+
+        self.assertEqual(self.promise_lost_with_the_power(), "")
+        with mock.patch.object(credit_machine.CreditMachine, "promise_made", promise_made):
+            self.assertIn("wardens", self.promise_lost_with_the_power())
+
+    def promise_lost_with_the_power(self) -> str:
+        """A second warden is elected with a witness that loses power while its disk is slow."""
+        for seed in range(8):
+            world = World(3, [token_tenant("under", 100_000.0)], seed=seed, durable=True)
+            world.at(0.0, "check", 10.0)
+            world.run(5000.0)
+            first = world.wardens()[0]
+            witness, second = (name for name in world.keepers if name != first)
+            world.sync_ms = 30.0
+            world.cut_off(first)
+            while second not in world.wardens() and world.now < 9000.0:
+                world.run(world.now + 1.0)
+            world.kill(witness)
+            world.cut_off(second)
+            world.join(first)
+            world.start(witness)
+            try:
+                world.run(world.now + 1000.0)
+            except AssertionError as error:
+                return str(error)
+        return ""
+
     def restarted_keeper(self) -> str:
         """The warden is cut off; the one keeper that it had starts again and is asked by another."""
         for seed in range(12):
@@ -367,6 +411,18 @@
         self.assertLess(lent[False], 0.75)  # parts of the three may still be held by somebody
         self.assertGreater(lent[True], 0.999)
 
+    def test_after_all_were_killed_the_same_warden_follows_at_once(self) -> None:
+        for seed in range(1, 6):
+            with self.subTest(seed=seed):
+                world = World(10, [token_tenant("under", 100_000.0)], seed=seed, durable=True)
+                world.run(8000.0)
+                before = world.wardens()
+                for name in [*world.keepers, *world.proxies]:
+                    world.kill(name)
+                    world.at(8900.0, "call", "start", name)
+                world.run(9200.0)
+                self.assertEqual(world.wardens(), before)
+
     def test_lower_limit_binds_at_once(self) -> None:
         world = self.world(10, 2e6)
         world.run(10_000.0)
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -1,6 +1,7 @@
 """Links between processes, over loopback sockets: greeting, loss of a peer, strangers, damaged frames."""
 
 import asyncio
+import random
 import socket
 import unittest
 from collections.abc import Awaitable, Callable
@@ -9,7 +10,8 @@
 
 from brackenusher.cluster import messages
 from brackenusher.cluster.frames import FrameError, FrameReader, decode_message, encode_frame
-from brackenusher.cluster.links import Links
+from brackenusher.cluster.links import CONNECT_TIMEOUT_S, LinkConnection, Links
+from tests.fleet.virtual_time import VirtualLoop
 
 
 def free_address() -> str:
@@ -141,6 +143,49 @@
         self.play(story)
 
 
+class SilentPeerLinks(Links):
+    """Links whose peer's machine is down until a time: it says nothing to whoever calls."""
+
+    up_at = 0.0
+    calls: list[tuple[float, float]]
+
+    async def _connect_once(self, address: str, timeout_s: float) -> LinkConnection | None:
+        self.calls.append((self.loop.time(), timeout_s))
+        if self.loop.time() < self.up_at:
+            await asyncio.sleep(timeout_s)
+            return None
+        raise asyncio.CancelledError
+
+
+class PeerThatIsDownTest(unittest.TestCase):
+    """How soon a peer is found whose machine comes up, in virtual time."""
+
+    def found_after(self, down_s: float) -> tuple[float, list[tuple[float, float]]]:
+        loop = VirtualLoop()
+        try:
+            return loop.run_until_complete(self.call(loop, down_s))
+        finally:
+            loop.close()
+
+    async def call(self, loop: VirtualLoop, down_s: float) -> tuple[float, list[tuple[float, float]]]:
+        links = SilentPeerLinks(messages.Hello(address="127.0.0.1:1", role="proxy"), random.Random(3))
+        links.up_at, links.calls = loop.time() + down_s, []
+        links.connect("127.0.0.1:2")
+        await asyncio.sleep(down_s + 5.0)
+        return links.calls[-1][0] - links.up_at, links.calls
+
+    def test_one_that_comes_up_just_after_the_call_is_found_at_once(self) -> None:
+        after, _ = self.found_after(0.05)
+        self.assertLess(after, 0.3)
+
+    def test_one_that_is_away_for_long_is_called_less_often(self) -> None:
+        after, calls = self.found_after(60.0)
+        self.assertLess(after, 2.3)
+        late = [at for at, _ in calls if at > calls[0][0] + 30.0]
+        self.assertLess(len(late), 30)
+        self.assertEqual(max(timeout for _, timeout in calls), CONNECT_TIMEOUT_S)
+
+
 class FramesTest(unittest.TestCase):
     """Bytes to messages and back."""
 
