Limits: a base that was just told is lent to the warden at once

Cause: after a new warden's first plan the lent fraction fell to 0.1 to 0.4 for up to 0.3 s, until each proxy had reported that it applied its base; the warden could hand out only that part meanwhile. Ruled out: a later plan, which would leave proxies without a base. A proxy that held no base uses what it is told only after FALL without an answer, so until then the warden may use it. Tests: the invariants of the limits worlds.

--- a/barleybarrow/limits/members.py
+++ b/barleybarrow/limits/members.py
@@ -147,7 +147,10 @@
         while len(member.told) > MOST_TOLD:
             del member.told[next(iter(member.told))]
         if base > member.held:
+            if member.held <= 0.0:  # it has no base to use until it has been without an answer for FALL
+                self.lent.lend(now, name, base, now + spans.FALL / DRIFT)
             self.set_held(member, base)
+            self.refresh_free(now)
         return base
 
     # Time
