Limits: a new warden begins where the keepers remember the buckets to have been at least

Cause: a new warden knows no buckets, so each began at its debt. Ruled out: starting at a level that is merely likely, which the planted bugs of the limits worlds find at once.

A new warden raises all other buckets to their floor as soon as credit of the term before is over: when its holders have started anew, or after CREDIT_LIFE. A keeper that tells a new warden its roster remembers first that all may be drained.

Tests: worlds with all processes killed again and again, floors by themselves, two planted bugs.

--- a/barleybarrow/limits/credit_ledger.py
+++ b/barleybarrow/limits/credit_ledger.py
@@ -13,7 +13,9 @@
 credit is spent or returned, or when its time is over on every clock. What proxies spend without a
 warden comes from R (1 - L) and their fallback buckets (`credit_client`). A new warden knows no buckets:
 each begins at -debt, or so low that what the one before had granted, and may still be spent, fits into
-what the new bucket lacks: CREDIT_LIFE after its start all of that is over.
+what the new bucket lacks: CREDIT_LIFE after its start all of that is over. Where the keepers remember no
+draining (`floors`), the bucket was at its floor at least, and is raised by the difference once that credit
+is over; the warden before could have granted as much.
 
 No I/O; told the time in milliseconds.
 """
@@ -24,11 +26,13 @@
 
 from barleybarrow.limits import spans
 from barleybarrow.limits.bounds import CREDIT_SPAN_S, KeyLimit
+from barleybarrow.limits.floors import FLOOR_SHARE, REFILLED_SHARE, Floors
 from barleybarrow.limits.lent import LentFraction
-from barleybarrow.limits.messages import Grant, Item, whole
+from barleybarrow.limits.messages import Drained, Grant, Item, whole
 
 WANT_CREDIT = 0.8  # of the credit that may be outstanding, for credit ahead of need
 UNKNOWN_WAIT = 50.0  # milliseconds until a proxy asks again for a key that the warden does not know yet
+FLOOR_WAIT = 8.0  # milliseconds until the keepers will remember that a bucket is drained
 SETTLE_WAIT = 25.0  # milliseconds until credit of others will have been reported as spent
 HURRY_ABOVE = 0.4  # of the credit that may be outstanding
 CONTENTION = 0.5  # of a turn of all proxies that hold the key
@@ -60,6 +64,7 @@
     level: float
     integral: float  # of the lent fraction, up to which the level counts
     outstanding: float = 0.0
+    owed: float = 0.0  # added to the level once credit of the term before is over
     claim: float = 0.0  # the largest request of late
     claim_at: float = 0.0
     entries: dict[str, GrantedEntry] = field(default_factory=dict)  # by proxy
@@ -72,6 +77,8 @@
     def __init__(self, lent: LentFraction, limit_of: Callable[[str], KeyLimit | None]) -> None:
         self.lent, self.limit_of = lent, limit_of
         self.fresh = False  # no warden before has granted anything
+        self.floors = Floors()
+        self.old_credit_is_over = False  # what the warden before had granted is spent or void
         self.accounts: dict[str, KeyAccount] = {}
         self.keys_of: dict[str, set[str]] = {}  # by proxy, where it has or had entries
         self.to_clean: list[str] = []
@@ -89,6 +96,9 @@
         found = self.accounts.get(key)
         if found is None:
             found = self.accounts[key] = KeyAccount(self.first_level(limit), 0.0)
+            self.owe_floor(key, found, limit)
+        if found.owed and self.old_credit_is_over:
+            found.level, found.owed = found.level + found.owed, 0.0
         if found.orphaned:
             self.end_orphaned(now, found)
         gained = limit.rate * (self.lent.integral - found.integral) / 1000.0
@@ -97,6 +107,19 @@
         found.integral = self.lent.integral
         return found
 
+    def owe_floor(self, key: str, account: KeyAccount, limit: KeyLimit) -> None:
+        """A bucket that was above its floor when the term began is to be raised to it."""
+        if not self.fresh and not self.floors.was_drained(key):
+            account.owed = FLOOR_SHARE * limit.capacity - self.first_level(limit)
+
+    def begin_floors(self, drained: Drained) -> None:
+        """The keepers have told which buckets were drained when the term began."""
+        self.floors.before = drained
+        for key, account in self.accounts.items():
+            limit = self.limit_of(key)
+            if limit is not None and not account.owed:
+                self.owe_floor(key, account, limit)
+
     def end_orphaned(self, now: float, account: KeyAccount) -> None:
         account.outstanding -= sum(amount for amount, until in account.orphaned if until <= now)
         account.orphaned = [(amount, until) for amount, until in account.orphaned if until > now]
@@ -117,9 +140,10 @@
             return None
         self.keys_of.setdefault(name, set()).add(item.key)
         self.note_claim(now, account, item)
-        wait, settling = self.grant_need(account, limit, entry, item)
+        lowest = self.lowest_level(now, account, limit, entry, item)
+        wait, settling = self.grant_need(account, limit, entry, item, lowest)
         if wait <= 0.0:
-            self.grant_want(account, limit, entry, item)
+            self.grant_want(account, limit, entry, item, lowest)
         hurry = account.outstanding > HURRY_ABOVE * limit.credit
         return Grant(entry.number, whole(entry.granted), round(wait), settling, hurry)
 
@@ -148,8 +172,19 @@
         if item.first >= account.claim or now - account.claim_at > CLAIM_LASTS:
             account.claim, account.claim_at = item.first, now
 
+    def lowest_level(
+        self, now: float, account: KeyAccount, limit: KeyLimit, entry: GrantedEntry, item: Item
+    ) -> float:
+        """The level that the bucket may be taken to; keepers are told where that is too high for the need."""
+        if self.floors.may_drain(item.key):
+            return -limit.debt
+        lowest = FLOOR_SHARE * limit.capacity - account.owed
+        if account.level - (item.need - entry.outstanding) < lowest:
+            self.floors.drain(now, item.key)
+        return lowest
+
     def grant_need(
-        self, account: KeyAccount, limit: KeyLimit, entry: GrantedEntry, item: Item
+        self, account: KeyAccount, limit: KeyLimit, entry: GrantedEntry, item: Item, lowest: float
     ) -> tuple[float, bool]:
         """Grant what requests wait for. How long to wait for the rest, and whether for reports of others."""
         held = entry.outstanding
@@ -159,12 +194,15 @@
         least = max(0.0, item.first - held)
         least_level = max(0.0, min(account.claim, CLAIM_MOST * limit.capacity) - limit.debt)
         there = account.level + limit.debt if account.level > least_level else 0.0
+        above_floor = max(0.0, account.level - lowest)
         room = limit.credit * self.lent.value - account.outstanding
-        amount = float(floor(min(short, there, room)))
+        amount = float(floor(min(short, there, room, above_floor)))
         if amount >= least:
             self.grant(account, entry, amount)
             if amount >= short:
                 return 0.0, False
+        if there >= least and above_floor < least:
+            return FLOOR_WAIT, True
         if there >= least and room < least:
             return SETTLE_WAIT, True
         return self.wait(account, limit, item.first), False
@@ -176,7 +214,9 @@
         turn = CONTENTION * len(account.entries) * cost
         return max(1.0, 1000.0 * (missing + turn) / rate)
 
-    def grant_want(self, account: KeyAccount, limit: KeyLimit, entry: GrantedEntry, item: Item) -> None:
+    def grant_want(
+        self, account: KeyAccount, limit: KeyLimit, entry: GrantedEntry, item: Item, lowest: float
+    ) -> None:
         """Grant credit ahead of need, while there is plenty."""
         held = entry.outstanding
         short = item.want - held
@@ -185,7 +225,8 @@
         credit = limit.credit * self.lent.value
         most = min(WANT_CREDIT * credit, credit - limit.largest)
         fair = most / max(1, len(account.entries)) - held
-        amount = float(floor(min(short, fair, most - account.outstanding, account.level)))
+        there = min(account.level, account.level - lowest)
+        amount = float(floor(min(short, fair, most - account.outstanding, there)))
         if amount >= max(1.0, floor(item.first)):
             self.grant(account, entry, amount)
 
@@ -217,6 +258,7 @@
         limit = self.limit_of(key)
         if limit is not None:
             self.account(now, key, limit)
+            self.note_level(now, key, account, limit)
         for name, entry in list(account.entries.items()):
             if now - entry.heard_at > spans.IDLE_DROP:
                 account.outstanding -= entry.outstanding
@@ -225,3 +267,11 @@
         full = limit is None or account.level >= limit.capacity
         if full and not account.entries and not account.orphaned:
             del self.accounts[key]
+            self.floors.forget([key])
+
+    def note_level(self, now: float, key: str, account: KeyAccount, limit: KeyLimit) -> None:
+        """Keepers are to know of buckets that are below their floor, and of those that are full again."""
+        if account.level >= REFILLED_SHARE * limit.capacity:
+            self.floors.refilled(now, key)
+        elif account.level + account.owed < FLOOR_SHARE * limit.capacity:
+            self.floors.drain(now, key)
--- a/barleybarrow/limits/credit_machine.py
+++ b/barleybarrow/limits/credit_machine.py
@@ -21,6 +21,7 @@
 from barleybarrow.limits.messages import (
     CreditAnswer,
     CreditReport,
+    Drained,
     KeptRoster,
     Message,
     RosterAsk,
@@ -42,21 +43,34 @@
         self.members = Members(now, self.lent)
         self.ledger = CreditLedger(self.lent, limit_of)
         self.replies: dict[str, RosterReply] = {}
+        self.began_at = now
         self.version = 0
         self.first = False  # whether the plan that is pending is the first of the system
         self.pending: dict[str, float] | None = None  # the plan that keepers are to remember
         self.entries: list[RosterEntry] = []
+        self.drained = Drained()
         self.taken: set[str] = set()
         self.roster_at = now
         self.plan_at = now
 
 
+Word = RosterTaken | RosterReply | Promise
+
+
+@dataclass(frozen=True, slots=True)
+class GivenReply:
+    """The newest roster that this keeper has told a new warden."""
+
+    name: str = ""
+    reply: RosterReply = RosterReply(0, False, 0, [])
+
+
 @dataclass(frozen=True, slots=True)
 class Untold:
     """Word to a warden or seeker that waits until what it says is stored."""
 
     name: str
-    word: RosterTaken | Promise
+    word: Word
     revision: int
 
 
@@ -80,6 +94,7 @@
         self.revision = 0  # of what this keeper remembers: rises with each change in this process
         self.stored_revision = 0
         self.promise_revision = 0  # the revision that first held the newest promise
+        self.last_reply = GivenReply()
         self.to_tell: list[Untold] = []  # who is to hear once a revision is stored
         self.client = CreditClient(self.run, now, limit_of) if asks else None
         self.books: Term | None = None
@@ -200,6 +215,8 @@
         for name in books.members.silent(now):
             books.ledger.write_off(name)
         books.members.forget(now)
+        if now >= books.began_at + spans.CREDIT_LIFE:  # by then all proxies in touch have reported
+            books.ledger.floors.lent_changed(books.lent.value)
         books.ledger.clean(now)
         if books.pending is None:
             self.make_plan(now, books)
@@ -209,17 +226,18 @@
             self.send_to_missing(now, books)
         if not books.members.is_known(now):
             self.ask_rosters(now, books)
+            answered = sum(name in books.replies for name in self.keepers)
+            late = now >= books.began_at + spans.ROSTER_PATIENCE
+            books.ledger.floors.unchecked |= late and answered >= self.majority
 
     # The roster: as the warden
 
     def ask_rosters(self, now: float, books: Term) -> None:
-        books.replies[self.name] = RosterReply(
-            self.term, self.kept.known, self.kept.version, self.kept.entries
-        )
+        if self.name not in books.replies:
+            self.reply_roster(now, self.name, self.term)
         for name in self.keepers:
             if name != self.name and name not in books.replies:
                 self.out.append((name, RosterAsk(self.term)))
-        self.read_rosters(now, books)
 
     def read_rosters(self, now: float, books: Term) -> None:
         """A majority that has forgotten nothing knows the most that anybody may hold."""
@@ -236,14 +254,22 @@
                 if old is None or entry.base > old.base:
                     entries[entry.name, entry.run] = entry
         books.members.adopt(now, list(entries.values()))
+        drained = [reply.drained for reply in known if reply.version == version]
+        books.ledger.begin_floors(drained[0] if version else Drained(False))
         if version == 0:
             self.commit(now, books, {})  # nobody has granted anything before: buckets may begin full then
 
     def make_plan(self, now: float, books: Term) -> None:
         plan = books.members.plan(now)
-        if plan is None:
-            return
-        self.commit(now, books, plan)
+        if plan is not None:
+            self.commit(now, books, plan)
+        else:
+            self.remember_drained(now, books)
+
+    def remember_drained(self, now: float, books: Term) -> None:
+        """Have the keepers remember at once which buckets are needed below their floors."""
+        if books.ledger.floors.changed and books.pending is None and books.members.is_known(now):
+            self.commit(now, books, books.members.planned)
 
     def commit(self, now: float, books: Term, plan: dict[str, float]) -> None:
         """Have a majority of the keepers remember a plan before anybody is told of it."""
@@ -251,15 +277,16 @@
         books.first = books.version == 0
         books.pending, books.version = plan, books.version + 1
         books.entries = books.members.roster(plan)
+        books.drained = books.ledger.floors.to_remember()
         books.taken = set()
         self.send_roster(now, books)
 
     def send_roster(self, now: float, books: Term) -> None:
         books.roster_at = now + spans.ROSTER_REPEAT
-        self.keep(now, self.name, books.version, books.entries)
+        self.keep(now, self.name, books.version, books.entries, books.drained)
         for name in self.keepers:
             if name != self.name and name not in books.taken:
-                self.out.append((name, RosterUpdate(books.version, books.entries)))
+                self.out.append((name, RosterUpdate(books.version, books.entries, books.drained)))
 
     def send_to_missing(self, now: float, books: Term) -> None:
         """Have keepers that a majority did not wait for, or that came later, remember the roster as well."""
@@ -268,7 +295,7 @@
         books.roster_at = now + spans.ROSTER_REPEAT
         for name in self.keepers:
             if name != self.name and name not in books.taken:
-                self.out.append((name, RosterUpdate(books.version, books.entries)))
+                self.out.append((name, RosterUpdate(books.version, books.entries, books.drained)))
 
     def roster_taken(self, now: float, books: Term, name: str, version: int) -> None:
         if version != books.version or name not in self.keepers:
@@ -277,11 +304,25 @@
         if books.pending is not None and len(books.taken) >= self.majority:
             books.members.planned, books.members.raising = books.pending, True
             books.pending = None
+            books.ledger.floors.remembered()
             if books.first:
                 books.ledger.fresh = True
 
     # The roster: as a keeper
 
+    def reply_roster(self, now: float, name: str, term: int) -> None:
+        """Tell a new warden what is kept. From then on it may drain buckets: that is remembered first."""
+        kept, last = self.kept, self.last_reply
+        if (last.name, last.reply.term, last.reply.version) == (name, term, kept.version):
+            reply = last.reply  # asked again: what was kept when the term began
+        else:
+            reply = RosterReply(term, kept.known, kept.version, kept.entries, kept.drained)
+            self.last_reply = GivenReply(name, reply)
+        if not kept.drained.all:
+            self.remember(msgspec.structs.replace(kept, drained=Drained()))
+        self.tell_when_stored(name, reply)
+        self.tell_what_is_stored(now)
+
     def restore(self, now: float, kept: KeptRoster) -> None:
         """Before the start: what an earlier process of this keeper has stored."""
         self.kept, self.remembered = kept, kept.promised
@@ -305,23 +346,30 @@
         else:
             self.tell_when_stored(name, Promise(token, True))
 
-    def keep(self, now: float, warden: str, version: int, entries: list[RosterEntry]) -> None:
+    def keep(
+        self, now: float, warden: str, version: int, entries: list[RosterEntry], drained: Drained
+    ) -> None:
         """Remember a roster, and tell the warden, once it is stored where this keeper stores anything."""
-        changed = msgspec.structs.replace(self.kept, known=True, version=version, entries=entries)
+        changed = msgspec.structs.replace(
+            self.kept, known=True, version=version, entries=entries, drained=drained
+        )
         if changed != self.kept:
             self.remember(changed)
         self.tell_when_stored(warden, RosterTaken(version))
-        if not self.durable or self.stored_revision >= self.revision:
-            self.stored(now, self.revision)
+        self.tell_what_is_stored(now)
 
     def remember(self, kept: KeptRoster) -> None:
         self.kept = kept
         self.revision += 1
 
-    def tell_when_stored(self, name: str, word: RosterTaken | Promise) -> None:
+    def tell_when_stored(self, name: str, word: Word) -> None:
         others = [old for old in self.to_tell if (old.name, type(old.word)) != (name, type(word))]
         self.to_tell = [*others, Untold(name, word, self.revision)]
 
+    def tell_what_is_stored(self, now: float) -> None:
+        if not self.durable or self.stored_revision >= self.revision:
+            self.stored(now, self.revision)
+
     def stored(self, now: float, revision: int) -> None:
         """What this keeper remembers is stored, up to this revision."""
         self.stored_revision = max(self.stored_revision, revision)
@@ -330,13 +378,13 @@
         for untold in ready:
             self.tell(now, untold.name, untold.word)
 
-    def tell(self, now: float, name: str, word: RosterTaken | Promise) -> None:
+    def tell(self, now: float, name: str, word: Word) -> None:
         if isinstance(word, Promise):
             self.confirm_promise(now, name, word.token)
         elif name != self.name:
             self.out.append((name, word))
-        elif self.books is not None:
-            self.roster_taken(now, self.books, self.name, word.version)
+        else:
+            self.receive_roster(now, name, word)
 
     # Messages
 
@@ -351,11 +399,9 @@
                 self.client.answer(now, m)
         elif isinstance(m, RosterUpdate):
             if sender == self.promised and m.version >= self.kept.version:
-                self.keep(now, sender, m.version, m.entries)
+                self.keep(now, sender, m.version, m.entries, m.drained)
         elif isinstance(m, RosterAsk):
-            self.out.append(
-                (sender, RosterReply(m.term, self.kept.known, self.kept.version, self.kept.entries))
-            )
+            self.reply_roster(now, sender, m.term)
         elif isinstance(m, RosterTaken | RosterReply):
             self.receive_roster(now, sender, m)
         else:
@@ -388,6 +434,8 @@
         if new_run:
             books.ledger.write_off(sender)
         void_at = member.answered_at + spans.CREDIT_LIFE * DRIFT
+        books.ledger.old_credit_is_over = books.members.old_credit_is_over(now)
         grants = [books.ledger.take(now, sender, item, void_at) for item in m.items]
+        self.remember_drained(now, books)
         base = books.members.tell(now, sender, member, m.number)
         return CreditAnswer(m.term, m.number, base, [grant for grant in grants if grant is not None])
--- a/barleybarrow/limits/members.py
+++ b/barleybarrow/limits/members.py
@@ -52,13 +52,24 @@
         self.left: dict[str, int] = {}  # runs that have said that they end
         self.planned: dict[str, float] = {}  # bases that may be told
         self.raising = False  # whether a base may be raised to what is planned
+        self.credit_over_at = now + spans.CREDIT_LIFE * DRIFT  # then no credit of the term before is left
+        self.may_hold_credit: set[str] | None = None  # proxies that may hold such credit; None: not known
 
     def is_known(self, now: float) -> bool:
         """Whether everybody who may hold a base is a member."""
         return now >= self.known_at
 
+    def old_credit_is_over(self, now: float) -> bool:
+        """Whether all credit of the term before is spent or void: its time is over, or its holders ended.
+
+        A proxy that joined within the last moments of that term is not in the roster; the margin of the
+        bounds covers the little that it may hold.
+        """
+        return now >= self.credit_over_at or self.may_hold_credit == set()
+
     def adopt(self, now: float, entries: list[RosterEntry]) -> None:
         """Take what a majority of the keepers remembers; it is complete."""
+        self.may_hold_credit = {entry.name for entry in entries if not self.has_restarted(entry)}
         for entry in entries:
             member = self.members.get(entry.name)
             if member is None:
@@ -69,6 +80,15 @@
         self.known_at = now
         self.refresh_free(now)
 
+    def has_restarted(self, entry: RosterEntry) -> bool:
+        member = self.members.get(entry.name)
+        return member is not None and member.run != entry.run
+
+    def ended(self, name: str) -> None:
+        """The process of this name that the term before knew has ended."""
+        if self.may_hold_credit is not None:
+            self.may_hold_credit.discard(name)
+
     def set_held(self, member: Member, held: float) -> None:
         self.held += held - member.held
         member.held = held
@@ -105,6 +125,7 @@
         if member is None or member.run != run:
             return False
         self.left[name] = run
+        self.ended(name)
         self.set_held(member, 0.0)
         self.lent.drop(now, name)
         del self.members[name]
@@ -114,6 +135,7 @@
 
     def restarted(self, now: float, name: str, old: Member, run: int) -> Member:
         """The process before has ended: what it held is nobody's."""
+        self.ended(name)
         self.set_held(old, 0.0)
         self.lent.drop(now, name)
         member = self.members[name] = Member(run, now)
--- a/barleybarrow/limits/messages.py
+++ b/barleybarrow/limits/messages.py
@@ -14,6 +14,7 @@
 MOST_ITEMS = 200  # entries in one report; the others go with the next
 MOST_MEMBERS = 4096
 MOST_KEEPERS = 64
+MOST_DRAINED = 1000  # keys; where more are, all count
 
 Key = Annotated[str, Meta(max_length=200)]
 Amount = Annotated[float, Meta(ge=0.0, le=1e15)]
@@ -71,11 +72,19 @@
     base: Fraction
 
 
+class Drained(Struct, array_like=True, frozen=True):
+    """Keys whose bucket may be below its floor; those of all others are above it."""
+
+    all: bool = True
+    keys: Annotated[list[Key], Meta(max_length=MOST_DRAINED)] = []
+
+
 class RosterUpdate(Struct, array_like=True, frozen=True, tag=8):
     """The warden has keepers remember who may hold how much; the greater version holds."""
 
     version: Token
     entries: Annotated[list[RosterEntry], Meta(max_length=MOST_MEMBERS)]
+    drained: Drained = Drained()
 
 
 class RosterTaken(Struct, array_like=True, frozen=True, tag=9):
@@ -97,6 +106,7 @@
     known: bool
     version: Token
     entries: Annotated[list[RosterEntry], Meta(max_length=MOST_MEMBERS)]
+    drained: Drained = Drained()
 
 
 class KeptRoster(Struct, array_like=True, frozen=True):
@@ -107,6 +117,7 @@
     entries: Annotated[list[RosterEntry], Meta(max_length=MOST_MEMBERS)]
     promised: Key = ""  # the last seeker that this keeper promised itself to
     keepers: Annotated[list[Key], Meta(max_length=MOST_KEEPERS)] = []  # all keepers at that time
+    drained: Drained = Drained()
 
 
 Message = (
--- a/barleybarrow/limits/spans.py
+++ b/barleybarrow/limits/spans.py
@@ -26,4 +26,5 @@
 SILENT_HERE = 600.0  # from a proxy's newest report until the warden says again that it is there
 PLAN_EVERY = 200.0
 ROSTER_REPEAT = 500.0
+ROSTER_PATIENCE = 600.0  # of a new warden with keepers that know the roster, before it goes on without
 EXPECTED_PROXIES = 50  # until a proxy knows its base
--- a/tests/fleet/test_limits.py
+++ b/tests/fleet/test_limits.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from barleybarrow.documents import QuotaUnit, Service, Tenant
-from barleybarrow.limits import bounds, credit_ledger, lent, messages, warden_lease
+from barleybarrow.limits import bounds, credit_ledger, floors, lent, messages, warden_lease
 from barleybarrow.limits.bounds import LimitBounds
 from barleybarrow.limits.limits import Limits, Verdict
 from barleybarrow.limits.retries import RetryBudget
@@ -366,6 +366,51 @@
         self.assertFalse(limits.machine.kept.known)
 
 
+class FloorsOfBuckets(unittest.TestCase):
+    """What the keepers remember of buckets, and where a new term's buckets begin."""
+
+    def ledger(self, drained: messages.Drained) -> tuple[credit_ledger.CreditLedger, bounds.KeyLimit]:
+        limit = bounds.quota_limit(tenant("one", 100_000.0, unit=QuotaUnit.TOKENS), TOKENS)
+        assert limit is not None
+        fraction = lent.LentFraction(0.0)
+        fraction.set_free(0.0, 1.0)
+        ledger = credit_ledger.CreditLedger(fraction, lambda key: limit)
+        ledger.begin_floors(drained)
+        return ledger, limit
+
+    def test_raised_to_the_floor_once_old_credit_is_over(self) -> None:
+        ledger, limit = self.ledger(messages.Drained(False))
+        before = ledger.account(0.0, "k", limit).level
+        self.assertLessEqual(before, 0.0)
+        ledger.old_credit_is_over = True
+        self.assertAlmostEqual(ledger.account(0.0, "k", limit).level, floors.FLOOR_SHARE * limit.capacity)
+
+    def test_never_raised_where_it_may_have_been_drained(self) -> None:
+        for drained in (messages.Drained(True), messages.Drained(False, ["k"])):
+            ledger, limit = self.ledger(drained)
+            ledger.old_credit_is_over = True
+            self.assertLessEqual(ledger.account(0.0, "k", limit).level, 0.0)
+
+    def test_a_key_stays_drained_for_a_while_after_it_is_full_again(self) -> None:
+        known = floors.Floors()
+        known.drain(0.0, "k")
+        self.assertFalse(known.may_drain("k"))
+        self.assertEqual(known.to_remember(), messages.Drained(False, ["k"]))
+        known.remembered()
+        self.assertTrue(known.may_drain("k"))
+        known.refilled(floors.DRAINED_LEAST - 1.0, "k")
+        self.assertFalse(known.changed)
+        known.refilled(floors.DRAINED_LEAST, "k")
+        self.assertTrue(known.changed)
+        self.assertFalse(known.may_drain("k"))
+
+    def test_too_many_keys_are_all_keys(self) -> None:
+        known = floors.Floors()
+        for number in range(messages.MOST_DRAINED + 1):
+            known.drain(0.0, str(number))
+        self.assertEqual(known.to_remember(), messages.Drained(True))
+
+
 class StoredPromise(unittest.TestCase):
     """What a keeper does that starts again and has stored whom it had promised itself to."""
 
--- a/tests/fleet/test_limits_worlds.py
+++ b/tests/fleet/test_limits_worlds.py
@@ -13,6 +13,7 @@
     credit_client,
     credit_ledger,
     credit_machine,
+    floors,
     members,
     messages,
     spans,
@@ -213,9 +214,9 @@
     def test_credit_without_a_bound(self) -> None:
         original = credit_ledger.CreditLedger.grant_need
 
-        def grant_need(self, account, limit, entry, item):  # type: ignore[no-untyped-def]
+        def grant_need(self, account, limit, *rest):  # type: ignore[no-untyped-def]
             hidden, account.outstanding = account.outstanding, 0.0
-            result = original(self, account, limit, entry, item)
+            result = original(self, account, limit, *rest)
             account.outstanding += hidden
             return result
 
@@ -304,6 +305,30 @@
                 return str(error)
         return ""
 
+    def test_bucket_below_its_floor_before_keepers_know(self) -> None:
+        self.assertEqual(self.killed_again_and_again(), "")
+        with mock.patch.object(floors.Floors, "may_drain", lambda self, key: True):
+            with mock.patch.object(floors.Floors, "drain", lambda self, now, key: None):
+                self.assertIn("over the bound", self.killed_again_and_again())
+
+    def test_buckets_that_count_as_full_whatever_the_keepers_remember(self) -> None:
+        with mock.patch.object(floors.Floors, "was_drained", lambda self, key: False):
+            self.assertIn("over the bound", self.killed_again_and_again())
+
+    def killed_again_and_again(self) -> str:
+        """A tenant far over its limit, and all processes killed each 1.2 s, in several worlds."""
+        for seed in range(4):
+            world = World(8, [token_tenant("hot", 100_000.0)], seed=seed, durable=True)
+            world.demand(Demand("hot", 150.0, (1000.0, 10_000.0), start=4000.0))
+            world.at(0.0, "check", 20.0)
+            for round_ in range(6):
+                for name in [*world.keepers, *world.proxies]:
+                    world.at(9000.0 + 1200.0 * round_, "call", "kill", name)
+                    world.at(9100.0 + 1200.0 * round_, "call", "start", name)
+            if found := broken(world):
+                return found
+        return ""
+
     def restarted_keeper(self) -> str:
         """The warden is cut off; the one keeper that it had starts again and is asked by another."""
         for seed in range(12):
@@ -423,6 +448,20 @@
                 world.run(9200.0)
                 self.assertEqual(world.wardens(), before)
 
+    def test_nobody_below_the_limit_is_refused_after_all_were_killed(self) -> None:
+        for rate, per_s, cost in ((436_000.0, 36.0, BIG_COST), (18_000.0, 5.0, (300.0, 5000.0))):
+            with self.subTest(rate=rate):
+                world = World(11, [token_tenant("under", rate)], durable=True)
+                world.demand(Demand("under", per_s, cost, start=4000.0))
+                world.run(10_000.0)
+                for name in [*world.keepers, *world.proxies]:
+                    world.kill(name)
+                    world.at(11_000.0, "call", "start", name)
+                world.run(11_100.0)
+                before = world.tally["under"].refused
+                world.run(13_000.0)
+                self.assertEqual(world.tally["under"].refused, before)
+
     def test_lower_limit_binds_at_once(self) -> None:
         world = self.world(10, 2e6)
         world.run(10_000.0)
