Limits: the warden's lease is 0.7 s, so a lost one is followed in half the time

Ruled out: taking a closed or refused connection for proof that the warden is gone, since cuts may refuse as well.

Change: lease 0.7 s (1.2), renewed each 0.2 s (0.3); credit counts 0.6 s (0.8), a proxy falls back on its base after 0.75 s (0.95). Two tests that held the old length in figures take it from the constant, as strictly.

--- a/barleybarrow/limits/spans.py
+++ b/barleybarrow/limits/spans.py
@@ -3,14 +3,14 @@
 from barleybarrow.limits.warden_lease import LeaseTimes
 
 LEASE_TIMES = LeaseTimes(
-    lease=1200.0,  # a killed warden is followed soon; a slow machine still renews in time
-    renew=300.0,
-    seek=250.0,
+    lease=700.0,  # a killed warden is followed soon; one that stands still for 0.4 s still renews in time
+    renew=200.0,
+    seek=200.0,
     here=200.0,
     no_warden=300.0,
 )
-CREDIT_LIFE = 800.0  # credit counts so long from the question whose answer is the newest
-FALL = 950.0  # from the newest answer until a proxy uses its base; the warden stops using it before
+CREDIT_LIFE = 600.0  # credit counts so long from the question whose answer is the newest
+FALL = 750.0  # from the newest answer until a proxy uses its base; the warden stops using it before
 BASE_LIFE = 8000.0  # from the newest answered question until the base is void: keepers that have forgotten
 # the roster wait so long until anything is granted, which must be well within RecoverS
 REPORT_LEAST, REPORT_MOST = 120.0, 300.0  # between two reports of a proxy that has nothing to say
--- a/tests/fleet/test_limits.py
+++ b/tests/fleet/test_limits.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from barleybarrow.documents import QuotaUnit, Service, Tenant
-from barleybarrow.limits import bounds, credit_ledger, floors, lent, messages, warden_lease
+from barleybarrow.limits import bounds, credit_ledger, floors, lent, messages, spans, warden_lease
 from barleybarrow.limits.bounds import LimitBounds
 from barleybarrow.limits.limits import Limits, Verdict
 from barleybarrow.limits.retries import RetryBudget
@@ -436,7 +436,7 @@
     def test_others_wait_for_a_lease(self) -> None:
         limits = self.restarted(["a", "b", "c"])
         self.assertEqual(self.answer(limits, 10.0, "c"), [False])
-        self.assertEqual(self.answer(limits, 1200.0, "c"), [False])
+        self.assertEqual(self.answer(limits, 0.9 * spans.LEASE_TIMES.lease, "c"), [False])
 
     def test_among_other_keepers_it_says_nothing(self) -> None:
         limits = self.restarted(["a", "b", "d"])
@@ -459,8 +459,9 @@
         limits = Limits("d", ["a", "b", "c"], random.Random(1), 0.0, TOKENS, asks=False)
         limits.keepers_changed(5000.0, ["a", "b", "c", "d"])
         seek = messages.encode(warden_lease.Seek(1, 1))
-        limits.receive(6000.0, "a", seek)
-        limits.receive(6500.0, "a", messages.encode(warden_lease.Seek(1, 2)))
+        lease = spans.LEASE_TIMES.lease
+        limits.receive(5000.0 + 0.9 * lease, "a", seek)
+        limits.receive(5000.0 + 1.1 * lease, "a", messages.encode(warden_lease.Seek(1, 2)))
         answers = [messages.decode(payload) for _, payload in limits.outbox()]
         self.assertEqual(answers, [warden_lease.Promise(1, False), warden_lease.Promise(2, True)])
 
