--- a/barleybarrow/limits/spans.py
+++ b/barleybarrow/limits/spans.py
@@ -9,7 +9,7 @@
     here=200.0,
     no_warden=300.0,
 )
-CREDIT_LIFE = 600.0  # credit counts so long from the question whose answer is the newest
+CREDIT_LIFE = 620.0  # credit counts so long from the question whose answer is the newest
 FALL = 750.0  # from the newest answer until a proxy uses its base; the warden stops using it before
 BASE_LIFE = 8000.0  # from the newest answered question until the base is void: keepers that have forgotten
 # the roster wait so long until anything is granted, which must be well within RecoverS
