Limits: requests wait while a new warden waits for old credit to be over

Cause: in the first 0.1 s of a new term a bucket is at its debt though it is to be raised to its floor; requests of that moment were refused by 429 at once. Ruled out: the warden's election (0.1 s before the configuration's). Change: the warden says that it settles, so proxies ask again within their patience of 150 ms; the driver logs who the warden is.

--- a/barleybarrow/limits/credit_ledger.py
+++ b/barleybarrow/limits/credit_ledger.py
@@ -203,7 +203,7 @@
                 return 0.0, False
         if there >= least and above_floor < least:
             return FLOOR_WAIT, True
-        if there >= least and room < least:
+        if (there >= least and room < least) or account.owed > 0.0:
             return SETTLE_WAIT, True
         return self.wait(account, limit, item.first), False
 
--- a/brackenusher/cluster/limits_driver.py
+++ b/brackenusher/cluster/limits_driver.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import logging
 from collections.abc import Callable
 
 import betterproto
@@ -13,6 +14,8 @@
 from brackenusher.cluster import messages
 from brackenusher.cluster.links import Links
 
+log = logging.getLogger(__name__)
+
 MACHINE = "shares"  # name of the machine in MachineMessage
 SHORTEST_PAUSE_S = 0.001
 
@@ -26,6 +29,7 @@
         self._running = False
         self._tickets = 0
         self._waiting: dict[int, asyncio.Future[bool]] = {}
+        self._warden = ""
 
     def start(self) -> None:
         """Begin to take messages and to wake the machine. Needs a running event loop."""
@@ -93,6 +97,9 @@
 
     def _run(self) -> None:
         """Send what the machine wants sent, tell requests their verdicts, and set the timer anew."""
+        if self.limits.machine.warden != self._warden:
+            self._warden = self.limits.machine.warden
+            log.info("limits: warden=%s term=%d", self._warden, self.limits.machine.term)
         for address, payload in self.limits.outbox():
             self.links.send(address, messages.MachineMessage(machine=MACHINE, payload=payload))
         for ticket, admitted in self.limits.verdicts():
