Refusals: clients that are refused together are told to come back later, and apart

Cause: clients that a proxy without a configuration refused came back after 0.5 s, before there was one after a loss of power (0.65 s from the first start on), and were refused for good; those over a quota came back after 0.1 to 0.3 s, while the bucket was still empty. Change: no configuration: what is left of 0.7 s since the start, 0.5 s at least, and up to 0.15 s more by chance; quota: 0.35 s at least, up to twice by chance.

--- a/barleybarrow/limits/limits.py
+++ b/barleybarrow/limits/limits.py
@@ -19,8 +19,8 @@
 QUOTA_PREFIX, TOKENS_PREFIX = "quota:", "tokens:"  # two, as credit of one unit must not be spent in the other
 RETRY_PREFIX = "retry:"
 REPEAT_COST = 1.0
-RETRY_AFTER_LEAST, RETRY_AFTER_MOST = 100.0, 5000.0  # milliseconds that a refused client is told to wait
-RETRY_AFTER_ALONE = 600.0  # where no warden answers: half of what another takes to follow
+RETRY_AFTER_LEAST, RETRY_AFTER_MOST = 350.0, 5000.0  # milliseconds that a refused client is told to wait
+RETRY_SPREAD = 1.0  # at most so much of that wait more, by chance: clients refused together come back apart
 
 __all__ = ["Limits", "Verdict"]
 
@@ -113,18 +113,12 @@
             self.counts["admitted" if admitted else "refused"] += 1
         return settled
 
-    def retry_after_ms(self, now: float, tenant: Tenant, cost: float) -> float:
+    def retry_after_ms(self, tenant: Tenant, cost: float) -> float:
         """How long the client of a refused request had best wait, in milliseconds."""
         key = self.quota_keys.get(tenant.name)
-        if self.client is None or key is None:
-            return RETRY_AFTER_LEAST
-        entry = self.client.entries.get(key)
-        if entry is None:
-            return RETRY_AFTER_LEAST
-        rest = max(0.0, entry.blocked_until - now)
-        whole = 1000.0 * cost / self.limits[key].rate
-        least = RETRY_AFTER_LEAST if now < self.client.valid_until else RETRY_AFTER_ALONE
-        return min(RETRY_AFTER_MOST, max(least, 2.0 * rest, whole))
+        whole = 1000.0 * cost / self.limits[key].rate if key is not None else 0.0
+        spread = 1.0 + RETRY_SPREAD * self.machine.rng.random()
+        return min(RETRY_AFTER_MOST, max(RETRY_AFTER_LEAST, whole) * spread)
 
     def requested(self, now: float, service: str) -> None:
         """Count a client's request for a service."""
--- a/brackenusher/data_plane/ports.py
+++ b/brackenusher/data_plane/ports.py
@@ -60,7 +60,7 @@
     def admit(self, now: float, tenant: Tenant, cost: float) -> bool:
         """Whether a request of this cost is within the quota; counts it if so."""
 
-    def retry_after_ms(self, now: float, tenant: Tenant, cost: float) -> float:
+    def retry_after_ms(self, tenant: Tenant, cost: float) -> float:
         """How long a request beyond the quota had best wait."""
 
     def requested(self, now: float, service: str) -> None:
--- a/brackenusher/data_plane/proxy.py
+++ b/brackenusher/data_plane/proxy.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable, Sequence
 
 from barleybarrow.documents import ClientLimits, Configuration, QuotaUnit, Service, Tenant
@@ -30,7 +31,9 @@
 
 log = logging.getLogger(__name__)
 
-NOT_CONFIGURED_RETRY_MS = 500.0  # a first configuration comes within seconds of the start
+START_MS = 700.0  # from the start of all processes until requests are served; where there is trouble, more
+NOT_CONFIGURED_RETRY_MS = 500.0  # after that
+NOT_CONFIGURED_SPREAD_MS = 150.0  # clients refused together come back apart
 DEADLINE_RETRY_MS = 1000.0
 MOST_BUFFERED_SHARE = 0.25  # of the process's memory, for bodies that are being read or sent
 STREAM_DEADLINE_SLACK_S = 0.2  # the server ends its own stream at the deadline; its end has to arrive
@@ -75,6 +78,7 @@
         self._most_buffered = int(memory_mb * 1024 * 1024 * MOST_BUFFERED_SHARE)
         self._wakeup: asyncio.TimerHandle | None = None
         self._wakeup_at = float("inf")  # milliseconds
+        self._started_ms = self._now_ms()
 
     # Configuration and servers
 
@@ -152,7 +156,7 @@
     def check_head(self, head: RequestHead) -> OwnAnswer | None:
         """What stands against this request already, if anything."""
         if self.configuration is None:
-            return OwnAnswer(503, "no configuration yet", NOT_CONFIGURED_RETRY_MS)
+            return OwnAnswer(503, "no configuration yet", self._start_retry_ms())
         head.configuration = self.configuration
         head.route = self._routes.find(head.facts.host, head.target.decode("latin-1"))
         if head.route is None:
@@ -163,6 +167,10 @@
             return OwnAnswer(401, "the key in Api-Key is missing or not known")
         return None
 
+    def _start_retry_ms(self) -> float:
+        left_ms = START_MS - (self._now_ms() - self._started_ms)
+        return max(NOT_CONFIGURED_RETRY_MS, left_ms) + NOT_CONFIGURED_SPREAD_MS * random.random()
+
     def handle(self, connection: FrontConnection, head: RequestHead, body: bytes) -> Exchange | None:
         """A request was read, whole: find its service and its server."""
         refusal = None if head.configuration is self.configuration else self.check_head(head)
@@ -170,11 +178,10 @@
             connection.send_own(refusal.status, refusal.reason, refusal.retry_after_ms)
             return None
         tenant = head.tenant
-        now = self._now_ms()
         cost = request_cost(tenant, head)
         verdict = self._admit(tenant, cost) if tenant is not None else True
         if verdict is False:
-            retry_after_ms = self._limits.retry_after_ms(now, tenant, cost) if tenant is not None else 0.0
+            retry_after_ms = self._limits.retry_after_ms(tenant, cost) if tenant is not None else 0.0
             connection.send_own(429, OVER_QUOTA, retry_after_ms)
             return None
         exchange = self._open_exchange(connection, head, body)
@@ -259,7 +266,7 @@
                 self._dispatch(exchange, tenant)
             else:
                 self._note(exchange, "refused", 429, OVER_QUOTA)
-                exchange.refuse(429, OVER_QUOTA, self._limits.retry_after_ms(self._now_ms(), tenant, cost))
+                exchange.refuse(429, OVER_QUOTA, self._limits.retry_after_ms(tenant, cost))
 
         verdict.add_done_callback(decided)
 
--- a/tests/fleet/data_plane_support.py
+++ b/tests/fleet/data_plane_support.py
@@ -297,7 +297,7 @@
         self.room -= cost
         return True
 
-    def retry_after_ms(self, now: float, tenant: Tenant, cost: float) -> float:
+    def retry_after_ms(self, tenant: Tenant, cost: float) -> float:
         """Fixed."""
         return 750.0
 
--- a/tests/fleet/test_limits.py
+++ b/tests/fleet/test_limits.py
@@ -126,8 +126,8 @@
             limits.tick(now)
             refused += limits.decide(now, paying, 1.0, None) is Verdict.REFUSED
         self.assertGreater(refused, 1000)
-        self.assertGreaterEqual(limits.retry_after_ms(now, paying, 1.0), 100.0)
-        self.assertLessEqual(limits.retry_after_ms(now, paying, 1.0), 5000.0)
+        self.assertGreaterEqual(limits.retry_after_ms(paying, 1.0), 300.0)
+        self.assertLessEqual(limits.retry_after_ms(paying, 1.0), 5000.0)
 
     def test_without_a_warden_requests_wait_a_bounded_time(self) -> None:
         paying = tenant("one", 100.0)
