Routing: a subject that was read of late is rather sent where it is kept

A server that keeps the subject lost to one that does not as soon as its backlog was longer than the reading. Change: reading a subject at a server that does not keep it costs a quarter of the aim more where the subject is known to have been sent within again_s, by this proxy or another that told.

--- a/barleybarrow/routing/actions.py
+++ b/barleybarrow/routing/actions.py
@@ -53,6 +53,7 @@
 
     zone: str = ""
     proxies: int = 1  # how many proxies are believed to send to the same servers; at least 1
+    again_ms: float = 3000.0  # within which a shared part had better not be read again elsewhere
 
 
 @dataclass(slots=True)
--- a/barleybarrow/routing/dispatcher.py
+++ b/barleybarrow/routing/dispatcher.py
@@ -28,7 +28,7 @@
 from barleybarrow.routing.announcements import Announcement, AnnouncementBox
 from barleybarrow.routing.exchange import Choice, Exchange
 from barleybarrow.routing.pool import ServerRecord, ServicePool
-from barleybarrow.routing.selection import Selector
+from barleybarrow.routing.selection import Selector, subject_of
 from barleybarrow.routing.silence import SilenceWatch, may_eject, silent_at
 from barleybarrow.routing.speed import FEWEST_SAMPLES
 
@@ -64,7 +64,7 @@
         self._lists: dict[str, list[ServerInfo]] = {}
         self._exchanges: dict[RequestId, Exchange] = {}
         self._silence = SilenceWatch()
-        self._selector = selector or Selector(rng)
+        self._selector = selector or Selector(rng, settings.again_ms)
 
     def configure(self, now: float, services: Mapping[str, Service], routes: Sequence[Route]) -> None:
         """Take a new configuration."""
@@ -206,6 +206,7 @@
             if news.subject:
                 server.cache.fill(max(0, news.tokens_to_read - news.subject_tokens))
                 server.cache.sent(((news.subject, news.subject_tokens),))
+                service.used(now, news.subject)
 
     def tick(self, now: float) -> list[Action]:
         """Do what has fallen due: requests whose server keeps silent go on elsewhere where they may."""
@@ -258,6 +259,8 @@
         server.will_read(now, choice.reading_ms)
         exchange.read_until = server.unshifted_until
         server.cache.sent(request.prompt_parts)
+        if subject := subject_of(request):
+            pool.used(now, subject)
         self._tell(request, server, choice)
         profile = pool.profile(request.route.name)
         profile.count(now, 1)
--- a/barleybarrow/routing/pool.py
+++ b/barleybarrow/routing/pool.py
@@ -3,7 +3,9 @@
 Records only; decisions are made by the dispatcher and its parts.
 """
 
+from collections import OrderedDict
 from collections.abc import Iterable
+from math import inf
 from typing import Protocol
 
 from barleybarrow.documents import Service
@@ -15,6 +17,7 @@
 from barleybarrow.routing.speed import EXCESS_WEIGHT, ReadingTime, ServerSpeed, Smoothed
 from barleybarrow.routing.thresholds import IdleThreshold
 
+MOST_SUBJECTS = 4096  # shared parts of prompts whose last use is remembered
 LARGE_FLEET = 24  # servers: up to here all are looked at for each request, beyond only a few
 
 
@@ -126,6 +129,7 @@
         self.troubled = False  # some server may be full, or left alone after failures
         self.ring: HashRing | None = None
         self.profiles: dict[str, RouteProfile] = {}  # by the route's name
+        self.subjects: OrderedDict[str, float] = OrderedDict()  # when each was last sent, latest last
         self._stream_order: list[ServerRecord] = []  # the same in every proxy
         self._stream_servers = 0
 
@@ -166,6 +170,17 @@
         for record in self.servers.values():
             record.cache.capacity_tokens = self._known_capacity(proxies)
 
+    def used(self, now: float, subject: str) -> None:
+        """Note that a prompt with this subject was sent to some server."""
+        self.subjects[subject] = now
+        self.subjects.move_to_end(subject)
+        if len(self.subjects) > MOST_SUBJECTS:
+            self.subjects.popitem(last=False)
+
+    def was_used(self, subject: str, since: float) -> bool:
+        """Whether a prompt with this subject is known to have been sent since then."""
+        return self.subjects.get(subject, -inf) >= since
+
     def profile(self, route: str) -> RouteProfile:
         """What is known of the requests of a route."""
         profile = self.profiles.get(route)
--- a/barleybarrow/routing/selection.py
+++ b/barleybarrow/routing/selection.py
@@ -27,6 +27,7 @@
 STREAMS_STALL_WEIGHT = 2.0  # and on a server that is kept for long streams
 OWN_STALL_WEIGHT = 0.3  # what a millisecond of reading costs beside each stream of this proxy's own
 COLD_FACTOR = 2.0  # by what a server that says it is still cold is thought slower
+AGAIN_SHARE_OF_AIM = 1 / 4  # what reading a subject again costs, in time, where it was read of late elsewhere
 ELSEWHERE_SHARE = 0.5  # of a subject's tokens that proxies which tell nothing are thought to have sent home
 
 
@@ -45,6 +46,7 @@
     unheard_tokens: int  # of the subject, that others are thought to have sent to its home
     safe_ms: float  # reading in one go that harms no stream
     apart_ms: float  # what a long stream loses on a server that is not kept for streams
+    again_ms: float  # what reading the subject at a server that does not keep it costs beside the time
 
 
 @dataclass(slots=True)
@@ -63,8 +65,9 @@
 class Selector:
     """Weighs servers for a request."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, again_ms: float = 0.0) -> None:
         self._rng = rng
+        self.again_ms = again_ms
 
     def pick(self, now: float, pool: ServicePool, exchange: Exchange) -> Choice | None:
         """The server to send to now; None if none may be tried."""
@@ -100,8 +103,15 @@
             int(unheard),
             SAFE_SHARE_OF_GAP * route.gap_aim_ms or inf,
             APART_SHARE_OF_AIM * route.target_latency_ms,
+            self._again_ms(now, pool, request),
         )
 
+    def _again_ms(self, now: float, pool: ServicePool, request: DispatchRequest) -> float:
+        subject = subject_of(request)
+        if subject is None or not pool.was_used(subject, now - self.again_ms):
+            return 0.0
+        return AGAIN_SHARE_OF_AIM * request.route.target_latency_ms
+
     def _best(self, query: _Query, in_order: list[ServerRecord]) -> _Weighed:
         """The fastest idle one, or the fastest if none is idle; of near-ties the first in the key's order."""
         home = in_order[0]
@@ -142,14 +152,18 @@
     def _weigh(self, query: _Query, server: ServerRecord, is_home: bool) -> _Weighed:
         now = query.now
         tokens = query.common_tokens - kept_tokens(query.request.prompt_parts, server)
-        if is_home and tokens == query.common_tokens:
-            tokens -= query.unheard_tokens
+        again_ms = 0.0
+        if tokens == query.common_tokens:  # it does not keep the subject, as far as is known
+            again_ms = query.again_ms
+            tokens -= query.unheard_tokens if is_home else 0
         reading_ms = tokens * query.ms_per_token
         expected_ms = reading_ms + query.mean_excess_ms + server.backlog_ms(now)
         expected_ms += server.speed.slower_ms(now, query.mean_excess_ms)
         if server.cold_until > now:
             expected_ms *= COLD_FACTOR
-        cost_ms = expected_ms + OWN_STALL_WEIGHT * reading_ms * (server.in_flight - len(server.waiting))
+        cost_ms = (
+            expected_ms + again_ms + OWN_STALL_WEIGHT * reading_ms * (server.in_flight - len(server.waiting))
+        )
         if query.is_streaming:
             cost_ms += 0.0 if server.for_streams else query.apart_ms
         else:
