--- a/tests/fleet/test_routing_announcements.py
+++ b/tests/fleet/test_routing_announcements.py
@@ -6,16 +6,17 @@
 from collections.abc import Callable
 
 from barleybarrow.documents import Engine, Route, Service
-from barleybarrow.routing.actions import DispatchRequest, DispatchSettings, Send, ServerInfo
+from barleybarrow.routing.actions import DispatchRequest, DispatchSettings, Outcome, Send, ServerInfo
 from barleybarrow.routing.announcements import Announcement, decode, encode
 from barleybarrow.routing.dispatcher import Dispatcher
+from barleybarrow.routing.pool import MOST_SUBJECTS
 from brackenusher.data_plane.announcer import MOST_AT_ONCE, Announcer
 
 ROUTE = Route("r", "h", "/p/", "streaming", 2_000.0, 200.0, 1, "llm", gap_aim_ms=150.0)
 
 
-def make_dispatcher(seed: int = 1) -> Dispatcher:
-    dispatcher = Dispatcher(DispatchSettings("z", 3), random.Random(seed), 0.0)
+def make_dispatcher(seed: int = 1, settings: DispatchSettings | None = None) -> Dispatcher:
+    dispatcher = Dispatcher(settings or DispatchSettings("z", 3), random.Random(seed), 0.0)
     dispatcher.configure(0.0, {"llm": Service("llm", engine=Engine(12, 100_000, stride=40))}, [ROUTE])
     dispatcher.servers(0.0, "llm", [ServerInfo(name, name, "z", 12) for name in "abc"])
     return dispatcher
@@ -71,6 +72,47 @@
         self.assertEqual(dispatcher.news.proxies(60_000.0), 1)
 
 
+class ReadingAgainTests(unittest.TestCase):
+    """A subject whose server has a wait that is longer than reading it anew elsewhere would take."""
+
+    def second_choice(self, again_ms: float, now: float = 100.0) -> tuple[str, str]:
+        """The servers of the first prompt with a subject, and of one that comes later."""
+        dispatcher = make_dispatcher(settings=DispatchSettings("z", 3, again_ms))
+        first = dispatcher.arrived(0.0, request(1))[0]
+        assert isinstance(first, Send)
+        dispatcher.finished(30.0, 1, first.server_id, Outcome.SERVED)
+        server = dispatcher.pools["llm"].servers[first.server_id]
+        server.will_read(now, 40.0)
+        second = dispatcher.arrived(now, request(2, now=now))[0]
+        assert isinstance(second, Send)
+        return first.server_id, second.server_id
+
+    def test_it_waits_where_it_is_kept(self) -> None:
+        first, second = self.second_choice(again_ms=3_000.0)
+        self.assertEqual(second, first)
+
+    def test_it_goes_elsewhere_where_reading_again_costs_time_alone(self) -> None:
+        first, second = self.second_choice(again_ms=0.0)
+        self.assertNotEqual(second, first)
+
+    def test_it_goes_elsewhere_once_it_was_not_used_for_long(self) -> None:
+        first, second = self.second_choice(again_ms=3_000.0, now=4_000.0)
+        self.assertNotEqual(second, first)
+
+    def test_what_another_proxy_sent_counts(self) -> None:
+        dispatcher = make_dispatcher()
+        dispatcher.heard(0.0, "p2", [Announcement("llm", "b", "5a", 3_000, 4_000)])
+        self.assertTrue(dispatcher.pools["llm"].was_used("5a", 0.0))
+        self.assertFalse(dispatcher.pools["llm"].was_used("5b", 0.0))
+
+    def test_subjects_remembered_are_bounded(self) -> None:
+        pool = make_dispatcher().pools["llm"]
+        for number in range(MOST_SUBJECTS + 10):
+            pool.used(float(number), str(number))
+        self.assertEqual(len(pool.subjects), MOST_SUBJECTS)
+        self.assertFalse(pool.was_used("0", 0.0))
+
+
 class _Loop:
     """The two calls of an event loop that the announcer makes."""
 
