Routing: proxies tell each other how many long streams they have at a server

Change: an announcement also names the sender's long streams at that server, and one is told when a stream ends. The slots that streams hold count against a server by their fourth power, and a further stream goes where the fewest are. Tests: the newest word of each proxy, old words, begin and end, the choice of streams and of prompts. The row of five fields is now among the unreadable ones; the other bad rows have six.

--- a/barleybarrow/routing/announcements.py
+++ b/barleybarrow/routing/announcements.py
@@ -10,19 +10,20 @@
 from dataclasses import dataclass
 
 MOST_KEPT = 256  # news not yet fetched: older ones are of no use by then
-FIELD_TYPES = (str, str, str, int, int)  # of an Announcement, in order
+FIELD_TYPES = (str, str, str, int, int, int)  # of an Announcement, in order
 PEER_FORGOTTEN_MS = 5_000.0  # a proxy that told nothing for so long no longer counts
 
 
 @dataclass(slots=True)
 class Announcement:
-    """One prompt sent to a server."""
+    """One prompt sent to a server; without tokens to read, only the number of streams there is news."""
 
     service: str
     server_id: str
     subject: str  # the last shared part of the prompt; empty where there is none
     subject_tokens: int
     tokens_to_read: int
+    streams: int = 0  # long streams of the sender at this server now
 
 
 class AnnouncementBox:
@@ -59,7 +60,10 @@
 
 def encode(announcements: Sequence[Announcement]) -> bytes:
     """Announcements as a JSON array of arrays: short, and read and written in C."""
-    rows = [[a.service, a.server_id, a.subject, a.subject_tokens, a.tokens_to_read] for a in announcements]
+    rows = [
+        [a.service, a.server_id, a.subject, a.subject_tokens, a.tokens_to_read, a.streams]
+        for a in announcements
+    ]
     return json.dumps(rows, separators=(",", ":")).encode()
 
 
@@ -74,7 +78,7 @@
             raise ValueError("an announcement has other fields")
         if not all(type(value) is kind for value, kind in zip(row, FIELD_TYPES, strict=True)):
             raise ValueError("an announcement has fields of other types")
-        if row[3] < 0 or row[4] < 0:
-            raise ValueError("an announcement counts tokens below zero")
+        if min(row[3:]) < 0:
+            raise ValueError("an announcement counts below zero")
         found.append(Announcement(*row))
     return found
--- a/barleybarrow/routing/dispatcher.py
+++ b/barleybarrow/routing/dispatcher.py
@@ -202,6 +202,9 @@
             server = service.servers.get(news.server_id) if service else None
             if service is None or server is None:
                 continue
+            server.hear_streams(now, peer, news.streams)
+            if news.tokens_to_read == 0:
+                continue
             server.will_read(now, news.tokens_to_read * service.reading.ms_per_token)
             if news.subject:
                 server.cache.fill(max(0, news.tokens_to_read - news.subject_tokens))
@@ -261,9 +264,11 @@
         server.cache.sent(request.prompt_parts)
         if subject := subject_of(request):
             pool.used(now, subject)
-        self._tell(request, server, choice)
         profile = pool.profile(request.route.name)
         profile.count(now, 1)
+        exchange.is_stream = profile.is_streaming
+        server.streams += exchange.is_stream
+        self._tell(request, server, choice)
         profile.reading.learn(choice.reading_ms)
         priority = min(max(request.priority, FOREMOST), LAST) if pool.service.engine else None
         self.counters.add("sent")
@@ -273,7 +278,8 @@
     def _tell(self, request: DispatchRequest, server: ServerRecord, choice: Choice) -> None:
         subject, tokens = request.prompt_parts[-2] if len(request.prompt_parts) >= 2 else ("", 0)
         if choice.tokens_to_read > 0:
-            news = Announcement(request.service, server.info.id, subject, tokens, choice.tokens_to_read)
+            read = choice.tokens_to_read
+            news = Announcement(request.service, server.info.id, subject, tokens, read, server.streams)
             self.news.tell(news)
 
     def _give_up(self, now: float, exchange: Exchange, reason: RefusalReason) -> list[Action]:
@@ -321,6 +327,10 @@
         server.in_flight -= 1
         self._began(exchange, server)
         exchange.server = None
+        if exchange.is_stream:
+            server.streams -= 1
+            service = exchange.request.service
+            self.news.tell(Announcement(service, server.info.id, "", 0, 0, server.streams))
         if pool := self.pools.get(exchange.request.service):
             pool.profile(exchange.request.route.name).count(now, -1)
 
--- a/barleybarrow/routing/exchange.py
+++ b/barleybarrow/routing/exchange.py
@@ -27,6 +27,7 @@
     attempts: int = 0  # servers it was sent to
     unreached: int = 0  # servers to which no connection could be opened
     may_have_run: bool = False
+    is_stream: bool = False  # counted as a long stream at its server
     sent_at: float = 0.0
     first_event_at: float | None = None
     last_event_at: float = 0.0
--- a/barleybarrow/routing/pool.py
+++ b/barleybarrow/routing/pool.py
@@ -23,6 +23,7 @@
 
 FAILURES_WEIGHT = 1 / 64  # of an answer in the share that fails everywhere: far slower than one server's own
 RESPITE_MS = 10.0  # without a prompt to read, streams catch up: some ten tokens
+STREAMS_TOLD_MS = 10_000.0  # a number of streams that was not told again for so long counts no more
 STREAMS_KEY = stable_hash("long streams")  # by which all proxies keep the same servers for them
 
 
@@ -46,6 +47,9 @@
         "reading_since",
         "shifted_ms",
         "for_streams",
+        "streams",
+        "streams_elsewhere",
+        "_streams_of",
         "heard_at",
         "cold_until",
         "health",
@@ -71,12 +75,27 @@
         self.heard_at = now  # the last event of any of its streams
         self.shifted_ms = 0.0  # by which first events have proved `reading_until` too late, in all
         self.for_streams = False  # kept for long streams
+        self.streams = 0  # own long streams there
+        self.streams_elsewhere = 0  # long streams there of other proxies, as they told
+        self._streams_of: dict[str, tuple[int, float]] = {}  # by proxy, and when it told
         self.health = ServerHealth()
         self.speed = ServerSpeed(mean_ms, now)
         self.idle = IdleThreshold(first_limit, max(info.slots, 1))
         self.cache = PrefixCache(kept_tokens)
         self.listed = True
 
+    def hear_streams(self, now: float, peer: str, streams: int) -> None:
+        """Another proxy tells how many long streams it has there."""
+        self._streams_of[peer] = streams, now
+        told = {name: (n, at) for name, (n, at) in self._streams_of.items() if now - at < STREAMS_TOLD_MS}
+        self._streams_of = told
+        self.streams_elsewhere = sum(n for n, _ in told.values())
+
+    @property
+    def held_share(self) -> float:
+        """The part of its slots that long streams hold, as far as is known."""
+        return (self.streams + self.streams_elsewhere) / max(1, self.info.slots)
+
     def will_read(self, now: float, reading_ms: float) -> None:
         """Note a prompt that is on its way there."""
         if now > self.reading_until + RESPITE_MS:
--- a/barleybarrow/routing/selection.py
+++ b/barleybarrow/routing/selection.py
@@ -22,6 +22,8 @@
 DRAWN = 5  # in a large fleet: drawn by chance, of which some are idle
 FAR_SHARE_OF_AIM = 0.5  # beyond this all servers are weighed: the wait has used up what a kept part saves
 APART_SHARE_OF_AIM = 1 / 4  # what a long stream loses, in time, on a server that is not kept for streams
+HELD_POWER = 4  # slots that streams hold cost little until few are left
+STREAM_HELD_WEIGHT = 0.5  # of the aim: a further stream goes where the fewest are
 SAFE_SHARE_OF_GAP = 0.4  # of the pause that a stream bears: reading for so long harms none of them
 STALL_WEIGHT = 0.5  # what a millisecond of reading beyond that costs, for the short streams on every server
 STREAMS_STALL_WEIGHT = 2.0  # and on a server that is kept for long streams
@@ -164,7 +166,10 @@
         cost_ms = (
             expected_ms + again_ms + OWN_STALL_WEIGHT * reading_ms * (server.in_flight - len(server.waiting))
         )
+        aim_ms, held = query.request.route.target_latency_ms, server.held_share
+        cost_ms += aim_ms * held**HELD_POWER
         if query.is_streaming:
+            cost_ms += STREAM_HELD_WEIGHT * aim_ms * held
             cost_ms += 0.0 if server.for_streams else query.apart_ms
         else:
             over_ms = server.reading_span_ms(now, reading_ms) - query.safe_ms
--- a/tests/fleet/test_routing_announcements.py
+++ b/tests/fleet/test_routing_announcements.py
@@ -9,7 +9,7 @@
 from barleybarrow.routing.actions import DispatchRequest, DispatchSettings, Outcome, Send, ServerInfo
 from barleybarrow.routing.announcements import Announcement, decode, encode
 from barleybarrow.routing.dispatcher import Dispatcher
-from barleybarrow.routing.pool import MOST_SUBJECTS
+from barleybarrow.routing.pool import MOST_SUBJECTS, STREAMS_TOLD_MS
 from brackenusher.data_plane.announcer import MOST_AT_ONCE, Announcer
 
 ROUTE = Route("r", "h", "/p/", "streaming", 2_000.0, 200.0, 1, "llm", gap_aim_ms=150.0)
@@ -33,8 +33,9 @@
         self.assertEqual(decode(encode(news)), news)
 
     def test_other_bytes_are_an_error(self) -> None:
-        rows = [b"", b"\xff", b"{}", b"[1]", b'[["a"]]', b'[["a","b","c",1.5,2]]', b'[["a","b","c",-1,2]]']
-        rows.append(b'[["a","b","c",true,2]]')
+        rows = [b"", b"\xff", b"{}", b"[1]", b'[["a"]]', b'[["a","b","c",1.5,2,0]]']
+        rows += [b'[["a","b","c",1,2]]', b'[["a","b","c",-1,2,0]]', b'[["a","b","c",1,2,-1]]']
+        rows.append(b'[["a","b","c",true,2,0]]')
         for data in rows:
             self.assertRaises(ValueError, decode, data)
 
@@ -113,6 +114,64 @@
         self.assertFalse(pool.was_used("0", 0.0))
 
 
+class StreamsElsewhereTests(unittest.TestCase):
+    """Long streams hold a server's slots for seconds; proxies tell each other how many they have there."""
+
+    def setUp(self) -> None:
+        self.dispatcher = make_dispatcher()
+        self.pool = self.dispatcher.pools["llm"]
+
+    def tell(self, now: float, peer: str, server: str, streams: int) -> None:
+        self.dispatcher.heard(now, peer, [Announcement("llm", server, "", 0, 0, streams)])
+
+    def make_streaming(self) -> None:
+        profile = self.pool.profile(ROUTE.name)
+        for _ in range(10):
+            profile.streaming.learn(2_000.0)
+            profile.reading.learn(1.0)
+
+    def test_the_newest_word_of_each_proxy_counts(self) -> None:
+        self.tell(0.0, "p2", "a", 3)
+        self.tell(1.0, "p3", "a", 4)
+        self.tell(2.0, "p2", "a", 1)
+        self.assertEqual(self.pool.servers["a"].streams_elsewhere, 5)
+
+    def test_an_old_word_counts_no_more(self) -> None:
+        self.tell(0.0, "p2", "a", 3)
+        self.tell(STREAMS_TOLD_MS, "p3", "a", 4)
+        self.assertEqual(self.pool.servers["a"].streams_elsewhere, 4)
+
+    def test_streams_are_told_as_they_begin_and_end(self) -> None:
+        self.make_streaming()
+        send = self.dispatcher.arrived(0.0, request(1))[0]
+        assert isinstance(send, Send)
+        self.assertEqual([news.streams for news in self.dispatcher.announcements()], [1])
+        self.dispatcher.finished(10.0, 1, send.server_id, Outcome.SERVED)
+        news = self.dispatcher.announcements()
+        self.assertEqual([(item.streams, item.tokens_to_read) for item in news], [(0, 0)])
+        self.assertEqual(self.pool.servers[send.server_id].streams, 0)
+
+    def test_a_stream_goes_where_the_fewest_are(self) -> None:
+        self.make_streaming()
+        self.tell(0.0, "p2", "a", 9)
+        self.tell(0.0, "p2", "b", 2)
+        self.tell(0.0, "p2", "c", 7)
+        for number in range(5):
+            send = self.dispatcher.arrived(0.0, request(number, subject=f"{number:x}"))[0]
+            assert isinstance(send, Send)
+            self.assertEqual(send.server_id, "b")
+            self.dispatcher.finished(1.0, number, send.server_id, Outcome.SERVED)
+
+    def test_a_prompt_stays_away_from_a_server_whose_slots_are_held(self) -> None:
+        first = self.dispatcher.arrived(0.0, request(1))[0]
+        assert isinstance(first, Send)
+        self.dispatcher.abandoned(0.0, 1)
+        self.tell(0.0, "p2", first.server_id, 12)
+        second = self.dispatcher.arrived(1.0, request(2, now=1.0))[0]
+        assert isinstance(second, Send)
+        self.assertNotEqual(second.server_id, first.server_id)
+
+
 class _Loop:
     """The two calls of an event loop that the announcer makes."""
 
