--- /dev/null
+++ b/tests/fleet/limits_support.py
@@ -0,0 +1,53 @@
+"""What the tests of the limits share: tenants, a process by itself, links without sockets."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+from barleybarrow.documents import Service, Tenant
+from barleybarrow.limits.bounds import LimitBounds
+from barleybarrow.limits.limits import Limits
+from brackenusher.cluster import messages as cluster_messages
+from brackenusher.cluster.limits_driver import MACHINE
+
+TOKENS = LimitBounds(quota_slack=72_000.0)
+
+
+def tenant(name: str, rate: float = 0.0, **more: Any) -> Tenant:
+    return Tenant(name, [f"{name}-1", f"{name}-2"], rate_per_s=rate, burst=rate, **more)
+
+
+def single(limits_of: list[Tenant], window: LimitBounds = TOKENS) -> tuple[Limits, float]:
+    """A process that is the only keeper and a proxy at once, after it has become the warden."""
+    limits = Limits("a", ["a"], random.Random(1), 0.0, window, fresh=True)
+    limits.configure(0.0, limits_of, [Service("s")])
+    now = 0.0
+    while now < 4000.0:
+        now = max(now + 1.0, limits.next_wakeup())
+        limits.tick(now)
+    return limits, now
+
+
+class FakeLinks:
+    """One process's end of links that deliver on the same loop."""
+
+    def __init__(self, address: str, net: dict[str, "FakeLinks"]) -> None:
+        self.address, self.net = address, net
+        self.handler: Callable[[str, Any], None] = lambda sender, message: None
+        net[address] = self
+
+    def connected(self) -> dict[str, object]:
+        return {name: object() for name in self.net if name != self.address}
+
+    def on_message(self, kind: type, handler: Callable[[str, Any], None]) -> None:
+        self.handler = handler
+
+    def on_change(self, handler: Callable[[str, Any], None]) -> None:
+        pass
+
+    def send(self, address: str, message: Any) -> bool:
+        assert isinstance(message, cluster_messages.MachineMessage) and message.machine == MACHINE
+        loop = asyncio.get_running_loop()
+        loop.call_soon(lambda: self.net[address].handler(self.address, message))
+        return True
--- a/tests/fleet/limits_world.py
+++ b/tests/fleet/limits_world.py
@@ -23,6 +23,7 @@
 LEARN = 300.0  # milliseconds, at most, until a process knows of other keepers
 SYNC = 2.0  # milliseconds of a write to the disk
 SERVICE = "engines"
+LENGTH = 20_000.0  # milliseconds that a troubled world is played
 
 
 @dataclass
@@ -454,3 +455,17 @@
         world.at(at + lasts, "call", undo, name)
     world.at(0.0, "check", 20.0)
     return world
+
+
+def broken(world: World) -> str:
+    """What goes wrong in a troubled world; empty: nothing."""
+    try:
+        world.run(LENGTH)
+    except AssertionError as error:
+        return str(error)
+    for name in world.tenants:
+        if world.excess(name) > 0.0:
+            return f"{name}: {world.excess(name)} over the bound"
+    if world.retry_excess() > 0.0:
+        return f"retries: {world.retry_excess()} over the budget"
+    return ""
