--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -62,8 +62,8 @@
 
 
 def test_ports_are_free_and_not_given_twice_even_to_two_processes():
-    # guards against a test that talks to the daemon of another one; both walk the same numbers from the same one
-    # on, of which other tests may have some
+    # guards against a test that talks to the daemon of another one; both walk the same numbers, of which
+    # other tests may have some
     text = "from testbed.sockets import ports; ports.NEXT = iter(range({0}, {0} + 400)); "
     text = (
         text.format(next(ports.NEXT)) + "print(*(ports.free_port() for _ in range(20)), flush=True); input()"
