--- a/tests/fleet/test_data_plane.py
+++ b/tests/fleet/test_data_plane.py
@@ -117,3 +117,23 @@
         (upstream,) = await self.serve(hello)
         reply = await self.ask(request_bytes(extra="Transfer-Encoding: chunked\r\n", body=b"0\r\n\r\n"))
         self.assertEqual((reply.status, reply.headers["connection"], upstream.seen), (400, "close", []))
+
+
+class BeforeAConfiguration(DataPlaneTest):
+    """A proxy that has just started refuses, and says when it is likely to serve."""
+
+    async def retry_after_s(self) -> float:
+        reply = await self.ask(request_bytes())
+        self.assertEqual(reply.status, 503)
+        return float(reply.headers["retry-after"])
+
+    async def test_at_the_start_clients_come_back_once_all_have_started(self) -> None:
+        waits = [await self.retry_after_s() for _ in range(8)]
+        self.assertGreaterEqual(min(waits), 0.5)
+        self.assertLessEqual(max(waits), 0.85)
+        self.assertGreater(len(set(waits)), 1)
+
+    async def test_later_they_come_back_after_half_a_second(self) -> None:
+        self.advance(2.0)
+        wait = await self.retry_after_s()
+        self.assertTrue(0.5 <= wait <= 0.65, wait)
--- a/tests/fleet/test_limits_keepers.py
+++ b/tests/fleet/test_limits_keepers.py
@@ -112,6 +112,18 @@
         ledger.old_credit_is_over = True
         self.assertAlmostEqual(ledger.account(0.0, "k", limit).level, floors.FLOOR_SHARE * limit.capacity)
 
+    def test_a_need_waits_while_old_credit_is_not_over(self) -> None:
+        ledger, limit = self.ledger(messages.Drained(False))
+        ledger.floors.unchecked = True  # the keepers need not be asked
+        item = messages.Item("k", 1, 0.0, 0.0, 0.2 * limit.capacity, 0.2 * limit.capacity, 0.0)
+        first = ledger.take(0.0, "p", item, 1000.0)
+        assert first is not None
+        self.assertTrue(first.settling)
+        ledger.old_credit_is_over = True
+        then = ledger.take(10.0, "p", item, 1000.0)
+        assert then is not None
+        self.assertGreaterEqual(then.granted, item.need)
+
     def test_never_raised_where_it_may_have_been_drained(self) -> None:
         for drained in (messages.Drained(True), messages.Drained(False, ["k"])):
             ledger, limit = self.ledger(drained)
