Control: what a start reads is durable and needs no write; lives of processes are fenced

A store that had to cut a torn tail could not be read on a full disk, and drains and the limits' promise were then forgotten; both were read on the event loop. What a process wrote and did not sync before it was killed was relied on by the next. Numbers of confirmations, read tokens, pings, credit reports and status questions began anew in each life, so that a reply to a dead process could be taken by the next at its address; what a voter's earlier life held still counted at the leader. A voter trusted again while it knew no leader could vote twice in a term.

Ruled out: cutting the tail in memory only (the tail has to go before the next append, which still cuts it); numbering by wall-clock time (clocks jump).

Change: SlotStore.load writes nothing and syncs; FinalRecords and SharesDriver load on the storage thread and try until it succeeds; a process settles, promises and writes only then. cluster.lives; links end connections of earlier lives; Agreement.restarted fences answers by the round; rosters carry the warden's term. Orders older than what is remembered have no clear answer. MAX_VOTERS once.

A power loss may now come while a store is read.

--- a/barleybarrow/agreement.py
+++ b/barleybarrow/agreement.py
@@ -156,6 +156,7 @@
     heard_at: float = -inf
     sent_at: float = -inf
     round: int = 0
+    fence: int = 0  # answers to words of earlier rounds are of a life that has ended: they prove no copy
 
 
 @dataclass(slots=True)
@@ -315,11 +316,12 @@
     def trust(self) -> None:
         """What its store lacks is made up for: it votes and counts from now on.
 
-        In this term it may have voted before, for whom it no longer knows: so for nobody but its leader.
+        In this term it may have voted before, for whom it no longer knows: so for nobody but its leader, and
+        where it knows of none, for nobody else.
         """
         self.barred = False
-        if not self.vote and self.leader:
-            self.hard(self.term, self.leader)
+        if not self.vote:
+            self.hard(self.term, self.leader or self.name)
 
     def whole(self) -> Ready:
         """All that is here, for a store that is empty yet."""
@@ -561,7 +563,10 @@
             return
         p.heard_at, p.round = now, max(p.round, m.round)
         if m.good:
-            p.match = max(p.match, m.index) if m.counts else 0
+            if not m.counts:
+                p.match = 0
+            elif m.round >= p.fence:
+                p.match = max(p.match, m.index)
             p.has = max(p.has, m.index)
             p.next = max(p.next, m.index + 1)
             self.advance(now)
@@ -576,14 +581,28 @@
 
     def advance(self, now: float) -> None:
         """Agreed is what a majority has on disk, and only from an entry of this term on; Raft, 5.4.2."""
-        held = sorted(self.stored_to if n == self.name else self.match(n) for n in self.voters)
-        index = held[len(held) - self.majority]
+        index = self.agreed_index(now, {n: self.held_by(n) for n in self.voters})
         if index > self.commit and self.term_of(index) == self.term:
             self.commit = index
             self.beat(now, everybody=True)
             if self.name not in self.voters and self.term_of(self.commit) == self.term:
                 self.follow(now, self.term, "")  # it has led others through its own leaving
 
+    def held_by(self, name: str) -> int:
+        """Up to where a voter is known to have the log on its disk."""
+        return self.stored_to if name == self.name else self.match(name)
+
+    def agreed_index(self, now: float, held: dict[str, int]) -> int:
+        """Up to where a majority holds the log; `held`: up to where each voter does."""
+        return sorted(held.values())[len(held) - self.majority]
+
+    def restarted(self, name: str) -> None:
+        """Another life of this process has greeted: what the one before held may be gone with its disk."""
+        p = self.progress.get(name)
+        if p is not None:
+            self.round += 1
+            p.match, p.fence = 0, self.round
+
     def match(self, name: str) -> int:
         p = self.progress.get(name)
         return p.match if p is not None else 0
--- a/barleybarrow/consensus/config_node.py
+++ b/barleybarrow/consensus/config_node.py
@@ -18,7 +18,6 @@
 from msgspec import DecodeError, msgpack
 
 from barleybarrow.agreement import (
-    Agreement,
     Appended,
     Entry,
     Install,
@@ -39,7 +38,7 @@
 )
 from barleybarrow.consensus.durable_state import DurableState, encode_image, encode_record
 from barleybarrow.consensus.order_queue import OrderQueue
-from barleybarrow.consensus.paced_agreement import PacedAgreement
+from barleybarrow.consensus.paced_agreement import LOST_MS, PacedAgreement
 from barleybarrow.consensus.voter_selection import (
     ControlProcess,
     choose_voters,
@@ -56,7 +55,6 @@
 WITNESS_MS = 400.0  # between two requests of a barred process
 INVITE_MS = 1000.0  # between two words of a leader to processes that do not follow it yet
 CHANGE_MS = 200.0  # between two looks at who votes
-LOST_MS = 1500.0  # silence after which a voter may be replaced: longer than most restarts take
 FRESH_MS = 700.0  # a standby heard within this is there: it answers every 300 ms
 CONFIRM_AGAIN_MS = 500.0
 RESTARTED_MS = (300.0, 700.0)  # until a voter stands that was started: links take 200 ms
@@ -65,6 +63,7 @@
 ASK_MS = 300.0  # between two words of a learner without a leader to those who are said to vote
 LONGEST_SLEEP_MS = 200.0  # so that a pause of the process is noticed
 PAUSE_MS = 500.0  # a process that was not run for so long has missed what others said meanwhile
+LEAVING = b"leaving"  # noted by a voter that ends as planned: where it can be, it is replaced
 MAX_LOG_BYTES = 256 * 1024  # then a snapshot takes the place of the log
 MAX_LOG_ENTRIES = 512
 
@@ -84,6 +83,12 @@
     seeds: list[str]
     bootstrap: bool
     tolerated_machines: int = 1
+    tolerated_domains: int = 0  # zones, or regions where those may be lost
+
+    @property
+    def tolerated(self) -> int:
+        """How many voters, each in a domain of its own, may be lost at once."""
+        return max(self.tolerated_machines, self.tolerated_domains)
 
 
 @dataclass(slots=True)
@@ -120,7 +125,8 @@
         self.committed_voters: tuple[list[str], int] = (NO_VOTERS, 0)
         self.told_voters: tuple[list[str], int] = (NO_VOTERS, 0)  # by others, of an index
         self.nonce = rng.getrandbits(52)
-        self.tokens = count(1)
+        self.tokens = count(self.nonce)  # of reads: none that an earlier life may still be answered
+        self.incarnations: dict[str, int] = {}  # of every control process ever met, the newest
         self.confirmations: dict[
             int, Callable[[], None]
         ] = {}  # what to do once a read is answered and applied
@@ -131,11 +137,15 @@
         self.log_bytes = 0
         self.handed_over_at = -inf
         self.announce_at = self.witness_at = self.invite_at = self.change_at = self.confirm_at = now
-        self.agreement = self._restored(now, kept)
+        self.agreement = self._with_domains(self._restored(now, kept))
         least_disks = options.tolerated_machines + 1
         self.orders = OrderQueue(self.agreement, self.state, least_disks, self.tokens)
 
-    def _restored(self, now: float, kept: DurableState | None) -> Agreement:
+    def _with_domains(self, agreement: PacedAgreement) -> PacedAgreement:
+        agreement.domains, agreement.tolerated_domains = self.zones, self.options.tolerated_domains
+        return agreement
+
+    def _restored(self, now: float, kept: DurableState | None) -> PacedAgreement:
         if kept is None:
             self.rewrite = True  # from now on an empty store means a lost one
             return PacedAgreement(self.name, [], self.rng, now, barred=not self.options.bootstrap)
@@ -208,6 +218,10 @@
         """A control process can be reached."""
         if process.name not in self.reachable:
             self.news_at = now
+        if self.incarnations.get(process.name, process.incarnation) != process.incarnation:
+            self.agreement.restarted(process.name)
+            self.agreement.notes.pop(process.name, None)
+        self.incarnations[process.name] = process.incarnation
         self.reachable[process.name] = process
         self.zones[process.name] = process.zone
         self.invite_at = self.announce_at = min(now, self.invite_at)
@@ -269,6 +283,27 @@
         self.handed_over_at = now
         return [(successor, msgpack.encode(TimeoutNow(self.agreement.term)))]
 
+    @property
+    def may_be_replaced(self) -> bool:
+        """Whether this process votes, and another that could is in touch."""
+        voters = self.agreement.voters
+        standbys = [p for p in self.reachable.values() if p.counts and p.name not in voters]
+        return self.name in voters and bool(standbys)
+
+    @property
+    def is_held_by_others(self) -> bool:
+        """Whether as many other voters hold all that is here as may be lost, and one more."""
+        agreement = self.agreement
+        others = [agreement.held_by(name) for name in agreement.voters if name != self.name]
+        wanted = min(self.options.tolerated + 1, len(others))
+        return sum(index >= agreement.last for index in others) >= wanted
+
+    def leave(self, now: float) -> None:
+        """This process ends as planned: have the leader replace it, if there is one that can."""
+        self.agreement.note = LEAVING
+        self.agreement.tell()
+        self._settle(now)
+
     # Store, send, apply
 
     def take(self) -> Work | None:
@@ -373,12 +408,13 @@
             return
         found = eligible(self.known())
         disks = any(process.counts for process in found)
-        target = target_voters(self.options.tolerated_machines, disks)
+        target = target_voters(self.options.tolerated, disks)
         if not self._gathered(now, len(found), target if disks else inf):
             return
         voters = choose_voters(found, self.options.seeds, target)
         snapshot = Snapshot(1, 0, voters, b"")
-        self.agreement = PacedAgreement(self.name, voters, self.rng, now, snapshot=snapshot)
+        agreement = PacedAgreement(self.name, voters, self.rng, now, snapshot=snapshot)
+        self.agreement = self._with_domains(agreement)
         self.orders.agreement = self.agreement
         self._restore(snapshot)
         self.rewrite, self.announce_at = True, now
@@ -442,15 +478,14 @@
         if not self.is_leader or now < self.change_at or not agreement.may_change():
             return
         self.change_at = now + CHANGE_MS
-        heard = {name for name, p in agreement.progress.items() if now - p.heard_at < LOST_MS}
+        staying = {name: p for name, p in agreement.progress.items() if agreement.notes.get(name) != LEAVING}
+        heard = {name for name, p in staying.items() if now - p.heard_at < LOST_MS}
         fresh = {
-            name
-            for name, p in agreement.progress.items()
-            if p.match >= agreement.commit and now - p.heard_at < FRESH_MS
+            name for name, p in staying.items() if p.match >= agreement.commit and now - p.heard_at < FRESH_MS
         }
         may_vote = eligible(self.known())
         standbys = [p for p in may_vote if p.name in fresh and p.name not in agreement.voters]
-        target = target_voters(self.options.tolerated_machines, any(p.counts for p in may_vote))
+        target = target_voters(self.options.tolerated, any(p.counts for p in may_vote))
         voters = next_change(self.name, agreement.voters, target, heard | {self.name}, standbys, self.zones)
         if voters is not None:
             agreement.change_voters(now, voters)
--- a/barleybarrow/consensus/configuration_state.py
+++ b/barleybarrow/consensus/configuration_state.py
@@ -3,7 +3,7 @@
 
 Deterministic and without I/O: all replicas that applied the same entries hold the same document and gave
 each order the same outcome. It never forgets, within `MAX_TAKEN` orders, that an order was taken: the same
-order is acknowledged again.
+order is acknowledged again. One that may be among those forgotten has no clear answer: it is never refused.
 """
 
 import zlib
@@ -87,6 +87,7 @@
     version: int
     document: bytes
     taken: list[Taken]
+    forgotten: int = 0
 
 
 class OrderError(Exception):
@@ -176,9 +177,12 @@
         self.version = 0
         self.document: Document | None = None
         self.taken: dict[bytes, Taken] = {}  # by digest, oldest first
+        self.forgotten = 0  # version made by the newest order that is remembered no longer; 0: none is
 
     def refusal(self, kind: str, base_version: int, document: Document) -> OrderOutcome | None:
         """Why an order does not fit the state by its versions; None where it does."""
+        if base_version < self.forgotten:  # it may be an order that was taken long ago
+            return OrderOutcome(OrderStatus.UNCLEAR, f"base the change on version {self.version}")
         if base_version != self.version:
             conflict = f"version {self.version} is current, not {base_version}: base the change on that one"
             return OrderOutcome(OrderStatus.CONFLICT, conflict)
@@ -216,7 +220,8 @@
         self.document, self.version = document, generation_of(document)
         self.taken[order.digest] = Taken(self.version, order.digest, order.received_at)
         while len(self.taken) > MAX_TAKEN:
-            del self.taken[next(iter(self.taken))]
+            oldest = self.taken.pop(next(iter(self.taken)))
+            self.forgotten = oldest.version
         return OrderOutcome(OrderStatus.TAKEN)
 
     def history(self) -> list[Taken]:
@@ -226,11 +231,11 @@
     def snapshot(self) -> bytes:
         """All of the state."""
         document = b"" if self.document is None else zlib.compress(json.encode(self.document), COMPRESSION)
-        return msgpack.encode(StateImage(self.version, document, self.history()))
+        return msgpack.encode(StateImage(self.version, document, self.history(), self.forgotten))
 
     def restore(self, data: bytes) -> None:
         """Take the state of a snapshot; empty bytes are the state before the first order."""
         image = msgpack.decode(data, type=StateImage) if data else StateImage(0, b"", [])
-        self.version = image.version
+        self.version, self.forgotten = image.version, image.forgotten
         self.document = json.decode(zlib.decompress(image.document)) if image.document else None
         self.taken = {taken.digest: taken for taken in image.taken}
--- a/barleybarrow/consensus/voter_selection.py
+++ b/barleybarrow/consensus/voter_selection.py
@@ -19,6 +19,7 @@
     name: str
     zone: str
     counts: bool
+    incarnation: int = 0  # of the process; another one may have lost its disk
 
 
 def target_voters(tolerated_machines: int, disks: bool) -> int:
--- a/barleybarrow/limits/credit_client.py
+++ b/barleybarrow/limits/credit_client.py
@@ -22,6 +22,7 @@
 SMOOTH = 0.1  # weight of the newest request in the mean cost
 RATE_SPAN_MS = 1000.0  # over which the rate of use is smoothed
 WANTED_FOR = 2000.0  # milliseconds since its last request that an entry wants credit at hand
+NUMBERS = 2**40  # where the numbers of a life's reports begin: far apart for any two lives
 MOST_SENT = 64  # reports that may still be answered
 
 
@@ -87,7 +88,8 @@
     def __init__(self, run: int, now: float, limit_of: Callable[[str], KeyLimit | None]) -> None:
         self.run, self.limit_of = run, limit_of
         self.term = 0  # 0: no warden is known
-        self.number = self.applied = 0
+        self.number = run % NUMBERS  # answers to an earlier life at this address are none to this one
+        self.applied = 0
         self.base, self.base_until = 0.0, -inf
         self.fall_at = now + spans.FALL
         self.valid_until = -inf
--- a/barleybarrow/limits/credit_machine.py
+++ b/barleybarrow/limits/credit_machine.py
@@ -283,10 +283,10 @@
 
     def send_roster(self, now: float, books: Term) -> None:
         books.roster_at = now + spans.ROSTER_REPEAT
-        self.keep(now, self.name, books.version, books.entries, books.drained)
+        self.keep(now, self.name, RosterUpdate(books.version, books.entries, books.drained, self.term))
         for name in self.keepers:
             if name != self.name and name not in books.taken:
-                self.out.append((name, RosterUpdate(books.version, books.entries, books.drained)))
+                self.out.append((name, RosterUpdate(books.version, books.entries, books.drained, self.term)))
 
     def send_to_missing(self, now: float, books: Term) -> None:
         """Have keepers that a majority did not wait for, or that came later, remember the roster as well."""
@@ -295,10 +295,10 @@
         books.roster_at = now + spans.ROSTER_REPEAT
         for name in self.keepers:
             if name != self.name and name not in books.taken:
-                self.out.append((name, RosterUpdate(books.version, books.entries, books.drained)))
+                self.out.append((name, RosterUpdate(books.version, books.entries, books.drained, self.term)))
 
-    def roster_taken(self, now: float, books: Term, name: str, version: int) -> None:
-        if version != books.version or name not in self.keepers:
+    def roster_taken(self, now: float, books: Term, name: str, m: RosterTaken) -> None:
+        if (m.term, m.version) != (self.term, books.version) or name not in self.keepers:
             return
         books.taken.add(name)
         if books.pending is not None and len(books.taken) >= self.majority:
@@ -346,16 +346,14 @@
         else:
             self.tell_when_stored(name, Promise(token, True))
 
-    def keep(
-        self, now: float, warden: str, version: int, entries: list[RosterEntry], drained: Drained
-    ) -> None:
+    def keep(self, now: float, warden: str, m: RosterUpdate) -> None:
         """Remember a roster, and tell the warden, once it is stored where this keeper stores anything."""
         changed = msgspec.structs.replace(
-            self.kept, known=True, version=version, entries=entries, drained=drained
+            self.kept, known=True, version=m.version, entries=m.entries, drained=m.drained
         )
         if changed != self.kept:
             self.remember(changed)
-        self.tell_when_stored(warden, RosterTaken(version))
+        self.tell_when_stored(warden, RosterTaken(m.version, m.term))
         self.tell_what_is_stored(now)
 
     def remember(self, kept: KeptRoster) -> None:
@@ -399,7 +397,7 @@
                 self.client.answer(now, m)
         elif isinstance(m, RosterUpdate):
             if sender == self.promised and m.version >= self.kept.version:
-                self.keep(now, sender, m.version, m.entries, m.drained)
+                self.keep(now, sender, m)
         elif isinstance(m, RosterAsk):
             self.reply_roster(now, sender, m.term)
         elif isinstance(m, RosterTaken | RosterReply):
@@ -412,7 +410,7 @@
         if books is None or now >= self.lease_end:
             return
         if isinstance(m, RosterTaken):
-            self.roster_taken(now, books, sender, m.version)
+            self.roster_taken(now, books, sender, m)
         elif m.term == self.term:
             books.replies[sender] = m
             self.read_rosters(now, books)
--- a/barleybarrow/limits/messages.py
+++ b/barleybarrow/limits/messages.py
@@ -85,12 +85,14 @@
     version: Token
     entries: Annotated[list[RosterEntry], Meta(max_length=MOST_MEMBERS)]
     drained: Drained = Drained()
+    term: Token = 0  # of the warden
 
 
 class RosterTaken(Struct, array_like=True, frozen=True, tag=9):
-    """A keeper remembers this version."""
+    """A keeper remembers this version. Two wardens of one name may give one number to different rosters."""
 
     version: Token
+    term: Token = 0  # of the warden that told it
 
 
 class RosterAsk(Struct, array_like=True, frozen=True, tag=10):
--- a/barleybarrow/replication/monitoring.py
+++ b/barleybarrow/replication/monitoring.py
@@ -49,11 +49,11 @@
 class PeerMonitor:
     """Pings and reports of one process."""
 
-    def __init__(self, own: str) -> None:
+    def __init__(self, own: str, first_number: int = 1) -> None:
         self.own = own
         self.targets: dict[str, Target] = {}
         self.reports: list[Report] = []  # to be taken and sent
-        self._number = 0
+        self._number = first_number - 1  # numbers of an earlier life at this address are never used again
         self._pinged_at = float("-inf")
         self._looked_at = float("-inf")
 
--- a/brackenusher/assembly/control.py
+++ b/brackenusher/assembly/control.py
@@ -85,11 +85,12 @@
     async def start(self) -> None:
         """Open what is served. Raises OSError where an address can't be listened on."""
         await self.links.start()
-        await self.shard.start()
         await self.monitor.start()
+        await self.server.start()  # a disk that stalls while it is read holds up no call: each has its time
         self.shares.start()
-        await self.server.start()
+        await self.shard.start()
         self._ticker = asyncio.get_running_loop().create_task(self._keep_ticking())
+        await self.registry.start()
 
     async def _keep_ticking(self) -> None:
         while True:
--- a/brackenusher/cluster/links.py
+++ b/brackenusher/cluster/links.py
@@ -1,9 +1,10 @@
 """Links between processes of the fleet: TCP connections that carry framed messages, kept up while wanted.
 
 A process names its peers by the address of their internal listener. A link may have been opened by either
-side; messages go over the newest one. A link that is silent for `SILENCE_S` is ended: both sides send a
-keep-alive frame often enough. Nothing is retried here: a message is handed to the socket once, or `send`
-says False.
+side; messages go over the newest one. A greeting of another incarnation of a peer ends all connections of
+the one before: what an earlier life of it sent is taken no more. A link that is silent for `SILENCE_S` is
+ended: both sides send a keep-alive frame often enough. Nothing is retried here: a message is handed to the
+socket once, or `send` says False.
 """
 
 import asyncio
@@ -53,6 +54,7 @@
         self.transport: asyncio.Transport | None = None
         self.reader = FrameReader()
         self.heard_at = links.loop.time()
+        self.ending = False  # aborted: what still comes is not taken
         self.ended = links.loop.create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -95,6 +97,7 @@
         return True
 
     def abort(self) -> None:
+        self.ending = True
         if self.transport is not None:
             self.transport.abort()
 
@@ -208,6 +211,8 @@
         if not connection.peer or connection.hello is None:
             connection.abort()
             return
+        if connection.ending:
+            return
         for handler in self._handlers.get(type(message), ()):
             try:
                 handler(connection.peer, message)
@@ -220,10 +225,17 @@
             connection.abort()
             return
         connection.peer, connection.hello = hello.address, hello
+        self._end_earlier_lives(hello)
         self._current[hello.address] = connection
         for handler in self._change_handlers:
             handler(hello.address, hello)
 
+    def _end_earlier_lives(self, hello: messages.Hello) -> None:
+        for other in list(self.connections):
+            earlier = other.hello is not None and other.hello.incarnation != hello.incarnation
+            if earlier and other.peer == hello.address:
+                other.abort()
+
     def lost(self, connection: LinkConnection) -> None:
         address = connection.peer
         if connection.hello is None or self._current.get(address) is not connection:
--- a/brackenusher/cluster/monitor.py
+++ b/brackenusher/cluster/monitor.py
@@ -13,11 +13,13 @@
 
 import betterproto
 
+from barleybarrow.consensus.voter_selection import MAX_VOTERS
 from barleybarrow.replication.monitoring import Member, MemberTable, PeerMonitor, Report, ToldMembers, View
 from barleybarrow.replication.rendezvous import ranked
 from brackenusher.cluster import messages
 from brackenusher.cluster.frames import FrameError, FrameReader, encode_frame
 from brackenusher.cluster.links import Links, split_address
+from brackenusher.cluster.lives import first_number
 from brackenusher.settings.local import LocalSettings
 
 log = logging.getLogger(__name__)
@@ -27,7 +29,6 @@
 TELL_PERIOD_MS = 1000.0  # between two looks of a control process at what has changed
 TELLERS = 2  # control processes that tell one member: one may be cut off
 MAX_DATAGRAM_BYTES = 1400  # pings are far shorter
-MAX_VOTERS = 7
 
 
 class Monitor(asyncio.DatagramProtocol):
@@ -41,7 +42,7 @@
         self._own = links.own.address
         self._is_control = links.own.role == CONTROL
         self._loop = asyncio.get_running_loop()
-        self._pings = PeerMonitor(self._own)
+        self._pings = PeerMonitor(self._own, first_number(links.own))
         self._table = MemberTable()
         self._told = ToldMembers()
         if self._is_control:
--- a/brackenusher/cluster/status_calls.py
+++ b/brackenusher/cluster/status_calls.py
@@ -13,6 +13,7 @@
 
 from brackenusher.cluster import messages
 from brackenusher.cluster.links import Links
+from brackenusher.cluster.lives import first_number
 
 log = logging.getLogger(__name__)
 
@@ -52,7 +53,7 @@
     def __init__(self, links: Links) -> None:
         self._links = links
         self._questions: dict[int, _Question] = {}
-        self._last_id = 0
+        self._last_id = first_number(links.own)
         links.on_message(messages.StatusReply, self._take_reply)
         links.on_change(self._link_changed)
 
--- a/brackenusher/control_plane/config_members.py
+++ b/brackenusher/control_plane/config_members.py
@@ -32,7 +32,8 @@
 def control_process(settings: LocalSettings, hello: messages.Hello) -> ControlProcess:
     """What the machine needs of a Hello."""
     domain = failure_domain(settings, hello.zone)
-    return ControlProcess(hello.address, domain, hello.counts_for_quorum and hello.has_disk)
+    counts = hello.counts_for_quorum and hello.has_disk
+    return ControlProcess(hello.address, domain, counts, hello.incarnation)
 
 
 class ConfigMembers:
--- a/brackenusher/control_plane/config_shard.py
+++ b/brackenusher/control_plane/config_shard.py
@@ -51,6 +51,9 @@
 LEAST_WAIT_S = 0.001  # less than a timer's grain is no time left: waiting for it would only spin
 CONFIRM_AGAIN_S = 0.3  # between two questions whether all that was committed is here
 HAND_OVER_S = 0.5  # a leader that ends waits for its successor at most so long
+HOLD_S = 0.3  # and before that, until enough others hold all that it does
+REPLACE_S = 1.5  # a voter that ends waits at most so long until another votes in its place
+END_STEP_S = 0.01
 
 
 class ConfigShard:
@@ -106,6 +109,7 @@
             seeds=seeds,
             bootstrap=settings.bootstrap,
             tolerated_machines=settings.fault_tolerance.machines,
+            tolerated_domains=settings.fault_tolerance.regions or settings.fault_tolerance.zones,
         )
         self._node = ConfigNode(options, self.rng, self._now(), kept)
         self._node.on_applied.append(self._applied)
@@ -122,12 +126,10 @@
         self._tick()
 
     async def stop(self) -> None:
-        """The planned end: give the lead away, then stop taking part."""
+        """The planned end: give the lead and the vote away, then stop taking part."""
         node = self._node
-        if node is not None and node.is_leader and self._hand_over():
-            ends = self._loop.time() + HAND_OVER_S
-            while node.is_leader and self._loop.time() < ends:
-                await asyncio.sleep(0.01)
+        if node is not None:
+            await self._leave(node)
         self._stopped = True
         if self._timer is not None:
             self._timer.cancel()
@@ -140,6 +142,22 @@
         if self._writer is not None:
             self._writer.close()
 
+    async def _leave(self, node: ConfigNode) -> None:
+        if node.is_leader:
+            await self._until(lambda: not node.is_leader or node.is_held_by_others, HOLD_S)
+            if self._hand_over():
+                await self._until(lambda: not node.is_leader, HAND_OVER_S)
+        if node.may_be_replaced:
+            node.leave(self._now())
+            self._pump()
+            await self._until(lambda: self.links.own.address not in node.voters[0], REPLACE_S)
+
+    async def _until(self, condition: Callable[[], bool], seconds: float) -> None:
+        """Wait for something, for a limited time."""
+        ends = self._loop.time() + seconds
+        while not condition() and self._loop.time() < ends:
+            await asyncio.sleep(END_STEP_S)
+
     # What the rest of the process asks
 
     async def submit(self, kind: str, base_version: int, body: bytes, timeout_s: float) -> OrderOutcome:
--- a/brackenusher/control_plane/confirmations.py
+++ b/brackenusher/control_plane/confirmations.py
@@ -29,10 +29,10 @@
 
 
 class Confirmations:
-    """All changes of this process that wait."""
+    """All changes of this process that wait. `first`: see `cluster.lives`."""
 
-    def __init__(self) -> None:
-        self._number = 0
+    def __init__(self, first: int) -> None:
+        self._number = first - 1
         self._waiting: dict[int, Confirmation] = {}
 
     def open(self, group: list[str]) -> Confirmation:
--- a/brackenusher/control_plane/final_records.py
+++ b/brackenusher/control_plane/final_records.py
@@ -16,6 +16,7 @@
 log = logging.getLogger(__name__)
 
 MAX_LOG_RECORDS = 512  # about 100 KB; then the log is replaced by a snapshot
+READ_AGAIN_S = 0.2  # after a disk refused to be read: it comes back within seconds
 
 
 class FinalRecords:
@@ -34,24 +35,38 @@
         self._kept: dict[str, int] = {}  # finality that is on disk, by id
         self._in_log = MAX_LOG_RECORDS  # the first write is a snapshot
         self._task: asyncio.Task[None] | None = None
+        self._loaded = asyncio.Event()  # before, a write would replace what was not read
 
-    def load(self) -> list[InstanceRecord]:
-        """What an earlier start has kept; nothing where the disk can't be read."""
-        if self._store is None:
-            return []
-        try:
-            loaded = self._store.load()
-        except StorageError as error:
-            log.error("drains can't be read from disk: error=%s", error)
+    @property
+    def loaded(self) -> bool:
+        """Whether what an earlier start has kept is known."""
+        return self._loaded.is_set()
+
+    async def load(self) -> list[InstanceRecord]:
+        """What an earlier start has kept; tries until the disk can be read. `keep` waits for it."""
+        records = await self._read()
+        for record in records:
+            self._note(record)
+        self._loaded.set()
+        return records
+
+    async def _read(self) -> list[InstanceRecord]:
+        store, writer = self._store, self._writer
+        if store is None or writer is None:
             return []
+        while True:
+            try:
+                loaded = await writer.submit(store.load)
+                break
+            except StorageError as error:
+                log.error("drains can't be read from disk yet: error=%s", error)
+                await asyncio.sleep(READ_AGAIN_S)
         records: list[InstanceRecord] = []
         if loaded.snapshot is not None:
             records += from_messages(messages.RegistryUpdate().parse(loaded.snapshot).records)
         records += [from_message(messages.InstanceRecord().parse(data)) for data in loaded.records]
         if loaded.snapshot is not None:
             self._in_log = len(loaded.records)
-        for record in records:
-            self._note(record)
         return records
 
     def forget(self, known: Container[str]) -> None:
@@ -72,6 +87,7 @@
         return await kept
 
     async def _write(self) -> None:
+        await self._loaded.wait()
         while self._waiting:
             batch, self._waiting = self._waiting, []
             written = await self._append([bytes(to_message(record)) for record, _ in batch])
--- a/brackenusher/control_plane/registry_service.py
+++ b/brackenusher/control_plane/registry_service.py
@@ -18,6 +18,7 @@
 from barleybarrow.replication.silence import SilenceWatch
 from brackenusher.cluster import messages
 from brackenusher.cluster.links import Links
+from brackenusher.cluster.lives import first_number
 from brackenusher.cluster.records import from_messages, from_renewals, to_message, to_messages, to_renewals
 from brackenusher.control_plane.confirmations import Confirmation, Confirmations
 from brackenusher.control_plane.final_records import FinalRecords
@@ -62,7 +63,7 @@
         self._now = now
         self._groups = ReplicaGroups(links, voters, settings.fault_tolerance)
         self._final = FinalRecords(store, writer, self._final_records)
-        self._confirmations = Confirmations()
+        self._confirmations = Confirmations(first_number(links.own))
         self._unconfirmed: set[str] = set()  # ids whose newest change came here and has no majority yet
         self._held: dict[str, int] = {}  # finality that a majority is known to hold, by id
         self._renewals: dict[str, int] = {}  # newest sequences that the replica groups have not been told
@@ -78,8 +79,13 @@
         links.on_message(messages.RegistryConfirm, self._take_confirm)
         links.on_message(messages.RegistryPull, self._take_pull)
         links.on_change(self._link_changed)
-        for record in self._final.load():
-            self.registry.merge(record, self._started_at)
+
+    async def start(self) -> None:
+        """Take up the drains and ends on the disk; returns once they are read, however long that takes."""
+        now = self._now()
+        for record in await self._final.load():
+            if self.registry.merge(record, now):
+                self._publish([self.registry.entries[record.id].record(now)])
 
     @property
     def settled(self) -> bool:
@@ -270,7 +276,7 @@
                     shard=shard, records=to_messages(piece), renewals=to_renewals(renewals)
                 )
                 self._links.send(sender, update)
-        if self._settled:
+        if self._settled and self._groups.reaches_most_voters():
             self._links.send(sender, messages.RegistryConfirm(id=0))
 
     def _link_changed(self, address: str, hello: messages.Hello | None) -> None:
@@ -298,7 +304,7 @@
             self._now_settled()
 
     def _now_settled(self) -> None:
-        if self._settled:
+        if self._settled or not self._final.loaded:
             return
         self._settled = True
         for handler in self.on_settled:
--- a/brackenusher/control_plane/replica_groups.py
+++ b/brackenusher/control_plane/replica_groups.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Callable
 
+from barleybarrow.consensus.voter_selection import MAX_VOTERS
 from barleybarrow.replication.rendezvous import SHARDS, replica_group
 from brackenusher.cluster.links import Links
 from brackenusher.settings.local import FaultTolerance
 
 CONTROL = "control"
-MOST_VOTERS = 7  # of the configuration shard
 
 
 class ReplicaGroups:
@@ -19,7 +19,7 @@
         self._voters = voters
         # A zone may hold most of a small group: where zones may be lost, all voters hold each shard.
         whole_places = tolerance.zones > 0 or tolerance.regions > 0
-        self._tolerated = MOST_VOTERS // 2 if whole_places else tolerance.machines
+        self._tolerated = MAX_VOTERS // 2 if whole_places else tolerance.machines
 
     def peers(self) -> list[str]:
         """The other control processes that are in touch."""
@@ -35,6 +35,11 @@
         group = self.group(shard)
         return len({self.own, *self.peers()}.intersection(group)) * 2 > len(group)
 
+    def reaches_most_voters(self) -> bool:
+        """Whether most voters are in touch: what is known here is then not that of a cut-off minority."""
+        voters = self._voters()
+        return len({self.own, *self.peers()}.intersection(voters)) * 2 > len(voters)
+
     def owned(self) -> set[int]:
         """The shards of whose replica group this process is the first that it is in touch with."""
         in_touch = {self.own, *self.peers()}
--- a/brackenusher/control_plane/shares_driver.py
+++ b/brackenusher/control_plane/shares_driver.py
@@ -18,7 +18,7 @@
 log = logging.getLogger(__name__)
 
 LIMITS_STORE = "limits"  # name of the store in the data folder
-RETRY_PAUSE_S = 1.0  # after a write that failed
+RETRY_PAUSE_S = 1.0  # after a call that the disk refused
 
 
 class SharesDriver(LimitsDriver):
@@ -35,15 +35,32 @@
         super().__init__(limits, links, now)
         self.store, self.writer = store, writer
         self._writing = False
+        self._loading: asyncio.Task[None] | None = None
 
     def start(self) -> None:
-        """As `LimitsDriver.start`, after what was stored is loaded."""
-        if self.store is not None and self.writer is not None:
+        """As `LimitsDriver.start`, once what was stored is loaded; a keeper that can't read what it has
+        promised takes no part.
+        """
+        if self.store is None or self.writer is None:
+            super().start()
+        else:
+            self._loading = asyncio.get_running_loop().create_task(self._load(self.store, self.writer))
+
+    def stop(self) -> None:
+        """As `LimitsDriver.stop`."""
+        if self._loading is not None:
+            self._loading.cancel()
+        super().stop()
+
+    async def _load(self, store: SlotStore, writer: StorageWriter) -> None:
+        while True:
             try:
-                self.limits.restore(self.now(), self.store.load().snapshot)
+                loaded = await writer.submit(store.load)
+                break
             except StorageError as error:
-                log.warning("roster of the limits not read: error=%s", error)
-                self.store = None
+                log.warning("roster of the limits not read yet: error=%s", error)
+                await asyncio.sleep(RETRY_PAUSE_S)
+        self.limits.restore(self.now(), loaded.snapshot)
         super().start()
 
     def _run(self) -> None:
--- a/brackenusher/data_plane/feed_client.py
+++ b/brackenusher/data_plane/feed_client.py
@@ -14,6 +14,7 @@
 import betterproto
 import msgspec
 
+from barleybarrow.consensus.voter_selection import MAX_VOTERS
 from barleybarrow.documents import Configuration, ConfigurationDelta
 from barleybarrow.replication import configuration_delta
 from barleybarrow.replication.configuration_fetch import ConfigurationFetch
@@ -28,7 +29,6 @@
 log = logging.getLogger(__name__)
 
 TICK_S = 0.1
-MAX_LINKS = 7  # as many voters as a configuration shard has
 MAX_LEARNT = 16  # addresses of control processes that peers told
 READY_WITHOUT_CORE_MS = 4000.0  # then what is known is served with: the core is down
 ANSWER_MS = 3000.0  # for the whole list after a subscription; a snapshot over a narrow link takes a second
@@ -143,7 +143,7 @@
         connected = self._links.connected()
         if sum(voter in connected for voter in self.voters) * 2 > len(self.voters):
             self._in_touch_at = now
-        wanted = set(self.voters[:MAX_LINKS])
+        wanted = set(self.voters[:MAX_VOTERS])
         if not self.voters:
             wanted.update(self._seeds(), self._learnt)
         elif now - self._in_touch_at > ALONE_MS:
--- a/brackenusher/storage/slot_store.py
+++ b/brackenusher/storage/slot_store.py
@@ -103,9 +103,13 @@
         return self.end
 
     def load(self) -> Loaded:
-        """What is stored. Raises StorageError. Called once, before all else."""
+        """What is stored, and durable. Raises StorageError.
+
+        It writes nothing, so that it succeeds on a full disk. What a process wrote that was killed before its
+        sync is synced here: whoever reads it will rely on it. Called before all else, and again where it
+        failed.
+        """
         try:
-            self.files.make_folder(self.folder)
             contents = [self.files.read(path) for path in self.paths]
             found = [read_slot(data) if data else None for data in contents]
             whole = [(slot.generation, i) for i, slot in enumerate(found) if slot is not None]
@@ -115,8 +119,8 @@
             slot = found[self.current]
             assert slot is not None
             self.end, self.checksum = slot.end, slot.checksum
-            if slot.size > slot.end:
-                self._cut()
+            self.dirty = slot.size > slot.end  # a torn tail: the first append cuts it
+            self.files.sync(self.paths[self.current])
         except OSError as error:
             raise storage_error(error) from error
         return Loaded(slot.snapshot, slot.records)
@@ -156,6 +160,7 @@
         header = encode_header(self.generation + 1, snapshot)
         path = self.doubtful = self.paths[target]
         try:
+            self.files.make_folder(self.folder)
             self.files.truncate(path, 0)
             self.files.write(path, 0, header + snapshot)
             self.files.sync(path)
--- a/tests/fleet/feed_world.py
+++ b/tests/fleet/feed_world.py
@@ -365,6 +365,7 @@
         registry = RegistryService(settings, links, store, writer, shard.voters, self.now_ms)
         feeds = FeedSource(links, shard, registry)
         ticker = asyncio.create_task(self._tick(registry, shard, links))
+        self.spawn(registry.start())
         control = self.controls[address] = Control(address, links, writer, shard, registry, feeds, ticker)
         self._note_voters()
         return control
--- a/tests/fleet/test_storage_slots.py
+++ b/tests/fleet/test_storage_slots.py
@@ -3,6 +3,7 @@
 import errno
 import random
 import unittest
+from typing import Any
 
 from brackenusher.storage.files import StorageError, StorageFullError
 from brackenusher.storage.slot_store import SlotStore
@@ -59,7 +60,11 @@
         disk.power_lost_at = operation
         found = EMPTY
         for _ in range(3):
-            store, state, damaged = load(disk)
+            try:
+                store, state, damaged = load(disk)
+            except PowerLost:  # also while the store is read
+                disk.lose_power()
+                store, state, damaged = load(disk)
             self.assertEqual(state, found)
             script = Script(store, state, rng)
             try:
@@ -89,6 +94,71 @@
             self.assertIn(load(disk)[1], script.attempted)
 
 
+class ReadingTest(unittest.TestCase):
+    """What a start relies on: it is read whatever the disk refuses, and what was read stays."""
+
+    def test_a_torn_tail_is_read_over_on_a_disk_that_refuses_each_write(self) -> None:
+        disk = EmulatedDisk(random.Random(1))
+        store = load(disk)[0]
+        store.replace(b"snapshot")
+        store.append([b"first"])
+        disk.files[store.paths[0]].seen += b"torn"
+        disk.full = True
+        refusing = RefusingFiles(disk)
+        store = SlotStore("folder", "state", refusing)
+        loaded = store.load()
+        self.assertEqual((loaded.snapshot, loaded.records), (b"snapshot", [b"first"]))
+        with self.assertRaises(StorageFullError):
+            store.append([b"second"])
+        disk.full = refusing.refuses = False
+        store.append([b"second"])
+        disk.lose_power()
+        self.assertEqual(load(disk)[1], (b"snapshot", (b"first", b"second")))
+
+    def test_what_was_read_outlives_a_loss_of_power(self) -> None:
+        for seed in range(40):
+            disk = EmulatedDisk(random.Random(seed))
+            store = load(disk)[0]
+            store.replace(b"snapshot")
+            disk.power_lost_at = disk.operations + 2  # written, and killed before its sync
+            with self.assertRaises(PowerLost):
+                store.append([b"record"])
+            disk.power_lost_at = 0
+            read = load(disk)[1]
+            disk.lose_power()
+            self.assertEqual(load(disk)[1], read, f"seed {seed}")
+
+    def test_the_slot_and_the_log_torn_at_each_byte(self) -> None:
+        disk = EmulatedDisk(random.Random(1))
+        store = load(disk)[0]
+        store.replace(b"before")
+        store.replace(b"snapshot")
+        store.append([b"one", b"two"])
+        whole, known = bytes(disk.files[store.paths[1]].seen), set()
+        for length in range(len(whole) + 1):
+            disk.files[store.paths[1]].seen[:] = whole[:length]
+            state = load(disk)[1]
+            known.add(state)
+            self.assertIn(state[0], (b"before", b"snapshot"))
+            self.assertEqual(state[1], (b"one", b"two")[: len(state[1])])
+        self.assertEqual(len(known), 4)
+
+
+class RefusingFiles:
+    """Files of a disk that refuses writes of every kind; what is there can be read and synced."""
+
+    def __init__(self, disk: EmulatedDisk) -> None:
+        self.disk, self.refuses = disk, True
+
+    def __getattr__(self, name: str) -> Any:
+        if self.refuses and name in ("write", "truncate", "make_folder"):
+            return self.refuse
+        return getattr(self.disk, name)
+
+    def refuse(self, *arguments: Any) -> None:
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+
 class RefusalTest(unittest.TestCase):
     def test_each_operation_in_turn_is_refused_once_and_the_call_made_again(self) -> None:
         for code, kind in ((errno.ENOSPC, StorageFullError), (errno.EIO, StorageError)):
