Data plane: a request half written may have run

An end of the connection before the last byte was written counted as proof that the request had not run, so it was sent again though its route is unsafe.

Ruled out: counting the bytes that the kernel took (what it took may have arrived).

Change: only a write of which the kernel refused the first byte is proof.

--- a/brackenusher/data_plane/attempt.py
+++ b/brackenusher/data_plane/attempt.py
@@ -21,7 +21,7 @@
         """There is no connection; nothing was sent."""
 
     def attempt_unsent(self, attempt: "Attempt", reason: str) -> None:
-        """The connection ended before the request was written whole: it cannot have run."""
+        """Not one byte of the request was written: it cannot have run."""
 
     def attempt_head(self, attempt: "Attempt", status: int, headers: list[Header]) -> None:
         """The head of the answer."""
--- a/brackenusher/data_plane/exchange.py
+++ b/brackenusher/data_plane/exchange.py
@@ -312,8 +312,8 @@
         self._owner.not_sent(self, attempt.server_id)
 
     def attempt_unsent(self, attempt: Attempt, reason: str) -> None:
-        """The request was not written whole: it cannot have run."""
-        log.info("request %d: server %s: not sent whole: %s", self.number, attempt.server_id, reason)
+        """Not one byte of the request was written: it cannot have run."""
+        log.info("request %d: server %s: not sent: %s", self.number, attempt.server_id, reason)
         self.sends -= 1
         self.attempt_not_sent(attempt)
 
--- a/brackenusher/data_plane/upstream_connection.py
+++ b/brackenusher/data_plane/upstream_connection.py
@@ -44,7 +44,7 @@
         """No more will come, and the answer is not whole."""
 
     def request_unsent(self, reason: str) -> None:
-        """The connection ended before the request was written whole: the server cannot have run it."""
+        """Not one byte of the request was written: the server cannot have run it."""
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -71,7 +71,7 @@
         self._request: h11.Request | None = None
         self._skipping = False  # an answer to an earlier request is being read away
         self._unwritten = False  # bytes of the request have not reached the kernel yet
-        self._answered = False  # bytes of the answer have come
+        self._refused = False  # the kernel refused the first byte of the request
         self._reusable = True
         self._idle_limit_s = ASSUMED_IDLE_LIMIT_S
 
@@ -104,10 +104,9 @@
         self._receiver = receiver
         self._skipping = False
         self.used = True
-        self._unwritten = self._answered = False
+        self._unwritten = False
         self._transport.write(data)
-        if self._transport.is_closing():  # the write failed at once; `connection_lost` follows
-            self._unwritten = True
+        self._refused = self._transport.is_closing()  # the write failed at once; `connection_lost` follows
 
     def _encode(self, request: h11.Request, body: bytes) -> bytes:
         head = self._http.send(request) or b""
@@ -159,7 +158,6 @@
         if self._receiver is None:
             self.close()  # they belong to no request
             return
-        self._answered = True
         self._http.receive_data(data)
         self._read_events()
 
@@ -181,7 +179,7 @@
         self.close()
         if receiver is None:
             return
-        if self._unwritten and not self._answered:
+        if self._refused:
             receiver.request_unsent(reason)
         else:
             receiver.answer_broken(reason)
