--- a/barleybarrow/consensus/config_node.py
+++ b/barleybarrow/consensus/config_node.py
@@ -65,6 +65,7 @@
 PAUSE_MS = 500.0  # a process that was not run for so long has missed what others said meanwhile
 LEAVING = b"leaving"  # noted by a voter that ends as planned: where it can be, it is replaced
 MAX_LOG_BYTES = 256 * 1024  # then a snapshot takes the place of the log
+SNAPSHOT_SHARE = 2  # a log may be so many times as long as the snapshot: else it is written too often
 MAX_LOG_ENTRIES = 512
 
 NO_VOTERS: list[str] = []
@@ -364,7 +365,8 @@
 
     def _compact(self) -> None:
         agreement = self.agreement
-        full = self.log_bytes > MAX_LOG_BYTES or len(agreement.entries) > self.max_log_entries
+        most_bytes = max(MAX_LOG_BYTES, SNAPSHOT_SHARE * len(agreement.snapshot.data))
+        full = self.log_bytes > most_bytes or len(agreement.entries) > self.max_log_entries
         if not full or self.applied_index != agreement.applied:
             return
         if agreement.compact(self.applied_index, self.state.snapshot()) is not None:
--- a/brackenusher/control_plane/final_records.py
+++ b/brackenusher/control_plane/final_records.py
@@ -35,6 +35,7 @@
         self._kept: dict[str, int] = {}  # finality that is on disk, by id
         self._in_log = MAX_LOG_RECORDS  # the first write is a snapshot
         self._task: asyncio.Task[None] | None = None
+        self.refused = False  # the disk refused some of what was to be kept: it is to be written again
         self._loaded = asyncio.Event()  # before, a write would replace what was not read
 
     @property
@@ -86,11 +87,17 @@
             self._task = asyncio.create_task(self._write())
         return await kept
 
+    async def keep_all(self) -> None:
+        """Write whatever the disk refused before."""
+        self.refused = False
+        await asyncio.gather(*(self.keep(record) for record in self._all_records()))
+
     async def _write(self) -> None:
         await self._loaded.wait()
         while self._waiting:
             batch, self._waiting = self._waiting, []
             written = await self._append([bytes(to_message(record)) for record, _ in batch])
+            self.refused = self.refused or not written
             for record, kept in batch:
                 if written:
                     self._note(record)
--- a/brackenusher/control_plane/registry_service.py
+++ b/brackenusher/control_plane/registry_service.py
@@ -35,6 +35,7 @@
     15_000.0  # between two pulls, from each peer in turn: they mend what a lost connection took along
 )
 FORGET_CHECK_MS = 30_000.0
+KEEP_AGAIN_MS = 1000.0  # between two tries to write what the disk refused
 SETTLED_HEARTBEATS = 2  # in which every server that runs has sent one
 SETTLED_SLACK_MS = 500.0
 PULL_PAUSE_MS = 1000.0  # between two pulls from one peer because of unknown ids
@@ -71,7 +72,7 @@
         self._silence = SilenceWatch(settings.heartbeat_ms, self._started_at)
         self._settled = False
         self._renewed_at = self._checked_at = self._forgot_at = self._started_at
-        self._compared_at = self._started_at
+        self._compared_at = self._kept_at = self._started_at
         self._pulled_at: dict[str, float] = {}
         self._compared_with = ""
         self._tasks: set[asyncio.Task[None]] = set()
@@ -142,6 +143,9 @@
         if now - self._compared_at >= COMPARE_MS:
             self._compared_at = now
             self._compare()
+        if self._final.refused and now - self._kept_at >= KEEP_AGAIN_MS:
+            self._kept_at = now
+            self._spawn(self._final.keep_all())
         if now - self._forgot_at >= FORGET_CHECK_MS:
             self._forgot_at = now
             self._forget(now)
--- a/tests/fleet/emulated_machine.py
+++ b/tests/fleet/emulated_machine.py
@@ -40,6 +40,7 @@
     tick_due: float = inf
     slow_disk: float = 1.0
     slow_link: float = 0.0  # milliseconds that each message takes more
+    bytes_per_ms: float = inf  # that its links carry
     stalled_until: float = 0.0
     frozen_until: float = 0.0
     removed: bool = False
--- a/tests/fleet/fleet_simulation.py
+++ b/tests/fleet/fleet_simulation.py
@@ -42,12 +42,14 @@
     node_class: type[ConfigNode] = ConfigNode  # tests plant faults by a class of their own
     store_class: type[SlotStore] = SlotStore
 
-    def __init__(self, seed: int, machines: int = 3, tolerated: int = 1, doors: int = 1) -> None:
+    def __init__(
+        self, seed: int, machines: int = 3, tolerated: int = 1, doors: int = 1, tolerated_domains: int = 0
+    ) -> None:
         super().__init__()
         self.rng = random.Random(seed)
         self.ids = count(1)
         self.history = History()
-        self.tolerated = tolerated
+        self.tolerated, self.tolerated_domains = tolerated, tolerated_domains
         self.disk_ms, self.delay_ms = self.rng.choice(DISKS_MS), self.rng.choice(DELAYS_MS)
         self.machines: dict[str, Machine] = {}
         self.cuts: set[tuple[str, str]] = set()
@@ -78,7 +80,13 @@
             if loaded.snapshot is not None:
                 kept = decode_state(loaded.snapshot, loaded.records)
         options = NodeOptions(
-            machine.name, machine.zone, machine.counts, self.seeds, bootstrap, self.tolerated
+            machine.name,
+            machine.zone,
+            machine.counts,
+            self.seeds,
+            bootstrap,
+            self.tolerated,
+            self.tolerated_domains,
         )
         rng = random.Random(self.rng.getrandbits(32))
         machine.node = self.node_class(options, rng, self.now, kept)
@@ -203,6 +211,8 @@
             return True
         slow = sender.slow_link + self.machines[to].slow_link
         due = max(self.now + self.rng.uniform(*self.delay_ms) + slow, session.free_at.get(to, 0.0))
+        narrow = min(sender.bytes_per_ms, self.machines[to].bytes_per_ms)
+        due += sum(len(part) for part in parts if isinstance(part, bytes)) / narrow
         session.free_at[to] = due
         receiver = self.machines[to]
 
