Limits: proxies go on with their own part for 20 s where no warden can be

A proxy out of touch uses its base, a fixed part of each limit that nobody else uses meanwhile; all bases sum to one by the roster that a majority of keepers has stored before a base is raised. The base ended after 8 s because keepers without a memory have to wait that long.

Ruled out: no end at all (the part of a machine that is gone would be lent to nobody, for good).

Change: where keepers store the roster a base counts for 20 s, told with each answer; a new warden that knows the roster reads it again when the keepers change.

A restarted proxy has no base yet: next.

--- a/barleybarrow/limits/credit_client.py
+++ b/barleybarrow/limits/credit_client.py
@@ -279,7 +279,7 @@
             if self.applied == 0:
                 self.soon_at = now  # the warden uses this proxy's base once it knows that it was heard
             self.applied, self.fall_at = m.number, now + spans.FALL
-            self.base, self.base_until = m.base, sent.at + spans.BASE_LIFE
+            self.base, self.base_until = m.base, sent.at + m.base_life
         for entry, number, spent, returned in sent.items:
             if (entry.number, entry.spent, entry.returned) == (number, spent, returned) and not entry.waiting:
                 self.dirty.pop(number, None)
--- a/barleybarrow/limits/credit_machine.py
+++ b/barleybarrow/limits/credit_machine.py
@@ -38,9 +38,9 @@
 class Term:
     """What a warden keeps for one term."""
 
-    def __init__(self, now: float, limit_of: Callable[[str], KeyLimit | None]) -> None:
+    def __init__(self, now: float, limit_of: Callable[[str], KeyLimit | None], base_life: float) -> None:
         self.lent = LentFraction(now)
-        self.members = Members(now, self.lent)
+        self.members = Members(now, self.lent, base_life)
         self.ledger = CreditLedger(self.lent, limit_of)
         self.replies: dict[str, RosterReply] = {}
         self.began_at = now
@@ -115,7 +115,8 @@
     # The lease
 
     def elected(self, now: float) -> None:
-        self.books = Term(now, self.limit_of)
+        base_life = spans.BASE_LIFE_STORED if self.durable else spans.BASE_LIFE
+        self.books = Term(now, self.limit_of, base_life)
         self.books.version = self.kept.version
         self.heard.clear()
         self.ask_rosters(now, self.books)
@@ -226,6 +227,7 @@
             self.send_to_missing(now, books)
         if not books.members.is_known(now):
             self.ask_rosters(now, books)
+            self.read_rosters(now, books)  # other keepers may be a majority since
             answered = sum(name in books.replies for name in self.keepers)
             late = now >= books.began_at + spans.ROSTER_PATIENCE
             books.ledger.floors.unchecked |= late and answered >= self.majority
@@ -436,4 +438,5 @@
         grants = [books.ledger.take(now, sender, item, void_at) for item in m.items]
         self.remember_drained(now, books)
         base = books.members.tell(now, sender, member, m.number)
-        return CreditAnswer(m.term, m.number, base, [grant for grant in grants if grant is not None])
+        given = [grant for grant in grants if grant is not None]
+        return CreditAnswer(m.term, m.number, base, given, books.members.base_life)
--- a/barleybarrow/limits/members.py
+++ b/barleybarrow/limits/members.py
@@ -44,9 +44,9 @@
 class Members:
     """All proxies of one term."""
 
-    def __init__(self, now: float, lent: LentFraction) -> None:
-        self.lent = lent
-        self.known_at = now + spans.BASE_LIFE * DRIFT  # from then on nobody unknown holds a base
+    def __init__(self, now: float, lent: LentFraction, base_life: float) -> None:
+        self.lent, self.base_life = lent, base_life
+        self.known_at = now + base_life * DRIFT  # from then on nobody unknown holds a base
         self.members: dict[str, Member] = {}
         self.held = 0.0  # by all together
         self.left: dict[str, int] = {}  # runs that have said that they end
@@ -187,9 +187,9 @@
         return found
 
     def forget(self, now: float) -> None:
-        """A base is void after BASE_LIFE; so is what is known of its holder."""
+        """A base is void after its life; so is what is known of its holder."""
         for name, member in list(self.members.items()):
-            if now > member.answered_at + spans.BASE_LIFE * DRIFT:
+            if now > member.answered_at + self.base_life * DRIFT:
                 self.set_held(member, 0.0)
                 self.lent.drop(now, name)
                 del self.members[name]
--- a/barleybarrow/limits/messages.py
+++ b/barleybarrow/limits/messages.py
@@ -9,12 +9,14 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from barleybarrow.limits.spans import BASE_LIFE
 from barleybarrow.limits.warden_lease import Here, Promise, Seek, Token
 
 MOST_ITEMS = 200  # entries in one report; the others go with the next
 MOST_MEMBERS = 4096
 MOST_KEEPERS = 64
 MOST_DRAINED = 1000  # keys; where more are, all count
+MOST_LIFE = 600_000.0  # milliseconds
 
 Key = Annotated[str, Meta(max_length=200)]
 Amount = Annotated[float, Meta(ge=0.0, le=1e15)]
@@ -62,6 +64,7 @@
     number: Token
     base: Fraction
     grants: Annotated[list[Grant], Meta(max_length=MOST_ITEMS)]
+    base_life: Annotated[float, Meta(gt=0.0, le=MOST_LIFE)] = BASE_LIFE  # milliseconds from the question on
 
 
 class RosterEntry(Struct, array_like=True, frozen=True):
--- a/tests/fleet/test_limits_worlds.py
+++ b/tests/fleet/test_limits_worlds.py
@@ -46,6 +46,35 @@
                     world.at(9900.0, "call", "start", name)
                 self.assertEqual(broken(world), "")
 
+    def test_proxies_go_on_for_twenty_seconds_without_a_warden(self) -> None:
+        for seed in range(300, 304):
+            with self.subTest(seed=seed):
+                world = World(11, [token_tenant("t", 400_000.0)], seed=seed, durable=True)
+                world.demand(Demand("t", 400_000.0 * 0.77 / MEAN_BIG_COST, BIG_COST))
+                world.at(500.0, "check", 100.0)
+                world.run(6000.0)
+                for name in world.keepers:
+                    world.kill(name)
+                world.run(8000.0)
+                before = world.tally["t"].refused, world.tally["t"].asked
+                world.run(25_000.0)
+                after = world.tally["t"]
+                refused = (after.refused - before[0]) / (after.asked - before[1])
+                self.assertLess(refused, 0.2)
+                self.assertLessEqual(world.excess("t"), 0.0)
+
+    def test_without_a_warden_for_long_while_proxies_come_and_go(self) -> None:
+        for seed in range(320, 330):
+            with self.subTest(seed=seed):
+                world = troubled_world(seed, LENGTH, pause=3000.0, lossy=False)
+                world.durable = True
+                for name in world.keepers:
+                    world.at(4000.0, "call", "kill", name)
+                    world.at(4300.0, "call", "start", name)
+                    world.at(7000.0, "call", "kill", name)
+                    world.at(17_000.0, "call", "start", name)
+                self.assertEqual(broken(world), "")
+
     def test_keepers_that_are_replaced(self) -> None:
         for seed in range(200, 215):
             with self.subTest(seed=seed):
