--- /dev/null
+++ b/tests/fleet/config_search.py
@@ -0,0 +1,422 @@
+"""A bounded search over the shipped `ConfigNode`: all ways of a few events from a given moment on.
+
+A state is a few nodes, what they have stored, and what is under way between them. From each state each event
+is tried: an election's span passes at a node, a process restarts, a disk is lost, an operator sends an order,
+or sends one again; and after it each way of delivery: all arrives, nothing, a few messages, or all but what
+one process sends and receives, which is lost. States that look alike are visited once, those with the fewest
+events first, up to a bound. The invariants are those of `docs/design/control-safety.md`.
+"""
+
+import copy
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+from random import Random
+
+from msgspec import msgpack
+
+from barleybarrow.agreement import Kind, Role
+from barleybarrow.consensus.config_node import ConfigNode, NodeOptions, Work
+from barleybarrow.consensus.configuration_state import (
+    Command,
+    Order,
+    OrderStatus,
+    generation_of,
+    read_body,
+)
+from barleybarrow.consensus.durable_state import decode_state
+from barleybarrow.consensus.voter_selection import ControlProcess
+
+SPAN_MS = 2000.0  # longer than any patience of a node
+STEP_MS = 1.0
+SETTLE_STEPS = 400
+FEW = (1, 3)  # messages that arrive before the next event
+ORDERS = 3  # that operators send at most
+
+
+Event = Callable[["State"], None]
+
+
+class ViolationError(AssertionError):
+    """An invariant does not hold."""
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """What may happen at most, all together."""
+
+    states: int = 2000
+    wipes: int = 1
+    restarts: int = 1
+    spans: int = 2
+
+
+@dataclass
+class Member:
+    """A process: its machine, and what is on its disk."""
+
+    node: ConfigNode
+    image: bytes = b""
+    records: tuple[bytes, ...] = ()
+    life: int = 1
+    down: bool = False
+
+
+@dataclass
+class State:
+    """All of it. Members are replaced, never changed, once a state is complete."""
+
+    members: dict[str, Member]
+    wires: dict[tuple[str, str], tuple[bytes, ...]]
+    now: float
+    bounds: Bounds
+    orders_sent: int = 0
+    sent: dict[int, tuple[int, bytes]] = field(default_factory=dict)  # base and body of orders by generation
+    tickets: dict[tuple[str, int, int], int] = field(default_factory=dict)  # generation by node, life, ticket
+    taken_order: tuple[int, bytes] | None = None  # the first that was acknowledged
+    again: bool = True  # it may be sent once more
+    refused: tuple[int, ...] = ()  # statuses
+    acknowledged: tuple[int, ...] = ()  # generations
+    leaders: tuple[tuple[int, str], ...] = ()  # term and name
+    path: tuple[str, ...] = ()
+    committed: dict[int, bytes] = field(default_factory=dict)  # by index
+
+
+def options_of(name: str, names: list[str], tolerated: int) -> NodeOptions:
+    """Each node in a zone of its own."""
+    return NodeOptions(name, f"zone-{names.index(name)}", True, names[:3], True, tolerated)
+
+
+class Search:
+    """The search; `node_class` may have a fault planted."""
+
+    def __init__(self, names: list[str], tolerated: int, node_class: type[ConfigNode] = ConfigNode) -> None:
+        self.names, self.tolerated, self.node_class = names, tolerated, node_class
+        self.visited = self.made = 0  # states that were left by each way, and those that were reached
+        self.max_log_entries = 6
+
+    # Making states
+
+    def first(self, running: list[str], bounds: Bounds) -> State:
+        """A founded group in which all that was sent has arrived."""
+        members = {name: Member(self.fresh(name, 0.0, 1)) for name in running}
+        state = State(members, {}, 0.0, bounds)
+        for name in running:
+            self.link_all(state, name)
+        self.settle(state)
+        for _ in range(6):
+            state.now += 300.0
+            for name in running:
+                self.act(state, name, lambda node, now: node.tick(now))
+            self.settle(state)
+        return state
+
+    def fresh(self, name: str, now: float, life: int, member: Member | None = None) -> ConfigNode:
+        kept = (
+            decode_state(member.image, list(member.records)) if member is not None and member.image else None
+        )
+        options = options_of(name, self.names, self.tolerated)
+        if member is not None:
+            options = NodeOptions(
+                options.name, options.zone, True, options.seeds, False, options.tolerated_machines
+            )
+        node = self.node_class(options, Random(hash((name, life)) & 0xFFFF), now, kept)
+        node.max_log_entries = self.max_log_entries
+        return node
+
+    def link_all(self, state: State, name: str) -> None:
+        """A process that started has links to all others that run."""
+        for other, member in state.members.items():
+            if other != name and not member.down and not state.members[name].down:
+                for here, there in ((name, other), (other, name)):
+                    life = state.members[there].life
+                    process = ControlProcess(there, f"zone-{self.names.index(there)}", True, life)
+                    self.act(state, here, lambda node, now, process=process: node.link_up(now, process))
+                    voters, index = state.members[there].node.voters
+                    self.act(state, here, lambda node, now, v=voters, i=index: node.hear_voters(list(v), i))
+
+    def settle(self, state: State, most: int = SETTLE_STEPS) -> None:
+        """Have what is under way arrive, the oldest links first."""
+        for _ in range(most):
+            pairs = [pair for pair, wire in state.wires.items() if wire]
+            if not pairs:
+                return
+            self.deliver(state, pairs[0])
+
+    def stop(self, state: State, name: str) -> None:
+        """A process ends for good, or for as long as the search lasts."""
+        self.cut_wires(state, name)
+        member = state.members[name]
+        state.members[name] = Member(member.node, member.image, member.records, member.life, down=True)
+        for other in state.members:
+            self.act(state, other, lambda node, now: node.link_down(now, name))
+
+    def join(self, state: State, name: str) -> None:
+        """An empty machine at a new address."""
+        node = self.fresh(name, state.now, 1, Member(None))  # type: ignore[arg-type]
+        state.members[name] = Member(node)
+        self.act(state, name, lambda node, now: None)
+        self.link_all(state, name)
+
+    def settle_without(self, state: State, name: str) -> None:
+        """Have all arrive but what is sent to or by one process, which is lost."""
+        for _ in range(SETTLE_STEPS):
+            for pair in [pair for pair in state.wires if name in pair]:
+                del state.wires[pair]
+            pairs = [pair for pair, wire in state.wires.items() if wire]
+            if not pairs:
+                return
+            self.deliver(state, pairs[0])
+
+    def copied(self, state: State, step: str) -> State:
+        return State(
+            dict(state.members),
+            dict(state.wires),
+            state.now + STEP_MS,
+            state.bounds,
+            state.orders_sent,
+            dict(state.sent),
+            dict(state.tickets),
+            state.taken_order,
+            state.again,
+            state.refused,
+            state.acknowledged,
+            state.leaders,
+            (*state.path, step),
+            dict(state.committed),
+        )
+
+    # What happens
+
+    def act(self, state: State, name: str, action: object) -> None:
+        """Do something to a node, then store, send and apply what it wants."""
+        member = state.members[name]
+        if member.down:
+            return
+        member = Member(copy.deepcopy(member.node), member.image, member.records, member.life)
+        state.members[name] = member
+        action(member.node, state.now)  # type: ignore[operator]
+        self.pump(state, name, member)
+        self.check(state, name, member)
+
+    def pump(self, state: State, name: str, member: Member) -> None:
+        node = member.node
+        while True:
+            while (work := node.take()) is not None:
+                self.keep(member, work)
+                for to, payload in work.messages:
+                    self.send(state, name, to, payload)
+                node.stored(state.now)
+            checks, node.orders.checks = node.orders.checks, []
+            for request in checks:
+                node.checked(state.now, request.digest, "")
+            if not checks:
+                break
+        outcomes, node.orders.outcomes = node.orders.outcomes, []
+        for ticket, outcome in outcomes:
+            generation = state.tickets.get((name, member.life, ticket))
+            if outcome.status == OrderStatus.TAKEN and generation is not None:
+                state.acknowledged = (*state.acknowledged, generation)
+                state.taken_order = state.taken_order or state.sent[generation]
+            elif 400 <= outcome.status < 500:
+                state.refused = (*state.refused, int(outcome.status))
+
+    def keep(self, member: Member, work: Work) -> None:
+        if work.image is not None:
+            member.image, member.records = work.image, ()
+        member.records = (*member.records, *work.records)
+
+    def send(self, state: State, name: str, to: str, payload: bytes) -> None:
+        other = state.members.get(to)
+        if other is not None and not other.down:
+            state.wires[name, to] = (*state.wires.get((name, to), ()), payload)
+
+    def deliver(self, state: State, pair: tuple[str, str]) -> None:
+        first, *rest = state.wires[pair]
+        state.wires[pair] = tuple(rest)
+        self.act(state, pair[1], lambda node, now: node.receive(now, pair[0], first))
+
+    def cut_wires(self, state: State, name: str) -> None:
+        """What is under way to or from a process is lost."""
+        for pair in list(state.wires):
+            if name in pair:
+                del state.wires[pair]
+
+    def restart(self, state: State, name: str, wiped: bool) -> None:
+        member = state.members[name]
+        self.cut_wires(state, name)
+        for other in state.members:
+            if other != name:
+                self.act(state, other, lambda node, now: node.link_down(now, name))
+        kept = Member(member.node, b"" if wiped else member.image, () if wiped else member.records)
+        node = self.fresh(name, state.now, member.life + 1, kept)
+        state.members[name] = Member(node, kept.image, kept.records, member.life + 1)
+        self.act(state, name, lambda node, now: None)
+        self.link_all(state, name)
+
+    # The search
+
+    def successors(self, state: State) -> Iterator[State]:
+        """Each state that one event, and one way of delivery after it, leads to."""
+        for label, event, bounds in self.events(state):
+            for mode, delivery in self.deliveries(state):
+                made = self.copied(state, f"{label}, {mode}")
+                made.bounds = bounds
+                event(made)
+                delivery(made)
+                yield made
+
+    def events(self, state: State) -> Iterator[tuple[str, Event, Bounds]]:
+        """What may happen next, and what is left to happen after it."""
+        bounds = state.bounds
+        for name in [name for name, member in state.members.items() if not member.down]:
+            if bounds.spans:
+                left = replace(bounds, spans=bounds.spans - 1)
+                yield f"span {name}", lambda made, name=name: self.span(made, name), left
+            if bounds.restarts:
+                left = replace(bounds, restarts=bounds.restarts - 1)
+                yield f"restart {name}", lambda made, name=name: self.restart(made, name, wiped=False), left
+            if bounds.wipes:
+                left = replace(bounds, wipes=bounds.wipes - 1)
+                yield f"wipe {name}", lambda made, name=name: self.restart(made, name, wiped=True), left
+            if state.members[name].node.is_leader:
+                if state.orders_sent < ORDERS:
+                    yield f"order {name}", lambda made, name=name: self.new_order(made, name), bounds
+                if state.taken_order is not None and state.again:
+                    yield f"again {name}", lambda made, name=name: self.order_again(made, name), bounds
+
+    def deliveries(self, state: State) -> Iterator[tuple[str, Event]]:
+        """How what is under way arrives: all, nothing, a few messages, or all but those of one process."""
+        yield "all", self.settle
+        yield "nothing", lambda made: None
+        for few in FEW:
+            yield f"{few} messages", lambda made, few=few: self.settle(made, few)
+        for name in state.members:
+            yield f"without {name}", lambda made, name=name: self.settle_without(made, name)
+
+    def span(self, state: State, name: str) -> None:
+        state.now += SPAN_MS
+        self.act(state, name, self.wait_out)
+
+    @staticmethod
+    def wait_out(node: ConfigNode, now: float) -> None:
+        """A span in which the others were not heard of, though this process ran all the while."""
+        node.last_call = now
+        node.tick(now)
+
+    def new_order(self, state: State, name: str) -> None:
+        state.orders_sent += 1
+        self.order(state, name)
+
+    def order_again(self, state: State, name: str) -> None:
+        """The order that was acknowledged first is sent once more."""
+        state.again = False
+        assert state.taken_order is not None
+        base, body = state.taken_order
+        before = len(state.refused)
+        self.act(state, name, lambda node, now: node.submit(now, "replace", base, body, 0) and None)
+        self.settle(state)
+        if len(state.refused) > before:
+            raise ViolationError(f"an order that was taken is refused: {state.path}")
+
+    def order(self, state: State, name: str) -> None:
+        base = state.members[name].node.state.version
+        generation = base + 1 + state.orders_sent
+        body = b'{"Generation": %d}' % generation
+        state.sent[generation] = (base, body)
+        life = state.members[name].life
+
+        def submit(node: ConfigNode, now: float) -> None:
+            ticket = node.submit(now, "replace", base, body, 0)
+            state.tickets[name, life, ticket] = generation
+
+        self.act(state, name, submit)
+
+    def run(self, start: State) -> int:
+        """Visit states; raises ViolationError. How many were visited."""
+        seen, waiting = {self.fingerprint(start)}, deque([start])
+        while waiting and self.visited < start.bounds.states:
+            state = waiting.popleft()
+            self.visited += 1
+            for made in self.successors(state):
+                self.made += 1
+                key = self.fingerprint(made)
+                if key not in seen:
+                    seen.add(key)
+                    waiting.append(made)
+        return self.visited
+
+    def fingerprint(self, state: State) -> int:
+        """What tells states apart; times are left out."""
+        parts: list[object] = [state.orders_sent, state.acknowledged, state.bounds]
+        for name, member in state.members.items():
+            agreement = member.node.agreement
+            progress = tuple((n, p.next, p.match, p.has) for n, p in sorted(agreement.progress.items()))
+            log = tuple((entry.term, entry.kind, hash(entry.data)) for entry in agreement.entries)
+            parts.append(
+                (
+                    name,
+                    agreement.role.value,
+                    agreement.term,
+                    agreement.vote,
+                    agreement.leader,
+                    agreement.barred,
+                    agreement.snapshot.index,
+                    agreement.commit,
+                    tuple(sorted(agreement.votes)),
+                    progress,
+                    log,
+                    member.life,
+                )
+            )
+        parts += [(pair, wire) for pair, wire in sorted(state.wires.items()) if wire]
+        return hash(tuple(map(repr, parts)))
+
+    # Invariants
+
+    def check(self, state: State, name: str, member: Member) -> None:
+        """Raises ViolationError."""
+        agreement = member.node.agreement
+        if agreement.role is Role.LEADER:
+            self.one_leader_a_term(state, agreement.term, name)
+            self.leaders_hold_what_is_acknowledged(state, member)
+        self.committed_entries_agree(state, member)
+        self.one_order_a_base(state)
+
+    def one_leader_a_term(self, state: State, term: int, name: str) -> None:
+        for known, leader in state.leaders:
+            if known == term and leader != name:
+                raise ViolationError(f"two leaders in term {term}: {leader} and {name}; {state.path}")
+        if (term, name) not in state.leaders:
+            state.leaders = (*state.leaders, (term, name))
+
+    def leaders_hold_what_is_acknowledged(self, state: State, member: Member) -> None:
+        node = member.node
+        held = {taken.version for taken in node.state.history()}
+        for entry in node.agreement.entries:
+            if entry.kind == Kind.DATA and entry.data:
+                command = msgpack.decode(entry.data)
+                if command[0] == 1:  # an order; its compressed body names the version
+                    held.add(generation_of_order(entry.data))
+        lost = [generation for generation in state.acknowledged if generation not in held]
+        if lost and node.agreement.term >= max(term for term, _ in state.leaders):
+            raise ViolationError(f"a leader without acknowledged versions {lost}: {state.path}")
+
+    def committed_entries_agree(self, state: State, member: Member) -> None:
+        agreement = member.node.agreement
+        for index in range(agreement.snapshot.index + 1, agreement.commit + 1):
+            entry = agreement.entries[index - agreement.snapshot.index - 1]
+            encoded = msgpack.encode(entry)
+            if state.committed.setdefault(index, encoded) != encoded:
+                raise ViolationError(f"entry {index} was committed twice: {state.path}")
+
+    def one_order_a_base(self, state: State) -> None:
+        if len(set(state.acknowledged)) != len(state.acknowledged):
+            raise ViolationError(f"a version was acknowledged twice: {state.path}")
+
+
+def generation_of_order(data: bytes) -> int:
+    """The version that an order in the log makes."""
+    order = msgpack.decode(data, type=Command)
+    assert isinstance(order, Order)
+    return generation_of(read_body(order))
--- /dev/null
+++ b/tests/fleet/play_config_search.py
@@ -0,0 +1,28 @@
+"""Searches further than the tests do: `python -m tests.fleet.play_config_search STATES`, of each start."""
+
+import sys
+import time
+
+from tests.fleet.config_search import Bounds, Search, ViolationError
+from tests.fleet.test_config_search import FIVE, STARTS, THREE
+
+
+def main(states: int) -> int:
+    """Search with three and five voters and print what was visited: how many violations were found."""
+    found = 0
+    for names, tolerated, wipes in ((THREE, 1, 1), (FIVE, 2, 2)):
+        for start in STARTS:
+            search, began = Search(names, tolerated), time.monotonic()
+            try:
+                search.run(start(search, len(names) - 1, Bounds(states, wipes)))
+            except ViolationError as violation:
+                found += 1
+                print(violation)
+            took = time.monotonic() - began
+            shown = f"{search.visited} states visited, {search.made} made"
+            print(f"{len(names) - 1} voters, {start.__name__}: {shown}, {took:.1f} s", flush=True)
+    return found
+
+
+if __name__ == "__main__":
+    sys.exit(bool(main(int(sys.argv[1]))))
