--- a/tests/fleet/fleet_simulation.py
+++ b/tests/fleet/fleet_simulation.py
@@ -76,7 +76,12 @@
         machine.store = None
         if machine.counts:
             machine.store = self.store_class("data", "configuration", machine.disk)
-            loaded = machine.store.load()
+            try:
+                loaded = machine.store.load()
+            except PowerLost:
+                machine.disk.lose_power()
+                self.on_power_lost(machine)
+                return
             if loaded.snapshot is not None:
                 kept = decode_state(loaded.snapshot, loaded.records)
         options = NodeOptions(
