--- a/barleybarrow/consensus/config_node.py
+++ b/barleybarrow/consensus/config_node.py
@@ -17,14 +17,14 @@
 
 from msgspec import DecodeError, msgpack
 
-from barleybarrow.agreement import (
+from barleybarrow.agreement import Role
+from barleybarrow.agreement_messages import (
     Appended,
     Entry,
     Install,
     Kind,
     Message,
     Ready,
-    Role,
     Snapshot,
     Submit,
     TimeoutNow,
--- a/barleybarrow/consensus/durable_state.py
+++ b/barleybarrow/consensus/durable_state.py
@@ -6,7 +6,8 @@
 
 from msgspec import DecodeError, Struct, msgpack
 
-from barleybarrow.agreement import Agreement, Entry, Ready, Snapshot
+from barleybarrow.agreement import Agreement
+from barleybarrow.agreement_messages import Entry, Ready, Snapshot
 
 FORMAT = 1
 
--- a/barleybarrow/consensus/paced_agreement.py
+++ b/barleybarrow/consensus/paced_agreement.py
@@ -11,7 +11,8 @@
 from math import inf
 from typing import Any
 
-from barleybarrow.agreement import Agreement, Appended, AskVote, Role, Vote
+from barleybarrow.agreement import Agreement, Role
+from barleybarrow.agreement_messages import Appended, AskVote, Vote
 from barleybarrow.consensus.failure_domains import spread_index
 
 PROBE_AGAIN_MS = (200.0, 450.0)  # after a question whether one would be elected: links answer within 100 ms
--- a/barleybarrow/limits/members.py
+++ b/barleybarrow/limits/members.py
@@ -200,7 +200,8 @@
         while len(member.told) > MOST_TOLD:
             del member.told[next(iter(member.told))]
         if base > member.held:
-            unused = member.held <= 0.0  # it has no base to use until it has been without an answer for FALL
+            # It has no base to use until it has been without an answer for FALL, unless it may take one up.
+            unused = member.held <= 0.0 and member.floor <= 0.0
             self.set_held(member, base)
             if unused:
                 self.lent.lend(now, name, member.reserve, now + spans.FALL / DRIFT)
--- a/barleybarrow/policy_gate.py
+++ b/barleybarrow/policy_gate.py
@@ -11,7 +11,8 @@
 
 from msgspec import Struct, msgpack
 
-from barleybarrow.agreement import Agreement, Appended, Entry, Message, Ready, Role, Snapshot
+from barleybarrow.agreement import Agreement, Role
+from barleybarrow.agreement_messages import Appended, Entry, Message, Ready, Snapshot
 from barleybarrow.policy import PolicyError, Rules, read, stricter
 from barleybarrow.rollout import FORCE, JOINT, WITHDRAWN, Book, Command, Conductor, Join, Step, Word
 
--- a/barleybarrow/recovery.py
+++ b/barleybarrow/recovery.py
@@ -9,7 +9,7 @@
 
 from msgspec import msgpack
 
-from barleybarrow.agreement import Entry, Kind, Ready, Snapshot
+from barleybarrow.agreement_messages import Entry, Kind, Ready, Snapshot
 from barleybarrow.rollout import Book
 
 TERMS = 1000  # beyond all that were seen: whoever is gone may have seen a few more
--- a/brackenusher/group/node.py
+++ b/brackenusher/group/node.py
@@ -14,7 +14,7 @@
 
 from msgspec import msgpack
 
-from barleybarrow.agreement import Entry, Message, Ready
+from barleybarrow.agreement_messages import Entry, Message, Ready
 from barleybarrow.incarnations import Incarnations
 from barleybarrow.policy import PolicyError, Rules, read
 from barleybarrow.policy_gate import PolicyGate
--- a/brackenusher/group/store.py
+++ b/brackenusher/group/store.py
@@ -5,7 +5,7 @@
 
 from msgspec import DecodeError, msgpack
 
-from barleybarrow.agreement import Entry, Ready, Snapshot
+from barleybarrow.agreement_messages import Entry, Ready, Snapshot
 from barleybarrow.incarnations import Life
 from brackenusher.group.database import DatabaseDamagedError, File, check
 from brackenusher.runtime.points import reach
--- a/testbed/consensus.py
+++ b/testbed/consensus.py
@@ -12,7 +12,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from barleybarrow.agreement import ELECTION, Agreement, Entry, Message, Ready, Role, Snapshot
+from barleybarrow.agreement import ELECTION, Agreement, Role
+from barleybarrow.agreement_messages import Entry, Message, Ready, Snapshot
 
 MOST_ON_WAY = 40
 
--- a/testbed/policy_group.py
+++ b/testbed/policy_group.py
@@ -9,7 +9,7 @@
 from math import inf
 from typing import Any
 
-from barleybarrow.agreement import Entry, Ready
+from barleybarrow.agreement_messages import Entry, Ready
 from barleybarrow.policy_gate import PolicyGate
 from barleybarrow.rollout import FORCE, Electorate, Propose
 from testbed import oracle_policy as oracle
--- a/testbed/steps.py
+++ b/testbed/steps.py
@@ -15,7 +15,7 @@
 
 from msgspec import msgpack
 
-from barleybarrow.agreement import Append, Appended, Message
+from barleybarrow.agreement_messages import Append, Appended, Message
 from barleybarrow.policy_gate import Note, PolicyGate
 from barleybarrow.rollout import FORCE, Propose
 from testbed.consensus import Disk
--- a/tests/fleet/config_search.py
+++ b/tests/fleet/config_search.py
@@ -15,7 +15,8 @@
 
 from msgspec import msgpack
 
-from barleybarrow.agreement import Kind, Role
+from barleybarrow.agreement import Role
+from barleybarrow.agreement_messages import Kind
 from barleybarrow.consensus.config_node import ConfigNode, NodeOptions, Work
 from barleybarrow.consensus.configuration_state import (
     Command,
--- a/tests/fleet/test_config_node.py
+++ b/tests/fleet/test_config_node.py
@@ -5,7 +5,7 @@
 
 from msgspec import msgpack
 
-from barleybarrow.agreement import AskVote, Message, TimeoutNow, Vote
+from barleybarrow.agreement_messages import AskVote, Message, TimeoutNow, Vote
 from barleybarrow.consensus.config_node import ConfigNode, NodeOptions, Work
 from barleybarrow.consensus.durable_state import DurableState, decode_state
 from barleybarrow.consensus.paced_agreement import PacedAgreement
--- a/tests/fleet/test_config_search.py
+++ b/tests/fleet/test_config_search.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from barleybarrow.agreement import AskVote
+from barleybarrow.agreement_messages import AskVote
 from barleybarrow.consensus.config_node import ConfigNode
 from barleybarrow.consensus.configuration_state import ConfigurationState
 from barleybarrow.consensus.paced_agreement import PacedAgreement
--- a/tests/fleet/test_config_shard.py
+++ b/tests/fleet/test_config_shard.py
@@ -216,6 +216,68 @@
 
         self.story(story)
 
+    def test_a_voter_that_ends_as_planned_is_replaced_by_a_standby(self) -> None:
+        async def story(world: ShardWorld) -> None:
+            voters = set(world.leader().up.voters())
+            goes = next(c for c in world.controls if c.address in voters and not c.up.is_leader)
+            began = asyncio.get_running_loop().time()
+            await goes.up.stop()
+            self.assertLess(asyncio.get_running_loop().time() - began, 1.4)
+            left = set(world.leader().up.voters())
+            self.assertEqual((len(left), goes.address in left), (3, False))
+
+        self.story(story, counting=4)
+
+    def test_a_leader_that_ends_as_planned_is_replaced_too(self) -> None:
+        async def story(world: ShardWorld) -> None:
+            goes = world.leader()
+            await goes.up.stop()
+            goes.kill()
+            await asyncio.sleep(0.5)
+            self.assertEqual((await world.controls[4].take(6, 5)).status, 200)
+            left = set(world.leader().up.voters())
+            self.assertEqual((len(left), goes.address in left), (3, False))
+
+        self.story(story, counting=4)
+
+    def test_without_a_standby_a_planned_end_waits_for_none(self) -> None:
+        async def story(world: ShardWorld) -> None:
+            goes = next(c for c in world.controls[:3] if not c.up.is_leader)
+            began = asyncio.get_running_loop().time()
+            await goes.up.stop()
+            self.assertLess(asyncio.get_running_loop().time() - began, 0.1)
+            self.assertIn(goes.address, world.leader().up.voters())
+
+        self.story(story)
+
+    def test_a_voter_that_comes_back_may_vote_again(self) -> None:
+        async def story(world: ShardWorld) -> None:
+            voters = set(world.leader().up.voters())
+            goes = next(c for c in world.controls if c.address in voters and not c.up.is_leader)
+            await goes.up.stop()
+            goes.kill()
+            await goes.start()
+            await asyncio.sleep(1.0)
+            other = next(c for c in world.controls[:4] if c is not goes and not c.up.is_leader)
+            await other.up.stop()
+            self.assertIn(goes.address, world.leader().up.voters())
+
+        self.story(story, counting=4)
+
+    def test_a_leader_that_ends_has_others_hold_all_before(self) -> None:
+        async def story(world: ShardWorld) -> None:
+            leader = world.leader()
+            slow = next(c for c in world.controls[:3] if c is not leader)
+            slow.stall(0.2)
+            self.assertEqual((await world.controls[3].take(6, 5)).status, 200)
+            await leader.up.stop()
+            for control in world.controls[:3]:
+                if control is not leader:
+                    entries = control.up._node.agreement  # type: ignore[union-attr]
+                    self.assertGreaterEqual(entries.stored_to, leader.up._node.agreement.commit)  # type: ignore
+
+        self.story(story)
+
     def test_all_killed_at_once_are_back_soon_with_what_was_taken(self) -> None:
         async def story(world: ShardWorld) -> None:
             for control in world.controls:
--- a/tests/fleet/test_config_state.py
+++ b/tests/fleet/test_config_state.py
@@ -8,7 +8,8 @@
 
 from msgspec import msgpack
 
-from barleybarrow.agreement import Agreement, Entry, Ready, Snapshot
+from barleybarrow.agreement import Agreement
+from barleybarrow.agreement_messages import Entry, Ready, Snapshot
 from barleybarrow.consensus import configuration_state
 from barleybarrow.consensus.configuration_state import (
     ConfigurationState,
--- a/tests/fleet/test_process_lives.py
+++ b/tests/fleet/test_process_lives.py
@@ -8,7 +8,8 @@
 
 from msgspec import msgpack
 
-from barleybarrow.agreement import Appended, AskVote, Entry, Kind, ReadUpTo, Role, Snapshot, Vote
+from barleybarrow.agreement import Role
+from barleybarrow.agreement_messages import Appended, AskVote, Entry, Kind, ReadUpTo, Snapshot, Vote
 from barleybarrow.consensus.config_node import ConfigNode, NodeOptions
 from barleybarrow.consensus.durable_state import DurableState
 from barleybarrow.consensus.voter_selection import ControlProcess
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -6,7 +6,8 @@
 import pytest
 
 from barleybarrow import agreement, policy_gate, replica, rollout
-from barleybarrow.agreement import Agreement, Appended, Role
+from barleybarrow.agreement import Agreement, Role
+from barleybarrow.agreement_messages import Appended
 from barleybarrow.policy_gate import PolicyGate
 from barleybarrow.replica import AskRange, Kept, Replica
 from barleybarrow.rollout import Book, Join
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -14,18 +14,8 @@
 from msgspec import msgpack
 
 from barleybarrow import policy_gate
-from barleybarrow.agreement import (
-    Agreement,
-    Append,
-    AskVote,
-    Entry,
-    Kind,
-    Progress,
-    ReadUpTo,
-    Ready,
-    Role,
-    Snapshot,
-)
+from barleybarrow.agreement import Agreement, Progress, Role
+from barleybarrow.agreement_messages import Append, AskVote, Entry, Kind, ReadUpTo, Ready, Snapshot
 from barleybarrow.budget import Budget, Repeats
 from barleybarrow.connections import ConnectionSettings
 from barleybarrow.incarnations import Incarnations, Life
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -9,7 +9,7 @@
 from helpers import command
 from msgspec import msgpack
 
-from barleybarrow.agreement import Entry, Kind, Snapshot
+from barleybarrow.agreement_messages import Entry, Kind, Snapshot
 from barleybarrow.recovery import TERMS, Held, lacking, objections, recovered
 from barleybarrow.rollout import FORCE, JOINT, Join, Propose, Step
 from testbed.processes.governing import Governed
