--- a/tests/fleet/feed_world.py
+++ b/tests/fleet/feed_world.py
@@ -8,7 +8,7 @@
 import asyncio
 import copy
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 from typing import Any
@@ -22,6 +22,7 @@
 from brackenusher.settings.local import FaultTolerance, LocalSettings
 from brackenusher.storage.slot_store import StorageError
 from tests.fleet.fake_links import FakeNetwork
+from tests.fleet.virtual_time import play
 
 HEARTBEAT_MS = 1000.0
 DRAIN_S = 2.0  # DrainMs: after an acknowledged drain no proxy in touch may use the server
@@ -450,3 +451,18 @@
             registry.tick()
             if self.commits and shard.majority():
                 shard.take(self.commits[-1])  # as agreement brings up who was cut off
+
+
+def story(test: Callable[[Any, World], Awaitable[None]]) -> Callable[[Any], None]:
+    """A test that is played in a world of its own, in which no handler may fail."""
+
+    def run(self: Any) -> None:
+        async def whole() -> None:
+            world = World(random.Random(1))
+            world.start()
+            await test(self, world)
+            self.assertEqual(world.network.errors, [])
+
+        play(whole())
+
+    return run
--- a/tests/fleet/test_feed_paths.py
+++ b/tests/fleet/test_feed_paths.py
@@ -1,9 +1,7 @@
 """The ordinary path of registration and feeds, and each single trouble, in virtual time."""
 
 import asyncio
-import random
 import unittest
-from collections.abc import Awaitable, Callable
 from unittest import mock
 
 from barleybarrow.replication.records import InstanceRecord, InstanceState
@@ -12,23 +10,7 @@
 from brackenusher.control_plane.final_records import FinalRecords
 from brackenusher.control_plane.registry_service import RegistryService
 from tests.fleet.fake_links import pair
-from tests.fleet.feed_world import ProxyProcess, World, configuration
-from tests.fleet.virtual_time import play
-
-
-def story(test: Callable[["FeedPathsTest", World], Awaitable[None]]) -> Callable[["FeedPathsTest"], None]:
-    """A test that is played in a world of its own."""
-
-    def run(self: "FeedPathsTest") -> None:
-        async def whole() -> None:
-            world = World(random.Random(1))
-            world.start()
-            await test(self, world)
-            self.assertEqual(world.network.errors, [])
-
-        play(whole())
-
-    return run
+from tests.fleet.feed_world import ProxyProcess, World, configuration, story
 
 
 class FeedPathsTest(unittest.TestCase):
--- a/tests/fleet/test_stale_control.py
+++ b/tests/fleet/test_stale_control.py
@@ -1,15 +1,12 @@
 """A control process that is cut off from its majority: what proxies do with what it still hands out."""
 
 import asyncio
-import random
 import unittest
-from collections.abc import Awaitable, Callable
 from unittest import mock
 
 from brackenusher.cluster import messages
 from brackenusher.data_plane.feed_client import FeedClient
-from tests.fleet.feed_world import ProxyProcess, World, configuration
-from tests.fleet.virtual_time import play
+from tests.fleet.feed_world import ProxyProcess, World, configuration, story
 
 PING_S = 1.0
 OLD, NEW = 8, 43
@@ -41,21 +38,6 @@
     return world.start_proxy("10.1.0.9:7001")
 
 
-def story(test: Callable[["StaleTest", World], Awaitable[None]]) -> Callable[["StaleTest"], None]:
-    """A test that is played in a world of its own."""
-
-    def run(self: "StaleTest") -> None:
-        async def whole() -> None:
-            world = World(random.Random(1))
-            world.start()
-            await test(self, world)
-            self.assertEqual(world.network.errors, [])
-
-        play(whole())
-
-    return run
-
-
 class StaleTest(unittest.TestCase):
     @story
     async def test_a_proxy_that_restarts_takes_the_newer_version_of_its_peers(self, world: World) -> None:
