--- a/benchmarks/site_variants.py
+++ b/benchmarks/site_variants.py
@@ -1,10 +1,10 @@
-"""Derives deployments that nobody has seen from a site file of the operators' bench, by plain changes of its text.
+"""Derives deployments that nobody has seen from a site file of the operators' bench.
 
     python benchmarks/site_variants.py SITE_FILE FOLDER
 
-Writes zone_loss.toml (a whole zone may be lost), five.toml (five counted machines, two may be lost), diskless.toml
-(no machine has a disk) and renamed.toml (other names of zones) into the folder, and copies the files beside the
-site file that it names.
+By plain changes of its text, it writes zone_loss.toml (a whole zone may be lost), five.toml (five
+counted machines, two may be lost), diskless.toml (no machine has a disk) and renamed.toml (other names of
+zones), and copies the files beside the site file that it names.
 """
 
 import re
