Limits: keepers that come back are told the roster anew; unknown rosters wait 8 s as before

Ruled out: the configuration (in force at once), the reservation of names (all proxies had started anew).

Test: two losses in a row and a loss of power of all, 8 worlds.

--- a/barleybarrow/limits/credit_machine.py
+++ b/barleybarrow/limits/credit_machine.py
@@ -161,6 +161,8 @@
         """Links came up or went down. A warden greets those that are new; keepers miss one that went."""
         before, self.reach = set(self.reach), list(reach)
         new = set(reach) - before
+        if self.books is not None:
+            self.books.taken -= new  # one that comes back may have lost what it stored
         lost = self.warden in before and self.warden not in self.reach
         if lost and self.role is Role.PROXY and self.name in self.keepers:
             self.warden_at = -inf
@@ -446,4 +448,10 @@
         self.remember_drained(now, books)
         base = books.members.tell(now, sender, member, m.number)
         given = [grant for grant in grants if grant is not None]
-        return CreditAnswer(m.term, m.number, base, given, books.members.base_life)
+        return CreditAnswer(m.term, m.number, base, given, self.base_life(books))
+
+    def base_life(self, books: Term) -> float:
+        """How long a base that is told now counts: longer where every keeper has stored the roster."""
+        if self.durable and books.taken.issuperset(self.keepers):
+            return spans.BASE_LIFE_STORED
+        return spans.BASE_LIFE
--- a/barleybarrow/limits/members.py
+++ b/barleybarrow/limits/members.py
@@ -56,7 +56,8 @@
 
     def __init__(self, now: float, lent: LentFraction, base_life: float) -> None:
         self.lent, self.base_life = lent, base_life
-        self.known_at = now + base_life * DRIFT  # from then on nobody unknown holds a base
+        # Nobody unknown holds a base from then on: one lasts longer only while all keepers know the roster.
+        self.known_at = now + spans.BASE_LIFE * DRIFT
         self.members: dict[str, Member] = {}
         self.held = 0.0  # reserved for all together
         self.left: dict[str, int] = {}  # runs that have said that they end
--- a/barleybarrow/limits/spans.py
+++ b/barleybarrow/limits/spans.py
@@ -13,7 +13,9 @@
 FALL = 750.0  # from the newest answer until a proxy uses its base; the warden stops using it before
 BASE_LIFE = 8000.0  # from the newest answered question until the base is void: keepers that have forgotten
 # the roster wait so long until anything is granted, which must be well within RecoverS
-BASE_LIFE_STORED = 20_000.0  # where keepers store the roster: a group without a majority for so long stops no
+BASE_LIFE_STORED = (
+    20_000.0  # where all keepers have stored the roster: a group without a majority for so long stops no
+)
 # traffic; the base of a machine that is gone is lent to nobody meanwhile
 GATHER = 2500.0  # from the very first warden on until bases are given out: all proxies start within a second
 REPORT_LEAST, REPORT_MOST = 120.0, 300.0  # between two reports of a proxy that has nothing to say
--- a/tests/fleet/test_limits_worlds.py
+++ b/tests/fleet/test_limits_worlds.py
@@ -124,6 +124,24 @@
 class RostersAreRepaired(unittest.TestCase):
     """What keepers remember of the proxies' bases, after some of them have missed or forgotten it."""
 
+    def test_a_keeper_that_lost_its_disk_and_a_new_one_are_told_before_all_lose_power(self) -> None:
+        """As on a hunted day: else two of three have forgotten the roster, and nobody is granted anything."""
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                world = World(6, [token_tenant("under", 100_000.0)], seed=seed, durable=True)
+                world.run(5000.0)
+                world.kill("c1")
+                del world.disks["c1"]
+                world.at(6000.0, "call", "start", "c1")
+                world.run(11_000.0)
+                world.replace_keeper("c0")
+                world.run(16_000.0)
+                for name in [*world.keepers, *world.proxies]:
+                    world.kill(name)
+                    world.at(17_000.0, "call", "start", name)
+                world.run(21_000.0)
+                self.assertGreater(world.lent(), 0.99)
+
     def test_a_keeper_that_was_cut_off_while_a_plan_was_taken_learns_it_later(self) -> None:
         world = World(3, [token_tenant("under", 100_000.0)], seed=3, durable=True)
         world.run(3000.0)
