--- a/tests/fleet/test_data_plane_planted.py
+++ b/tests/fleet/test_data_plane_planted.py
@@ -45,7 +45,9 @@
     async def assert_found(self, owner: type, name: str, bug: Any) -> None:
         random.seed(1)
         with mock.patch.object(owner, name, bug):
-            with self.assertRaises(AssertionError):
+            with self.assertRaises(
+                (AssertionError, TimeoutError)
+            ):  # the latter: a request without any answer
                 await self.judge_days()
 
     async def test_the_days_themselves_keep_the_rules(self) -> None:
