Data plane: with StrictRevocation API keys are used under a lease of a majority's word

Cause: `StrictRevocation` was read into `Bounds` and used nowhere: a proxy that was cut off went on with keys that had been taken away, for as long as the cut lasted.

Change: a confirmation (each version acknowledged before a moment is at most this one) begins with a read index, is kept by control processes, and passed on with its age in answers to questions and pings. It counts from before the question on the receiver's clock, for RevokeMs / 1.05. Without one, requests with a key get 503 with Retry-After, and the proxy is not ready. Off, nothing is asked and nothing changes.

--- a/benchmarks/site_variants.py
+++ b/benchmarks/site_variants.py
@@ -3,8 +3,8 @@
     python benchmarks/site_variants.py SITE_FILE FOLDER
 
 By plain changes of its text, it writes zone_loss.toml (a whole zone may be lost), five.toml (five
-counted machines, two may be lost), diskless.toml (no machine has a disk) and renamed.toml (other names of
-zones), and copies the files beside the site file that it names.
+counted machines, two may be lost), diskless.toml (no machine has a disk), renamed.toml (other names of
+zones) and strict.toml (StrictRevocation), and copies the files beside the site file that it names.
 """
 
 import re
@@ -41,11 +41,16 @@
     return text
 
 
+def strict(text: str) -> str:
+    """No key may be used for long after it was taken away, on any machine."""
+    return text.replace("\nclosed = false\n", "\nclosed = true\n")
+
+
 def main(site: Path, folder: Path) -> None:
     """Write all variants."""
     folder.mkdir(parents=True, exist_ok=True)
     text = site.read_text()
-    for variant in (zone_loss, five, diskless, renamed):
+    for variant in (zone_loss, five, diskless, renamed, strict):
         made = re.sub(r'^name = "([^"]+)"', rf'name = "\1-{variant.__name__}"', variant(text), count=1)
         (folder / f"{variant.__name__}.toml").write_text(made)
     for other in site.parent.iterdir():
--- a/brackenusher/assembly/control.py
+++ b/brackenusher/assembly/control.py
@@ -21,6 +21,7 @@
 from brackenusher.control_plane.http_server import HttpServer
 from brackenusher.control_plane.registry_service import RegistryService
 from brackenusher.control_plane.shares_driver import LIMITS_STORE, SharesDriver
+from brackenusher.control_plane.version_confirmations import VersionConfirmations
 from brackenusher.runtime.metrics import Metrics
 from brackenusher.runtime.process_metrics import add_process_metrics
 from brackenusher.settings.local import LocalSettings
@@ -53,6 +54,7 @@
             settings, self.links, store, self.writer, self.shard.voters, lambda: loop.time() * 1000.0
         )
         self.feeds = FeedSource(self.links, self.shard, self.registry)
+        self.confirmations = VersionConfirmations(self.links, self.shard, lambda: loop.time() * 1000.0)
         own = self.links.own.address
         self.limits = Limits(
             own,
@@ -112,6 +114,7 @@
         if self._ticker is not None:
             self._ticker.cancel()
         await self.feeds.stop()
+        await self.confirmations.stop()
         await self.monitor.stop()
         await self.links.stop()
         if self.writer is not None:
--- a/brackenusher/assembly/proxy.py
+++ b/brackenusher/assembly/proxy.py
@@ -12,6 +12,7 @@
 from brackenusher.assembly.process import greeting, limit_bounds, run
 from brackenusher.cluster import messages
 from brackenusher.cluster.base_exchange import BaseExchange
+from brackenusher.cluster.key_leases import KeyLease
 from brackenusher.cluster.limits_driver import LimitsDriver
 from brackenusher.cluster.link_metrics import add_link_metrics
 from brackenusher.cluster.links import Links, split_address
@@ -68,6 +69,7 @@
             now,
             lambda service: self.limits.may_repeat(loop.time() * 1000.0, service),
         )
+        self.key_lease = KeyLease(settings.bounds, self.links, lambda: loop.time() * 1000.0)
         self.journal = RequestJournal(loop.time)
         StatusResponder(self.links, self.journal.tell)
         self.proxy = Proxy(
@@ -77,6 +79,7 @@
             settings.limits.memory_mb,
             ask_quota=self.limits_driver.admit,
             may_deny=lambda: self.feed.current,
+            keys_hold=lambda: self.key_lease.holds,
             journal=self.journal,
         )
         self.feed = FeedClient(settings, self.links, self._configured, self._servers_changed)
@@ -87,9 +90,10 @@
         self.monitor.on_version.append(self.feed.hear_of_version)
         self.monitor.own_version = lambda: self.feed.version
         self.bases = self.monitor.bases = BaseExchange(self.limits)
+        self.monitor.key_lease = self.key_lease
         self.monitor.on_members.append(lambda members: self._members_changed())
         self._ticker: asyncio.Task[None] | None = None
-        self.server = DataPlaneServer(self.proxy, settings.limits.max_fds, lambda: self.feed.ready)
+        self.server = DataPlaneServer(self.proxy, settings.limits.max_fds, self._is_ready)
         host, port = split_address(settings.listen.ready)
         metrics = Metrics()
         self.readiness = HttpServer(host, port, ReadyApi(self.server.readiness, metrics).handle)
@@ -101,12 +105,17 @@
             self.feed,
             self.server.readiness,
             lambda: self.dispatcher.counters.counts,
+            self.key_lease,
         )
         self._told: messages.ProxyStatus | None = None
         self._tell_at = 0.0
 
+    def _is_ready(self) -> bool:
+        return self.feed.ready and self.key_lease.holds
+
     def _configured(self, configuration: Configuration) -> None:
         self.proxy.configure(configuration)
+        self.key_lease.took(configuration.generation)
 
     def _members_changed(self) -> None:
         count = self.monitor.proxies()
@@ -133,6 +142,7 @@
     async def _keep_ticking(self) -> None:
         while True:
             self.monitor.tick()
+            self.key_lease.tick(self.feed.sources)
             self._tell_status()
             await asyncio.sleep(TICK_S)
 
--- a/brackenusher/cluster/frames.py
+++ b/brackenusher/cluster/frames.py
@@ -33,6 +33,8 @@
     messages.StatusRequest,
     messages.StatusReply,
     messages.KeepAlive,
+    messages.VersionQuestion,
+    messages.VersionAnswer,
 )
 NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
 
--- a/brackenusher/cluster/messages.py
+++ b/brackenusher/cluster/messages.py
@@ -221,6 +221,8 @@
     your_base: float = betterproto.double_field(6)
     your_base_left_ms: int = betterproto.uint32_field(7)
     released: bool = betterproto.bool_field(8)
+    confirmed_version: int = betterproto.uint64_field(9)
+    confirmed_age_ms: int = betterproto.uint32_field(10)
 
 
 @dataclass
@@ -265,3 +267,25 @@
     """Says that the sender runs, on a link that is otherwise quiet."""
 
     pass
+
+
+@dataclass
+class VersionQuestion(betterproto.Message):
+    """
+    With StrictRevocation: a proxy asks a control process which version a
+    majority confirmed last.
+    """
+
+    number: int = betterproto.uint64_field(1)
+
+
+@dataclass
+class VersionAnswer(betterproto.Message):
+    """
+    Each version that was acknowledged before the age (as of this answer) is at
+    most this one.
+    """
+
+    number: int = betterproto.uint64_field(1)
+    version: int = betterproto.uint64_field(2)
+    age_ms: int = betterproto.uint32_field(3)
--- a/brackenusher/cluster/monitor.py
+++ b/brackenusher/cluster/monitor.py
@@ -21,6 +21,7 @@
 from brackenusher.cluster import messages
 from brackenusher.cluster.base_exchange import BaseExchange
 from brackenusher.cluster.frames import FrameError, FrameReader, encode_frame
+from brackenusher.cluster.key_leases import KeyLease
 from brackenusher.cluster.links import Links, split_address
 from brackenusher.cluster.lives import first_number
 from brackenusher.settings.local import LocalSettings
@@ -46,6 +47,7 @@
         self.on_version: list[Callable[[str, int], None]] = []  # a peer, and what it has in force
         self.own_version: Callable[[], int] = lambda: 0  # of the configuration in force here
         self.bases: BaseExchange | None = None  # of a proxy
+        self.key_lease: KeyLease | None = None  # of a proxy
         self._numbers = count(first_number(links.own) + EXTRA_NUMBERS)
         self._asked: dict[int, float] = {}  # when pings were sent that may still be answered, by number
         self._links = links
@@ -133,12 +135,16 @@
             asked_at = self._asked.pop(message.number, None)
             if self.bases is not None and asked_at is not None:
                 self.bases.answered(message, asked_at, now)
+            if self.key_lease is not None and asked_at is not None:
+                self.key_lease.peer_answered(message, asked_at)
 
     def _answer(self, ping: messages.Ping) -> None:
         now = self._now()
         answer = messages.PingAck(ping.number, self._own, self.own_version())
         if self.bases is not None:
             self.bases.fill_answer(answer, ping, now)
+        if self.key_lease is not None:
+            self.key_lease.fill_answer(answer)
         self._send(ping.sender, answer)
         if self.bases is not None and self.bases.wants_answer(ping, now):
             self._ping(ping.sender, next(self._numbers), now)
--- a/brackenusher/data_plane/feed_client.py
+++ b/brackenusher/data_plane/feed_client.py
@@ -103,6 +103,11 @@
         """The version of the configuration in force here; 0: none."""
         return self._fetch.version
 
+    @property
+    def sources(self) -> list[str]:
+        """The control processes that are followed now."""
+        return list(self._subscribed)
+
     @property
     def ready(self) -> bool:
         """Whether a confirmed configuration and a settled list are here, or the core is down."""
--- a/brackenusher/data_plane/proxy.py
+++ b/brackenusher/data_plane/proxy.py
@@ -56,6 +56,7 @@
         proxy_count: int = 1,
         ask_quota: AskQuota | None = None,
         may_deny: Callable[[], bool] = lambda: True,
+        keys_hold: Callable[[], bool] = lambda: True,
         journal: RequestJournal | None = None,
     ) -> None:
         self.proxy_count = proxy_count  # how many share the connections that a server accepts
@@ -68,6 +69,9 @@
         self._limits = limits
         self._ask_quota = ask_quota
         self._may_deny = may_deny  # whether the configuration in force is surely the newest
+        self._keys_hold = (
+            keys_hold  # whether a key of that configuration may be used by a request read by now
+        )
         self._journal = journal
         self._routes = RouteTable(())
         self._services: dict[str, Service] = {}
@@ -167,7 +171,13 @@
         head.tenant = self._limits.authenticate(key) if key is not None else None
         if head.tenant is None and self.configuration.tenants and not head.route.public:
             return self._denial(401, "the key in Api-Key is missing or not known")
-        return None
+        return self._check_lease(head)
+
+    def _check_lease(self, head: RequestHead) -> OwnAnswer | None:
+        """With StrictRevocation: whether the key may have been taken away without this proxy's knowledge."""
+        if head.tenant is None or self._keys_hold():
+            return None
+        return OwnAnswer(503, "control has not confirmed the keys for too long", self._start_retry_ms())
 
     def _denial(self, status: int, reason: str) -> OwnAnswer:
         """Clients do not come back after a denial, so there is none by a configuration that may be old."""
@@ -181,7 +191,8 @@
 
     def handle(self, connection: FrontConnection, head: RequestHead, body: bytes) -> Exchange | None:
         """A request was read, whole: find its service and its server."""
-        refusal = None if head.configuration is self.configuration else self.check_head(head)
+        unchanged = head.configuration is self.configuration
+        refusal = self._check_lease(head) if unchanged else self.check_head(head)
         if refusal is not None:
             connection.send_own(refusal.status, refusal.reason, refusal.retry_after_ms)
             return None
--- a/brackenusher/data_plane/proxy_metrics.py
+++ b/brackenusher/data_plane/proxy_metrics.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
+from brackenusher.cluster.key_leases import KeyLease
 from brackenusher.data_plane.feed_client import FeedClient
 from brackenusher.data_plane.proxy import Proxy
 from brackenusher.runtime.metrics import Metrics
@@ -13,6 +14,7 @@
     feed: FeedClient,
     is_ready: Callable[[], bool],
     decisions: Callable[[], Mapping[str, int]],
+    key_lease: KeyLease,
 ) -> None:
     """Add the figures of the data plane; `decisions` reads the dispatcher's counts by name."""
 
@@ -23,6 +25,9 @@
         "configuration_version", "Version in force here; 0 for none.", lambda: feed.version
     )
     metrics.gauge_function("ready", "1 while the proxy calls itself ready.", lambda: float(is_ready()))
+    metrics.gauge_function(
+        "key_lease_seconds", "How much longer API keys hold with StrictRevocation.", key_lease.left_s
+    )
     metrics.gauge_function("requests_in_flight", "Requests under way.", lambda: float(proxy.in_flight()))
     metrics.gauge_function("client_connections", "Open to clients.", lambda: float(len(proxy.fronts)))
     metrics.readings("counter", "decisions_total", "What the dispatcher decided.", "decision", decided)
--- a/tests/fleet/test_data_plane.py
+++ b/tests/fleet/test_data_plane.py
@@ -5,6 +5,7 @@
 from barleybarrow.documents import ClientLimits, Tenant
 from barleybarrow.routing.actions import Outcome
 from tests.fleet.data_plane_support import (
+    PATIENCE_S,
     DataPlaneTest,
     SeenRequest,
     answer,
@@ -91,6 +92,29 @@
         self.assertEqual(upstream.seen[0].headers["x-brackenusher-tenant-id"], "kaje80")
         self.assertNotIn("api-key", upstream.seen[0].headers)
 
+    async def test_without_a_lease_keys_are_answered_with_503_and_never_with_401(self) -> None:
+        (upstream,) = await self.serve(hello, tenants=TENANTS)
+        self.proxy._keys_hold = lambda: False
+        reply = await self.ask(request_bytes(extra="Api-Key: key-1\r\n"))
+        self.assertEqual((reply.status, upstream.seen), (503, []))
+        self.assertGreater(float(reply.headers["retry-after"]), 0)
+        self.assertEqual((await self.ask(request_bytes("/public/x"))).status, 200)
+
+    async def test_a_lease_that_ends_while_the_body_is_read_counts(self) -> None:
+        (upstream,) = await self.serve(hello, tenants=TENANTS)
+        head_was_checked = asyncio.Event()
+        self.proxy._keys_hold = lambda: head_was_checked.set() or True
+        client = await self.client()
+        whole = request_bytes(body=b"x" * 2000, extra="Api-Key: key-1\r\n")
+        client.send(whole[:-1000])
+        async with asyncio.timeout(PATIENCE_S):
+            await head_was_checked.wait()
+        self.proxy._keys_hold = lambda: False
+        client.send(whole[-1000:])
+        async with asyncio.timeout(PATIENCE_S):
+            reply = await client.reply()
+        self.assertEqual((reply.status, upstream.seen), (503, []))
+
     async def test_a_public_route_needs_no_key(self) -> None:
         (upstream,) = await self.serve(hello, tenants=TENANTS)
         reply = await self.ask(request_bytes("/public/x", extra="X-Brackenusher-Tenant-Id: other\r\n"))
--- a/tests/fleet/test_fleet_processes.py
+++ b/tests/fleet/test_fleet_processes.py
@@ -15,12 +15,9 @@
 from testbed.fleet.http_calls import HttpAnswer, HttpCall, call
 from testbed.fleet.layout import CONTROL, PROXY, Machine, plan_fleet, settings_text, spare_machine
 from testbed.fleet.model_server import EVENT_TEXT, PLAIN_BODY, ModelServer, ServerRequest
-from testbed.fleet.operator import SERVICE, TENANTS, Operator, document, key_of, new_route_patch
-from testbed.fleet.processes import FleetProcesses, run_role
-
-WAIT_S = 30.0  # bound of each condition; none takes that long but on a machine that is far too busy
-GRACE_S = 1.2  # of a planned end
-PROXIES, CONTROLS = 2, 3
+from testbed.fleet.operator import SERVICE, TENANTS, Operator, key_of, new_route_patch
+from testbed.fleet.processes import run_role
+from tests.fleet.process_support import WAIT_S, Fleet
 
 
 class SteppedServer(ModelServer):
@@ -35,24 +32,6 @@
             yield EVENT_TEXT
 
 
-class Fleet:
-    """One fleet for all tests of this file: two proxies, three control processes with disks."""
-
-    def __init__(self, folder: Path) -> None:
-        self.layout = plan_fleet(PROXIES, CONTROLS, {"GraceS": GRACE_S})
-        self.processes = FleetProcesses(self.layout, folder)
-        self.runner = asyncio.Runner()
-        self.controls = [machine.control for machine in self.layout.controls()]
-        self.proxies = self.layout.proxy_machines()
-        self.operator = Operator(self.controls)
-
-    async def start(self) -> None:
-        self.processes.start_all()
-        answer = await self.operator.replace(document(1), WAIT_S)
-        assert answer.status == 200, answer.body
-        await watch.wait_until("proxies ready", lambda: watch.all_ready(self.proxies), WAIT_S)
-
-
 class SharedFleet:
     """Where the tests find their fleet."""
 
--- a/tests/fleet/test_operations_page.py
+++ b/tests/fleet/test_operations_page.py
@@ -49,7 +49,8 @@
     add_control_metrics(metrics, nothing, nothing, nothing, nothing)
     names = set(metrics.names())
     proxy = Metrics(prefix="")
-    add_proxy_metrics(proxy, nothing, nothing, lambda: True, dict)
+    lease = cast(Any, SimpleNamespace(left_s=float))
+    add_proxy_metrics(proxy, nothing, nothing, lambda: True, dict, lease)
     return names | set(proxy.names())
 
 
