Limits: proxies hold credit for longer than it takes to follow a credit server that is lost

Change: credit counts 0.9 s, up to 0.65 of the capacity may be out, proxies want what they use in a second; lease 0.5 s; a new term raises a bucket to its floor (0.25) at once, as far as the most credit that the term before may have left leaves room.

--- a/barleybarrow/limits/bounds.py
+++ b/barleybarrow/limits/bounds.py
@@ -13,21 +13,19 @@
 from dataclasses import dataclass
 
 from barleybarrow.documents import QuotaUnit, Tenant
-from barleybarrow.limits import spans
-from barleybarrow.limits.warden_lease import DRIFT
 
 MARGIN = 0.2  # of the room: for requests that run twice (resumed streams), and for clocks that differ
 DEBT_SHARE = 0.15
 LARGEST_REQUEST_TOKENS = 32_768.0  # a debt beyond the largest request would serve nobody
-RESERVE_SHARE = 0.25  # of the capacity
+RESERVE_SHARE = 0.3  # of the capacity
 REQUEST_SLACK_SHARE = 0.25  # of R W + B: QuotaSlack may count tokens, so it is not taken whole for requests
 RETRY_RATE_SHARE = 0.4  # of RetryBudgetMin, spread over the window
 RETRY_BURST_SHARE = 0.55  # the rest is margin
 RETRY_CREDIT_SHARE = 0.25  # part of the burst
-CREDIT_SPAN_S = spans.CREDIT_LIFE * DRIFT / 1000.0  # after a warden ended, its credit is spent for so long
-
-
-CREDIT_LEAST = 0.4  # of the capacity: the least part of it that may be outstanding
+CREDIT_SHARE = (
+    0.65  # of the capacity: proxies hold it for the time without a warden; the rest is for who needs
+)
+# more than it holds, and lets the bucket of a new warden begin at its floor
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,12 +63,11 @@
     room = (bounds.quota_overshoot * steady + slack) * (1.0 - MARGIN)
     debt = min(DEBT_SHARE * room, largest)
     capacity = tenant.burst + room - debt
-    spendable = tenant.rate_per_s * CREDIT_SPAN_S
     return KeyLimit(
         tenant.rate_per_s,
         capacity,
         debt,
-        min(capacity, max(capacity - spendable, CREDIT_LEAST * capacity, largest)),
+        min(capacity, max(CREDIT_SHARE * capacity, 2.0 * largest)),
         largest,
         RESERVE_SHARE * capacity,
     )
--- a/barleybarrow/limits/credit_client.py
+++ b/barleybarrow/limits/credit_client.py
@@ -17,7 +17,7 @@
 
 MOST_WAITING = 64  # requests of one key that wait at a proxy
 WANT_COSTS = 1.5  # mean costs of a request that a proxy holds beside what it needs
-WANT_SPAN_S = 0.35  # of its use that a proxy holds beside what it needs
+WANT_SPAN_S = 1.0  # of its use that a proxy holds beside what it needs: for as long as a warden is missing
 LOW = 0.5  # of a request: with more left over, the warden grants credit ahead of need
 SMOOTH = 0.1  # weight of the newest request in the mean cost
 RATE_SPAN_MS = 1000.0  # over which the rate of use is smoothed
@@ -275,7 +275,7 @@
 
     def wanted(self, entry: Entry) -> float:
         """Credit that a proxy would have at hand."""
-        return max(WANT_COSTS * entry.mean_cost, WANT_SPAN_S * entry.rate)
+        return WANT_COSTS * entry.mean_cost + WANT_SPAN_S * entry.rate
 
     def answer(self, now: float, m: CreditAnswer) -> None:
         """Take the warden's answer."""
--- a/barleybarrow/limits/credit_ledger.py
+++ b/barleybarrow/limits/credit_ledger.py
@@ -12,10 +12,10 @@
 `outstanding` counts all credit that a proxy may still spend, for it falls only when a proxy says that
 credit is spent or returned, or when its time is over on every clock. What proxies spend without a
 warden comes from R (1 - L) and their fallback buckets (`credit_client`). A new warden knows no buckets:
-each begins at -debt, or so low that what the one before had granted, and may still be spent, fits into
-what the new bucket lacks: CREDIT_LIFE after its start all of that is over. Where the keepers remember no
-draining (`floors`), the bucket was at its floor at least, and is raised by the difference once that credit
-is over; the warden before could have granted as much.
+each begins at -debt. Where the keepers remember no draining (`floors`), it was at its floor at least, and
+what lacks to that is owed to it; the warden before could have granted as much. What that one had granted
+and may still be spent is not known: until it is over the most that could be, `credit`, counts as
+outstanding wherever a bucket rises, be it by its rate or by what is owed.
 
 No I/O; told the time in milliseconds.
 """
@@ -25,12 +25,12 @@
 from math import floor
 
 from barleybarrow.limits import spans
-from barleybarrow.limits.bounds import CREDIT_SPAN_S, KeyLimit
+from barleybarrow.limits.bounds import KeyLimit
 from barleybarrow.limits.floors import FLOOR_SHARE, REFILLED_SHARE, Floors
 from barleybarrow.limits.lent import LentFraction
 from barleybarrow.limits.messages import Drained, Grant, Item, whole
 
-WANT_CREDIT = 0.8  # of the credit that may be outstanding, for credit ahead of need
+WANT_CREDIT = 0.95  # of the credit that may be outstanding, for credit ahead of need
 UNKNOWN_WAIT = 50.0  # milliseconds until a proxy asks again for a key that the warden does not know yet
 FLOOR_WAIT = 8.0  # milliseconds until the keepers will remember that a bucket is drained
 SETTLE_WAIT = 25.0  # milliseconds until credit of others will have been reported as spent
@@ -64,7 +64,7 @@
     level: float
     integral: float  # of the lent fraction, up to which the level counts
     outstanding: float = 0.0
-    owed: float = 0.0  # added to the level once credit of the term before is over
+    owed: float = 0.0  # added to the level as soon as there is room
     claim: float = 0.0  # the largest request of late
     claim_at: float = 0.0
     entries: dict[str, GrantedEntry] = field(default_factory=dict)  # by proxy
@@ -85,10 +85,7 @@
 
     def first_level(self, limit: KeyLimit) -> float:
         """Where a bucket begins with the term."""
-        if self.fresh:
-            return limit.capacity
-        spendable = limit.rate * CREDIT_SPAN_S
-        return min(-limit.debt, limit.capacity - limit.credit - spendable)
+        return limit.capacity if self.fresh else -limit.debt
 
     def account(self, now: float, key: str, limit: KeyLimit) -> KeyAccount:
         """The account of a key, with its bucket as full as it is now."""
@@ -97,16 +94,22 @@
         if found is None:
             found = self.accounts[key] = KeyAccount(self.first_level(limit), 0.0)
             self.owe_floor(key, found, limit)
-        if found.owed and self.old_credit_is_over:
-            found.level, found.owed = found.level + found.owed, 0.0
         if found.orphaned:
             self.end_orphaned(now, found)
         gained = limit.rate * (self.lent.integral - found.integral) / 1000.0
-        most = limit.capacity * self.lent.value - found.outstanding
-        found.level = min(most, found.level + gained)
         found.integral = self.lent.integral
+        self.raise_level(found, limit, gained)
         return found
 
+    def raise_level(self, account: KeyAccount, limit: KeyLimit, gained: float) -> None:
+        """Add what the bucket has gained and what it is owed, as far as there is room beside all credit."""
+        most = limit.capacity * self.lent.value - account.outstanding
+        room = most if self.fresh or self.old_credit_is_over else most - limit.credit
+        raised = max(account.level, min(room, account.level + gained))
+        paid = max(0.0, min(account.owed, room - raised))
+        account.owed -= paid
+        account.level = min(most, raised + paid)
+
     def owe_floor(self, key: str, account: KeyAccount, limit: KeyLimit) -> None:
         """A bucket that was above its floor when the term began is to be raised to it."""
         if not self.fresh and not self.floors.was_drained(key):
--- a/barleybarrow/limits/floors.py
+++ b/barleybarrow/limits/floors.py
@@ -10,8 +10,8 @@
 
 from barleybarrow.limits.messages import MOST_DRAINED, Drained
 
-FLOOR_SHARE = 0.4  # of the capacity
-REFILLED_SHARE = 0.55  # of the capacity: above it a bucket counts as drained no longer
+FLOOR_SHARE = 0.25  # of the capacity: what is left beside all credit (`CREDIT_SHARE`) at rest is above it
+REFILLED_SHARE = 0.33  # of the capacity: above it a bucket counts as drained no longer
 DRAINED_LEAST = 3000.0  # milliseconds that a key stays drained: each change is a write of all keepers
 LEAST_LENT = 0.5  # of every limit; with less lent to the warden, all buckets may be below their floor
 
--- a/barleybarrow/limits/spans.py
+++ b/barleybarrow/limits/spans.py
@@ -3,14 +3,18 @@
 from barleybarrow.limits.warden_lease import LeaseTimes
 
 LEASE_TIMES = LeaseTimes(
-    lease=700.0,  # a killed warden is followed soon; one that stands still for 0.4 s still renews in time
-    renew=200.0,
+    lease=500.0,  # a killed warden is followed soon; one that stands still for 0.4 s still renews in time
+    renew=130.0,
     seek=200.0,
     here=200.0,
     no_warden=300.0,
 )
-CREDIT_LIFE = 620.0  # credit counts so long from the question whose answer is the newest
-FALL = 750.0  # from the newest answer until a proxy uses its base; the warden stops using it before
+CREDIT_LIFE = (
+    900.0  # credit counts so long from the question whose answer is the newest: longer than it takes
+)
+# to lose a warden (`lease`, and a margin for clocks), to follow it and to be heard
+FALL = 1050.0  # from the newest answer until a proxy uses its base: its credit is over, and the warden stops
+# using that base before
 BASE_LIFE = 8000.0  # from the newest answered question until the base is void: keepers that have forgotten
 # the roster wait so long until anything is granted, which must be well within RecoverS
 BASE_LIFE_STORED = (
