Agreement: log, replication, reads and elections each in a module of its own

Cause: agreement.py held four concerns in 625 lines. Ruled out: composition of four objects (nearly every step reads term, role and log together: they would all be passed around).

Change: four layers, each on top of the one before; no statement changed, methods moved whole.

Tests unchanged but for where two constants are patched (tests/test_bounds.py): they stand in other modules.

--- /dev/null
+++ b/barleybarrow/agreement_log.py
@@ -0,0 +1,181 @@
+"""The log of one process of an agreement, and its hard state: what stands where, and what is to be stored.
+
+It must never take back what it has said to be stored: whatever is wanted stored and sent is gathered in one
+`Ready`, which is stored first, sent then, and applied last.
+"""
+
+from collections import Counter
+from enum import Enum
+
+from msgspec import msgpack
+
+from barleybarrow.agreement_messages import Append, Entry, Kind, Message, Ready, Snapshot
+
+MOST_MESSAGES = 4000  # that wait to be sent
+
+
+class Role(Enum):
+    """What a process is in its term; see `barleybarrow.agreement`."""
+
+    LEARNER = "learner"
+    FOLLOWER = "follower"
+    PROBING = "probing"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class ReplicatedLog:
+    """Snapshot, entries behind it, term and vote, and who votes by the last word in the log."""
+
+    def __init__(
+        self,
+        name: str,
+        voters: list[str],
+        term: int,
+        vote: str,
+        snapshot: Snapshot | None,
+        entries: list[Entry] | None,
+    ) -> None:
+        self.name = name
+        self.term, self.vote = term, vote
+        self.snapshot = snapshot or Snapshot(0, 0, voters, b"")
+        self.entries = list(entries or ())
+        self.voters = self.voting()
+        self.stored_to = self.last
+        self.commit = self.applied = self.snapshot.index
+        self.role = Role.FOLLOWER if name in self.voters else Role.LEARNER
+        self.ready = Ready()
+        self.counts: Counter[str] = Counter()
+
+    @property
+    def last(self) -> int:
+        return self.snapshot.index + len(self.entries)
+
+    def term_of(self, index: int) -> int:
+        """The term of an entry, or of the last one in the snapshot; -1 where it is not there."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        if self.snapshot.index < index <= self.last:
+            return self.entries[index - self.snapshot.index - 1].term
+        return -1
+
+    def voting(self) -> list[str]:
+        """Who votes, by the last word on it in the log, be it agreed on or not."""
+        for entry in reversed(self.entries):
+            if entry.kind == Kind.VOTERS:
+                return msgpack.decode(entry.data, type=list[str])
+        return list(self.snapshot.voters)
+
+    @property
+    def majority(self) -> int:
+        return len(self.voters) // 2 + 1
+
+    @property
+    def dropped(self) -> int:
+        """What was left out for lack of room: messages, questions, words of learners."""
+        return sum(self.counts[what] for what in ("messages", "reads", "learners"))
+
+    def append(self, entry: Entry) -> int:
+        self.place(self.last + 1, [entry])
+        return self.last
+
+    def place(self, first: int, entries: list[Entry]) -> None:
+        """Have entries stand from an index on, whatever stood there."""
+        del self.entries[first - self.snapshot.index - 1 :]
+        self.entries += entries
+        ready = self.ready
+        if ready.entries and first <= ready.first + len(ready.entries):
+            del ready.entries[max(0, first - ready.first) :]
+            if first < ready.first:
+                ready.first = first
+        elif not ready.entries:
+            ready.first = first
+        ready.entries += entries
+        self.stored_to = min(self.stored_to, first - 1)
+        self.voters = self.voting()
+        self.settle_role()
+
+    def settle_role(self) -> None:
+        if self.name not in self.voters and self.role is not Role.LEADER:
+            self.role = Role.LEARNER
+        elif self.name in self.voters and self.role is Role.LEARNER:
+            self.role = Role.FOLLOWER
+
+    def match_up(self, m: Append) -> int:
+        """Put a leader's entries where they belong: the last index that agrees, or -1."""
+        if m.before < self.snapshot.index:  # what the snapshot holds is agreed on
+            skip = self.snapshot.index - m.before
+            if skip >= len(m.entries):
+                return max(self.snapshot.index, 0)
+            before, entries = self.snapshot.index, m.entries[skip:]
+        else:
+            before, entries = m.before, m.entries
+            if self.term_of(before) != m.before_term:
+                return -1
+        for i, entry in enumerate(entries):
+            if self.term_of(before + 1 + i) != entry.term:
+                self.place(before + 1 + i, entries[i:])
+                break
+        return before + len(entries)
+
+    def install(self, snapshot: Snapshot) -> int:
+        if snapshot.index <= self.commit:
+            return self.commit
+        if self.term_of(snapshot.index) == snapshot.term:
+            del self.entries[: snapshot.index - self.snapshot.index]
+        else:
+            self.entries = []
+        self.snapshot = snapshot
+        self.ready.snapshot, self.ready.entries = snapshot, list(self.entries)
+        self.ready.first = snapshot.index + 1
+        self.commit = self.applied = snapshot.index
+        self.stored_to = min(self.stored_to, self.last)
+        self.voters = self.voting()
+        self.settle_role()
+        return snapshot.index
+
+    def compact(self, index: int, data: bytes) -> Snapshot | None:
+        """Put a snapshot in the place of what was applied, to be stored; None where it is older."""
+        if not self.snapshot.index < index <= self.applied:
+            return None
+        voters = self.voters_at(index)
+        made = Snapshot(index, self.term_of(index), voters, data)
+        del self.entries[: index - self.snapshot.index]
+        self.snapshot = made
+        return made
+
+    def voters_at(self, index: int) -> list[str]:
+        for i in range(index - self.snapshot.index - 1, -1, -1):
+            if self.entries[i].kind == Kind.VOTERS:
+                return msgpack.decode(self.entries[i].data, type=list[str])
+        return list(self.snapshot.voters)
+
+    # What is to be done
+
+    def hard(self, term: int, vote: str) -> None:
+        self.term, self.vote = term, vote
+        self.ready.hard = term, vote
+
+    def whole(self) -> Ready:
+        """All that is here, for a store that is empty yet."""
+        first = self.snapshot.index + 1
+        return Ready((self.term, self.vote), self.snapshot, first, list(self.entries))
+
+    def take(self) -> Ready | None:
+        """What is to be done now; None where there is nothing."""
+        ready = self.ready
+        ready.apply = []
+        while self.applied < min(self.commit, self.last):
+            self.applied += 1
+            ready.apply.append((self.applied, self.entries[self.applied - self.snapshot.index - 1]))
+        if not (ready.hard or ready.snapshot or ready.entries or ready.messages or ready.apply):
+            return None
+        ready.last, ready.last_term = self.last, self.term_of(self.last)
+        self.ready = Ready()
+        return ready
+
+    def send(self, to: str, message: Message) -> None:
+        self.ready.messages.append((to, message))
+        if len(self.ready.messages) > MOST_MESSAGES:  # the disk is slow, and every message bears to be lost
+            del self.ready.messages[: MOST_MESSAGES // 2]
+            self.counts["messages"] += MOST_MESSAGES // 2
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from barleybarrow import agreement, policy_gate, replica, rollout
+from barleybarrow import agreement, agreement_log, agreement_replication, policy_gate, replica, rollout
 from barleybarrow.agreement import Agreement, Role
 from barleybarrow.agreement_messages import Appended
 from barleybarrow.policy_gate import PolicyGate
@@ -36,7 +36,7 @@
 
 
 def test_questions_and_messages_of_a_leader_that_hears_nobody(monkeypatch):
-    monkeypatch.setattr(agreement, "MOST_MESSAGES", 500)
+    monkeypatch.setattr(agreement_log, "MOST_MESSAGES", 500)
     a = leader()
     for n in range(agreement.MOST_READS + 5):
         a.read(10.0 * n, n)
@@ -48,7 +48,7 @@
 
 
 def test_learners_and_the_roster(monkeypatch):
-    monkeypatch.setattr(agreement, "MOST_LEARNERS", 5)
+    monkeypatch.setattr(agreement_replication, "MOST_LEARNERS", 5)
     monkeypatch.setattr(rollout, "MOST_ROSTER", 3)
     a, book = leader(), Book()
     for n in range(9):
