Served without a majority: who knows no limits grants none; restarted proxies get a version at once

By logs of the machines, a control process that had lost its disk was elected to hand out credit; it had no configuration, and as there was no leader it got none, so that it knew no limit and granted nothing. Proxies that restarted had no configuration for 2.0 s: the offer waited for a round of confirmations that could not come, and a peer's newer version was not asked for while most voters were linked, though nobody led them.

Change: a keeper without a configuration does not seek the lease, unless it held it before; a control process that had a leader in this life and has none offers what it has after 50 ms, not confirmed; a proxy without a confirmed version takes a peer's newer one with its first ping.

Each of the four tests fails without its change.

--- a/barleybarrow/limits/credit_machine.py
+++ b/barleybarrow/limits/credit_machine.py
@@ -90,6 +90,7 @@
     ) -> None:
         super().__init__(name, keepers, rng, now, spans.LEASE_TIMES)
         self.limit_of = limit_of
+        self.may_lead = fresh  # else not before it knows the limits
         self.kept = KeptRoster(fresh, 0, [])
         self.durable = False  # what this keeper remembers is stored before it says so
         self.revision = 0  # of what this keeper remembers: rises with each change in this process
@@ -113,6 +114,12 @@
             self.give_back()
             self.step_down(now)
 
+    def limits_known(self, now: float) -> None:
+        """A configuration is here: without one a warden could grant nothing, while others may have it."""
+        if not self.may_lead:
+            self.may_lead = True
+            self.seek_at = min(self.seek_at, now + self.rng.uniform(0.0, spans.SEEK_AGAIN))
+
     # The lease
 
     def elected(self, now: float) -> None:
@@ -337,6 +344,7 @@
     def restore(self, now: float, kept: KeptRoster) -> None:
         """Before the start: what an earlier process of this keeper has stored."""
         self.kept, self.remembered = kept, kept.promised
+        self.may_lead = self.may_lead or kept.promised == self.name  # nobody else can follow sooner
         if self.name in self.keepers:
             self.seek_again(now)
 
--- a/barleybarrow/limits/limits.py
+++ b/barleybarrow/limits/limits.py
@@ -52,6 +52,7 @@
 
     def configure(self, now: float, tenants: list[Tenant], services: list[Service]) -> None:
         """Take the tenants and services of a new configuration; it holds from this call on."""
+        self.machine.limits_known(now)
         for name in self.tenants.replace(tenants):
             self.quota_changed(name)
         names = {service.name for service in services}
--- a/barleybarrow/limits/warden_lease.py
+++ b/barleybarrow/limits/warden_lease.py
@@ -78,6 +78,7 @@
         self.warden, self.term, self.warden_at = "", 0, now
         self.promised, self.promised_until = "", now + times.lease * DRIFT  # it may have before it started
         self.promised_for = (0, 0)  # run and token of the question
+        self.may_lead = True  # whether this process can do what a warden does
         self.remembered = ""  # whom the process before this one had promised itself to; "": not known
         self.role = Role.PROXY
         self.run, self.token, self.token_at = rng.getrandbits(60), rng.getrandbits(40), -inf
@@ -135,7 +136,7 @@
         self.seek_at = now + self.patience()
         if self.role is Role.SEEKING:
             self.step_down(now)
-        elif self.role is Role.PROXY and self.name in self.keepers:
+        elif self.role is Role.PROXY and self.name in self.keepers and self.may_lead:
             if now - self.warden_at >= self.times.no_warden:
                 self.role = Role.SEEKING
                 self.seek_at = now + self.times.seek
--- a/brackenusher/control_plane/config_shard.py
+++ b/brackenusher/control_plane/config_shard.py
@@ -87,6 +87,7 @@
         self._ids = count(rng.getrandbits(40) + 1)
         self._voters: list[str] = []
         self._leader = ""
+        self._had_leader = False  # in this life
         self._stopped = False
 
     # The start and the end
@@ -218,6 +219,14 @@
         """The internal address of the leader; empty where none is known."""
         return self._node.leader if self._node is not None else ""
 
+    @property
+    def is_leaderless(self) -> bool:
+        """Whether there was a leader since this process started, and none is known now.
+
+        What is committed here is then what it was when contact was lost, not what a disk held at the start.
+        """
+        return self._had_leader and not self.leader()
+
     @property
     def is_leader(self) -> bool:
         """Whether this process leads, as far as it knows."""
@@ -430,6 +439,7 @@
         if node.leader != self._leader:
             self._give_up(self._leader)
             self._leader = node.leader
+            self._had_leader = self._had_leader or bool(node.leader)
             log.info("configuration shard: leader=%s term=%d", node.leader or "none", node.agreement.term)
         voters, index = node.voters
         if voters != self._voters:
--- a/brackenusher/control_plane/feed_source.py
+++ b/brackenusher/control_plane/feed_source.py
@@ -28,6 +28,7 @@
 
 CONFIRM_TIMEOUT_S = 1.0  # then subscribers get an unconfirmed offer
 CONFIRM_PAUSE_S = 0.3  # before the next try to have a majority confirm
+OFFER_SOON_S = 0.05  # without a leader: it may be elected by then; else the offer is not confirmed
 TYPED_FORM_PERIOD_S = 0.02  # between two looks whether a confirmed document has its typed form
 EPOCH_MASK = 2**62 - 1
 
@@ -87,11 +88,13 @@
     def _subscribe(self, sender: str, message: betterproto.Message) -> None:
         assert isinstance(message, messages.FeedSubscribe)
         self._flush()  # so that all subscribers are at the same offsets
-        self.subscribers[sender] = Subscriber(message.config_version)
+        subscriber = self.subscribers[sender] = Subscriber(message.config_version)
         offsets = {offset.shard: offset for offset in message.offsets}
         for shard in range(SHARDS):
             self._links.send(sender, self._resume(shard, offsets.get(shard)))
         self._start_confirming()
+        if self._config_shard.is_leaderless:
+            asyncio.get_running_loop().call_later(OFFER_SOON_S, self._offer_unconfirmed, sender, subscriber)
 
     def _link_changed(self, address: str, hello: messages.Hello | None) -> None:
         # A new link, too: what went over the one before may be lost, so the peer has to subscribe again.
@@ -196,6 +199,11 @@
             await asyncio.sleep(TYPED_FORM_PERIOD_S)  # it is being read, on a thread
         return self._pieces.version >= version
 
+    def _offer_unconfirmed(self, address: str, subscriber: Subscriber) -> None:
+        """Nobody will confirm it soon: a proxy that has nothing serves with what is here meanwhile."""
+        if self._config_shard.is_leaderless and not subscriber.offered:
+            self._offer({address: subscriber}, confirmed=False)
+
     def _unconfirmed(self) -> dict[str, Subscriber]:
         return {a: subscriber for a, subscriber in self.subscribers.items() if not subscriber.confirmed}
 
--- a/brackenusher/data_plane/feed_client.py
+++ b/brackenusher/data_plane/feed_client.py
@@ -35,6 +35,7 @@
 READY_WITHOUT_CORE_MS = 4000.0  # then what is known is served with: the core is down
 ANSWER_MS = 3000.0  # for the whole list after a subscription; a snapshot over a narrow link takes a second
 ALONE_MS = 1500.0  # without most voters in touch; then all known addresses are tried
+CONFIRMED_MS = 200.0  # after its start a proxy has a confirmed version, where control has a majority
 FORGET_CHECK_MS = 60_000.0
 MAX_DOCUMENT_BYTES = 64 * 1024 * 1024  # of a configuration after decompression; more is not one
 
@@ -151,12 +152,17 @@
         self._keep_links(now)
         self._ask_again(now)
         self._ask(now)
-        self._peers.tick(now, wanted=now - self._in_touch_at > ALONE_MS)
+        self._peers.tick(now, wanted=self._wants_peers(now))
         if now - self._forgot_at >= FORGET_CHECK_MS:
             self._forgot_at = now
             self._view.forget(now)
             self._deliver_soon()
 
+    def _wants_peers(self, now: float) -> bool:
+        """Whether a newer version of a peer is better than waiting for control."""
+        waits_for_control = not self._fetch.confirmed and now - self._started_at > CONFIRMED_MS
+        return waits_for_control or now - self._in_touch_at > ALONE_MS
+
     # Links
 
     def _seeds(self) -> list[str]:
--- a/tests/fleet/feed_world.py
+++ b/tests/fleet/feed_world.py
@@ -138,6 +138,10 @@
     def leader(self) -> str:
         return ""
 
+    @property
+    def is_leaderless(self) -> bool:
+        return self.here is not None and not self.majority()
+
     def majority(self) -> bool:
         in_touch = {self.links.own.address, *self.links.connected()}
         return len(in_touch & set(self.world.voters)) * 2 > len(self.world.voters)
--- a/tests/fleet/limits_world.py
+++ b/tests/fleet/limits_world.py
@@ -113,6 +113,7 @@
         self.ticket = count(1)
         self.messages = self.bytes = 0
         self.services = [Service(SERVICE)]
+        self.unconfigured: set[str] = set()  # keepers that start without a configuration
         self.requested: list[float] = []
         self.repeated: list[float] = []
         for name in [*self.keepers, *self.proxies]:
@@ -137,7 +138,8 @@
             self.at(self.now + self.rng.uniform(0.0, PING_EVERY), "pings", process, process.life)
         if self.durable and not asks:
             process.machine.restore(clock, self.disks.get(name))
-        process.machine.configure(clock, list(self.tenants.values()), self.services)
+        if name not in self.unconfigured:
+            process.machine.configure(clock, list(self.tenants.values()), self.services)
         self.links()
         self.wake(process)
 
--- a/tests/fleet/test_limits_worlds.py
+++ b/tests/fleet/test_limits_worlds.py
@@ -235,6 +235,45 @@
         self.assertLess((after.refused - before[1]) / (after.asked - before[0]), 0.2)
         self.assertLessEqual(world.excess("hot"), 0.0)
 
+    def test_a_keeper_without_a_configuration_leaves_the_lease_to_others(self) -> None:
+        """One lost its disk, one goes dark, and the third, which knows the limits, is cut off for a while."""
+        for seed in range(8):
+            world = World(10, [token_tenant("under", 2e5)], seed=seed, durable=True)
+            world.demand(Demand("under", 20.0, (500.0, 5000.0), start=4000.0))
+            world.run(10_000.0)
+            first = world.wardens()[0]
+            dark, other = (name for name in world.keepers if name != first)
+            world.cut_off(dark)
+            world.cut_off(other)
+            world.at(12_500.0, "call", "join", other)
+            world.kill(first)
+            world.disks.pop(first, None)
+            world.unconfigured.add(first)
+            world.at(10_500.0, "call", "start", first)
+            world.run(14_500.0)
+            self.assertEqual(world.wardens(), [other], f"seed {seed}")
+            before = world.tally["under"].asked, world.tally["under"].refused
+            world.run(17_000.0)
+            after = world.tally["under"]
+            self.assertLess((after.refused - before[1]) / (after.asked - before[0]), 0.1, f"seed {seed}")
+
+    def test_one_that_learns_the_limits_takes_the_lease_then(self) -> None:
+        world = World(3, [token_tenant("under", 2e5)], keepers=1, durable=True)
+        world.run(6_000.0)
+        (only,) = world.keepers
+        world.kill(only)
+        world.disks.clear()
+        world.unconfigured.add(only)
+        world.start(only)
+        world.run(10_000.0)
+        self.assertEqual(world.wardens(), [])
+        process = world.processes[only]
+        assert process.machine is not None
+        process.machine.configure(process.clock(world.now), list(world.tenants.values()), world.services)
+        world.wake(process)
+        world.run(10_200.0)
+        self.assertEqual(world.wardens(), [only])
+
     def test_proxies_that_are_cut_off_use_their_base(self) -> None:
         world = self.world(10, 2e6, even=True)
         world.run(10_000.0)
--- a/tests/fleet/test_stale_control.py
+++ b/tests/fleet/test_stale_control.py
@@ -10,6 +10,8 @@
 
 PING_S = 1.0
 OLD, NEW = 8, 43
+LINKS_S = 0.5  # until a proxy that starts is linked to control
+SOON_S = 0.5
 
 
 async def ping(world: World) -> None:
@@ -47,6 +49,37 @@
         self.assertEqual(proxy.client.version, NEW)
         self.assertFalse(proxy.client.current, "no majority has confirmed it")
 
+    @story
+    async def test_it_has_a_configuration_soon_and_that_of_its_peers_with_the_first_ping(
+        self, world: World
+    ) -> None:
+        proxy = await left_behind(world)
+        started_at = world.now()
+        while not proxy.client.version:
+            await asyncio.sleep(0.01)
+        self.assertLess(world.now() - started_at, LINKS_S + SOON_S)
+        while proxy.client.version < NEW:
+            await asyncio.sleep(0.01)
+        self.assertLess(world.now() - started_at, LINKS_S + PING_S + SOON_S)
+
+    @story
+    async def test_one_that_is_in_touch_without_a_leader_takes_it_from_its_peers_as_well(
+        self, world: World
+    ) -> None:
+        world.spawn(ping(world))
+        world.commit(configuration(OLD))
+        await asyncio.sleep(3.0)
+        for control in world.controls.values():
+            control.shard.majority = lambda: False  # type: ignore[method-assign]
+        for peer in world.proxies.values():
+            peer.client._configuration = configuration(NEW)
+            peer.client._fetch.version = NEW
+            peer.client._peers.taken(configuration(NEW))
+        proxy = world.start_proxy("10.1.0.9:7001")
+        await asyncio.sleep(LINKS_S + PING_S + SOON_S)
+        self.assertEqual(proxy.client.version, NEW)
+        self.assertTrue(set(world.voters) <= set(proxy.links.connected()), "control is in touch")
+
     @story
     async def test_one_that_knows_of_a_newer_version_is_not_ready_with_an_older(self, world: World) -> None:
         for peer in world.proxies.values():
