Limits: the leader of the configuration leaves the lease of the credit server to others

Ruled out: a planned change of the credit server once it leads (a gap for each). Change: a keeper that leads the configuration lets one span pass before it seeks, unless it held the lease before.

--- a/barleybarrow/limits/warden_lease.py
+++ b/barleybarrow/limits/warden_lease.py
@@ -79,6 +79,10 @@
         self.promised, self.promised_until = "", now + times.lease * DRIFT  # it may have before it started
         self.promised_for = (0, 0)  # run and token of the question
         self.may_lead = True  # whether this process can do what a warden does
+        self.gives_way = (
+            False  # another had better: this one leads something else, and both would be lost at once
+        )
+        self._gave_way = False  # once, since a warden was heard
         self.remembered = ""  # whom the process before this one had promised itself to; "": not known
         self.role = Role.PROXY
         self.run, self.token, self.token_at = rng.getrandbits(60), rng.getrandbits(40), -inf
@@ -138,9 +142,17 @@
             self.step_down(now)
         elif self.role is Role.PROXY and self.name in self.keepers and self.may_lead:
             if now - self.warden_at >= self.times.no_warden:
-                self.role = Role.SEEKING
-                self.seek_at = now + self.times.seek
-                self.ask_keepers(now)
+                self.seek_now(now)
+
+    def seek_now(self, now: float) -> None:
+        """Ask for the lease, or leave it to others for a while; whoever held it before gets it soonest."""
+        if self.gives_way and not self._gave_way and not self.is_remembered(self.name):
+            self._gave_way = True
+            self.seek_at = now + self.times.no_warden
+            return
+        self.role = Role.SEEKING
+        self.seek_at = now + self.times.seek
+        self.ask_keepers(now)
 
     def tick_warden(self, now: float) -> None:
         if now >= self.lease_end:
@@ -235,6 +247,7 @@
             self.freed(now)
 
     def heard_warden(self, now: float, sender: str, term: int) -> None:
+        self._gave_way = False
         if self.role is Role.SEEKING:
             self.step_down(now)
         if self.role is Role.PROXY:
--- a/brackenusher/assembly/control.py
+++ b/brackenusher/assembly/control.py
@@ -96,6 +96,7 @@
 
     async def _keep_ticking(self) -> None:
         while True:
+            self.limits.machine.gives_way = self.shard.is_leader
             self.registry.tick()
             self.monitor.tick()
             await asyncio.sleep(TICK_S)
--- a/tests/fleet/test_limits_worlds.py
+++ b/tests/fleet/test_limits_worlds.py
@@ -257,6 +257,27 @@
             after = world.tally["under"]
             self.assertLess((after.refused - before[1]) / (after.asked - before[0]), 0.1, f"seed {seed}")
 
+    def test_one_that_leads_something_else_leaves_the_lease_to_others(self) -> None:
+        for seed in range(8):
+            world = World(5, [token_tenant("under", 2e5)], seed=seed, durable=True)
+            leader, *others = world.keepers
+            machine = world.processes[leader].machine
+            assert machine is not None
+            machine.machine.gives_way = True
+            world.run(5_000.0)
+            self.assertIn(world.wardens()[0], others, f"seed {seed}, first start")
+            world.kill(world.wardens()[0])
+            world.run(6_500.0)
+            self.assertIn(world.wardens()[0], others, f"seed {seed}, after a loss")
+
+    def test_one_that_leads_takes_the_lease_where_nobody_else_does(self) -> None:
+        world = World(3, [token_tenant("under", 2e5)], keepers=1, durable=True)
+        machine = world.processes[world.keepers[0]].machine
+        assert machine is not None
+        machine.machine.gives_way = True
+        world.run(5_000.0)
+        self.assertEqual(world.wardens(), world.keepers)
+
     def test_one_that_learns_the_limits_takes_the_lease_then(self) -> None:
         world = World(3, [token_tenant("under", 2e5)], keepers=1, durable=True)
         world.run(6_000.0)
