--- a/tests/fleet/limits_world.py
+++ b/tests/fleet/limits_world.py
@@ -1,4 +1,4 @@
-"""A fleet of limits machines in virtual time, and what may never happen.
+"""A fleet of limits machines in virtual time. What may never happen there: `limits_oracle`.
 
 Proxies and control processes, a network that loses, delays and doubles messages, processes that are killed,
 cut off and started again, clocks that differ. The machines are those that ship. Amounts are of the tenant's
@@ -12,14 +12,12 @@
 from itertools import accumulate, count
 
 from barleybarrow.documents import QuotaUnit, Service, Tenant
-from barleybarrow.limits.bounds import KeyLimit, LimitBounds
-from barleybarrow.limits.credit_client import CreditClient
+from barleybarrow.limits.bounds import LimitBounds
 from barleybarrow.limits.limits import Limits, Verdict
 from barleybarrow.limits.predecessors import NO_BASE, HeldBase, PredecessorBases
 from barleybarrow.limits.warden_lease import DRIFT
 from barleybarrow.replication.rendezvous import ranked
-
-Clients = dict[str, tuple[float, CreditClient]]  # proxies: the time on their clock, and what they hold
+from tests.fleet.limits_oracle import LimitsOracle, Process, Tally
 
 HALF_TRIP = (0.3, 3.0)  # milliseconds, one way
 LINK_LOSS_SEEN = 1600.0  # until a process knows that a link is cut
@@ -28,7 +26,6 @@
 PING_EVERY, PINGED = 1000.0, 3  # milliseconds; peers that each proxy pings
 PING_LOSS, LATE_PINGS = 0.02, 0.02
 SERVICE = "engines"
-LENGTH = 20_000.0  # milliseconds that a troubled world is played
 
 
 @dataclass
@@ -44,40 +41,7 @@
     repeats: float = 0.0  # share of the requests that ask to be repeated
 
 
-@dataclass
-class Tally:
-    """What became of a tenant's requests."""
-
-    asked: int = 0
-    refused: int = 0
-    asked_cost: float = 0.0
-    admitted: list[tuple[float, float]] = field(default_factory=list)  # time, cost
-    waits: list[float] = field(default_factory=list)
-
-    @property
-    def refused_share(self) -> float:
-        return self.refused / max(1, self.asked)
-
-
-class Process:
-    """One process of the fleet, with a clock of its own."""
-
-    def __init__(self, name: str, at: float, rate: float) -> None:
-        self.name, self.offset, self.rate = name, -at + 1e6 * rate, rate
-        self.machine: Limits | None = None
-        self.bases: PredecessorBases | None = None
-        self.life = 0
-        self.leaving = False  # it ends in order soon, and gives its base up
-        self.wake_at = 0.0
-
-    def clock(self, now: float) -> float:
-        return now * self.rate + self.offset
-
-    def when(self, clock: float) -> float:
-        return (clock - self.offset) / self.rate
-
-
-class World:
+class World(LimitsOracle):
     """Runs until a time; `calls` are what happens to the fleet, by time."""
 
     def __init__(
@@ -385,180 +349,7 @@
         self.check()
         self.at(self.now + every, "check", every)
 
-    def check(self) -> None:
-        """Invariants of the machines, beside the rule itself. Raises AssertionError."""
-        clients: Clients = {}
-        for name in self.proxies:
-            process = self.processes[name]
-            if process.machine is not None and process.machine.client is not None:
-                clients[name] = process.clock(self.now), process.machine.client
-        held = sum(c.base for at, c in clients.values() if at < c.base_until)
-        assert held <= 1.0 + 1e-6, f"bases add up to {held}"
-        wardens = self.wardens()
-        assert len(wardens) <= 1, f"wardens: {wardens}"
-        for name in wardens:
-            self.check_warden(self.processes[name], clients)
-
-    def check_warden(self, process: Process, clients: Clients) -> None:
-        assert process.machine is not None and process.machine.machine.books is not None
-        machine, clock = process.machine.machine, process.clock(self.now)
-        books = process.machine.machine.books
-        books.lent.advance(clock)
-        fallen = sum(c.base for at, c in clients.values() if c.fall_at <= at < c.base_until)
-        total = books.lent.value + fallen
-        assert total <= 1.0 + 1e-6, f"lent and used parts add up to {total}"
-        for key, account in books.ledger.accounts.items():
-            limit = machine.limit_of(key)
-            if limit is None:
-                continue
-            level = books.ledger.account(clock, key, limit).level
-            granted = carried = 0.0
-            for at, client in clients.values():
-                entry = client.entries.get(key)
-                if entry is None:
-                    continue
-                carried += entry.carried if at < entry.carried_until else 0.0
-                if at < client.valid_until and client.term == machine.term:
-                    granted += entry.credit
-            known = account.outstanding
-            assert granted <= known + 1e-6, f"{key}: credit of {granted} held, {known} known"
-            assert known <= limit.credit + 1e-6, f"{key}: outstanding {known}"
-            spendable = level + granted + carried + self.fallen_level(key, limit, clients)
-            assert spendable <= limit.capacity * (1 + 1e-6), f"{key}: spendable {spendable}"
-
-    def fallen_level(self, key: str, limit: KeyLimit, clients: Clients) -> float:
-        """What proxies that are out of touch may spend at this moment."""
-        total = 0.0
-        for at, client in clients.values():
-            entry = client.entries.get(key)
-            if entry is not None and client.fall_at <= at < client.base_until:
-                since = max(entry.level_at, client.fall_at)
-                level = entry.level if entry.level_at >= client.fall_at else 0.0
-                gained = client.base * limit.rate * (at - since) / 1000.0
-                total += min(level + gained, client.base * limit.capacity)
-        return total
-
-    def most_in_window(self, tenant: str, window_ms: float) -> float:
-        """The most that was admitted in any window of this length."""
-        admitted = self.tally[tenant].admitted
-        most = total = 0.0
-        first = 0
-        for at, cost in admitted:
-            total += cost
-            while admitted[first][0] <= at - window_ms:
-                total -= admitted[first][1]
-                first += 1
-            most = max(most, total)
-        return most
-
-    def allowed(self, tenant: Tenant) -> float:
-        """What the rule allows in one window."""
-        bounds = self.bounds
-        steady = tenant.rate_per_s * bounds.quota_window_s + tenant.burst
-        return steady * (1 + bounds.quota_overshoot) + bounds.quota_slack
-
-    def excess(self, name: str) -> float:
-        """The share by which the worst window goes over the rule's bound; negative: it holds."""
-        most = self.most_in_window(name, 1000.0 * self.bounds.quota_window_s)
-        return most / self.allowed(self.tenants[name]) - 1.0
-
-    def retry_excess(self) -> float:
-        """The most by which repeats in a window go over the retry budget, in arrivals; negative: it holds.
-
-        Requests count in the window alone: that is stricter than the rule, which also looks at those
-        before.
-        """
-        window, worst = 1000.0 * self.bounds.retry_window_s, -float("inf")
-        for first, at in enumerate(self.repeated):
-            repeats = bisect_right(self.repeated, at + window) - first
-            requests = bisect_right(self.requested, at + window) - bisect_right(self.requested, at)
-            allowed = self.bounds.retry_budget_ratio * requests + self.bounds.retry_budget_min
-            worst = max(worst, repeats - allowed)
-        return worst
-
-    def lent(self) -> float:
-        """The fraction of each limit that the warden may hand out."""
-        for name in self.wardens():
-            machine = self.processes[name].machine
-            if machine is not None and machine.machine.books is not None:
-                return machine.machine.books.lent.value
-        return 0.0
-
-    def wardens(self) -> list[str]:
-        """Processes that hold the lease now by their own clocks; more than one would be a fault."""
-        found = []
-        for name, process in self.processes.items():
-            if process.machine is not None and process.machine.machine.books is not None:
-                if process.clock(self.now) < process.machine.machine.lease_end:
-                    found.append(name)
-        return found
-
 
 def token_tenant(name: str, rate: float, burst: float | None = None) -> Tenant:
     """A tenant whose quota counts tokens."""
     return Tenant(name, [f"key-{name}"], None, QuotaUnit.TOKENS, 200, rate, rate if burst is None else burst)
-
-
-def troubled_world(seed: int, length: float, pause: float = 1500.0, lossy: bool = True) -> World:
-    """One tenant far over its limit and one below it, and random troubles until shortly before the end."""
-    rng = random.Random(seed)
-    proxies = rng.choice([3, 5, 8, 12])
-    rate = rng.choice([18_000.0, 100_000.0, 400_000.0])
-    burst = rate * rng.choice([0.2, 1.0, 2.0])
-    tenants = [token_tenant("hot", rate, burst), token_tenant("under", rate), token_tenant("rare", rate)]
-    world = World(
-        proxies,
-        tenants,
-        seed=seed,
-        bounds=LimitBounds(quota_slack=rng.choice([0.0, 72_000.0])),
-        drift=0.02,
-        loss=rng.choice([0.0, 0.05, 0.3]) if lossy else 0.0,
-        doubled=0.1 if lossy else 0.0,
-        late=rng.choice([0.0, 0.05]) if lossy else 0.0,
-    )
-    weights = [rng.paretovariate(1.1) for _ in range(proxies)]
-    cost = (rate / 100, rate / 10)
-    world.demand(Demand("hot", 150.0, cost, weights, start=4000.0, repeats=0.8))
-    world.demand(Demand("under", 20.0, cost, weights, start=4000.0))
-    world.demand(Demand("rare", 1.0, cost, weights, start=4000.0))
-    at = 4500.0
-    while at < length - 4000.0:
-        at += rng.expovariate(1.0 / pause)
-        name = rng.choice(world.keepers + world.proxies)
-        lasts = rng.choice([500.0, 2000.0, 6000.0, 25_000.0])
-        do, undo = rng.choice([("kill", "start"), ("cut_off", "join")])
-        world.at(at, "call", do, name)
-        world.at(at + lasts, "call", undo, name)
-    world.at(0.0, "check", 20.0)
-    return world
-
-
-def coming_and_going(seed: int) -> World:
-    """A troubled world whose keepers all end again and again, and then half of the proxies."""
-    world = troubled_world(seed, LENGTH, pause=1500.0, lossy=bool(seed % 2))
-    world.durable = True
-    at = 4000.0
-    while at < LENGTH - 3000.0:
-        lasts = world.rng.uniform(500.0, 6000.0)
-        for name in world.keepers:
-            world.at(at, "call", "kill", name)
-            world.at(at + lasts, "call", "start", name)
-        for name in world.rng.sample(world.proxies, len(world.proxies) // 2):
-            world.at(at + 600.0, "call", "kill", name)
-            world.at(at + 1500.0, "call", "start", name)
-        at += lasts + world.rng.uniform(1000.0, 4000.0)
-    return world
-
-
-def broken(world: World) -> str:
-    """What goes wrong in a troubled world; empty: nothing."""
-    try:
-        world.run(LENGTH)
-    except AssertionError as error:
-        return str(error)
-    for name in world.tenants:
-        if world.excess(name) > 0.0:
-            return f"{name}: {world.excess(name)} over the bound"
-    if world.retry_excess() > 0.0:
-        return f"retries: {world.retry_excess()} over the budget"
-    return ""
--- a/tests/fleet/play_limits_worlds.py
+++ b/tests/fleet/play_limits_worlds.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from tests.fleet.limits_world import LENGTH, broken, coming_and_going, troubled_world
+from tests.fleet.limits_schedules import LENGTH, broken, coming_and_going, troubled_world
 
 
 def main(first: int, worlds: int) -> int:
--- a/tests/fleet/test_limits_planted.py
+++ b/tests/fleet/test_limits_planted.py
@@ -15,7 +15,8 @@
     spans,
     warden_lease,
 )
-from tests.fleet.limits_world import LENGTH, Demand, World, broken, token_tenant, troubled_world
+from tests.fleet.limits_schedules import LENGTH, broken, troubled_world
+from tests.fleet.limits_world import Demand, World, token_tenant
 
 BUG_SEEDS = range(60)
 
--- a/tests/fleet/test_limits_predecessors.py
+++ b/tests/fleet/test_limits_predecessors.py
@@ -9,7 +9,8 @@
 from barleybarrow.limits.messages import CreditReport
 from barleybarrow.limits.predecessors import NO_BASE, HeldBase, PredecessorBases
 from barleybarrow.limits.spans import BASE_LIFE_STORED
-from tests.fleet.limits_world import World, broken, coming_and_going, token_tenant
+from tests.fleet.limits_schedules import broken, coming_and_going
+from tests.fleet.limits_world import World, token_tenant
 
 BUG_SEEDS = range(360, 420)
 
--- a/tests/fleet/test_limits_worlds.py
+++ b/tests/fleet/test_limits_worlds.py
@@ -11,15 +11,8 @@
     spans,
     warden_lease,
 )
-from tests.fleet.limits_world import (
-    LENGTH,
-    Demand,
-    World,
-    broken,
-    coming_and_going,
-    token_tenant,
-    troubled_world,
-)
+from tests.fleet.limits_schedules import LENGTH, broken, coming_and_going, troubled_world
+from tests.fleet.limits_world import Demand, World, token_tenant
 
 SEEDS = range(40)
 BIG_COST = (2000.0, 25_000.0)  # tokens of a request, least and most
