Docs: a page of alerts, each with its figure, its threshold, its meaning and what to type

Cause: operators had figures and log lines, and nothing that said from which value on to look. Ruled out: rules of one monitoring system.

--- a/tests/fleet/test_operations_page.py
+++ b/tests/fleet/test_operations_page.py
@@ -21,7 +21,9 @@
 from brackenusher.settings.local import LocalSettings
 from brackenusher.settings.reading import file_key
 
-PAGE = (Path(__file__).parents[2] / "docs" / "operations-fleet.md").read_text(encoding="utf-8")
+DOCS = Path(__file__).parents[2] / "docs"
+PAGE = (DOCS / "operations-fleet.md").read_text(encoding="utf-8")
+ALERTS = (DOCS / "alerts.md").read_text(encoding="utf-8")
 # Settings that concern the roles' placement, told on the pages of the deploy file.
 NOT_ON_THE_PAGE = {"MachineClass", "Serves", "Region", "HeartbeatMs", "Contracts", "Zones", "FaultTolerance"}
 
@@ -60,6 +62,13 @@
     def test_figures(self) -> None:
         self.assertEqual(set(first_cells(section("Figures"))), figures())
 
+    def test_alerts_watch_figures_that_exist(self) -> None:
+        rows = re.findall(r"^\| ([^|]*?) \|", ALERTS, re.MULTILINE)
+        watched = {re.split(r"[{\[ ]", span)[0] for row in rows for span in re.findall(r"`([^`]+)`", row)}
+        named = {name for name in watched if "_" in name or name == "ready"}
+        self.assertGreater(len(named), 8)
+        self.assertLessEqual(named, figures())
+
     def test_commands(self) -> None:
         group = cast(Any, typer.main.get_command(app))
         names = set(group.commands) - {"config"}
