--- a/tests/fleet/data_plane_support.py
+++ b/tests/fleet/data_plane_support.py
@@ -42,6 +42,11 @@
     return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
 
 
+async def hello(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
+    """A script that gives a proper answer."""
+    writer.write(answer(request, b"hello"))
+
+
 def rejection(status: str = "503 Service Unavailable", extra: bytes = b"") -> bytes:
     """The answer of a server that does not run the request."""
     return (
--- a/tests/fleet/test_data_plane_answers.py
+++ b/tests/fleet/test_data_plane_answers.py
@@ -10,16 +10,12 @@
     SeenRequest,
     answer,
     chunk,
+    hello,
     rejection,
     request_bytes,
 )
 
 
-async def hello(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
-    """A proper answer."""
-    writer.write(answer(request, b"hello"))
-
-
 def says(data: bytes) -> Script:
     """A script that writes these bytes, where ID_LINE stands for the echo of the request's id, and ends."""
 
--- a/tests/fleet/test_data_plane_faults.py
+++ b/tests/fleet/test_data_plane_faults.py
@@ -15,6 +15,7 @@
     chunk,
     configuration,
     event,
+    hello,
     request_bytes,
     stream_head,
 )
@@ -22,11 +23,6 @@
 MUTATIONS = 300  # of a proper message, in each of the tests with bytes at random
 
 
-async def hello(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
-    """A proper answer."""
-    writer.write(answer(request, b"hello"))
-
-
 async def silent(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
     """No answer."""
 
--- a/tests/fleet/test_data_plane_quota.py
+++ b/tests/fleet/test_data_plane_quota.py
@@ -4,18 +4,13 @@
 
 from barleybarrow.documents import Tenant
 from brackenusher.runtime.request_journal import RequestJournal
-from tests.fleet.data_plane_support import PATIENCE_S, DataPlaneTest, SeenRequest, answer, request_bytes
+from tests.fleet.data_plane_support import PATIENCE_S, DataPlaneTest, hello, request_bytes
 
 TENANTS = [Tenant("kaje80", ["key-1"])]
 REQUEST = request_bytes("/safe/x", extra="Api-Key: key-1\r\n")
 IN_A_HURRY = request_bytes("/safe/x", extra="Api-Key: key-1\r\nX-Brackenusher-Deadline-Ms: 30\r\n")
 
 
-async def hello(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
-    """Answer with a greeting."""
-    writer.write(answer(request, b"hello"))
-
-
 class QuotaAskedElsewhere(DataPlaneTest):
     """The proxy's question is a future that the test settles."""
 
--- a/tests/fleet/test_data_plane_sentences.py
+++ b/tests/fleet/test_data_plane_sentences.py
@@ -18,6 +18,7 @@
     chunk,
     configuration,
     event,
+    hello,
     rejection,
     request_bytes,
     stream_head,
@@ -34,11 +35,6 @@
 ID = b"X-Brackenusher-Request-Id: a1\r\n"
 
 
-async def hello(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
-    """A proper answer."""
-    writer.write(answer(request, b"hello"))
-
-
 class RawServerTest(DataPlaneTest):
     """Tests with a server whose side of a connection is written byte by byte."""
 
--- a/tests/fleet/test_data_plane_shutdown.py
+++ b/tests/fleet/test_data_plane_shutdown.py
@@ -2,16 +2,18 @@
 
 import asyncio
 
-from tests.fleet.data_plane_support import DataPlaneTest, SeenRequest, answer, configuration, request_bytes
+from tests.fleet.data_plane_support import (
+    DataPlaneTest,
+    SeenRequest,
+    answer,
+    configuration,
+    hello,
+    request_bytes,
+)
 
 GRACE_S = 8.0
 
 
-async def hello(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
-    """A proper answer."""
-    writer.write(answer(request, b"hello"))
-
-
 class Readiness(DataPlaneTest):
     async def test_ready_with_a_feed_and_a_configuration(self) -> None:
         self.assertFalse(self.server.readiness())
--- a/tests/fleet/test_upstream_pool.py
+++ b/tests/fleet/test_upstream_pool.py
@@ -13,15 +13,11 @@
     SeenRequest,
     answer,
     configuration,
+    hello,
     request_bytes,
 )
 
 
-async def hello(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
-    """A proper answer."""
-    writer.write(answer(request, b"hello"))
-
-
 class Gate:
     """Answers each request once opened."""
 
