Tests: the relay's client takes a reset that comes before its own half-close for what it is

Ruled out: the relay (it reset the connection, as the test asks). A new test forces the order of the two.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import contextlib
+import errno
 import math
+import select
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import threading
@@ -202,6 +205,32 @@
         self.thread.join(20)
 
 
+def end_sending(sock):
+    """Half-close. Where a reset came first there is nothing to close any more: the next read raises it."""
+    try:
+        sock.shutdown(socket.SHUT_WR)
+    except OSError as error:
+        if error.errno != errno.ENOTCONN:
+            raise
+
+
+def test_a_reset_before_the_half_close_is_seen_by_the_next_read():
+    # guards against a client of these tests that fails where the reset is quicker than its own half-close
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        with socket.create_connection(listener.getsockname(), timeout=20) as sock:
+            peer, _ = listener.accept()
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            peer.close()
+            watch = select.poll()
+            watch.register(sock, select.POLLHUP)
+            assert watch.poll(20_000)
+            with pytest.raises(OSError, match="not connected"):
+                sock.shutdown(socket.SHUT_WR)
+            end_sending(sock)
+            with pytest.raises(ConnectionResetError):
+                sock.recv(1)
+
+
 def talk(port, data):
     """Send bytes, end the sending, and read whatever comes; what came, and whether it ended in a reset."""
     got = b""
@@ -209,7 +238,7 @@
         # a reset may already be there when the connect is looked at: that is one of what came, too
         with socket.create_connection(("127.0.0.1", port), timeout=20) as sock:
             sock.sendall(data)
-            sock.shutdown(socket.SHUT_WR)
+            end_sending(sock)
             while part := sock.recv(65536):
                 got += part
     except (ConnectionResetError, BrokenPipeError):
