Routing: servers for long streams are counted from all streams that proxies tell of

Two proxies kept different servers.

Change: a route streams by what its requests declare until four were measured; the number of servers follows from the streams told by all, scaled by the share of proxies that tell; which ones is a rendezvous order, as before. Fewer than half a stream of late keeps none (a mean that fades kept one for ever; found by the test).

--- a/barleybarrow/routing/dispatcher.py
+++ b/barleybarrow/routing/dispatcher.py
@@ -211,7 +211,7 @@
             server = service.servers.get(news.server_id) if service else None
             if service is None or server is None:
                 continue
-            server.hear_streams(now, peer, news.streams)
+            service.hear_streams(now, server, peer, news.streams)
             if news.tokens_to_read == 0:
                 continue
             server.will_read(now, news.tokens_to_read * service.reading.ms_per_token)
@@ -255,8 +255,11 @@
         if now >= request.deadline_at:
             return self._give_up(now, exchange, RefusalReason.DEADLINE)
         pool = self.pools.get(request.service)
-        if pool is not None and pool.reading.samples < FEWEST_SAMPLES:
-            pool.reading.guess(request.route.target_latency_ms, request.prompt_tokens)
+        if pool is not None:
+            if pool.reading.samples < FEWEST_SAMPLES:
+                pool.reading.guess(request.route.target_latency_ms, request.prompt_tokens)
+            if not exchange.tried:
+                pool.profile(request.route.name).declare(request.prompt_tokens, request.output_tokens)
         choice = self._selector.pick(now, pool, exchange) if pool else None
         if pool is None or choice is None:
             return self._give_up(now, exchange, reason)
@@ -274,9 +277,9 @@
         if subject := subject_of(request):
             pool.used(now, subject)
         profile = pool.profile(request.route.name)
-        profile.count(now, 1)
         exchange.is_stream = profile.is_streaming
-        server.streams += exchange.is_stream
+        if exchange.is_stream:
+            pool.change_streams(now, server, 1)
         self._tell(request, server, choice)
         profile.reading.learn(choice.reading_ms)
         priority = min(max(request.priority, FOREMOST), LAST) if pool.service.engine else None
@@ -336,12 +339,12 @@
         server.in_flight -= 1
         self._began(exchange, server)
         exchange.server = None
-        if exchange.is_stream:
-            server.streams -= 1
-            service = exchange.request.service
-            self.news.tell(Announcement(service, server.info.id, "", 0, 0, server.streams))
-        if pool := self.pools.get(exchange.request.service):
-            pool.profile(exchange.request.route.name).count(now, -1)
+        if not exchange.is_stream:
+            return
+        service = exchange.request.service
+        if pool := self.pools.get(service):
+            pool.change_streams(now, server, -1)
+        self.news.tell(Announcement(service, server.info.id, "", 0, 0, server.streams))
 
     def _began(self, exchange: Exchange, server: ServerRecord) -> None:
         """Its prompt is read, or will never be: it no longer waits there."""
@@ -393,4 +396,4 @@
         if pool is None or pool.service.engine is None or exchange.first_event_at is None:
             return
         pool.profile(exchange.request.route.name).streaming.learn(now - exchange.first_event_at)
-        pool.separate_streams(now, self.settings.proxies)
+        pool.separate_streams(now)
--- a/barleybarrow/routing/pool.py
+++ b/barleybarrow/routing/pool.py
@@ -12,7 +12,7 @@
 from barleybarrow.routing.actions import RequestId, ServerInfo, ServerState
 from barleybarrow.routing.outliers import ServerHealth
 from barleybarrow.routing.prefix_cache import PrefixCache
-from barleybarrow.routing.profiles import RouteProfile, servers_for_streams
+from barleybarrow.routing.profiles import RouteProfile, StreamCount, servers_for_streams
 from barleybarrow.routing.rendezvous import HashRing, stable_hash, weight
 from barleybarrow.routing.speed import EXCESS_WEIGHT, ReadingTime, ServerSpeed, Smoothed
 from barleybarrow.routing.thresholds import IdleThreshold
@@ -138,6 +138,7 @@
 
     def __init__(self, service: Service) -> None:
         self.service = service
+        self.proxies = 1  # that send to these servers, this one among them
         self.servers: dict[str, ServerRecord] = {}
         self.ready: list[ServerRecord] = []
         self.reading = ReadingTime()
@@ -151,9 +152,11 @@
         self.subjects: OrderedDict[str, float] = OrderedDict()  # when each was last sent, latest last
         self._stream_order: list[ServerRecord] = []  # the same in every proxy
         self._stream_servers = 0
+        self._streams = StreamCount()
 
     def update(self, now: float, servers: Iterable[ServerInfo], proxies: int) -> list[ServerRecord]:
         """Take a new list; returns the records of those that are no longer on it."""
+        self.proxies = max(1, proxies)
         kept_tokens = self._known_capacity(proxies)
         before, self.servers = self.servers, {}
         for info in servers:
@@ -183,6 +186,7 @@
 
     def inform(self, share: float, proxies: int) -> None:
         """Note which share of all proxies tells what it sends, this one among them."""
+        self.proxies = max(1, proxies)
         if share == self.informed_share:
             return
         self.informed_share = share
@@ -207,14 +211,32 @@
             profile = self.profiles[route] = RouteProfile()
         return profile
 
-    def separate_streams(self, now: float, proxies: int) -> None:
-        """Decide anew how many servers are kept for long streams, away from long prompts."""
-        streaming = [profile for profile in self.profiles.values() if profile.is_streaming]
+    def change_streams(self, now: float, server: ServerRecord, change: int) -> None:
+        """Note that a long stream of this proxy began at a server (1) or has ended (-1)."""
+        server.streams += change
+        self._count_streams(now)
+
+    def hear_streams(self, now: float, server: ServerRecord, peer: str, streams: int) -> None:
+        """Another proxy tells how many long streams it has at a server."""
+        before = server.streams_elsewhere
+        server.hear_streams(now, peer, streams)
+        if server.streams_elsewhere != before:
+            self._count_streams(now)
+
+    def _count_streams(self, now: float) -> None:
+        self._streams.observe(now, sum(r.streams + r.streams_elsewhere for r in self.servers.values()))
+        self.separate_streams(now)
+
+    def separate_streams(self, now: float) -> None:
+        """Decide anew how many servers are kept for long streams, away from long prompts.
+
+        Proxies that tell nothing are thought to have as many as those that do.
+        """
         wanted = 0
-        if streaming and len(streaming) < len(self.profiles) and self.ready:
-            streams = sum(profile.mean_in_flight(now) for profile in streaming) * proxies
-            slots = self.ready[0].info.slots
-            wanted = servers_for_streams(streams, slots, len(self.ready))
+        if self.ready and any(not profile.is_streaming for profile in self.profiles.values()):
+            known_share = max(self.informed_share, 1 / self.proxies)
+            streams = self._streams.mean(now) / known_share
+            wanted = servers_for_streams(streams, self.ready[0].info.slots, len(self.ready))
         if wanted != self._stream_servers:
             self._stream_servers = wanted
             self._mark_for_streams()
--- a/tests/fleet/test_routing_announcements.py
+++ b/tests/fleet/test_routing_announcements.py
@@ -211,6 +211,102 @@
         self.assertNotEqual(second.server_id, first.server_id)
 
 
+class StreamServersTests(unittest.TestCase):
+    """Which servers are kept for long streams: the same in all proxies that heard the same."""
+
+    CHAT = Route("chat", "h", "/c/", "streaming", 9_000.0, 200.0, 0, "llm", resumable=True, gap_aim_ms=150.0)
+
+    def make(self, seed: int) -> Dispatcher:
+        dispatcher = Dispatcher(DispatchSettings("z", 40), random.Random(seed), 0.0)
+        engine = Engine(12, 100_000, stride=40)
+        dispatcher.configure(0.0, {"llm": Service("llm", engine=engine)}, [ROUTE, self.CHAT])
+        dispatcher.servers(0.0, "llm", [ServerInfo(name, name, "z", 12) for name in "abcdefgh"])
+        self.hear_all(dispatcher, 0.0)
+        return dispatcher
+
+    def hear_all(self, dispatcher: Dispatcher, now: float) -> None:
+        for number in range(39):
+            dispatcher.heard(now, f"p{number}", [])
+
+    def chat(self, number: int, now: float, tokens_out: int = 4_000) -> DispatchRequest:
+        parts = (("c0", 40), ("c1", 30), (f"own{number}", 130))
+        deadline_at = now + 9_000.0
+        return DispatchRequest(
+            number, self.CHAT, "llm", "t", 0, now, deadline_at, 200, tokens_out, parts, "m"
+        )  # fmt: skip
+
+    def kept(self, dispatcher: Dispatcher) -> set[str]:
+        return {name for name, record in dispatcher.pools["llm"].servers.items() if record.for_streams}
+
+    def tell(self, dispatcher: Dispatcher, now: float, streams: int) -> None:
+        """Another proxy tells of streams at three servers, all others that they are there."""
+        self.hear_all(dispatcher, now)
+        dispatcher.heard(now, "p1", [Announcement("llm", name, "", 0, 0, streams) for name in "abc"])
+
+    def test_the_first_chat_of_a_proxy_counts_as_a_stream_by_what_it_declares(self) -> None:
+        dispatcher = self.make(1)
+        dispatcher.arrived(0.0, request(1))
+        send = dispatcher.arrived(0.0, self.chat(2, 0.0))[0]
+        assert isinstance(send, Send)
+        self.assertEqual(dispatcher.pools["llm"].servers[send.server_id].streams, 1)
+
+    def test_a_route_that_declares_far_more_than_it_makes_is_known_by_what_it_made(self) -> None:
+        dispatcher = self.make(1)
+        profile = dispatcher.pools["llm"].profile(self.CHAT.name)
+        for number in range(4):
+            dispatcher.arrived(0.0, self.chat(number, 0.0))
+            profile.streaming.learn(10.0)
+            profile.reading.learn(20.0)
+        self.assertFalse(profile.is_streaming)
+
+    def test_requests_that_declare_nothing_are_no_streams_until_some_were_measured(self) -> None:
+        dispatcher = self.make(1)
+        dispatcher.arrived(0.0, self.chat(1, 0.0, tokens_out=0))
+        self.assertFalse(dispatcher.pools["llm"].profile(self.CHAT.name).is_streaming)
+
+    def test_proxies_that_never_saw_a_chat_keep_the_same_servers_for_the_streams_of_others(self) -> None:
+        kept = []
+        for seed in range(4):
+            dispatcher = self.make(seed)
+            dispatcher.arrived(0.0, request(1))
+            self.tell(dispatcher, 0.0, 8)
+            self.tell(dispatcher, 60_000.0, 7)
+            kept.append(self.kept(dispatcher))
+        self.assertEqual(len(kept[0]), 3)  # 24 streams, of 12 slots 9 are used
+        self.assertEqual(kept, [kept[0]] * 4)
+
+    def test_they_are_given_back_once_the_streams_have_ended(self) -> None:
+        dispatcher = self.make(1)
+        dispatcher.arrived(0.0, request(1))
+        for now, streams in ((0.0, 8), (30_000.0, 9), (30_001.0, 0)):
+            self.tell(dispatcher, now, streams)
+        self.assertTrue(self.kept(dispatcher))
+        self.hear_all(dispatcher, 60_000.0)
+        dispatcher.pools["llm"].separate_streams(60_000.0)
+        self.assertEqual(self.kept(dispatcher), set())
+
+    def test_streams_of_a_server_that_is_gone_count_no_more(self) -> None:
+        dispatcher = self.make(1)
+        dispatcher.arrived(0.0, request(1))
+        self.tell(dispatcher, 0.0, 12)
+        dispatcher.servers(1.0, "llm", [ServerInfo(name, name, "z", 12) for name in "defgh"])
+        for now, streams in ((2.0, 1), (3.0, 0)):
+            dispatcher.heard(now, "p2", [Announcement("llm", "d", "", 0, 0, streams)])
+        self.hear_all(dispatcher, 60_000.0)
+        dispatcher.pools["llm"].separate_streams(60_000.0)
+        self.assertEqual(self.kept(dispatcher), set())
+
+    def test_proxies_that_tell_nothing_are_thought_to_have_as_many_streams(self) -> None:
+        informed, alone = self.make(1), Dispatcher(DispatchSettings("z", 40), random.Random(1), 0.0)
+        alone.configure(0.0, {"llm": Service("llm", engine=Engine(12, 1))}, [ROUTE, self.CHAT])
+        alone.servers(0.0, "llm", [ServerInfo(name, name, "z", 12) for name in "abcdefgh"])
+        for dispatcher in (informed, alone):
+            dispatcher.arrived(0.0, request(1))
+            dispatcher.arrived(0.0, self.chat(2, 0.0))
+            dispatcher.pools["llm"].separate_streams(60_000.0)
+        self.assertEqual((len(self.kept(informed)), len(self.kept(alone))), (1, 4))
+
+
 class _Timer:
     def __init__(self, at: float, callback: Callable[[], None]) -> None:
         self.at, self.callback, self.cancelled = at, callback, False
