--- a/brackenusher/data_plane/announcer.py
+++ b/brackenusher/data_plane/announcer.py
@@ -78,7 +78,7 @@
         self._acknowledged_at = {ip: at for ip, at in self._acknowledged_at.items() if ip in self._peers}
 
     def counts(self) -> dict[str, float]:
-        """Datagrams sent, received and unreadable, and how often this proxy passed news on, since the start."""
+        """Datagrams sent, received and unreadable, and how often news was passed on, since the start."""
         return {
             "sent": float(self.sent),
             "received": float(self.received),
--- a/tests/fleet/test_engines.py
+++ b/tests/fleet/test_engines.py
@@ -2,6 +2,9 @@
 
 import unittest
 from dataclasses import replace
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
 
 from testbed.engines.clock import Clock
 from testbed.engines.engine import QUEUE_FULL, TOO_LARGE, Engine, EngineFigures, Job
@@ -9,7 +12,7 @@
 from testbed.engines.memory import KvMemory
 from testbed.engines.plain import PlainFigures, PlainJob, PlainServer
 from testbed.engines.policies import POLICIES
-from testbed.engines.scenario import Fault, Scenario, example
+from testbed.engines.scenario import Fault, Scenario, example, from_site
 
 FIGURES = EngineFigures(
     batch=2,
@@ -194,5 +197,78 @@
         self.assertGreater(results.counters["ejected"], 0)
 
 
+SITE = """
+name = "small"
+zones = [{ name = "a", region = "r" }]
+machines = [{ class = "front", zone = "a", count = 2 }]
+services = [{ name = "app", servers = [{ zone = "a", count = 3 }], slots = 4, queue = 8 }]
+traffic = [{ zone = "a", mix = { lookup = 3.0, other = 1.0 }, per_s = 40.0, clients = 5 }]
+
+[[classes]]
+name = "lookup"
+aim_ms = 100.0
+deadline_ms = 900.0
+worth = 1.0
+late_worth = 0.1
+priority = 0
+service = "app"
+
+[timing]
+catch_up_s = 6.0
+
+[net]
+in_zone_ms = 0.2
+cross_zone_ms = 0.9
+client_ms = 1.0
+
+[discovery]
+beat_ms = 1200
+"""
+
+
+class SiteFileTests(unittest.TestCase):
+    """Site files as the operators write them."""
+
+    def read(self, text: str) -> Scenario:
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "site.toml"
+            path.write_text(text)
+            return from_site(path)
+
+    def test_a_site_that_prices_no_part_read_again_is_read(self) -> None:
+        scenario = self.read(SITE)
+        self.assertEqual(scenario.again_ms, 0.0)
+        self.assertEqual([(kind.name, kind.per_s) for kind in scenario.kinds], [("lookup", 30.0)])
+
+    def test_a_site_that_prices_them_tells_for_how_long(self) -> None:
+        self.assertEqual(self.read(SITE.replace("[timing]", "[timing]\nagain_s = 5.7")).again_ms, 5_700.0)
+
+
+class NewsTests(unittest.TestCase):
+    """Announcements between the proxies of the emulated fleet."""
+
+    def test_news_takes_longer_to_other_zones_and_what_lasts_is_told_again(self) -> None:
+        scenario = example(0.3)
+        scenario.length_ms, scenario.news_ms, scenario.news_far_ms = 3_000.0, 14.0, 12.0
+        heard: dict[str, list[float]] = {"near": [], "far": []}
+        fleet = Fleet(scenario, POLICIES["shipped"], 1)
+        teller = fleet.proxies[0]
+        for proxy in fleet.proxies[1:]:
+            distance = "near" if proxy.zone == teller.zone else "far"
+            hear = proxy.dispatcher.heard
+
+            def note(now: float, peer: str, news: Any, hear: Any = hear, distance: str = distance) -> None:
+                if peer == "0" and news and news[0].tokens_to_read:
+                    heard[distance].append(now)
+                hear(now, peer, news)
+
+            proxy.dispatcher.heard = note  # type: ignore[method-assign]
+        fleet.play()
+        self.assertTrue(heard["near"])
+        self.assertAlmostEqual(heard["far"][0] - heard["near"][0], 12.0)
+        proxies = fleet.proxies[1].dispatcher.news.proxies(scenario.length_ms)
+        self.assertEqual(proxies, len(fleet.proxies))
+
+
 if __name__ == "__main__":
     unittest.main()
