Routing: up to 64 servers are weighed for each request, 24 before; news of strangers is left

News whose origin is not listed as a proxy is not taken, so that what is remembered of origins is bounded by the members.

--- a/barleybarrow/routing/announcement_relay.py
+++ b/barleybarrow/routing/announcement_relay.py
@@ -82,6 +82,7 @@
         self._seen: dict[str, deque[int]] = {}  # serials of the last news of each proxy
         self._groups: dict[str, list[str]] = {}  # by name, members in the order in which they relay
         self._own_group = ""
+        self._others: frozenset[str] = frozenset()
         self._direct: list[str] = []  # all others, where the fleet is small
         self._relays: dict[str, _RelayState] = defaultdict(_RelayState)
         self._gathered = _Gathered()
@@ -91,6 +92,7 @@
         """Take the zones of all proxies by IP address; this one may be among them."""
         everyone = dict(zones)
         others = [proxy for proxy in everyone if proxy != self.own]
+        self._others = frozenset(others)
         self._direct = others if len(others) < MOST_DIRECT_PROXIES else []
         groups = _grouped(everyone) if others and not self._direct else {}
         self._groups = {name: _relay_order(name, members) for name, members in groups.items()}
@@ -127,7 +129,7 @@
             self._listening_until[sender] = max(self._listening_until.get(sender, now), now + listens_ms)
         elif reach is Reach.GROUP:
             self._gather(self._gathered.to_group, news)
-        return [told for told in news if told.origin != self.own and self._is_new(told)]
+        return [told for told in news if told.origin in self._others and self._is_new(told)]
 
     def _pieces(self, announcements: list[Announcement]) -> list[News]:
         starts = range(0, max(1, len(announcements)), MOST_AT_ONCE)
--- a/barleybarrow/routing/pool.py
+++ b/barleybarrow/routing/pool.py
@@ -18,7 +18,7 @@
 from barleybarrow.routing.thresholds import IdleThreshold
 
 MOST_SUBJECTS = 4096  # shared parts of prompts whose last use is remembered
-LARGE_FLEET = 24  # servers: up to here all are looked at for each request, beyond only a few
+LARGE_FLEET = 64  # servers: up to here all are looked at for each request, beyond only a few
 
 
 FAILURES_WEIGHT = 1 / 64  # of an answer in the share that fails everywhere: far slower than one server's own
--- a/benchmarks/routing_ablation.py
+++ b/benchmarks/routing_ablation.py
@@ -55,7 +55,7 @@
     "reading again has a price": [Patch(selection, "AGAIN_SHARE_OF_AIM", 0.0)],
     "idle servers first": [Patch(IdleThreshold, "limit", property(lambda _: 1e9, lambda *_: None))],
     "ejection": [Patch(ServerHealth, "eject", lambda *_: None)],
-    "fleets over 24 are sampled": [Patch(pool, "LARGE_FLEET", 10_000)],
+    "all servers are weighed": [Patch(pool, "LARGE_FLEET", 0)],
 }
 
 
--- a/tests/fleet/test_announcement_relay.py
+++ b/tests/fleet/test_announcement_relay.py
@@ -206,8 +206,15 @@
         ]
         self.assertEqual(taken, [[first], [second], []])
 
+    def test_news_of_a_proxy_that_is_not_listed_is_not_taken(self) -> None:
+        relay = AnnouncementRelay("a.0")
+        relay.set_proxies({"a.0": "a", "a.1": "a"})
+        news = [News(origin, 1, told(1)) for origin in ("a.0", "a.1", "a.2")]
+        self.assertEqual(relay.received(1.0, "a.1", Reach.RECEIVER, news), [news[1]])
+
     def test_a_proxy_that_starts_anew_with_other_serials_is_heard(self) -> None:
         relay = AnnouncementRelay("a.0")
+        relay.set_proxies({"a.0": "a", "a.1": "a"})
         for serial in (900, 901, 3, 4):
             self.assertEqual(len(relay.received(1.0, "a.1", Reach.RECEIVER, [News("a.1", serial, [])])), 1)
 
