--- a/testbed/engines/scenario.py
+++ b/testbed/engines/scenario.py
@@ -155,7 +155,11 @@
 
 def from_site(path: Path, load: float = 1.0) -> Scenario:
     """The figures of a site file, as played; `load` multiplies its usual traffic."""
-    site = tomllib.loads(path.read_text())
+    return from_document(tomllib.loads(path.read_text()), load)
+
+
+def from_document(site: dict[str, Any], load: float = 1.0) -> Scenario:
+    """The same of a site file that was read."""
     thin = site.get("thin", 1.0)
     rates: dict[str, float] = {}
     for entry in site["traffic"]:
--- a/tests/fleet/test_engines.py
+++ b/tests/fleet/test_engines.py
@@ -1,6 +1,8 @@
 """The emulated engines and the emulated fleet: figures, order, memory, faults, and that a seed tells all."""
 
+import tomllib
 import unittest
+from copy import deepcopy
 from dataclasses import replace
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -12,7 +14,8 @@
 from testbed.engines.memory import KvMemory
 from testbed.engines.plain import PlainFigures, PlainJob, PlainServer
 from testbed.engines.policies import POLICIES
-from testbed.engines.scenario import Fault, Scenario, example, from_site
+from testbed.engines.scenario import Fault, Scenario, example, from_document, from_site
+from testbed.engines.variants import drawn
 
 FIGURES = EngineFigures(
     batch=2,
@@ -244,6 +247,39 @@
         self.assertEqual(self.read(SITE.replace("[timing]", "[timing]\nagain_s = 5.7")).again_ms, 5_700.0)
 
 
+class DrawnVariantTests(unittest.TestCase):
+    """Deployments drawn by seed from a known one."""
+
+    def site(self) -> dict[str, Any]:
+        """A deployment of three zones, nine proxies and three servers in each."""
+        site = tomllib.loads(SITE)
+        zones = "abc"
+        site["zones"] = [{"name": zone} for zone in zones]
+        site["machines"] = [{"class": "front", "zone": zone, "count": 9} for zone in zones]
+        site["services"][0]["servers"] = [{"zone": zone, "count": 3} for zone in zones]
+        return site
+
+    def test_a_seed_tells_all_and_the_known_one_stays_as_it_is(self) -> None:
+        site = self.site()
+        before = deepcopy(site)
+        self.assertEqual(drawn(site, 3), drawn(site, 3))
+        self.assertNotEqual(drawn(site, 3), drawn(site, 4))
+        self.assertEqual(site, before)
+
+    def test_zones_that_are_left_out_leave_nothing_behind_and_their_servers_stay(self) -> None:
+        counts = set()
+        for seed in range(20):
+            variant = drawn(self.site(), seed)
+            zones = {zone["name"] for zone in variant["zones"]}
+            counts.add(len(zones))
+            scenario = from_document(variant)
+            self.assertLessEqual(set(scenario.proxies) | set(scenario.clients), zones)
+            servers = scenario.services[0].servers
+            self.assertLessEqual(set(servers), zones)
+            self.assertLessEqual(abs(sum(servers.values()) - 9), len(zones))
+        self.assertEqual(counts, {2, 3})
+
+
 class NewsTests(unittest.TestCase):
     """Announcements between the proxies of the emulated fleet."""
 
