--- a/brackenusher/data_plane/exchange.py
+++ b/brackenusher/data_plane/exchange.py
@@ -20,6 +20,7 @@
 from barleybarrow.documents import Route, RouteKind
 from barleybarrow.routing.actions import Outcome
 from brackenusher.data_plane.attempt import Attempt
+from brackenusher.data_plane.client_end import ClientEnd, EndSign
 from brackenusher.data_plane.event_stream import (
     EventSplitter,
     EventTooLargeError,
@@ -126,6 +127,9 @@
     def attempt_finished(self, exchange: "Exchange", server_id: str, outcome: Outcome) -> None:
         """The attempt ended with this outcome."""
 
+    def client_ended(self, exchange: "Exchange", end: ClientEnd) -> None:
+        """The first sign of the end of the client's connection, before the exchange has ended."""
+
     def exchange_closed(self, exchange: "Exchange") -> None:
         """The exchange has ended."""
 
@@ -169,6 +173,7 @@
         self.sent_count = 0  # attempts that wrote bytes of the request to a server
         self._rejections = 0  # how many of those the server stated it did not execute
         self.attempt: Attempt | None = None
+        self.client_end: ClientEnd | None = None
         self._owner = owner
         self._client = client
         self._response: BufferedResponse | None = None
@@ -252,15 +257,22 @@
         """The client's connection is closed."""
         if self.state is State.ANSWERED:
             return
+        self._record_client_end(EndSign.DISCONNECTED)
         self.cancel_attempt()
         self._transition(State.ANSWERED)
         self._owner.exchange_closed(self)
 
     def client_half_closed(self) -> None:
         """The client has half-closed: on a stream, assume it gone after its idle timeout."""
+        self._record_client_end(EndSign.HALF_CLOSED)
         if self.route.kind == RouteKind.STREAMING and self.state is not State.ANSWERED:
             self._owner.call_at(self._last_event_at + self._client_timeout_s(), self._check_client_timeout)
 
+    def _record_client_end(self, sign: EndSign) -> None:
+        if self.client_end is None and self.state is not State.ANSWERED:
+            self.client_end = ClientEnd(sign, self._owner.now_s())
+            self._owner.client_ended(self, self.client_end)
+
     def _client_timeout_s(self) -> float:
         route = self.route
         silence_ms = max(
--- a/brackenusher/data_plane/proxy.py
+++ b/brackenusher/data_plane/proxy.py
@@ -22,6 +22,7 @@
     ServerState,
 )
 from barleybarrow.routing.route_table import RouteTable, choose_service
+from brackenusher.data_plane.client_end import ClientEnd
 from brackenusher.data_plane.exchange import ClientRequest, Exchange, State
 from brackenusher.data_plane.front_connection import ClientConnection, LocalReply, RequestHead
 from brackenusher.data_plane.headers import common_request_headers
@@ -72,6 +73,8 @@
         self._configuration_is_current = configuration_is_current
         self._keys_valid = keys_valid  # whether the API keys of that configuration may still be used
         self._journal = journal
+        # called with the sign of a client's end and the seconds from there to the end of its request
+        self.observe_client_end: Callable[[str, float], None] = lambda sign, seconds: None
         self._routes = RouteTable(())
         self._services: dict[str, Service] = {}
         self._servers: dict[str, dict[str, ServerInfo]] = {}  # by service and id
@@ -254,9 +257,15 @@
         ):
             exchange.send_buffered_response()
 
+    def client_ended(self, exchange: Exchange, end: ClientEnd) -> None:
+        """The first sign of the end of the client's connection, before the exchange has ended."""
+        self._record(exchange, "client ended", end.sign)
+
     def exchange_closed(self, exchange: Exchange) -> None:
         """The exchange has ended."""
         self._record(exchange, "closed")
+        if exchange.client_end is not None:
+            self._report_client_end(exchange, exchange.client_end)
         self._exchanges.pop(exchange.number, None)
         timer = self._deadlines.pop(exchange.number, None)
         if timer is not None:
@@ -268,6 +277,18 @@
 
     # Internals
 
+    def _report_client_end(self, exchange: Exchange, end: ClientEnd) -> None:
+        """Report how long the request of a client that has ended was still in flight."""
+        request, after_s = exchange.request, self._loop.time() - end.noticed_at
+        self.observe_client_end(end.sign, after_s)
+        log.info(
+            "client ended: request=%s sign=%s age_ms=%d in_flight_ms=%d",
+            (request.metadata.request_id or b"").decode("latin-1"),
+            end.sign,
+            (end.noticed_at - request.arrived_at) * 1000.0,
+            after_s * 1000.0,
+        )
+
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
 
--- a/brackenusher/data_plane/proxy_metrics.py
+++ b/brackenusher/data_plane/proxy_metrics.py
@@ -38,6 +38,10 @@
     metrics.sampled(
         "counter", "announcement_datagrams_total", "News between proxies.", "what", announcer.counts
     )
+    client_end = metrics.histogram(
+        "client_end_seconds", "From a client's end to the end of its request.", "sign"
+    )
+    proxy.observe_client_end = lambda sign, seconds: client_end.labels(sign).observe(seconds)
     metrics.counter_function(
         "server_connections_opened_total", "Opened to servers.", lambda: float(proxy.pool.opened)
     )
--- a/tests/fleet/test_data_plane_clients.py
+++ b/tests/fleet/test_data_plane_clients.py
@@ -192,6 +192,50 @@
         self.assertIn(("abandoned",), self.dispatcher.calls)
 
 
+class ClientEnds(DataPlaneTest):
+    """What operators can see of clients that end before their answer."""
+
+    async def test_sign_and_remaining_time_of_each_client_end_are_reported(self) -> None:
+        observed: list[str] = []
+        self.proxy.observe_client_end = lambda sign, seconds: observed.append(sign)
+        (upstream,) = await self.start_servers(silent)
+        with self.assertLogs("brackenusher.data_plane.proxy", "INFO") as logs:
+            for sign in ("half_closed", "disconnected"):
+                upstream.request_arrived.clear()
+                client = await self.client()
+                client.send(request_bytes("/unsafe/x", request_id=sign))
+                await upstream.request_arrived.wait()
+                if sign == "half_closed":
+                    client.writer.write_eof()
+                    await self._client_end_noticed()
+                    self.advance(4.1)
+                else:
+                    client.reset()
+                while self.proxy.in_flight():
+                    await asyncio.sleep(0)
+        self.assertEqual(observed, ["half_closed", "disconnected"])
+        self.assertRegex(logs.output[0], "request=half_closed sign=half_closed age_ms=[0-9]+ in_flight_ms=4")
+        self.assertRegex(
+            logs.output[1], "request=disconnected sign=disconnected age_ms=[0-9]+ in_flight_ms=0$"
+        )
+
+    async def test_client_that_gets_its_whole_answer_has_not_ended(self) -> None:
+        observed: list[str] = []
+        self.proxy.observe_client_end = lambda sign, seconds: observed.append(sign)
+        await self.start_servers(hello)
+        client = await self.client()
+        client.send(request_bytes("/safe/x"))
+        await client.response()
+        client.close()
+        while self.proxy.client_connections:
+            await asyncio.sleep(0)
+        self.assertEqual(observed, [])
+
+    async def _client_end_noticed(self) -> None:
+        while not any(exchange.client_end for exchange in self.proxy._exchanges.values()):
+            await asyncio.sleep(0)
+
+
 class Deadlines(DataPlaneTest):
     async def test_sent_request_gets_504_at_deadline(self) -> None:
         (upstream,) = await self.start_servers(silent)
