Tests: the check of KNOWN-RED.txt finds tests of the fleet where they are

The check that each entry names a test that exists read the path of a fleet test from a name without tests. before it, and looked at plain functions only. It is as strict as before: the file and a function of that name have to exist.

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -14,7 +14,7 @@
 class KnownRed:
     """One line of the file: a test that fails, why, and the issue under which it is mended."""
 
-    test: str  # pytest's node id, or the dotted name that nose2 prints (fleet.test_x.Class.test_y)
+    test: str  # pytest's node id, or the dotted name that nose2 prints (tests.fleet.test_x.Class.test_y)
     cause: str
     issue: str
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -41,7 +41,8 @@
         path, _, name = entry.test.partition("::")
         if not name:
             *parts, _, name = entry.test.split(".")
-            path = "/".join(["tests", *parts]) + ".py"
+            path = "/".join(parts) + ".py"
         tree = ast.parse((ROOT / path).read_text(encoding="utf-8"))
-        functions = {node.name for node in ast.walk(tree) if isinstance(node, ast.FunctionDef)}
+        kinds = (ast.FunctionDef, ast.AsyncFunctionDef)
+        functions = {node.name for node in ast.walk(tree) if isinstance(node, kinds)}
         assert name.partition("[")[0] in functions, entry.test
