Data plane: a client's end is noticed while its pipelined bytes pause the reading

The same class as the incident's (work goes on for a client that left), found by looking where else a close goes unseen. Once a client has sent over 64 KiB beyond the request under way, reading pauses until the answer; asyncio then reports neither a FIN nor a reset, so the server worked on up to the deadline. Ruled out: to read on without a bound; to end such clients, who do nothing wrong.

--- a/brackenusher/data_plane/front_connection.py
+++ b/brackenusher/data_plane/front_connection.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import select
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Protocol
@@ -116,6 +117,7 @@
         self._responding = False  # a request was handed to the handler and its response is not complete
         self._reading = False  # inside `_read_events`, which must not be re-entered
         self._client_half_closed = False
+        self._reading_paused = False  # too many pipelined bytes; the transport then reports no end either
         self._lingering = False
         self._between_requests = True  # no byte of the next request has arrived
         self._closing = False  # nothing more is written
@@ -149,10 +151,15 @@
         self._http.receive_data(b"")
         if not self._responding:
             self._read_events()
-        elif self._request is not None:
-            self._request.client_half_closed()
+        else:
+            self._report_half_close()
         return self._responding
 
+    def _report_half_close(self) -> None:
+        self._client_half_closed = True
+        if self._request is not None:
+            self._request.client_half_closed()
+
     def connection_lost(self, exception: Exception | None) -> None:
         """Handle the end of the connection."""
         self._closed = True
@@ -180,6 +187,18 @@
         """Whether no request is being read or its response sent."""
         return self._lingering or (self._between_requests and not self._responding and self._head is None)
 
+    def poll_client_end(self) -> None:
+        """Notice the client's end while reading is paused; to be called a few times a second."""
+        if not self._reading_paused or self._client_half_closed or self._closed or self._transport is None:
+            return
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket"), select.POLLRDHUP)
+        for _, events in poll.poll(0):
+            if events & (select.POLLERR | select.POLLHUP):
+                self._transport.abort()
+            else:
+                self._report_half_close()
+
     def close(self) -> None:
         """Close once everything written has been sent."""
         if self._transport is not None and not self._closed and not self._closing:
@@ -345,6 +364,7 @@
     def _limit_pipelined(self) -> None:
         if len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES and self._transport is not None:
             self._transport.pause_reading()
+            self._reading_paused = True
 
     # Writing
 
@@ -380,6 +400,7 @@
         self._http.start_next_cycle()
         if self._transport is not None and not self._closed:
             self._transport.resume_reading()
+            self._reading_paused = False
         self._become_idle()
         self._read_events()
 
--- a/brackenusher/data_plane/server.py
+++ b/brackenusher/data_plane/server.py
@@ -96,6 +96,7 @@
     def _sweep(self) -> None:
         now = self._loop.time()
         for connection in list(self._proxy.client_connections):
+            connection.poll_client_end()
             if connection.expires_at <= now:
                 connection.expire()
         self._close_excess_idle()
