--- a/tests/fleet/play_client_soak.py
+++ b/tests/fleet/play_client_soak.py
@@ -1,6 +1,10 @@
-"""Plays soaks of many seeds: `python -m tests.fleet.play_client_soak FIRST COUNT [PROXIES] [SECONDS]`."""
+"""Plays soaks of many seeds: `python -m tests.fleet.play_client_soak FIRST COUNT [PROXIES] [SECONDS]`.
+
+The processes' logs of a seed with breaches are kept; the folder is printed.
+"""
 
 import asyncio
+import shutil
 import sys
 import tempfile
 from pathlib import Path
@@ -16,18 +20,21 @@
     """Print each seed's figures and breaches; returns the number of seeds with breaches."""
     failed = 0
     for seed in range(first, first + count):
-        with tempfile.TemporaryDirectory(prefix="soak-") as folder:
-            soak = ClientSoak(seed, Path(folder), proxies, seconds)
-            history = asyncio.run(soak.play())
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        history = asyncio.run(ClientSoak(seed, folder, proxies, seconds).play())
         found = breaches(history, MIN_LASTING)
         failed += bool(found)
+        if found:
+            found.append(f"logs: {folder}")
+        else:
+            shutil.rmtree(folder)
         lasting, worked_on, late = runs_for_clients_that_left(history)
         signals = sum(map(len, history.signals.values()))
         print(
             f"seed {seed}: {len(history.requests)} requests, {len(history.runs)} runs, {lasting} would have"
             f" outlasted their clients, {worked_on} did, {late} arrived late; {signals} signals and ends,"
             f" {history.changes} changes",
-            *found[:5],
+            *found[-6:],
             sep="\n  ",
             flush=True,
         )
