--- a/brackenusher/data_plane/front_connection.py
+++ b/brackenusher/data_plane/front_connection.py
@@ -76,6 +76,9 @@
     def is_draining(self) -> bool:
         """Whether connections are to be closed after their response."""
 
+    def is_intake_closed(self) -> bool:
+        """Whether connections are to be closed as soon as nothing is read or sent on them."""
+
     def check_head(self, head: RequestHead) -> LocalReply | None:
         """The error reply to this request as far as its head tells, or None."""
 
@@ -403,6 +406,17 @@
             self._reading_paused = False
         self._become_idle()
         self._read_events()
+        self._close_after_intake()
+
+    def _close_after_intake(self) -> None:
+        """Close though the response did not announce it. A request that crosses the close stays unread, so
+        that its client may send it again.
+        """
+        next_request_arrived = bool(self._http.trailing_data[0])
+        if self.idle and not next_request_arrived and self._handler.is_intake_closed():
+            self._linger()
+            if self._transport is not None:
+                self._transport.pause_reading()
 
     def _reply_and_linger(self, reply: LocalReply) -> None:
         """Reply before the request was read completely, after which the connection has to be closed."""
--- a/brackenusher/data_plane/proxy.py
+++ b/brackenusher/data_plane/proxy.py
@@ -23,6 +23,7 @@
 )
 from barleybarrow.routing.route_table import RouteTable, choose_service
 from brackenusher.data_plane.client_end import ClientEnd
+from brackenusher.data_plane.drain import Drain
 from brackenusher.data_plane.exchange import CLIENT_HAS_ENDED, ClientRequest, Exchange, State
 from brackenusher.data_plane.front_connection import ClientConnection, LocalReply, RequestHead
 from brackenusher.data_plane.headers import common_request_headers
@@ -36,6 +37,7 @@
 NOT_CONFIGURED_RETRY_MS = 500.0  # once that time has passed
 NOT_CONFIGURED_RETRY_JITTER_MS = 150.0  # spreads the retries of clients refused together
 DEADLINE_RETRY_MS = 1000.0
+SHUTDOWN_RETRY_MS = 0.0  # other proxies can serve the request at once
 MAX_BUFFERED_MEMORY_FRACTION = 0.25  # of the process's memory, for request bodies being read or sent
 STREAM_DEADLINE_SLACK_S = 0.2  # the server ends its stream at the deadline; that end has to arrive
 NO_LIMITS = ClientLimits()
@@ -61,7 +63,7 @@
         journal: RequestJournal | None = None,
     ) -> None:
         self.proxy_count = proxy_count  # proxies that share the connections that a server accepts
-        self.draining = False
+        self.drain = Drain()
         self.pool = UpstreamPool(loop)
         self.client_connections: set[ClientConnection] = set()
         self.configuration: Configuration | None = None
@@ -140,7 +142,11 @@
 
     def is_draining(self) -> bool:
         """Whether connections are to be closed after their response."""
-        return self.draining
+        return self.drain.announced
+
+    def is_intake_closed(self) -> bool:
+        """Whether connections are to be closed as soon as nothing is read or sent on them."""
+        return self.drain.intake_closed
 
     def client_connected(self, connection: ClientConnection) -> None:
         """A client has connected."""
@@ -173,7 +179,19 @@
         head.tenant = self._limits.authenticate(key) if key is not None else None
         if head.tenant is None and self.configuration.tenants and not head.route.public:
             return self._denial(401, "the key in Api-Key is missing or not known")
-        return self._check_key_lease(head)
+        return self._check_again(head)
+
+    def _check_again(self, head: RequestHead) -> LocalReply | None:
+        """The checks whose result can change while the body is being read."""
+        return self._check_key_lease(head) or self._check_drain(head)
+
+    def _check_drain(self, head: RequestHead) -> LocalReply | None:
+        """Refuse a request that the end of this process might cut."""
+        if self.drain.may_take(response_deadline(head)):
+            return None
+        request_id = (head.metadata.request_id or b"").decode("latin-1")
+        log.info("refused: request=%s reason=shutdown", request_id)
+        return LocalReply(503, "the proxy is shutting down", SHUTDOWN_RETRY_MS)
 
     def _check_key_lease(self, head: RequestHead) -> LocalReply | None:
         """With StrictRevocation: refuse a key that may have been revoked without this proxy's knowledge."""
@@ -194,7 +212,7 @@
     def handle(self, connection: ClientConnection, head: RequestHead, body: bytes) -> Exchange | None:
         """Handle a complete request: check it against the quota and dispatch it."""
         unchanged = head.configuration is self.configuration
-        reply = self._check_key_lease(head) if unchanged else self.check_head(head)
+        reply = self._check_again(head) if unchanged else self.check_head(head)
         if reply is not None:
             connection.send_local_reply(reply.status, reply.reason, reply.retry_after_ms)
             return None
@@ -319,15 +337,12 @@
         assert head.route is not None
         metadata, route, tenant = head.metadata, head.route, head.tenant
         service = choose_service(route, (metadata.request_id or b"").decode("latin-1"))
-        timeout_ms = min(
-            route.timeout_ms, metadata.deadline_ms if metadata.deadline_ms is not None else route.timeout_ms
-        )
         common_headers = common_request_headers(
             head.headers, metadata, len(body), tenant.name if tenant is not None else ""
         )
         request = ClientRequest(head.method, head.target, metadata, common_headers, body, head.arrived_at)
         self._last_exchange_number += 1
-        deadline_at = head.arrived_at + timeout_ms / 1000.0
+        deadline_at = response_deadline(head)
         exchange = Exchange(
             self, connection, self._last_exchange_number, request, route, service, deadline_at
         )
@@ -424,6 +439,15 @@
         self._execute(self._dispatcher.tick(self._now_ms()))
 
 
+def response_deadline(head: RequestHead) -> float:
+    """When the response to a request with a route is due, in seconds on the loop's clock."""
+    assert head.route is not None
+    timeout_ms = head.route.timeout_ms
+    if head.metadata.deadline_ms is not None:
+        timeout_ms = min(timeout_ms, head.metadata.deadline_ms)
+    return head.arrived_at + timeout_ms / 1000.0
+
+
 def request_cost(tenant: Tenant | None, head: RequestHead) -> float:
     """The cost of a request in the quota of its tenant."""
     if tenant is None or tenant.unit != QuotaUnit.TOKENS:
--- a/brackenusher/data_plane/server.py
+++ b/brackenusher/data_plane/server.py
@@ -50,25 +50,45 @@
         assert isinstance(port, int)
         return port
 
+    @property
+    def listening(self) -> bool:
+        """Whether new clients can connect."""
+        return self._listener is not None and self._listener.is_serving()
+
     def is_ready(self) -> bool:
         """Whether new clients should be sent here."""
-        return self._feed_ready() and not self._proxy.draining and self._proxy.configuration is not None
+        return (
+            self._feed_ready() and not self._proxy.drain.announced and self._proxy.configuration is not None
+        )
 
     async def shut_down(self, grace_s: float) -> None:
-        """Report not ready, serves until the platform has noticed, then drains requests in flight."""
-        self._proxy.draining = True
+        """Report not ready, serve until the platform has noticed, then finish the requests in flight."""
+        self._proxy.drain.announce()
         started = self._loop.time()
         end = started + max(0.0, grace_s - SHUTDOWN_MARGIN_S)
         await self._wait_until(min(started + UNREADY_NOTICE_S, end))
         if self._listener is not None:
             self._listener.close()
+        self._proxy.drain.close_intake(end)
+        self._log_phase("intake_closed", started)
         await self._drain(end, self._proxy.busy)
+        self._log_phase("ended", started)
         self._proxy.finish_all()
         await self._drain(
             self._loop.time() + FINAL_WRITE_TIMEOUT_S, lambda: bool(self._proxy.client_connections)
         )
         self.close()
 
+    def _log_phase(self, phase: str, started: float) -> None:
+        """Log how far the shutdown is; what is in flight when it has ended is cut."""
+        log.info(
+            "shutdown: phase=%s after_ms=%d connections=%d in_flight=%d",
+            phase,
+            (self._loop.time() - started) * 1000.0,
+            len(self._proxy.client_connections),
+            self._proxy.in_flight(),
+        )
+
     async def _drain(self, end: float, unfinished: Callable[[], bool]) -> None:
         self._close_idle()
         while unfinished() and self._loop.time() < end:
--- a/tests/fleet/data_plane_support.py
+++ b/tests/fleet/data_plane_support.py
@@ -384,6 +384,12 @@
         """Advance the loop's clock; timers due by then fire at once."""
         self.skew_s += seconds
 
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait for a condition that other tasks bring about."""
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            while not condition():
+                await asyncio.sleep(0)
+
     async def client(self) -> RawClient:
         """Connect a new client."""
         client = RawClient(*await asyncio.open_connection("127.0.0.1", self.server.port))
--- a/tests/fleet/test_data_plane_shutdown.py
+++ b/tests/fleet/test_data_plane_shutdown.py
@@ -4,14 +4,22 @@
 
 from tests.fleet.data_plane_support import (
     DataPlaneTest,
+    RawClient,
     ReceivedRequest,
+    ScriptedServer,
+    chunk,
     configuration,
+    event,
     hello,
     request_bytes,
     response,
+    stream_head,
 )
 
 GRACE_S = 8.0
+AFTER_NOTICE_S = 3.2  # by then the platform sends no more clients here, and a cut is no longer excused
+LONG_DEADLINE = "X-Brackenusher-Deadline-Ms: 15000\r\n"  # later than the end of any shutdown here
+LONG_TIMEOUT_MS = 15_000.0
 
 
 class Readiness(DataPlaneTest):
@@ -72,3 +80,121 @@
         self.advance(1.0)
         self.assertEqual((await client.response()).status, 502)
         await ending
+
+
+class RequestsAfterTheNotice(DataPlaneTest):
+    """Guard against requests that a stopping proxy takes so late that it has to cut their responses.
+
+    Each has a deadline after the end of the shutdown, except where a test says otherwise.
+    """
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.stream_may_end = asyncio.Event()
+        self.ending: asyncio.Future[None] | None = None
+
+    async def asyncTearDown(self) -> None:
+        if self.ending is not None:
+            self.ending.cancel()
+        await super().asyncTearDown()
+
+    async def _stream_then_hello(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        """A stream that ends when the test says so; a short response on all other routes."""
+        if "/stream/" not in request.line:
+            await hello(request, writer)
+            return
+        writer.write(stream_head(request) + chunk(event(1)))
+        await self.stream_may_end.wait()
+        writer.write(chunk(event(2)) + chunk(b""))
+
+    async def _stream_begun_before_the_shutdown(self) -> tuple[ScriptedServer, RawClient]:
+        """A client whose response head, sent before the shutdown, lets it keep its connection."""
+        (upstream,) = await self.start_servers(self._stream_then_hello)
+        for route in self.proxy.configuration.routes if self.proxy.configuration else []:
+            route.timeout_ms = LONG_TIMEOUT_MS
+        client = await self.client()
+        client.send(request_bytes("/stream/x", "first", extra=LONG_DEADLINE))
+        head = await client.response_head()
+        self.assertNotIn("connection", head.headers)
+        self.assertEqual(await client.chunk(), event(1))
+        return upstream, client
+
+    async def _shut_down(self, elapsed_s: float = AFTER_NOTICE_S) -> None:
+        """Start the shutdown; return once it has run for so long."""
+        self.ending = asyncio.ensure_future(self.server.shut_down(GRACE_S))
+        await asyncio.sleep(0)
+        self.advance(elapsed_s)
+        if elapsed_s:
+            await self.until(lambda: not self.server.listening)
+
+    def _busy_connections(self) -> int:
+        return sum(not connection.idle for connection in self.proxy.client_connections)
+
+    async def _end_stream(self, client: RawClient) -> None:
+        """Let the stream end; its client gets all of it."""
+        self.stream_may_end.set()
+        self.assertEqual(await client.chunk(), event(2))
+        self.assertEqual(await client.chunk(), b"")
+
+    async def test_kept_connection_closes_with_the_response(self) -> None:
+        upstream, client = await self._stream_begun_before_the_shutdown()
+        await self._shut_down()
+        await self._end_stream(client)
+        client.send(request_bytes("/safe/x", "second", extra=LONG_DEADLINE))
+        self.assertEqual(await client.reader.read(), b"")
+        self.assertEqual(len(upstream.received), 1)
+
+    async def test_pipelined_request_is_refused(self) -> None:
+        upstream, client = await self._stream_begun_before_the_shutdown()
+        client.send(request_bytes("/unsafe/x", "second", extra=LONG_DEADLINE))
+        await self._shut_down()
+        await self._end_stream(client)
+        reply = await client.response()
+        self.assertEqual((reply.status, reply.complete), (503, True))
+        self.assertEqual(reply.headers["connection"], "close")
+        self.assertEqual(len(upstream.received), 1)
+
+    async def test_request_that_ends_at_its_deadline_in_time_is_served(self) -> None:
+        _, client = await self._stream_begun_before_the_shutdown()
+        client.send(request_bytes("/safe/x", "second", extra="X-Brackenusher-Deadline-Ms: 2000\r\n"))
+        await self._shut_down()
+        await self._end_stream(client)
+        reply = await client.response()
+        self.assertEqual((reply.status, reply.body, reply.headers["connection"]), (200, b"hello", "close"))
+
+    async def test_body_complete_after_the_notice_is_refused(self) -> None:
+        upstream, _ = await self._stream_begun_before_the_shutdown()
+        client = await self.client()
+        data = request_bytes("/unsafe/x", "upload", body=b"x" * 1000, extra=LONG_DEADLINE)
+        client.send(data[:-1])
+        await self.until(lambda: self._busy_connections() == 2)
+        await self._shut_down()
+        client.send(data[-1:])
+        reply = await client.response()
+        self.assertEqual((reply.status, reply.headers["connection"]), (503, "close"))
+        self.assertEqual(len(upstream.received), 1)
+
+    async def test_client_that_waits_for_100_continue_is_refused_at_once(self) -> None:
+        upstream, _ = await self._stream_begun_before_the_shutdown()
+        client = await self.client()
+        expect = "Expect: 100-continue\r\n" + LONG_DEADLINE
+        data = request_bytes("/unsafe/x", "upload", body=b"x" * 1000, extra=expect)
+        client.send(data[:20])
+        await self.until(lambda: self._busy_connections() == 2)
+        await self._shut_down()
+        client.send(data[20:-1000])
+        self.assertEqual((await client.response()).status, 503)
+        self.assertEqual(len(upstream.received), 1)
+
+    async def test_body_complete_after_the_end_is_refused(self) -> None:
+        upstream, _ = await self._stream_begun_before_the_shutdown()
+        client = await self.client()
+        data = request_bytes("/unsafe/x", "upload", body=b"x" * 1000)
+        client.send(data[:-1])
+        await self.until(lambda: self._busy_connections() == 2)
+        await self._shut_down()
+        self.advance(GRACE_S - AFTER_NOTICE_S - 0.6)
+        await self.until(lambda: not self.proxy.in_flight())
+        client.send(data[-1:])
+        self.assertEqual((await client.response()).status, 503)
+        self.assertEqual(len(upstream.received), 1)
