Shutdown: no close is announced while a pipelined request waits

Callers saw (by test): two requests arrive together after the SIGTERM; the response to the first says Connection: close, and the second, which the proxy had read, gets no answer.

Cause: the head of a response announced the close of a draining connection without a look at what had already arrived on it.

Test: test_pipelined_request_is_answered_though_the_shutdown_has_begun failed before (IncompleteReadError: no second answer).

--- a/brackenusher/data_plane/front_connection.py
+++ b/brackenusher/data_plane/front_connection.py
@@ -373,7 +373,7 @@
 
     def _encode_head(self, status: int, headers: list[Header]) -> bytes:
         headers = list(headers)
-        if self._handler.is_draining() or self._client_half_closed:
+        if self._client_half_closed or self._closes_for_drain():
             headers.append((b"connection", b"close"))
         elif self._limits.idle_timeout_ms >= 1000:
             headers.append((b"keep-alive", b"timeout=%d" % (self._limits.idle_timeout_ms // 1000)))
@@ -382,6 +382,10 @@
             or b""
         )
 
+    def _closes_for_drain(self) -> bool:
+        """Whether to announce the close: not while a later request waits, which is owed a response too."""
+        return self._handler.is_draining() and not self._http.trailing_data[0]
+
     def _write(self, data: bytes) -> None:
         if data and self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
--- a/tests/fleet/test_data_plane_shutdown.py
+++ b/tests/fleet/test_data_plane_shutdown.py
@@ -162,6 +162,16 @@
         reply = await client.response()
         self.assertEqual((reply.status, reply.body, reply.headers["connection"]), (200, b"hello", "close"))
 
+    async def test_pipelined_request_is_answered_though_the_shutdown_has_begun(self) -> None:
+        """Guard against a close that is announced while a later request waits: it would have no answer."""
+        upstream, client = await self._stream_begun_before_the_shutdown()
+        await self._shut_down(0.0)
+        client.send(request_bytes("/safe/x", "second") + request_bytes("/safe/x", "third"))
+        await self._end_stream(client)
+        self.assertEqual((await client.response()).body, b"hello")
+        self.assertEqual((await client.response()).body, b"hello")
+        self.assertEqual(len(upstream.received), 3)
+
     async def test_body_complete_after_the_notice_is_refused(self) -> None:
         upstream, _ = await self._stream_begun_before_the_shutdown()
         client = await self.client()
