--- a/brackenusher/data_plane/event_stream.py
+++ b/brackenusher/data_plane/event_stream.py
@@ -5,6 +5,9 @@
 
 EVENT_END = re.compile(rb"\n\r?\n")
 ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+# What may follow the last event: blank lines and comments. Lines may end with CRLF, LF or CR.
+LINES_BETWEEN_EVENTS = re.compile(rb"(?:(?::[^\r\n]*)?(?:\r\n|\n|\r(?!\n)))*")
+BLANK_LINE_OF_CR = b"\r\r"
 MAX_EVENT_BYTES = 1024 * 1024  # an incomplete event is buffered; no engine sends one as large
 
 
@@ -44,6 +47,12 @@
         """The bytes after the last complete event."""
         return self._remainder
 
+    def ends_inside_event(self) -> bool:
+        """Whether the last event lacks the blank line that ends it (HTML standard, 9.2.6: it is no event)."""
+        last_blank_line = self._remainder.rfind(BLANK_LINE_OF_CR)
+        start = 0 if last_blank_line < 0 else last_blank_line + len(BLANK_LINE_OF_CR)
+        return LINES_BETWEEN_EVENTS.fullmatch(self._remainder, start) is None
+
 
 class StreamPosition:
     """The client's position in a stream, which tells what to forward when another server resumes it."""
--- a/brackenusher/data_plane/exchange.py
+++ b/brackenusher/data_plane/exchange.py
@@ -28,6 +28,7 @@
     StreamPosition,
 )
 from brackenusher.data_plane.headers import (
+    CONTENT_ENCODING,
     NOT_EXECUTED,
     REQUEST_ID,
     RESPONSE_STAMP,
@@ -37,6 +38,7 @@
     end_to_end_headers,
     first_value,
     parse_nonnegative,
+    states_body_end,
 )
 from brackenusher.data_plane.upstream_connection import UpstreamConnection
 
@@ -175,6 +177,7 @@
         self._client = client
         self._response: BufferedResponse | None = None
         self._is_stream = False
+        self._ends_with_connection = False  # the server's response does not state where it ends
         self._event_splitter = EventSplitter()
         self._position = StreamPosition(request.metadata.last_event_id)
         self._events_forwarded = 0
@@ -332,6 +335,7 @@
         self._response = BufferedResponse(status, headers)
         content_type = first_value(headers, b"content-type") or b""
         self._is_stream = status == 200 and content_type.lower().startswith(b"text/event-stream")
+        self._ends_with_connection = not states_body_end(headers)
         if self._is_rejection():
             return
         error = self._response_error(status, headers)
@@ -354,6 +358,8 @@
         self.attempt = None
         if response is not None and self._is_rejection():
             self._handle_rejection(attempt, response)
+        elif response is not None and self._is_torn(response):
+            self.attempt_broken(attempt, "the stream ended with its connection, inside an event")
         elif self.state in (State.RELAYING, State.RESUMING):
             self._finish_relayed(attempt)
         elif response is not None:
@@ -422,6 +428,17 @@
             return "successful response without its stamp"
         return ""
 
+    def _is_torn(self, response: BufferedResponse) -> bool:
+        """Whether a stream shows that its server broke it off: only then is the end of a connection no end of
+        the response.
+        """
+        return (
+            self._is_stream
+            and self._ends_with_connection
+            and first_value(response.headers, CONTENT_ENCODING) is None
+            and self._event_splitter.ends_inside_event()
+        )
+
     def _handle_rejection(self, attempt: Attempt, response: BufferedResponse) -> None:
         self._end_attempt()
         self._rejections += 1
--- a/brackenusher/data_plane/headers.py
+++ b/brackenusher/data_plane/headers.py
@@ -16,6 +16,7 @@
 NOT_EXECUTED = b"x-brackenusher-not-executed"
 API_KEY = b"api-key"
 LAST_EVENT_ID = b"last-event-id"
+CONTENT_ENCODING = b"content-encoding"
 
 # Hop-by-hop fields (RFC 9110, 7.6.1), in addition to those listed in Connection.
 HOP_BY_HOP = frozenset(
@@ -160,6 +161,11 @@
     return headers
 
 
+def states_body_end(headers: list[Header]) -> bool:
+    """Whether a response tells where its body ends; else it ends with its connection (RFC 9112, 6.3)."""
+    return any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
+
+
 def first_value(headers: list[Header], field_name: bytes) -> bytes | None:
     """The value of the first header with this name (in lower case), or None."""
     for name, value in headers:
