Data plane: a cut response ends with a reset for clients of HTTP/1.0

Callers saw (by test): a server breaks off a stream; an HTTP/1.0 client, whose response ends with the connection, reads an ordinary end and takes the response for whole.

Cause: ClientConnection.abort said that it resets the connection, but the transport closes the socket, which sends a FIN unless bytes are unread. In chunks or with a length the missing end shows; without either it doesn't.

Clients of HTTP/1.1 get the FIN as before, so that what was sent arrives. What is unsent, or unfinished, when the listener's server closes is aborted and not closed.

--- a/brackenusher/data_plane/front_connection.py
+++ b/brackenusher/data_plane/front_connection.py
@@ -15,6 +15,7 @@
 
 from barleybarrow.documents import ClientLimits, Configuration, Route, Tenant
 from brackenusher.data_plane.headers import Header, RequestMetadata, parse_request_metadata
+from brackenusher.runtime.driver import reset_on_close
 
 log = logging.getLogger(__name__)
 
@@ -25,6 +26,7 @@
 FLUSH_TIMEOUT_S = 5.0  # for a client to read the last bytes of a response while its connection closes
 LINGER_TIMEOUT_S = 1.0  # for which data of a client that got an error is discarded
 NO_DEADLINE_S = float("inf")
+HTTP_1_0 = b"1.0"
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -253,11 +255,23 @@
         is_head = self._head is not None and self._head.method == b"HEAD"
         self.send_response(status, headers, b"" if is_head else body)
 
+    def close_at_once(self) -> None:
+        """Close; a response that is not sent completely by now is cut."""
+        unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
+        if unsent or self._responding:
+            self.abort()
+        else:
+            self.close()
+
     def abort(self) -> None:
-        """Reset the connection, so that the client sees that the response is incomplete."""
+        """Close the connection at once, so that the client sees that the response is incomplete."""
         self._request = None
-        if self._transport is not None and not self._closed:
-            self._transport.abort()
+        if self._transport is None or self._closed:
+            return
+        if self._http.their_http_version == HTTP_1_0:
+            # Its responses end with the connection: an ordinary close would complete this one.
+            reset_on_close(self._transport.get_extra_info("socket"))
+        self._transport.abort()
 
     # Reading
 
--- a/brackenusher/data_plane/server.py
+++ b/brackenusher/data_plane/server.py
@@ -102,7 +102,7 @@
         if self._listener is not None:
             self._listener.close()
         for connection in list(self._proxy.client_connections):
-            connection.close()
+            connection.close_at_once()
         self._proxy.pool.close_all()
 
     async def _wait_until(self, moment: float) -> None:
--- a/tests/fleet/test_torn_streams.py
+++ b/tests/fleet/test_torn_streams.py
@@ -11,6 +11,7 @@
 from brackenusher.data_plane.event_stream import EventSplitter
 from tests.fleet.data_plane_support import (
     STAMP,
+    TEST_TIMEOUT_S,
     DataPlaneTest,
     ReceivedRequest,
     Script,
@@ -22,6 +23,7 @@
 
 EVENT_STREAM = b"Content-Type: text/event-stream\r\n"
 TORN_EVENT = b"id: 3\ndata: to"
+LONG_BODY = b"x" * (24 * 1024 * 1024)  # exceeds the buffers between server, proxy and client
 
 
 def ended_by_close(body: bytes, fields: bytes = EVENT_STREAM, status: bytes = b"200 OK") -> Script:
@@ -137,6 +139,46 @@
             await self._assert_forwarded(ended_by_close(body, EVENT_STREAM + framing), TORN_EVENT)
 
 
+class ClientsOfHttp10(DataPlaneTest):
+    """Guard against cut responses that look complete to clients whose responses end with the connection."""
+
+    async def _read_all(self) -> tuple[bytes, bool]:
+        """What a client reads, and whether its connection ended in the ordinary way."""
+        client = await self.client()
+        client.send(request_bytes("/stream/x").replace(b"HTTP/1.1", b"HTTP/1.0"))
+        received = b""
+        try:
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                while data := await client.reader.read(1000):
+                    received += data
+        except ConnectionResetError:
+            return received, False
+        return received, True
+
+    async def test_response_that_breaks_ends_with_a_reset(self) -> None:
+        await self.start_servers(ended_by_close(event(1) + TORN_EVENT))
+        received, ended = await self._read_all()
+        self.assertIn(b"200 OK", received)
+        self.assertFalse(ended)
+
+    async def test_response_not_sent_by_the_end_of_the_proxy_ends_with_a_reset(self) -> None:
+        await self.start_servers(ended_by_close(LONG_BODY, b"Content-Type: text/plain\r\n"))
+        client = await self.client()
+        client.send(request_bytes("/safe/x").replace(b"HTTP/1.1", b"HTTP/1.0"))
+        await client.reader.readexactly(100)
+        self.server.close()
+        with self.assertRaises(ConnectionResetError):
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                while await client.reader.read(1_000_000):
+                    pass
+
+    async def test_whole_response_ends_with_a_close(self) -> None:
+        await self.start_servers(whole_rest(event(1) + event(2)))
+        received, ended = await self._read_all()
+        self.assertTrue(received.endswith(event(1) + event(2)))
+        self.assertTrue(ended)
+
+
 class EndsInsideEvent(unittest.TestCase):
     def test_rest_after_the_last_event(self) -> None:
         for rest, inside in (
