--- a/brackenusher/data_plane/front_connection.py
+++ b/brackenusher/data_plane/front_connection.py
@@ -7,20 +7,18 @@
 import asyncio
 import logging
 import select
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Protocol
 
 import h11
 
-from barleybarrow.documents import ClientLimits, Configuration, Route, Tenant
-from brackenusher.data_plane.headers import Header, RequestMetadata, parse_request_metadata
+from barleybarrow.documents import ClientLimits
+from brackenusher.data_plane.headers import Header, parse_request_metadata
+from brackenusher.data_plane.request_head import LocalReply, RequestHead, head_error, max_head_bytes
 from brackenusher.runtime.driver import reset_on_close
 
 log = logging.getLogger(__name__)
 
-REQUEST_LINE_ALLOWANCE_BYTES = 8 * 1024  # in addition to MaxHeaderBytes, which may refer to the fields alone
-DEFAULT_HEAD_BYTES = 64 * 1024  # until a configuration sets MaxHeaderBytes
 MAX_PIPELINED_BYTES = 64 * 1024  # of later requests; beyond it, reading pauses until the response is sent
 WRITE_HIGH_WATERMARK_BYTES = 64 * 1024  # unsent response bytes; above it, the upstream is not read
 FLUSH_TIMEOUT_S = 5.0  # for a client to read the last bytes of a response while its connection closes
@@ -30,20 +28,6 @@
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
-@dataclass(slots=True)
-class RequestHead:
-    """A request's head, and what the handler resolved for it."""
-
-    method: bytes
-    target: bytes
-    headers: list[Header]
-    metadata: RequestMetadata
-    arrived_at: float  # seconds on the loop's clock
-    configuration: Configuration | None = None  # that the route and the tenant are from
-    route: Route | None = None
-    tenant: Tenant | None = None
-
-
 class RequestInProgress(Protocol):
     """The interface of a request being handled to its client's connection."""
 
@@ -60,15 +44,6 @@
         """The client has half-closed: it waits for its response, or it is gone."""
 
 
-@dataclass(slots=True)
-class LocalReply:
-    """A response made by the proxy itself."""
-
-    status: int
-    reason: str
-    retry_after_ms: float | None = None
-
-
 class RequestHandler(Protocol):
     """The proxy's interface to a client's connection."""
 
@@ -111,8 +86,7 @@
         self._loop = loop
         self._handler = handler
         self._limits = handler.client_limits()
-        self._max_head_bytes = max_head_bytes(self._limits)
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=self._max_head_bytes)
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_head_bytes(self._limits))
         self._transport: asyncio.Transport | None = None
         self._head: RequestHead | None = None
         self._body: list[bytes] = []
@@ -305,7 +279,7 @@
         headers = list(request.headers)
         metadata = parse_request_metadata(headers)
         self._head = RequestHead(request.method, request.target, headers, metadata, self._loop.time())
-        error_reply = self._check_head(request, metadata)
+        error_reply = head_error(request, metadata, self._limits)
         if error_reply is not None:
             self._reply_and_linger(error_reply)
             return
@@ -316,23 +290,6 @@
             else:
                 self._write(self._http.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
 
-    def _check_head(self, request: h11.Request, metadata: RequestMetadata) -> LocalReply | None:
-        if metadata.chunked and metadata.content_length is not None:
-            return LocalReply(400, "both Content-Length and Transfer-Encoding")
-        if metadata.chunked and request.http_version < b"1.1":
-            return LocalReply(400, "Transfer-Encoding in HTTP/1.0")
-        if metadata.has_duplicate_id:
-            return LocalReply(400, "more than one X-Brackenusher-Request-Id")
-        if request.method == b"CONNECT":
-            return LocalReply(400, "CONNECT is not served")
-        size = len(request.target) + sum(len(name) + len(value) + 4 for name, value in request.headers)
-        if size > self._max_head_bytes:
-            return LocalReply(431, "the head exceeds MaxHeaderBytes")
-        limit = self._limits.max_body_bytes
-        if limit and metadata.content_length is not None and metadata.content_length > limit:
-            return LocalReply(413, "the body exceeds MaxBodyBytes")
-        return None
-
     def _handle_body(self, data: bytes) -> None:
         if self._pending_reply is not None:
             return
@@ -374,7 +331,6 @@
         """Wait for the next request within the idle timeout."""
         self._between_requests = True
         self._limits = self._handler.client_limits()
-        self._max_head_bytes = max_head_bytes(self._limits)
         self.idle_since = self._loop.time()
         self.expires_at = self.idle_since + (self._limits.idle_timeout_ms / 1000.0 or NO_DEADLINE_S)
 
@@ -470,13 +426,6 @@
         self._body_size = 0
 
 
-def max_head_bytes(limits: ClientLimits) -> int:
-    """The size limit of a request's head including its request line."""
-    if not limits.max_header_bytes:
-        return DEFAULT_HEAD_BYTES
-    return limits.max_header_bytes + REQUEST_LINE_ALLOWANCE_BYTES
-
-
 def reason_phrase(status: int) -> bytes:
     """The standard reason phrase of a status."""
     return REASON_PHRASES.get(status, b"Unknown")
--- a/brackenusher/data_plane/proxy.py
+++ b/brackenusher/data_plane/proxy.py
@@ -23,11 +23,13 @@
 )
 from barleybarrow.routing.route_table import RouteTable, choose_service
 from brackenusher.data_plane.client_end import ClientEnd
+from brackenusher.data_plane.client_request import ClientRequest
 from brackenusher.data_plane.drain import Drain
-from brackenusher.data_plane.exchange import CLIENT_HAS_ENDED, ClientRequest, Exchange, State
-from brackenusher.data_plane.front_connection import ClientConnection, LocalReply, RequestHead
+from brackenusher.data_plane.exchange import CLIENT_HAS_ENDED, Exchange, State
+from brackenusher.data_plane.front_connection import ClientConnection
 from brackenusher.data_plane.headers import common_request_headers
 from brackenusher.data_plane.ports import DispatcherPort, LimitsPort
+from brackenusher.data_plane.request_head import LocalReply, RequestHead, response_deadline
 from brackenusher.data_plane.upstream_pool import DEFAULT_CONNECTIONS, UpstreamPool
 from brackenusher.runtime.request_journal import RequestJournal
 
@@ -439,15 +441,6 @@
         self._execute(self._dispatcher.tick(self._now_ms()))
 
 
-def response_deadline(head: RequestHead) -> float:
-    """When the response to a request with a route is due, in seconds on the loop's clock."""
-    assert head.route is not None
-    timeout_ms = head.route.timeout_ms
-    if head.metadata.deadline_ms is not None:
-        timeout_ms = min(timeout_ms, head.metadata.deadline_ms)
-    return head.arrived_at + timeout_ms / 1000.0
-
-
 def request_cost(tenant: Tenant | None, head: RequestHead) -> float:
     """The cost of a request in the quota of its tenant."""
     if tenant is None or tenant.unit != QuotaUnit.TOKENS:
