Shutdown: the margin at the end is a sixth of the grace period at most

The rule LOST excuses a cut in the last sixth of GraceS, here from 2.5 s on.

Cause: a proxy ended its requests 0.7 s before the end of the grace period, however long that is; below 4.2 s this is more than a sixth.

Change: 0.7 s, but no more than a sixth; half of it at most for the last writes.

Test: test_cut_in_the_last_sixth_of_a_short_grace_period failed before (the request had been ended 0.1 s too early).

--- a/brackenusher/data_plane/server.py
+++ b/brackenusher/data_plane/server.py
@@ -12,8 +12,11 @@
 LISTEN_BACKLOG = 1024  # a full accept queue drops SYNs, which are retransmitted only after a second or more
 SWEEP_INTERVAL_S = 0.25  # between checks of connection timeouts
 UNREADY_NOTICE_S = 2.5  # the platform needs two failed readiness probes, one second apart
-SHUTDOWN_MARGIN_S = 0.7  # reserved at the end of the grace period
-FINAL_WRITE_TIMEOUT_S = 0.3  # of that margin, for responses that are still in write buffers
+SHUTDOWN_MARGIN_S = 0.7  # reserved at the end of the grace period, but no more than the part below
+MAX_MARGIN_PART = 1 / 6  # a cut is excused only in the last sixth of the grace period (rule LOST)
+FINAL_WRITE_TIMEOUT_S = (
+    0.3  # of that margin, for responses that are still in write buffers: half of it at most
+)
 DRAIN_POLL_INTERVAL_S = 0.05  # between checks for unfinished requests
 RESERVED_FDS = 200  # of the descriptor limit, for files and other sockets
 CLIENT_FD_FRACTION = 0.6  # the rest is for upstream connections and links
@@ -65,7 +68,8 @@
         """Report not ready, serve until the platform has noticed, then finish the requests in flight."""
         self._proxy.drain.announce()
         started = self._loop.time()
-        end = started + max(0.0, grace_s - SHUTDOWN_MARGIN_S)
+        margin_s = min(SHUTDOWN_MARGIN_S, max(0.0, grace_s) * MAX_MARGIN_PART)
+        end = started + max(0.0, grace_s) - margin_s
         await self._wait_until(min(started + UNREADY_NOTICE_S, end))
         if self._listener is not None:
             self._listener.close()
@@ -74,9 +78,8 @@
         await self._drain(end, self._proxy.busy)
         self._log_phase("ended", started)
         self._proxy.finish_all()
-        await self._drain(
-            self._loop.time() + FINAL_WRITE_TIMEOUT_S, lambda: bool(self._proxy.client_connections)
-        )
+        writes_end = self._loop.time() + min(FINAL_WRITE_TIMEOUT_S, margin_s / 2)
+        await self._drain(writes_end, lambda: bool(self._proxy.client_connections))
         self.close()
 
     def _log_phase(self, phase: str, started: float) -> None:
--- a/tests/fleet/test_data_plane_shutdown.py
+++ b/tests/fleet/test_data_plane_shutdown.py
@@ -17,6 +17,7 @@
 )
 
 GRACE_S = 8.0
+SHORT_GRACE_S = 3.0
 AFTER_NOTICE_S = 3.2  # by then the platform sends no more clients here, and a cut is no longer excused
 LONG_DEADLINE = "X-Brackenusher-Deadline-Ms: 15000\r\n"  # later than the end of any shutdown here
 LONG_TIMEOUT_MS = 15_000.0
@@ -67,6 +68,26 @@
         self.assertEqual((await client.response()).body, b"late")
         await ending
 
+    async def test_cut_in_the_last_sixth_of_a_short_grace_period(self) -> None:
+        """Guard against a margin at the end that takes more of a short grace period than rules excuse."""
+
+        async def silent(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            pass
+
+        (upstream,) = await self.start_servers(silent)
+        client = await self.client()
+        client.send(request_bytes("/unsafe/x", extra="X-Brackenusher-Deadline-Ms: 60000\r\n"))
+        await upstream.request_arrived.wait()
+        ending = asyncio.ensure_future(self.server.shut_down(SHORT_GRACE_S))
+        await asyncio.sleep(0)
+        self.advance(SHORT_GRACE_S * 5 / 6 - 0.1)
+        await self.until(lambda: not self.server.is_ready())
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.proxy.in_flight(), 1)
+        self.advance(0.1)
+        self.assertEqual((await client.response()).status, 502)
+        await ending
+
     async def test_unfinished_request_gets_502(self) -> None:
         async def silent(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
             pass
