--- a/tests/fleet/client_soak.py
+++ b/tests/fleet/client_soak.py
@@ -1,7 +1,8 @@
 """A soak on real processes: clients that stay, leave or half-close, while proxies end and start in series.
 
-Servers answer at once, late, or pause after the first event of a stream. One seed decides all that is drawn;
-the processes' timing is the machine's.
+Servers answer at once, late, or pause within a stream; some streams have no length, and some of these are
+torn in the middle of an event, as by a crash. One seed decides all that is drawn; the processes' timing is
+the machine's.
 """
 
 import asyncio
@@ -11,6 +12,8 @@
 import socket
 import struct
 import time
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -27,24 +30,66 @@
 from tests.fleet.client_soak_oracle import NO_ANSWER, SentRequest, ServerRun, SoakHistory
 
 START_S = 60.0
-GRACE_S = 3.0
 CONTROLS, SERVERS, CLIENTS_A_PROXY = 3, 3, 6
 CONNECTION_FAILURES = (OSError, EOFError, TimeoutError, h11.ProtocolError)
-CLIENT_DEADLINE_S = 4.0
 HOLD_POLL_S = 0.005
-QUICK_S, LATE_S = (0.005, 0.04), (0.8, 2.5)  # time to the answer of a quick and of a late server
-LATE_SHARE = 0.35
+QUICK_S = (0.005, 0.04)  # time to the answer of a quick server
 PATHS = {"safe": "/safe/x", "unsafe": "/lookup/x", "stream": "/chat/x", "resume": "/resume/x"}
 STAY, CLOSE, RESET, HALF_CLOSE = "stay", "close", "reset", "half_close"
-BEHAVIOURS = {STAY: 0.5, CLOSE: 0.3, RESET: 0.1, HALF_CLOSE: 0.1}
 LEAVE_AFTER_S = (0.0, 0.25)
+UNFRAMED_SHARE = 0.5  # of the streams: they end with their connection
+TORN_SHARE = 0.5  # of these: it ends in the middle of an event
+TEAR_AFTER_S = 0.02  # so that the half of an event arrives by itself
 DISTURBANCE_PAUSE_S = (0.2, 1.2)
 CHANGE_PAUSE_S = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class SoakPlan:
+    """What a soak is about; times are seconds."""
+
+    grace_s: float
+    client_deadline_s: float
+    late_s: tuple[float, float]  # time to the answer of a late server
+    late_share: float
+    events: int  # of a stream
+    pauses_between_events: bool  # else before the first event, or after it
+    behaviours: dict[str, float]  # of clients, with their shares
+    kill_share: float  # of the ends of proxies
+
+    @property
+    def max_signal_effect_s(self) -> float:
+        """From a SIGTERM to the end of its process, with a margin."""
+        return self.grace_s + 2.0
+
+
+LEAVING_CLIENTS = SoakPlan(
+    grace_s=3.0,
+    client_deadline_s=4.0,
+    late_s=(0.8, 2.5),
+    late_share=0.35,
+    events=3,
+    pauses_between_events=False,
+    behaviours={STAY: 0.5, CLOSE: 0.3, RESET: 0.1, HALF_CLOSE: 0.1},
+    kill_share=0.2,
+)
+# Long streams and kept connections across ends in order, as long as a deployment gives a process.
+PLANNED_ENDS = SoakPlan(
+    grace_s=8.0,
+    client_deadline_s=15.0,
+    late_s=(1.0, 6.0),
+    late_share=0.7,
+    events=20,
+    pauses_between_events=True,
+    behaviours={STAY: 0.95, CLOSE: 0.05},
+    kill_share=0.1,
+)
+
+
 class HoldingServer(ModelServer):
     """Holds each request for a drawn time, and stops at once when its connection is closed."""
 
+    plan: SoakPlan
     history: SoakHistory
     rng: random.Random
 
@@ -60,13 +105,14 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         now = time.monotonic()
-        hold_s = self.rng.uniform(*(LATE_S if self.rng.random() < LATE_SHARE else QUICK_S))
+        late = self.rng.random() < self.plan.late_share
+        hold_s = self.rng.uniform(*(self.plan.late_s if late else QUICK_S))
         run = ServerRun(request.request_id, now, now + hold_s)
         self.history.runs.append(run)
         headers["X-Brackenusher-Response-Stamp"] = f"{self.id}.{len(self.history.runs)}"
         self.running += 1
         try:
-            await self._respond(request, headers, connection, writer, run.planned_end)
+            await self._respond(request, headers, connection, writer, run)
         finally:
             run.ended_at = time.monotonic()
             self.running -= 1
@@ -77,23 +123,61 @@
         headers: dict[str, str],
         connection: h11.Connection,
         writer: asyncio.StreamWriter,
-        end: float,
+        run: ServerRun,
     ) -> None:
         if request.target in (PATHS["safe"], PATHS["unsafe"]):
-            await self._hold(writer, end)
+            await self._hold(writer, run.planned_end)
             send_whole(connection, writer, 200, headers, b"done")
             return
-        fields = {**headers, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
         first = int(request.headers.get("last-event-id", "0")) + 1
+        headers = {**headers, "Content-Type": "text/event-stream"}
+        if self.rng.random() < UNFRAMED_SHARE:
+            await self._stream_until_close(headers, writer, run, first)
+            return
+        fields = {**headers, "Transfer-Encoding": "chunked"}
+        head = connection.send(h11.Response(status_code=200, headers=list(fields.items()))) or b""
+        async for number in self._paced_events(writer, run, first):
+            writer.write(head + (connection.send(h11.Data(soak_event(number))) or b""))
+            head = b""
+        writer.write(head + (connection.send(h11.EndOfMessage()) or b""))
+
+    async def _stream_until_close(
+        self, headers: dict[str, str], writer: asyncio.StreamWriter, run: ServerRun, first: int
+    ) -> None:
+        """A stream without a length; if it is torn, the end comes in the middle of an event."""
+        torn_at = self.rng.randint(first, self.plan.events) if self.rng.random() < TORN_SHARE else 0
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        head = f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode()
+        async for number in self._paced_events(writer, run, first):
+            event = soak_event(number)
+            if number == torn_at:
+                run.broke_off = True
+                writer.write(head + event[: self.rng.randint(1, len(event) - 1)])
+                await writer.drain()
+                await asyncio.sleep(TEAR_AFTER_S)
+                raise ConnectionAbortedError
+            writer.write(head + event)
+            head = b""
+        await writer.drain()
+        raise ConnectionAbortedError  # ends the connection, and with it the response
+
+    async def _paced_events(
+        self, writer: asyncio.StreamWriter, run: ServerRun, first: int
+    ) -> AsyncIterator[int]:
+        """The number of each event when it is due; the whole takes as long as the run is planned."""
+        if self.plan.pauses_between_events:
+            pause_s = (run.planned_end - run.arrived_at) / self.plan.events
+            for number in range(first, self.plan.events + 1):
+                await self._hold(writer, time.monotonic() + pause_s)
+                yield number
+            return
         pause_before_first = self.rng.random() < 0.5
         if pause_before_first:
-            await self._hold(writer, end)
-        writer.write(connection.send(h11.Response(status_code=200, headers=list(fields.items()))) or b"")
-        for number in range(first, 4):
-            writer.write(connection.send(h11.Data(f"id: {number}\ndata: x\n\n".encode())) or b"")
+            await self._hold(writer, run.planned_end)
+        for number in range(first, self.plan.events + 1):
+            yield number
             if number == first and not pause_before_first:
-                await self._hold(writer, end)
-        writer.write(connection.send(h11.EndOfMessage()) or b"")
+                await self._hold(writer, run.planned_end)
 
     async def _hold(self, writer: asyncio.StreamWriter, end: float) -> None:
         """Wait; raises ConnectionError once the caller has closed its connection."""
@@ -104,33 +188,48 @@
             await asyncio.sleep(HOLD_POLL_S)
 
 
+def soak_event(number: int) -> bytes:
+    """One event of a stream."""
+    return f"id: {number}\ndata: x\n\n".encode()
+
+
 class KeptConnection:
     """A client's connection to one proxy, used until the proxy closes it or the client leaves."""
 
-    def __init__(self, machine: Machine, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def __init__(
+        self,
+        machine: Machine,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        deadline_s: float,
+    ) -> None:
         self.machine, self.reader, self.writer = machine, reader, writer
+        self.deadline_s = deadline_s
         self.http = h11.Connection(h11.CLIENT)
 
     def send(self, request: SentRequest, key: str) -> None:
         """Send one request."""
         call = client_call(PATHS[request.route], 0, key)
         headers = {**call.headers, "X-Brackenusher-Request-Id": request.id}
-        headers["X-Brackenusher-Deadline-Ms"] = str(int(CLIENT_DEADLINE_S * 1000))
+        headers["X-Brackenusher-Deadline-Ms"] = str(int(self.deadline_s * 1000))
         headers["Content-Length"] = "0"
         head = h11.Request(method="POST", target=call.target, headers=list(headers.items()))
         self.writer.write((self.http.send(head) or b"") + (self.http.send(h11.EndOfMessage()) or b""))
 
-    async def read(self) -> int:
-        """Read a whole answer; its status. Raises one of CONNECTION_FAILURES where it is not whole."""
-        status = NO_ANSWER
+    async def read(self, request: SentRequest) -> None:
+        """Read a whole answer. Raises one of CONNECTION_FAILURES where it is not whole."""
+        status, body = NO_ANSWER, b""
         while True:
             event = self.http.next_event()
             if event is h11.NEED_DATA:
                 self.http.receive_data(await self.reader.read(READ_BYTES))
             elif isinstance(event, h11.Response):
                 status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
             elif isinstance(event, h11.EndOfMessage):
-                return status
+                request.status, request.body = status, body
+                return
             elif isinstance(event, h11.ConnectionClosed):
                 raise EOFError
 
@@ -151,16 +250,19 @@
 class ClientSoak:
     """One run; `play` returns what was seen."""
 
-    def __init__(self, seed: int, folder: Path, proxies: int, seconds: float) -> None:
+    def __init__(self, seed: int, folder: Path, proxies: int, seconds: float, plan: SoakPlan) -> None:
         self.rng = random.Random(seed)
-        self.layout = plan_fleet(proxies, CONTROLS, {"GraceS": GRACE_S})
+        self.plan = plan
+        self.layout = plan_fleet(proxies, CONTROLS, {"GraceS": plan.grace_s})
         self.processes = FleetProcesses(self.layout, folder)
         self.proxies = self.layout.proxy_machines()
         self.controls = [machine.control for machine in self.layout.controls()]
         self.operator = Operator(self.controls)
         self.seconds = seconds
-        self.history = SoakHistory()
+        events = b"".join(map(soak_event, range(1, plan.events + 1)))
+        self.history = SoakHistory(events, plan.grace_s, plan.max_signal_effect_s)
         self._sent = 0
+        self._terminated: set[int] = set()  # process ids: a second SIGTERM changes nothing
         self._ends_at = 0.0
 
     async def play(self) -> SoakHistory:
@@ -182,7 +284,8 @@
         servers = []
         for number in range(SERVERS):
             server = HoldingServer(f"server-{number}", SERVICE, self.controls, EngineFigures())
-            server.history, server.rng = self.history, random.Random(self.rng.getrandbits(32))
+            server.plan, server.history = self.plan, self.history
+            server.rng = random.Random(self.rng.getrandbits(32))
             await server.start()
             servers.append(server)
         async with asyncio.timeout(START_S):
@@ -206,7 +309,7 @@
                 await asyncio.sleep(0.02)
                 continue
             try:
-                await self._use(KeptConnection(machine, reader, writer))
+                await self._use(KeptConnection(machine, reader, writer, self.plan.client_deadline_s))
             finally:
                 writer.close()
 
@@ -218,7 +321,8 @@
             request = SentRequest(
                 f"{self._sent:016x}", route_kind, connection.machine.number, time.monotonic()
             )
-            behaviour = self.rng.choices(list(BEHAVIOURS), list(BEHAVIOURS.values()))[0]
+            behaviours = self.plan.behaviours
+            behaviour = self.rng.choices(list(behaviours), list(behaviours.values()))[0]
             if behaviour == HALF_CLOSE and route_kind != "unsafe":
                 behaviour = STAY
             self.history.requests.append(request)
@@ -234,8 +338,8 @@
             if behaviour == HALF_CLOSE:
                 request.half_closed = True
                 connection.writer.write_eof()
-            async with asyncio.timeout(CLIENT_DEADLINE_S + 1.0):
-                request.status = await connection.read()
+            async with asyncio.timeout(self.plan.client_deadline_s + 1.0):
+                await connection.read(request)
         except CONNECTION_FAILURES:
             request.status = NO_ANSWER
         request.ended_at = time.monotonic()
@@ -245,7 +349,7 @@
         """Leave after a drawn time, unless the answer is there first."""
         try:
             async with asyncio.timeout(self.rng.uniform(*LEAVE_AFTER_S)):
-                request.status = await connection.read()
+                await connection.read(request)
         except TimeoutError:
             if behaviour == RESET:
                 connection.reset()
@@ -282,7 +386,7 @@
             elif luck < 0.4 and running:
                 self._signal(self.rng.choice(running), signal.SIGHUP)
             elif len(running) > 1:
-                kind = signal.SIGTERM if self.rng.random() < 0.8 else signal.SIGKILL
+                kind = signal.SIGKILL if self.rng.random() < self.plan.kill_share else signal.SIGTERM
                 restarts.add(self._restart(self.rng.choice(running), kind))
         await asyncio.gather(*restarts)
 
@@ -304,6 +408,11 @@
     def _signal(self, process: RoleProcess, kind: signal.Signals) -> None:
         if process.role == PROXY:
             self._note_signal(process.machine.number)
+            if kind == signal.SIGTERM and process.popen.pid not in self._terminated:
+                self._terminated.add(process.popen.pid)
+                self.history.terminations.setdefault(process.machine.number, []).append(time.monotonic())
+            elif kind == signal.SIGKILL:
+                self.history.kills.setdefault(process.machine.number, []).append(time.monotonic())
         if process.running:
             process.popen.send_signal(kind)
 
