--- a/review/5/case.py
+++ b/review/5/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+from collections import Counter
 from pathlib import Path
 
 from review.harness.fleet import Fleet, wait_ready
@@ -28,19 +29,19 @@
 DEADLINE_MS = 4000  # clients wait longer than the route's TimeoutMs
 VERDICTS_PER_S, ROSTERS_PER_S = 73.0, 20.6  # the sheet of adwenpa-usher
 SPOIL_SERVERS, SPOIL_EACH, SPOIL_S = 0.6, 34, 5.0  # garble in adwenpa-usher.toml: share .6, x .03, 5 s
-EPISODES = 3
+EPISODES = 5
 LATE_MS = 500  # after TimeoutMs
 MIN_HELD = 8
 
 
-def spoil(server: Server, rng: random.Random) -> None:
+def spoil(server: Server, answered: Counter[str], spoilt: list[str]) -> None:
     """From now on the server spoils a share of its answers: both a length and chunks, which don't fit."""
-    answered = [rng.randrange(SPOIL_EACH)]
 
     async def behave(request: Request, writer: asyncio.StreamWriter) -> bool:
-        answered[0] += 1
-        if answered[0] % SPOIL_EACH:
+        answered[server.id] += 1
+        if answered[server.id] % SPOIL_EACH:
             return False
+        spoilt.append(request.id)
         await asyncio.sleep(server.work_s)
         server.record.write(f"spoilt id={request.id} server={server.id}")
         body = event(1) + event(2) if request.streams else body_of(request.id)
@@ -56,6 +57,12 @@
     server.behave = behave
 
 
+def some_of(servers: list[Server], service: str, rng: random.Random) -> list[Server]:
+    """The servers of one service that spoil answers: no more than the share of it."""
+    own = [server for server in servers if server.service == service]
+    return rng.sample(own, int(SPOIL_SERVERS * len(own)))
+
+
 async def send_at_rate(
     path: str, per_s: float, clients: list[Client], answers: list[Answer], until: float
 ) -> None:
@@ -76,6 +83,7 @@
     fleet = Fleet()
     servers: list[Server] = []
     rng = random.Random(81)
+    answered, spoilt = Counter[str](), list[str]()  # while servers spoil answers
     try:
         fleet.start_all()
         first = await order(fleet.controls(), "Replace", document(2, TIMEOUT_MS), 0, 30.0)
@@ -104,18 +112,23 @@
         ]  # fmt: skip
         await asyncio.sleep(3.0)
         for _ in range(EPISODES):
-            chosen = rng.sample(servers, int(SPOIL_SERVERS * len(servers)))
+            chosen = [s for name in (MODELS, ROSTER) for s in some_of(servers, name, rng)]
             if trouble:
                 record.say(
                     f"{len(chosen)} of {len(servers)} servers spoil each {SPOIL_EACH}th of their answers"
                 )
                 for server in chosen:
-                    spoil(server, rng)
+                    spoil(server, answered, spoilt)
             await asyncio.sleep(SPOIL_S)
             for server in chosen:
                 server.behave = None
             await asyncio.sleep(5.0)
         await asyncio.gather(*sending)
+        held = {a.request_id for a in answers if a.ended_at - a.sent_at > (TIMEOUT_MS + LATE_MS) / 1000.0}
+        record.say(
+            f"{len(spoilt)} of {sum(answered.values())} answers spoilt by servers that spoil,"
+            f" {len(held & {*spoilt})} of their requests held"
+        )
         return judge(answers, record)
     finally:
         await asyncio.gather(*(server.stop() for server in servers))
