Data plane: a response with two lengths is framed by what it sends, not by what it states

Cause: Transfer-Encoding was dropped as of one hop and Content-Length passed on, so h11 framed the client's response by a length that is not that of its body, and raised LocalProtocolError when the body came. The exchange had counted as answered by then; the exception went into the event loop, which closed the server's connection, and nothing ended the client's. Evidence: each held request has "Fatal error: protocol.data_received() call failed" in the log, with send_response, send_end or send_body under the exchange, and "Too much data" or "Too little data for declared Content-Length". Ruled out: an end of the server's response that goes unnoticed (the attempt had ended), a deadline that is missing (its timer runs, and finds the state ANSWERED).

Change: the stated length is passed on only where it is the length of what is sent, not beside chunks and not for a stream that another server may continue. A response that still doesn't fit its head ends the client's connection, and its request with it. The server's connection isn't used again after two lengths. Such responses stay whole, successful ones.

--- a/brackenusher/data_plane/exchange.py
+++ b/brackenusher/data_plane/exchange.py
@@ -35,8 +35,8 @@
     RESPONSE_STAMP,
     Header,
     attempt_headers,
-    end_to_end_headers,
     first_value,
+    forwarded_response_headers,
     parse_nonnegative,
     states_body_end,
 )
@@ -209,9 +209,8 @@
                 502, "the server's answer does not say that the request has not run"
             )
         else:
-            self._client.send_response(
-                response.status, end_to_end_headers(response.headers), b"".join(response.body)
-            )
+            headers = forwarded_response_headers(response.headers, may_continue_elsewhere=False)
+            self._client.send_response(response.status, headers, b"".join(response.body))
         self._owner.exchange_closed(self)
 
     def has_buffered_response(self) -> bool:
@@ -423,7 +422,9 @@
 
     def _start_relaying(self, response: BufferedResponse) -> None:
         self._transition(State.RELAYING)
-        self._client.send_head(response.status, end_to_end_headers(response.headers))
+        may_continue_elsewhere = self._is_stream and self.route.resumable
+        headers = forwarded_response_headers(response.headers, may_continue_elsewhere)
+        self._client.send_head(response.status, headers)
 
     def _handle_stream_data(self, attempt: Attempt, data: bytes) -> None:
         try:
--- a/brackenusher/data_plane/front_connection.py
+++ b/brackenusher/data_plane/front_connection.py
@@ -7,6 +7,7 @@
 import asyncio
 import logging
 import select
+from collections.abc import Iterable, Iterator
 from http import HTTPStatus
 from typing import Protocol
 
@@ -200,25 +201,21 @@
 
     def send_head(self, status: int, headers: list[Header]) -> None:
         """Send the head of a response whose body follows."""
-        self._write(self._encode_head(status, headers))
+        self._send(self._head_events(status, headers))
 
     def send_body(self, data: bytes) -> None:
         """Send a chunk of the body."""
-        self._write(self._http.send(h11.Data(data=data)) or b"")
+        self._send((h11.Data(data=data),))
 
     def send_end(self) -> None:
         """Complete the response."""
-        self._write(self._http.send(h11.EndOfMessage()) or b"")
-        self._response_complete()
+        if self._send((h11.EndOfMessage(),)):
+            self._response_complete()
 
     def send_response(self, status: int, headers: list[Header], body: bytes) -> None:
         """Send a complete response."""
-        chunks = [self._encode_head(status, headers)]
-        if body:
-            chunks.append(self._http.send(h11.Data(data=body)) or b"")
-        chunks.append(self._http.send(h11.EndOfMessage()) or b"")
-        self._write(b"".join(chunks))
-        self._response_complete()
+        if self._send(self._response_events(status, headers, body)):
+            self._response_complete()
 
     def send_local_reply(self, status: int, reason: str, retry_after_ms: float | None = None) -> None:
         """Send a complete response made by the proxy itself."""
@@ -240,6 +237,10 @@
     def abort(self) -> None:
         """Close the connection at once, so that the client sees that the response is incomplete."""
         self._request = None
+        self._cut()
+
+    def _cut(self) -> None:
+        """Close the connection at once; `connection_lost` ends a request in progress."""
         if self._transport is None or self._closed:
             return
         if self._http.their_http_version == HTTP_1_0:
@@ -341,16 +342,32 @@
 
     # Writing
 
-    def _encode_head(self, status: int, headers: list[Header]) -> bytes:
+    def _head_events(self, status: int, headers: list[Header]) -> Iterator[h11.Event]:
         headers = list(headers)
         if self._client_half_closed or self._closes_for_drain():
             headers.append((b"connection", b"close"))
         elif self._limits.idle_timeout_ms >= 1000:
             headers.append((b"keep-alive", b"timeout=%d" % (self._limits.idle_timeout_ms // 1000)))
-        return (
-            self._http.send(h11.Response(status_code=status, headers=headers, reason=reason_phrase(status)))
-            or b""
-        )
+        yield h11.Response(status_code=status, headers=headers, reason=reason_phrase(status))
+
+    def _response_events(self, status: int, headers: list[Header], body: bytes) -> Iterator[h11.Event]:
+        yield from self._head_events(status, headers)
+        if body:
+            yield h11.Data(data=body)
+        yield h11.EndOfMessage()
+
+    def _send(self, events: Iterable[h11.Event]) -> bool:
+        """Write these events; False if they do not fit the response's head, which cuts the connection."""
+        if self._http.our_state is h11.ERROR:
+            return False  # it is cut already
+        try:
+            data = b"".join([self._http.send(event) or b"" for event in events])
+        except h11.LocalProtocolError as error:
+            log.error("response cut: it does not fit its head: %s", error)
+            self._cut()
+            return False
+        self._write(data)
+        return True
 
     def _closes_for_drain(self) -> bool:
         """Whether to announce the close: not while a later request waits, which is owed a response too."""
--- a/brackenusher/data_plane/upstream_connection.py
+++ b/brackenusher/data_plane/upstream_connection.py
@@ -12,7 +12,13 @@
 
 import h11
 
-from brackenusher.data_plane.headers import REQUEST_ID, Header, first_value, keep_alive_seconds
+from brackenusher.data_plane.headers import (
+    REQUEST_ID,
+    Header,
+    first_value,
+    has_two_lengths,
+    keep_alive_seconds,
+)
 
 log = logging.getLogger(__name__)
 
@@ -225,6 +231,8 @@
         stated_timeout_s = keep_alive_seconds(headers)
         if stated_timeout_s is not None:
             self._idle_timeout_s = stated_timeout_s
+        if has_two_lengths(headers):
+            self._reusable = False  # the server may count bytes to it that are read as the next response
         self._receiver.response_head(response.status_code, headers)
 
     def _start_discarding(self) -> None:
--- a/tests/fleet/client_soak_oracle.py
+++ b/tests/fleet/client_soak_oracle.py
@@ -27,6 +27,7 @@
     left_at: float | None = None  # the client closed or reset its connection before the answer
     half_closed: bool = False
     status: int | None = None  # NO_ANSWER: the connection ended first; None: the client left
+    held: bool = False  # neither an answer nor the end of the connection within the client's deadline
     body: bytes = b""  # of a whole answer
     ended_at: float = 0.0
 
@@ -94,6 +95,8 @@
             found.append(f"{request.id} was refused with {request.status}, and it ran")
         if request.status == NO_ANSWER and not _signalled(history, request) and not _broke_off(runs, request):
             found.append(f"{request.id} ({request.route}) had no answer from an undisturbed proxy")
+        if request.held:
+            found.append(f"{request.id} ({request.route}) was held past its deadline")
         if request.route in STREAMS and request.status == OK and request.body != history.whole_stream:
             found.append(f"{request.id} ({request.route}) ended as complete with {request.body[-30:]!r}")
         lost = _cut_by_planned_end(history, request) if ran[request.id] else ""
--- a/tests/fleet/test_client_soak.py
+++ b/tests/fleet/test_client_soak.py
@@ -5,7 +5,7 @@
 import unittest
 from pathlib import Path
 
-from tests.fleet.client_soak import LEAVING_CLIENTS, PLANNED_ENDS, ClientSoak, SoakPlan
+from tests.fleet.client_soak import LEAVING_CLIENTS, PLANNED_ENDS, ClientSoak
 from tests.fleet.client_soak_oracle import (
     SentRequest,
     ServerRun,
@@ -13,6 +13,7 @@
     breaches,
     late_after_termination,
 )
+from tests.fleet.soak_server import SoakPlan
 
 SEED, PROXIES, SECONDS = 20261204, 2, 8.0
 PLANNED_ENDS_S = 14.0  # the last part of a planned end comes 7 s after its SIGTERM
@@ -86,6 +87,14 @@
         lost.signals[1] = [8.0]
         self.assertEqual(breaches(lost, 0), [])
 
+    def test_requests_held_past_their_deadline(self) -> None:
+        held = SentRequest("r1", "resume", 1, 0.0, status=0, held=True, ended_at=5.0)
+        run = ServerRun("r1", 0.1, 0.2, 0.2, broke_off=True)
+        found = ["r1 (resume) was held past its deadline"]
+        self.assertEqual(breaches(SoakHistory(requests=[held], runs=[run]), 0), found)
+        held.held = False
+        self.assertEqual(breaches(SoakHistory(requests=[held], runs=[run]), 0), [])
+
     def test_torn_streams_that_look_complete(self) -> None:
         for body, found in (
             (WHOLE_STREAM, []),
