Registry: a process that lost its disk counts in no majority until it has caught up

Cause: an end is on the disks of a majority, and a later majority knows of it through a common member that kept its disk. The configuration shard bars a voter with an empty store until it has caught up, the registry had no such bar. Evidence: a trial that logged each record and pull: the only copies of the end were those of the dark machine and of the lost disk; the process that woke and the empty one list the server as ready, without a heartbeat since, and get GONE when the dark machine is back. Ruled out: an end that control knows and the proxy doesn't, an end that a late heartbeat or a silence record undoes.

Change: a store tells whether it has all that its process ever confirmed; a process without it is incomplete until it has pulled the records of a majority of complete ones (barleybarrow.replication.catch_up). New fields in two messages, log line, metric, status.

--- a/barleybarrow/replication/feed_view.py
+++ b/barleybarrow/replication/feed_view.py
@@ -4,11 +4,15 @@
 source reports it. A server is silent only if every connected source that lists it reports it as silent.
 Without a connected, settled source the last known state holds. If all servers of a service fell silent at
 about the same time, they are still offered: a fault of the control plane must not empty a service.
+
+While the connected sources may lack drains that were acknowledged (`catch_up`), no server gets new requests.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
+from math import inf
 
+from barleybarrow.replication.catch_up import Coverage
 from barleybarrow.replication.records import FINALITY, InstanceRecord, InstanceState
 from barleybarrow.replication.rendezvous import SHARD_COUNT, shard_of
 
@@ -16,6 +20,7 @@
 SILENT_RETENTION_MS = 600_000.0
 # Servers that fall silent within this window may share a cause outside of them.
 CORRELATED_SILENCE_WINDOW_MS = 15_000.0
+NEVER_HEARD = -inf
 
 
 @dataclass(slots=True)
@@ -33,6 +38,7 @@
 
     connected: bool = False
     settled: bool = False
+    coverage: Coverage = Coverage.NOT_STATED
     shards: dict[int, ShardView] = field(default_factory=dict)
 
     @property
@@ -60,6 +66,8 @@
         self.sources: dict[str, SourceView] = {}
         self.instances: dict[str, KnownInstance] = {}
         self.changed_services: set[str] = set()  # since the owner last cleared it
+        self.withheld = False  # ended servers can't be told from running ones: offer none
+        self._incomplete = False  # a source said so, and none has said the opposite since
         self._by_service: dict[str, set[str]] = {}
 
     @property
@@ -70,8 +78,9 @@
     def on_connected(self, name: str, now: float) -> None:
         """Handle a new connection to a source; its old list stays until it sends an update."""
         source = self.sources.setdefault(name, SourceView())
-        source.connected, source.settled = True, False
+        source.connected, source.settled, source.coverage = True, False, Coverage.NOT_STATED
         self._update_all_silence(now)
+        self._update_withheld()
 
     def on_disconnected(self, name: str, now: float) -> None:
         """Handle a lost connection to a source; its list is kept, to resume from after a reconnect."""
@@ -79,11 +88,13 @@
         if source is not None:
             source.connected = False
             self._update_all_silence(now)
+            self._update_withheld()
 
     def remove_source(self, name: str, now: float) -> None:
         """Remove a source and its list."""
         if self.sources.pop(name, None) is not None:
             self._update_all_silence(now)
+            self._update_withheld()
 
     def position(self, name: str, shard: int) -> tuple[int, int] | None:
         """Epoch and offset from which to resume a shard of a source; None: a snapshot is needed."""
@@ -101,6 +112,7 @@
         snapshot: bool,
         settled: bool,
         now: float,
+        coverage: Coverage = Coverage.NOT_STATED,
     ) -> bool:
         """Apply a snapshot or changes of a shard; False if the feed has to be subscribed to anew."""
         source = self.sources.setdefault(name, SourceView(connected=True))
@@ -109,6 +121,7 @@
             return False
         was_authoritative = source.is_authoritative
         source.settled = source.settled or settled
+        source.coverage = coverage
         affected_ids: set[str] = set()
         if snapshot or view is None:
             affected_ids.update(view.records if view is not None else ())
@@ -121,17 +134,19 @@
             self._update_silence(instance_id, now)
         if source.is_authoritative != was_authoritative:
             self._update_all_silence(now)
+        self._update_withheld()
         return True
 
     def offered_records(self, service: str, now: float) -> list[InstanceRecord]:
-        """Usable servers of a service, then draining ones, each sorted by id."""
+        """Usable servers of a service (as SILENT while withheld), then draining ones, each sorted by id."""
         ids = sorted(self._by_service.get(service, ()))
         not_gone = [instance for instance in map(self.instances.__getitem__, ids) if instance.finality < 2]
         ready = [instance for instance in not_gone if instance.finality == 0 and not instance.silent]
         if not ready:
             ready = self._most_recently_silent(not_gone)
         draining = [instance for instance in not_gone if instance.finality == 1]
-        return [self._to_record(instance, InstanceState.READY, now) for instance in ready] + [
+        ready_state = InstanceState.SILENT if self.withheld else InstanceState.READY
+        return [self._to_record(instance, ready_state, now) for instance in ready] + [
             self._to_record(instance, InstanceState.DRAINING, now) for instance in draining
         ]
 
@@ -174,6 +189,22 @@
         self._by_service.setdefault(record.service, set()).add(record.id)
         self.changed_services.add(record.service)
 
+    def _update_withheld(self) -> None:
+        """One source that knows all drains is enough: each drain is merged from whoever tells it."""
+        coverages = {source.coverage for source in self.sources.values() if source.connected}
+        if Coverage.COMPLETE in coverages:
+            self._incomplete = False
+        elif Coverage.INCOMPLETE in coverages:
+            self._incomplete = True
+        withheld = self._incomplete and bool(coverages)  # without control the last known state holds
+        if withheld == self.withheld:
+            return
+        self.withheld = withheld
+        self.changed_services.update(self._by_service)
+        for instance in self.instances.values():
+            if instance.silent:
+                instance.silent_since = NEVER_HEARD  # it may have ended: no reason to offer it all the same
+
     def _update_all_silence(self, now: float) -> None:
         for instance_id in self.instances:
             self._update_silence(instance_id, now)
@@ -198,11 +229,8 @@
     def _most_recently_silent(self, not_gone: list[KnownInstance]) -> list[KnownInstance]:
         silent = [instance for instance in not_gone if instance.finality == 0]
         latest_silence = max((instance.silent_since for instance in silent), default=0.0)
-        return [
-            instance
-            for instance in silent
-            if latest_silence - instance.silent_since <= CORRELATED_SILENCE_WINDOW_MS
-        ]
+        earliest = latest_silence - CORRELATED_SILENCE_WINDOW_MS
+        return [instance for instance in silent if instance.silent_since >= earliest > NEVER_HEARD]
 
     def _to_record(self, instance: KnownInstance, state: InstanceState, now: float) -> InstanceRecord:
         cold = max(0, int(instance.cold_until - now))
--- a/barleybarrow/replication/registry.py
+++ b/barleybarrow/replication/registry.py
@@ -156,6 +156,11 @@
             expired += self._oldest_inactive(set(expired), excess)
         return {shard_of(self.entries.pop(i).details.service) for i in expired}
 
+    def remove_silent(self) -> set[int]:
+        """Remove all silent entries; return the shards that lost entries. A server that returns is new."""
+        silent = [i for i, entry in self.entries.items() if entry.state is InstanceState.SILENT]
+        return {shard_of(self.entries.pop(i).details.service) for i in silent}
+
     def ids_in_shard(self, shard: int) -> list[str]:
         """Ids of the entries of a shard."""
         return [i for i, entry in self.entries.items() if shard_of(entry.details.service) == shard]
--- a/barleybarrow/replication/rendezvous.py
+++ b/barleybarrow/replication/rendezvous.py
@@ -9,6 +9,7 @@
 from hashlib import blake2b
 
 SERVICE_CACHE_SIZE = 4096  # well above the number of services in a configuration
+VOTERS_CACHE_SIZE = 64
 SHARD_COUNT = 16  # of the registry; enough to spread ownership over seven voters
 
 
@@ -31,3 +32,9 @@
 def replica_group(shard: int, voters: Iterable[str], tolerated: int) -> list[str]:
     """The 2F+1 voters that hold a shard, in order of preference as its owner; F is `tolerated`."""
     return ranked(f"shard {shard}", voters)[: 2 * tolerated + 1]
+
+
+@lru_cache(maxsize=VOTERS_CACHE_SIZE)
+def distinct_replica_groups(voters: tuple[str, ...], tolerated: int) -> frozenset[frozenset[str]]:
+    """The replica groups of all shards, each once."""
+    return frozenset(frozenset(replica_group(shard, voters, tolerated)) for shard in range(SHARD_COUNT))
--- a/barleybarrow/replication/silence.py
+++ b/barleybarrow/replication/silence.py
@@ -14,6 +14,11 @@
 STALL_THRESHOLD_MS = 1500.0  # a longer gap between two ticks means that this process was stalled
 
 
+def silence_timeout_ms(heartbeat_ms: float) -> float:
+    """Time without a heartbeat after which a server is silent."""
+    return MISSED_HEARTBEATS * heartbeat_ms + HEARTBEAT_SLACK_MS
+
+
 @dataclass(slots=True, frozen=True)
 class OverdueCriteria:
     """Selects the servers to mark as silent: those of these shards without a heartbeat since a time."""
@@ -27,7 +32,7 @@
 
     def __init__(self, heartbeat_ms: float, now: float) -> None:
         self.owned: set[int] = set()
-        self._timeout_ms = MISSED_HEARTBEATS * heartbeat_ms + HEARTBEAT_SLACK_MS
+        self._timeout_ms = silence_timeout_ms(heartbeat_ms)
         self._owned_since = [now] * SHARD_COUNT
         self._ticked_at = now
 
--- a/brackenusher/assembly/proxy.py
+++ b/brackenusher/assembly/proxy.py
@@ -36,8 +36,8 @@
 
 
 def server_info(record: InstanceRecord) -> ServerInfo:
-    """Converts a record of the registry for the dispatcher."""
-    state = ServerState.DRAINING if record.state is InstanceState.DRAINING else ServerState.READY
+    """Converts a record of the registry for the dispatcher; only a READY server gets new requests."""
+    state = ServerState.READY if record.state is InstanceState.READY else ServerState.DRAINING
     return ServerInfo(
         id=record.id,
         address=record.address,
--- a/brackenusher/cluster/messages.py
+++ b/brackenusher/cluster/messages.py
@@ -15,6 +15,17 @@
     SILENT = 4
 
 
+class Coverage(betterproto.Enum):
+    """
+    Whether a list of servers includes each drain and deregistration that was
+    acknowledged.
+    """
+
+    NOT_STATED = 0
+    COMPLETE = 1
+    INCOMPLETE = 2
+
+
 @dataclass
 class Hello(betterproto.Message):
     """Who speaks; the first message of each link, from both sides."""
@@ -116,6 +127,7 @@
     shard: int = betterproto.uint32_field(2)
     records: List["InstanceRecord"] = betterproto.message_field(3)
     renewals: List["Renewal"] = betterproto.message_field(4)
+    coverage: "Coverage" = betterproto.enum_field(5)
 
 
 @dataclass
@@ -183,6 +195,7 @@
     snapshot: bool = betterproto.bool_field(4)
     settled: bool = betterproto.bool_field(5)
     records: List["InstanceRecord"] = betterproto.message_field(6)
+    coverage: "Coverage" = betterproto.enum_field(7)
 
 
 @dataclass
--- a/brackenusher/cluster/records.py
+++ b/brackenusher/cluster/records.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from barleybarrow.replication.catch_up import Coverage
 from barleybarrow.replication.records import InstanceModel, InstanceRecord, InstanceState, Renewal
 from brackenusher.cluster import messages
 
@@ -41,6 +42,17 @@
     )
 
 
+def to_coverage_message(coverage: Coverage) -> messages.Coverage:
+    """Encodes the coverage of a list."""
+    return messages.Coverage(int(coverage))
+
+
+def from_coverage_message(message: messages.Coverage) -> Coverage:
+    """Decodes the coverage of a list; a value added by a newer release becomes NOT_STATED."""
+    number = int(message)
+    return Coverage(number) if number <= Coverage.INCOMPLETE else Coverage.NOT_STATED
+
+
 def to_messages(records: Iterable[InstanceRecord]) -> list[messages.InstanceRecord]:
     """Encodes records."""
     return [to_message(record) for record in records]
--- a/brackenusher/control_plane/control_metrics.py
+++ b/brackenusher/control_plane/control_metrics.py
@@ -2,6 +2,7 @@
 
 from collections import Counter as CountByName
 
+from barleybarrow.replication.catch_up import Coverage
 from barleybarrow.replication.rendezvous import SHARD_COUNT
 from brackenusher.control_plane.config_shard import ConfigShard
 from brackenusher.control_plane.feed_source import FeedSource
@@ -37,6 +38,11 @@
         "is_leader", "1 at the leader of the configuration.", lambda: float(shard.is_leader)
     )
     metrics.gauge_function("voters", "Voters of the configuration.", lambda: float(len(shard.voters())))
+    metrics.gauge_function(
+        "server_list_incomplete",
+        "1 while drains may be missing from the list of servers, so that proxies send no new requests.",
+        lambda: float(registry.coverage is Coverage.INCOMPLETE),
+    )
     metrics.sampled("gauge", "servers", "Servers that are known.", "state", servers)
     metrics.sampled("gauge", "proxies", "Proxies that follow this process.", "state", proxies)
     metrics.counter_function(
--- a/brackenusher/control_plane/feed_source.py
+++ b/brackenusher/control_plane/feed_source.py
@@ -20,7 +20,7 @@
 from brackenusher.cluster import messages
 from brackenusher.cluster.config_pieces import ConfigUpdates
 from brackenusher.cluster.links import Links
-from brackenusher.cluster.records import to_messages
+from brackenusher.cluster.records import to_coverage_message, to_messages
 from brackenusher.control_plane.config_shard import ConfigShard
 from brackenusher.control_plane.registry_service import RegistryService
 
@@ -69,7 +69,8 @@
         self._confirm_task: asyncio.Task[None] | None = None
         self._fill_logs()
         registry.on_change.append(self._registry_changed)
-        registry.on_settled.append(self._registry_settled)
+        registry.on_settled.append(self._mark_all_dirty)
+        registry.on_coverage.append(self._mark_all_dirty)
         config_shard.on_committed.append(self._on_committed)
         configuration = config_shard.configuration()
         if configuration is not None:
@@ -124,7 +125,7 @@
             self._logs[shard].start_epoch(self._registry.registry.ids_in_shard(shard))
         self._mark_dirty(shard)
 
-    def _registry_settled(self) -> None:
+    def _mark_all_dirty(self) -> None:
         for shard in range(SHARD_COUNT):
             self._mark_dirty(shard)
 
@@ -166,6 +167,7 @@
             snapshot=ids is None,
             settled=self._registry.settled,
             records=to_messages(records),
+            coverage=to_coverage_message(self._registry.coverage),
         )
 
     # The configuration
--- a/brackenusher/control_plane/final_records.py
+++ b/brackenusher/control_plane/final_records.py
@@ -1,6 +1,8 @@
 """Stores DRAINING and GONE records of servers, so that they survive a restart of all control processes.
 
 Writes go through the storage writer, one at a time; records that arrive during a write form the next batch.
+A snapshot says whether the process lacked records when it was written: a store that was lost, and is used
+again, does not look like one that has everything.
 """
 
 import asyncio
@@ -36,6 +38,9 @@
         self._log_record_count = MAX_LOG_RECORDS  # the first write is a snapshot
         self._write_task: asyncio.Task[None] | None = None
         self.write_failed = False  # some records were not written: `persist_all` is to be called again
+        self.intact = False  # the store was read, and has all that this process ever confirmed
+        self._complete = False  # what the next snapshot says of itself, and the stored one if none is due
+        self._snapshot_due = False
         self._loaded = asyncio.Event()  # a write before loading would replace records that were not read
 
     @property
@@ -43,17 +48,21 @@
         """Whether the records of earlier runs are loaded."""
         return self._loaded.is_set()
 
-    async def load(self) -> list[InstanceRecord]:
-        """The records of earlier runs; retries until the disk can be read. Writes wait for it."""
-        records = await self._read()
+    async def load(self, first_start: bool) -> list[InstanceRecord]:
+        """The records of earlier runs; retries until the disk can be read. Writes wait for it.
+
+        `first_start`: an empty store has lost nothing, as the whole fleet starts for the first time.
+        """
+        records = await self._read(first_start)
         for record in records:
             self._mark_persisted(record)
         self._loaded.set()
         return records
 
-    async def _read(self) -> list[InstanceRecord]:
+    async def _read(self, first_start: bool) -> list[InstanceRecord]:
         store, writer = self._store, self._writer
         if store is None or writer is None:
+            self.intact = first_start
             return []
         while True:
             try:
@@ -63,8 +72,13 @@
                 log.error("drains can't be read from disk yet: error=%s", error)
                 await asyncio.sleep(READ_RETRY_INTERVAL_S)
         records: list[InstanceRecord] = []
-        if loaded.snapshot is not None:
-            records += from_messages(messages.RegistryUpdate().parse(loaded.snapshot).records)
+        if loaded.snapshot is None:
+            self.intact = first_start and not loaded.damaged
+        else:
+            snapshot = messages.RegistryUpdate().parse(loaded.snapshot)
+            self.intact = snapshot.coverage != messages.Coverage.INCOMPLETE
+            records += from_messages(snapshot.records)
+            self._complete = self._complete or self.intact
         records += [from_message(messages.InstanceRecord().parse(data)) for data in loaded.records]
         if loaded.snapshot is not None:
             self._log_record_count = len(loaded.records)
@@ -83,18 +97,29 @@
             return True
         persisted: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self._write_queue.append((record, persisted))
+        self._start_writing()
+        return await persisted
+
+    def mark_complete(self) -> None:
+        """Note on disk that the store lacks no record: from now on an empty one means that it was lost."""
+        if self._complete or self._store is None:
+            return
+        self._complete = self._snapshot_due = True
+        self._start_writing()
+
+    def _start_writing(self) -> None:
         if self._write_task is None or self._write_task.done():
             self._write_task = asyncio.create_task(self._write())
-        return await persisted
 
     async def persist_all(self) -> None:
         """Write all records that are not on disk, after a failed write."""
         self.write_failed = False
+        self._start_writing()
         await asyncio.gather(*(self.persist(record) for record in self._all_records()))
 
     async def _write(self) -> None:
         await self._loaded.wait()
-        while self._write_queue:
+        while self._write_queue or (self._snapshot_due and not self.write_failed):
             batch, self._write_queue = self._write_queue, []
             written = await self._append([bytes(to_message(record)) for record, _ in batch])
             self.write_failed = self.write_failed or not written
@@ -113,10 +138,8 @@
         assert self._store is not None and self._writer is not None
         store = self._store
         try:
-            if self._log_record_count + len(payloads) > MAX_LOG_RECORDS:
-                snapshot = bytes(messages.RegistryUpdate(records=to_messages(self._all_records())))
-                await self._writer.submit(lambda: store.replace(snapshot))
-                self._log_record_count = 0
+            if self._snapshot_due or self._log_record_count + len(payloads) > MAX_LOG_RECORDS:
+                await self._replace(store, self._writer)
             else:
                 await self._writer.submit(lambda: store.append(payloads))
                 self._log_record_count += len(payloads)
@@ -124,3 +147,15 @@
             log.warning("drains are not kept on disk: error=%s", error)
             return False
         return True
+
+    async def _replace(self, store: SlotStore, writer: StorageWriter) -> None:
+        """Write a snapshot of all records. Raises StorageError."""
+        coverage = messages.Coverage.COMPLETE if self._complete else messages.Coverage.INCOMPLETE
+        snapshot = bytes(messages.RegistryUpdate(records=to_messages(self._all_records()), coverage=coverage))
+        self._snapshot_due = False  # `mark_complete` may set it again meanwhile
+        try:
+            await writer.submit(lambda: store.replace(snapshot))
+        except StorageError:
+            self._snapshot_due = True
+            raise
+        self._log_record_count = 0
--- a/brackenusher/control_plane/registry_service.py
+++ b/brackenusher/control_plane/registry_service.py
@@ -4,6 +4,8 @@
 majority of the replica group is connected; its renewal is sent to the group in a batch. A heartbeat that
 changes a record is sent to all control processes and acknowledged once a majority of the replica group has
 stored it.
+
+A process that has lost its disk may lack records that it confirmed: see `barleybarrow.replication.catch_up`.
 """
 
 import asyncio
@@ -13,6 +15,7 @@
 
 import betterproto
 
+from barleybarrow.replication.catch_up import CatchUp, Coverage
 from barleybarrow.replication.records import FINALITY, InstanceRecord, InstanceState, Renewal
 from barleybarrow.replication.registry import Registry, RegistryEntry
 from barleybarrow.replication.rendezvous import shard_of
@@ -20,7 +23,15 @@
 from brackenusher.cluster import messages
 from brackenusher.cluster.links import Links
 from brackenusher.cluster.lives import first_request_number
-from brackenusher.cluster.records import from_messages, from_renewals, to_message, to_messages, to_renewals
+from brackenusher.cluster.records import (
+    from_coverage_message,
+    from_messages,
+    from_renewals,
+    to_coverage_message,
+    to_message,
+    to_messages,
+    to_renewals,
+)
 from brackenusher.control_plane.confirmations import Confirmation, PendingConfirmations
 from brackenusher.control_plane.final_records import FinalRecords
 from brackenusher.control_plane.replica_groups import CONTROL_ROLE, ReplicaGroups
@@ -59,6 +70,8 @@
         self.registry = Registry()
         self.on_change: list[ChangeHandler] = []
         self.on_settled: list[Callable[[], None]] = []
+        self.on_coverage: list[Callable[[], None]] = []
+        self.coverage = Coverage.NOT_STATED  # of the list of this process, with the voters it is connected to
         self._settings = settings
         self._links = links
         self._now = now
@@ -73,6 +86,8 @@
         ] = {}  # by id: newest sequence not yet sent to the replica group
         self._started_at = now()
         self._silence_detector = SilenceDetector(settings.heartbeat_ms, self._started_at)
+        self._catch_up = CatchUp(links.own.address, settings.heartbeat_ms)
+        self._was_incomplete = False  # the list was, and has not been complete since
         self._settled = False
         self._renewals_sent_at = self._silence_checked_at = self._expired_at = self._started_at
         self._synced_at = self._disk_retried_at = self._started_at
@@ -87,9 +102,15 @@
     async def start(self) -> None:
         """Load the stored DRAINING and GONE records; waits until the disk can be read, without a limit."""
         now = self._now()
-        for record in await self._final_store.load():
+        for record in await self._final_store.load(first_start=self._settings.bootstrap):
             if self.registry.merge(record, now):
                 self._publish([self.registry.entries[record.id].record(now)])
+        if self._final_store.intact:
+            self._catch_up.complete = True
+            self._final_store.mark_complete()
+            self._send_to_all_peers()
+        else:
+            log.warning("server list: coverage=incomplete reason=empty_store")
 
     @property
     def settled(self) -> bool:
@@ -136,6 +157,7 @@
         now = self._now()
         self._silence_detector.tick(now)
         self._check_settled(now)
+        self._check_coverage(now)
         if now - self._renewals_sent_at >= RENEWAL_INTERVAL_MS:
             self._renewals_sent_at = now
             self._send_renewals()
@@ -160,6 +182,7 @@
             states[entry.state.name] = states.get(entry.state.name, 0) + 1
         return {
             "settled": self._settled,
+            "coverage": self.coverage.name.lower(),
             "owned_shards": sorted(self._silence_detector.owned),
             "states": states,
         }
@@ -229,6 +252,8 @@
         updated = [self.registry.entries[i].record(now) for i in dict.fromkeys(changed)]
         self._publish(updated)
         self._refute_silence(sender, records)
+        if message.coverage:
+            self._catch_up.on_pulled(sender, from_coverage_message(message.coverage))
         if message.id:
             self._relay(sender, updated)
         if any(FINALITY[record.state] > 0 for record in records):
@@ -278,6 +303,16 @@
 
     def _on_pull(self, sender: str, message: betterproto.Message) -> None:
         assert isinstance(message, messages.RegistryPull)
+        self._send_all_records(sender)
+        if self._settled and self._groups.reaches_voter_majority():
+            self._links.send(sender, messages.RegistryConfirm(id=0))
+
+    def _send_to_all_peers(self) -> None:
+        for peer in self._groups.peers():
+            self._send_all_records(peer)
+
+    def _send_all_records(self, peer: str) -> None:
+        """Send all records, and at the end whether final records may be missing from them."""
         now = self._now()
         for shard, records in enumerate(self.registry.records_by_shard(now)):
             for start in range(0, len(records), MAX_RECORDS_PER_MESSAGE):
@@ -288,11 +323,12 @@
                 update = messages.RegistryUpdate(
                     shard=shard, records=to_messages(chunk), renewals=to_renewals(renewals)
                 )
-                self._links.send(sender, update)
-        if self._settled and self._groups.reaches_voter_majority():
-            self._links.send(sender, messages.RegistryConfirm(id=0))
+                self._links.send(peer, update)
+        coverage = Coverage.COMPLETE if self._catch_up.complete else Coverage.INCOMPLETE
+        self._links.send(peer, messages.RegistryUpdate(coverage=to_coverage_message(coverage)))
 
     def _link_changed(self, address: str, hello: messages.Hello | None) -> None:
+        self._catch_up.on_link_changed(address)
         if hello is not None and hello.role == CONTROL_ROLE:
             self._links.send(address, messages.RegistryPull())
 
@@ -309,7 +345,28 @@
             self._pulled_at[peer] = now
             self._links.send(peer, messages.RegistryPull())
 
-    # Settling, renewals, silence
+    # Coverage, settling, renewals, silence
+
+    def _check_coverage(self, now: float) -> None:
+        """Notice that this process has caught up, and whether the list can be relied on."""
+        was_complete = self._catch_up.complete
+        coverage = self._catch_up.tick(now, self._groups.all_groups(), self._groups.peers())
+        if self._catch_up.complete and not was_complete:
+            log.info("server list: coverage=complete reason=caught_up")
+            self._final_store.mark_complete()
+            self._send_to_all_peers()
+        if coverage is self.coverage:
+            return
+        self.coverage = coverage
+        if coverage is Coverage.INCOMPLETE:
+            log.warning("server list: coverage=incomplete reason=no_majority_has_all_drains")
+            self._was_incomplete = True
+        elif coverage is Coverage.COMPLETE and self._was_incomplete:
+            log.info("server list: coverage=complete")
+            self._was_incomplete = False
+            self._publish_removal(self.registry.remove_silent())  # these may have ended: nobody would know
+        for handler in self.on_coverage:
+            handler()
 
     def _check_settled(self, now: float) -> None:
         uptime_ms = now - self._started_at
@@ -358,9 +415,7 @@
             del self._confirmed_finality[instance_id]
         self._unconfirmed.intersection_update(self.registry.entries)
         self._final_store.expire(self.registry.entries)
-        for shard in shards:
-            for handler in self.on_change:
-                handler(shard, [])
+        self._publish_removal(shards)
 
     # Helpers
 
@@ -368,6 +423,11 @@
         now = self._now()
         return [entry.record(now) for entry in self.registry.entries.values() if entry.finality > 0]
 
+    def _publish_removal(self, shards: set[int]) -> None:
+        for shard in shards:
+            for handler in self.on_change:
+                handler(shard, [])
+
     def _publish(self, records: list[InstanceRecord]) -> None:
         shards: dict[int, list[InstanceRecord]] = {}
         for record in records:
--- a/brackenusher/control_plane/replica_groups.py
+++ b/brackenusher/control_plane/replica_groups.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from barleybarrow.consensus.voter_selection import MAX_VOTERS
-from barleybarrow.replication.rendezvous import SHARD_COUNT, replica_group
+from barleybarrow.replication.rendezvous import SHARD_COUNT, distinct_replica_groups, replica_group
 from brackenusher.cluster.links import Links
 from brackenusher.settings.local import FaultTolerance
 
@@ -26,6 +26,11 @@
         connected = self._links.connected()
         return [a for a, hello in connected.items() if hello.role == CONTROL_ROLE and a != self.own]
 
+    def all_groups(self) -> frozenset[frozenset[str]]:
+        """The replica groups of all shards, each once; none while no voters are known."""
+        voters = tuple(self._voters())
+        return distinct_replica_groups(voters, self._tolerated_failures) if voters else frozenset()
+
     def group(self, shard: int) -> list[str]:
         """The voters that hold a shard, in order of preference for its owner."""
         return replica_group(shard, self._voters(), self._tolerated_failures)
--- a/brackenusher/data_plane/feed_client.py
+++ b/brackenusher/data_plane/feed_client.py
@@ -24,7 +24,7 @@
 from barleybarrow.replication.rendezvous import SHARD_COUNT
 from brackenusher.cluster import messages
 from brackenusher.cluster.links import Links
-from brackenusher.cluster.records import from_messages
+from brackenusher.cluster.records import from_coverage_message, from_messages
 from brackenusher.data_plane.peer_configuration import PeerConfiguration
 from brackenusher.settings.local import LocalSettings
 
@@ -292,6 +292,7 @@
             from_messages(message.records),
             snapshot=message.snapshot,
             settled=message.settled,
+            coverage=from_coverage_message(message.coverage),
             now=self._now(),
         )
         if not accepted:
--- a/tests/fleet/test_feed_paths.py
+++ b/tests/fleet/test_feed_paths.py
@@ -176,6 +176,7 @@
         server.crash()
         server.state = InstanceState.DRAINING
         self.assertTrue(await simulation.call(one, "heartbeat", server.record()))
+        await asyncio.sleep(1.0)  # no renewal is due any more, whose unknown id would cause a pull as well
         simulation.network.heal(one, three)
         await asyncio.sleep(1.0)
         self.assertIs(
