--- a/testbed/fleet/layout.py
+++ b/testbed/fleet/layout.py
@@ -16,6 +16,7 @@
 SEEDS = 3
 ZONES = ("zone-a", "zone-b", "zone-c")
 PORT_TRIES = 50
+HEARTBEAT_MS = 500.0
 INTERNAL_PORTS = 8  # in a row, for what processes of a machine say to each other; real machines have 16
 
 
@@ -71,6 +72,7 @@
     machines: tuple[Machine, ...]
     proxies: int
     bounds: dict[str, float] = field(default_factory=dict)
+    heartbeat_ms: float = HEARTBEAT_MS
 
     def controls(self) -> list[Machine]:
         """Machines that run the role control."""
@@ -124,8 +126,10 @@
     return True
 
 
-def settings_text(machine: Machine, role: str, layout: FleetLayout, folder: Path) -> str:
-    """The settings file of one process."""
+def settings_text(
+    machine: Machine, role: str, layout: FleetLayout, folder: Path, first_start: bool = False
+) -> str:
+    """The settings file of one process. `first_start`: of the whole fleet, on empty disks."""
     disk = role == CONTROL and machine.has_disk
     voters = sum(other.has_disk for other in layout.machines)
     listen = {"Control": machine.control} if role == CONTROL else {}
@@ -141,10 +145,10 @@
         "Region": "loopback",
         "InternalPortRange": [machine.ports.internal, machine.ports.internal + INTERNAL_PORTS - 1],
         "SeedNodes": [seed.control for seed in layout.controls()[:SEEDS]],
-        "Bootstrap": True,
+        "Bootstrap": first_start,
         "CountsForQuorum": machine.has_disk,
         "DataDir": str(folder / f"disk-{machine.number}") if disk else "",
-        "HeartbeatMs": 500,
+        "HeartbeatMs": layout.heartbeat_ms,
         "Contracts": ["base", "drain", "config", "tenants", "quota", "stream", "engine"],
     }
     tables: dict[str, dict[str, object]] = {
--- a/testbed/fleet/model_server.py
+++ b/testbed/fleet/model_server.py
@@ -93,6 +93,8 @@
 class ModelServer:
     """One emulated server: a stream where the path begins with /chat/, 800 bytes elsewhere."""
 
+    heartbeat_s = HEARTBEAT_S
+
     def __init__(self, instance_id: str, service: str, controls: list[str], figures: EngineFigures) -> None:
         self.id, self.service, self.controls = instance_id, service, controls
         self.figures = figures
@@ -144,7 +146,7 @@
             if await self._register("Heartbeat", self._heartbeat_body()):
                 self.counters.heartbeats += 1
                 self.acknowledged.set()
-            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.sleep(self.heartbeat_s)
 
     def _heartbeat_body(self) -> bytes:
         fields = {
--- a/testbed/fleet/processes.py
+++ b/testbed/fleet/processes.py
@@ -65,15 +65,17 @@
     def start_all(self) -> None:
         """Start every process of the layout."""
         for machine, role in self.layout.roles():
-            self.start(machine, role)
+            self.start(machine, role, first_start=True)
 
-    def start(self, machine: Machine, role: str) -> RoleProcess:
-        """Start one process."""
+    def start(self, machine: Machine, role: str, first_start: bool = False) -> RoleProcess:
+        """Start one process; `first_start`: of the whole fleet, on empty disks."""
         name = f"{role}-{machine.number}"
         if machine.has_disk:
             (self.folder / f"disk-{machine.number}").mkdir(exist_ok=True)
         settings = self.folder / f"{name}.toml"
-        settings.write_text(settings_text(machine, role, self.layout, self.folder), encoding="utf-8")
+        settings.write_text(
+            settings_text(machine, role, self.layout, self.folder, first_start), encoding="utf-8"
+        )
         log_path = self.folder / f"{name}.log"
         with log_path.open("ab") as log:
             popen = run_role(role, settings, log.fileno())
