--- a/tests/fleet/test_final_records.py
+++ b/tests/fleet/test_final_records.py
@@ -10,7 +10,7 @@
 from brackenusher.control_plane.final_records import FinalRecords
 from brackenusher.storage.slot_store import SlotStore, StorageError
 from tests.fleet.emulated_disk import EmulatedDisk
-from tests.fleet.feed_world import FakeWriter
+from tests.fleet.feed_fakes import FakeWriter
 from tests.fleet.virtual_time import run_virtual
 
 
--- a/tests/fleet/test_registry_catch_up.py
+++ b/tests/fleet/test_registry_catch_up.py
@@ -14,8 +14,9 @@
 from barleybarrow.replication.records import InstanceRecord, InstanceState
 from barleybarrow.replication.silence import silence_timeout_ms
 from brackenusher.control_plane.final_records import FinalRecords
+from tests.fleet.feed_fakes import FakeStore, FakeWriter
 from tests.fleet.feed_schedules import run_schedule
-from tests.fleet.feed_world import CONTACT_S, HEARTBEAT_MS, FakeStore, FakeWriter, FeedSimulation, simulated
+from tests.fleet.feed_world import CONTACT_S, HEARTBEAT_MS, FeedSimulation, simulated
 from tests.fleet.test_feed_parts import FeedHarness, make_record
 from tests.fleet.virtual_time import run_virtual
 
