Routing: a response that flows is not silent, and one that its client has in part never moves

Cause: the dispatcher judged a server's silence by events of streams and ends of responses alone, ordered a second send after 1.5 times TargetLatencyMs, and the exchange, whose client already had a part, could not be sent again and was ended with its sound attempt. Evidence: 66 lines "not sent again: it may have been executed" on the three proxies, no other line of a request. Ruled out: the change of the configuration (cuts go on through the run, short answers are whole), a server that breaks off (no such line).

Change: the data plane tells the dispatcher of each part of a body, and whether another server may still respond; a request that no server can complete is not moved for silence. A request whose server sends nothing moves as before.

--- a/barleybarrow/routing/dispatcher.py
+++ b/barleybarrow/routing/dispatcher.py
@@ -156,6 +156,17 @@
             state.server.record_event(now)
         return []
 
+    def response_progress(
+        self, now: float, request_id: RequestId, server_id: str, may_move: bool
+    ) -> list[Action]:
+        """Handle a part of a response: its server is not silent. `may_move`: another may still respond."""
+        state = self._requests.get(request_id)
+        if state is not None and state.server is not None and state.server.info.id == server_id:
+            state.may_move = may_move
+            state.last_event_at = now
+            state.server.record_event(now)
+        return []
+
     def finished(self, now: float, request_id: RequestId, server_id: str, outcome: Outcome) -> list[Action]:
         """Handle the end of the attempt at this server."""
         state = self._requests.get(request_id)
@@ -352,7 +363,7 @@
     def _may_retry(self, state: RequestState, acquire: bool = True) -> bool:
         """Whether a request that may have run may be sent again; `acquire` takes from the retry budget."""
         route = state.request.route
-        if not route.resumable and route.kind != RouteKind.SAFE:
+        if not state.may_move or (not route.resumable and route.kind != RouteKind.SAFE):
             return False
         if state.attempts >= max(route.max_attempts, 1):
             return False
--- a/barleybarrow/routing/exchange.py
+++ b/barleybarrow/routing/exchange.py
@@ -27,6 +27,7 @@
     attempts: int = 0  # excluding failures to connect
     failed_connections: int = 0  # number of failures to connect
     may_have_run: bool = False
+    may_move: bool = True  # False: the client has a part of the response that no other server can complete
     is_long_stream: bool = False  # counted as a long stream on its server
     sent_at: float = 0.0
     first_event_at: float | None = None
--- a/brackenusher/data_plane/exchange.py
+++ b/brackenusher/data_plane/exchange.py
@@ -89,6 +89,9 @@
     def event_forwarded(self, exchange: "Exchange", server_id: str, first: bool) -> None:
         """An event of the stream was forwarded to the client."""
 
+    def response_progress(self, exchange: "Exchange", server_id: str, may_move: bool) -> None:
+        """A part of the response has arrived; `may_move`: another server may still respond."""
+
     def attempt_finished(self, exchange: "Exchange", server_id: str, outcome: Outcome) -> None:
         """The attempt ended with this outcome."""
 
@@ -148,6 +151,7 @@
         self._position = StreamPosition(request.metadata.last_event_id)
         self._events_forwarded = 0
         self._paused = False
+        self._may_move = True  # as reported to the owner
 
     @property
     def may_have_run(self) -> bool:
@@ -165,7 +169,11 @@
         """
         if self.may_have_run and not self.idempotent:
             return False
-        return not self.response_started or (self.route.resumable and self._resume_after_id() is not None)
+        return not self.response_started or self._resumes()
+
+    def _resumes(self) -> bool:
+        """Whether another server can continue the response that the client has a part of."""
+        return self.route.resumable and self._resume_after_id() is not None
 
     # Called by the proxy
 
@@ -312,10 +320,12 @@
         """Forward events as they arrive; buffers other bodies."""
         if self._is_stream:
             self._handle_stream_data(attempt, data)
-        elif self.state is State.RELAYING:
+            return
+        if self.state is State.RELAYING:
             self._client.send_body(data)
         else:
             self._buffer_body(data)
+        self._report_progress(attempt)
 
     def attempt_complete(self, attempt: Attempt) -> None:
         """The server's response is complete."""
@@ -420,6 +430,10 @@
             self._start_relaying(response)
             self._client.send_body(b"".join(response.body))
 
+    def _report_progress(self, attempt: Attempt) -> None:
+        self._may_move = not self.response_started or self._resumes()
+        self._owner.response_progress(self, attempt.server_id, self._may_move)
+
     def _start_relaying(self, response: BufferedResponse) -> None:
         self._transition(State.RELAYING)
         may_continue_elsewhere = self._is_stream and self.route.resumable
@@ -458,6 +472,8 @@
             self._owner.event_forwarded(self, attempt.server_id, first=not attempt.events_forwarded)
             attempt.events_forwarded += 1
         self._events_forwarded += len(events)
+        if self.idempotent and self._resumes() != self._may_move:
+            self._report_progress(attempt)
 
     def _finish_relayed(self, attempt: Attempt) -> None:
         if self._is_stream and self._event_splitter.remainder():
--- a/brackenusher/data_plane/ports.py
+++ b/brackenusher/data_plane/ports.py
@@ -35,6 +35,11 @@
     def event(self, now: float, request_id: int, server_id: str, tokens: int) -> Sequence[Action] | None:
         """Handle a later event of a stream."""
 
+    def response_progress(
+        self, now: float, request_id: int, server_id: str, may_move: bool
+    ) -> Sequence[Action] | None:
+        """Handle a part of a response; `may_move`: another server may still respond to the request."""
+
     def finished(self, now: float, request_id: int, server_id: str, outcome: Outcome) -> Sequence[Action]:
         """Handle the end of an attempt; with no action for the request, its response is forwarded."""
 
--- a/brackenusher/data_plane/proxy.py
+++ b/brackenusher/data_plane/proxy.py
@@ -266,6 +266,12 @@
             tokens = engine.stride if engine is not None else 1
             self._execute(self._dispatcher.event(now, exchange.number, server_id, tokens))
 
+    def response_progress(self, exchange: Exchange, server_id: str, may_move: bool) -> None:
+        """A part of the response has arrived."""
+        self._execute(
+            self._dispatcher.response_progress(self._now_ms(), exchange.number, server_id, may_move)
+        )
+
     def attempt_finished(self, exchange: Exchange, server_id: str, outcome: Outcome) -> None:
         """The attempt ended with this outcome."""
         self._record(exchange, "attempt over", server_id, outcome.value)
--- a/tests/fleet/data_plane_support.py
+++ b/tests/fleet/data_plane_support.py
@@ -244,6 +244,11 @@
         self.calls.append(("event", server_id, tokens))
         return []
 
+    def response_progress(self, now: float, request_id: int, server_id: str, may_move: bool) -> list[Action]:
+        """Record the call."""
+        self.calls.append(("progress", server_id, may_move))
+        return []
+
     def finished(self, now: float, request_id: int, server_id: str, outcome: Outcome) -> list[Action]:
         """Send a broken attempt to the next server, or fail it."""
         self.calls.append(("finished", server_id, outcome))
--- a/tests/fleet/soak_server.py
+++ b/tests/fleet/soak_server.py
@@ -1,7 +1,7 @@
 """The servers of a soak: they answer at once, late, or pause within a stream, and some answers are spoilt.
 
 Some streams have no length, and some of these are torn in the middle of an event, as by a crash. Some answers
-state a length that does not fit what they send.
+state a length that does not fit what they send, and some are long and flow all the time.
 """
 
 import asyncio
@@ -22,6 +22,8 @@
 TEAR_AFTER_S = 0.02  # so that the half of an event arrives by itself
 MISSTATED_SHARE = 0.05  # of the answers: they state a length that does not fit
 PLAIN_BODY = b"done"
+LONG_SHARE = 0.2  # of the answers that are no streams: they are longer than what a proxy buffers
+LONG_PIECES, LONG_PIECE = 20, b"x" * 10_000
 PATHS = {"safe": "/safe/x", "unsafe": "/lookup/x", "stream": "/chat/x", "resume": "/resume/x"}
 
 
@@ -85,6 +87,9 @@
     ) -> None:
         misstated = self.rng.random() < MISSTATED_SHARE
         if request.target in (PATHS["safe"], PATHS["unsafe"]):
+            if self.rng.random() < LONG_SHARE:
+                await self._send_long(headers, connection, writer, run)
+                return
             await self._hold(writer, run.planned_end)
             if misstated:
                 self._send_two_lengths(headers, connection, writer, PLAIN_BODY)
@@ -110,6 +115,22 @@
             head = b""
         writer.write(head + (connection.send(h11.EndOfMessage()) or b""))
 
+    async def _send_long(
+        self,
+        headers: dict[str, str],
+        connection: h11.Connection,
+        writer: asyncio.StreamWriter,
+        run: ServerRun,
+    ) -> None:
+        """A long answer that flows at an even pace until the run is to end."""
+        fields = {**headers, "Transfer-Encoding": "chunked"}
+        writer.write(connection.send(h11.Response(status_code=200, headers=list(fields.items()))) or b"")
+        pause_s = (run.planned_end - run.arrived_at) / LONG_PIECES
+        for _ in range(LONG_PIECES):
+            await self._hold(writer, time.monotonic() + pause_s)
+            writer.write(connection.send(h11.Data(LONG_PIECE)) or b"")
+        writer.write(connection.send(h11.EndOfMessage()) or b"")
+
     def _send_two_lengths(
         self, headers: dict[str, str], connection: h11.Connection, writer: asyncio.StreamWriter, body: bytes
     ) -> None:
--- a/tests/fleet/test_routing_dispatcher.py
+++ b/tests/fleet/test_routing_dispatcher.py
@@ -195,6 +195,23 @@
         for turn in range(needed, needed + 4):
             self.assertNotEqual(self.send(turn * 100.0).server_id, silent)
 
+    def test_server_that_sends_a_long_response_is_not_silent(self) -> None:
+        send = self.send(0.0, on_route=route("safe", max_attempts=2))
+        limit_ms = SILENCE_TARGET_RATIO * route().target_latency_ms
+        for step in range(1, 4):
+            now = step * limit_ms * 0.9
+            self.assertEqual(self.dispatcher.tick(now), [])
+            self.dispatcher.response_progress(now, send.request_id, send.server_id, may_move=True)
+        moved = self.dispatcher.tick(now + 2 * limit_ms)
+        self.assertIsInstance(moved[0], Send)
+
+    def test_request_whose_response_no_other_server_can_complete_never_moves(self) -> None:
+        send = self.send(0.0, on_route=route("safe", max_attempts=2))
+        self.dispatcher.response_progress(100.0, send.request_id, send.server_id, may_move=False)
+        self.assertEqual(self.dispatcher.tick(1_900.0), [])
+        failed = self.dispatcher.finished(1_950.0, send.request_id, send.server_id, Outcome.BROKEN_STREAM)
+        self.assertIsInstance(failed[0], Fail)
+
     def test_server_that_answers_others_is_not_ejected_for_clients_that_leave(self) -> None:
         for turn in range(20):
             abandoned, served = self.send(turn * 100.0), self.send(turn * 100.0)
