Registry: a list is stated to be incomplete after 0.4 of ContactMs, not half a second

Its log: a machine that came back with an empty disk is connected to one that is whole, while the third is still cut off for 1.2 s; proxies rested for the last 0.6 s of that. Nobody counts as in touch before ContactMs, so the statement may come later: 1.2 s there, with a start of the process before it.

--- a/barleybarrow/replication/catch_up.py
+++ b/barleybarrow/replication/catch_up.py
@@ -15,7 +15,9 @@
 from barleybarrow.replication.silence import silence_timeout_ms
 
 MAX_HEARTBEAT_DELAY_MS = 15_000.0  # a heartbeat may arrive seconds after it was sent
-INCOMPLETE_GRACE_MS = 500.0  # processes that start together are connected and have read their stores by then
+# Of ContactMs, until a list is stated to be incomplete: processes that start one after the other are
+# connected by then, and the proxies hear of it before they count as in touch.
+INCOMPLETE_GRACE_RATIO = 0.4
 
 
 class Coverage(IntEnum):
@@ -29,9 +31,10 @@
 class CatchUp:
     """The view of one control process: what it may have lost, and what the others say of themselves."""
 
-    def __init__(self, own: str, heartbeat_ms: float) -> None:
+    def __init__(self, own: str, heartbeat_ms: float, contact_ms: float) -> None:
         self.complete = False  # each drain that this process ever confirmed is known to it
         self._own = own
+        self._grace_ms = INCOMPLETE_GRACE_RATIO * contact_ms
         self._max_incomplete_ms = MAX_HEARTBEAT_DELAY_MS + silence_timeout_ms(heartbeat_ms)
         self._coverage_of_peers: dict[str, Coverage] = {}  # of those that are connected
         self._pulled: set[str] = set()  # complete peers whose records were all received
@@ -80,7 +83,7 @@
             self.complete = True
 
     def _is_in_grace(self, now: float) -> bool:
-        return self._incomplete_since is None or now - self._incomplete_since < INCOMPLETE_GRACE_MS
+        return self._incomplete_since is None or now - self._incomplete_since < self._grace_ms
 
     def _is_complete(self, name: str) -> bool:
         if name == self._own:
--- a/brackenusher/control_plane/registry_service.py
+++ b/brackenusher/control_plane/registry_service.py
@@ -86,7 +86,7 @@
         ] = {}  # by id: newest sequence not yet sent to the replica group
         self._started_at = now()
         self._silence_detector = SilenceDetector(settings.heartbeat_ms, self._started_at)
-        self._catch_up = CatchUp(links.own.address, settings.heartbeat_ms)
+        self._catch_up = CatchUp(links.own.address, settings.heartbeat_ms, settings.bounds.contact_ms)
         self._was_incomplete = False  # the list was, and has not been complete since
         self._settled = False
         self._renewals_sent_at = self._silence_checked_at = self._expired_at = self._started_at
--- a/tests/fleet/test_registry_catch_up.py
+++ b/tests/fleet/test_registry_catch_up.py
@@ -9,7 +9,12 @@
 import unittest
 from unittest import mock
 
-from barleybarrow.replication.catch_up import INCOMPLETE_GRACE_MS, MAX_HEARTBEAT_DELAY_MS, CatchUp, Coverage
+from barleybarrow.replication.catch_up import (
+    INCOMPLETE_GRACE_RATIO,
+    MAX_HEARTBEAT_DELAY_MS,
+    CatchUp,
+    Coverage,
+)
 from barleybarrow.replication.feed_view import FeedView
 from barleybarrow.replication.records import InstanceRecord, InstanceState
 from barleybarrow.replication.silence import silence_timeout_ms
@@ -22,6 +27,7 @@
 
 COMPLETE, INCOMPLETE, NOT_STATED = Coverage.COMPLETE, Coverage.INCOMPLETE, Coverage.NOT_STATED
 MAX_INCOMPLETE_MS = MAX_HEARTBEAT_DELAY_MS + silence_timeout_ms(HEARTBEAT_MS)
+GRACE_MS = INCOMPLETE_GRACE_RATIO * CONTACT_S * 1000.0
 RESTART_S = 0.3
 STEP_S = 0.05
 SOAK_SEEDS = (4, 7, 8)  # schedules that show the failure without the coverage
@@ -154,7 +160,7 @@
 
     def setUp(self) -> None:
         self.groups = [frozenset("abc")]
-        self.catch_up = CatchUp("a", HEARTBEAT_MS)
+        self.catch_up = CatchUp("a", HEARTBEAT_MS, CONTACT_S * 1000.0)
 
     def tick(self, now: float, connected: str) -> Coverage:
         return self.catch_up.tick(now, self.groups, list(connected))
@@ -169,8 +175,8 @@
         self.catch_up.complete = True
         self.catch_up.on_pulled("b", INCOMPLETE)
         self.assertIs(self.tick(0.0, "b"), NOT_STATED)
-        self.assertIs(self.tick(INCOMPLETE_GRACE_MS - 1.0, "b"), NOT_STATED)
-        self.assertIs(self.tick(INCOMPLETE_GRACE_MS, "b"), INCOMPLETE)
+        self.assertIs(self.tick(GRACE_MS - 1.0, "b"), NOT_STATED)
+        self.assertIs(self.tick(GRACE_MS, "b"), INCOMPLETE)
         self.catch_up.on_pulled("c", COMPLETE)
         self.assertIs(self.tick(2000.0, "bc"), COMPLETE)
         self.assertIs(self.tick(3000.0, "b"), NOT_STATED)  # the grace begins anew
