--- a/brackenusher/data_plane/exchange.py
+++ b/brackenusher/data_plane/exchange.py
@@ -325,7 +325,8 @@
             self._client.send_body(data)
         else:
             self._buffer_body(data)
-        self._report_progress(attempt)
+        if not self._is_rejection():
+            self._report_progress(attempt)
 
     def attempt_complete(self, attempt: Attempt) -> None:
         """The server's response is complete."""
