--- a/tests/fleet/client_soak_oracle.py
+++ b/tests/fleet/client_soak_oracle.py
@@ -42,6 +42,11 @@
     ended_at: float | None = None
     broke_off: bool = False  # the server tore its response
 
+    @property
+    def planned_s(self) -> float:
+        """How long the server means to take."""
+        return self.planned_end - self.arrived_at
+
 
 @dataclass(slots=True)
 class SoakHistory:
--- a/tests/fleet/soak_server.py
+++ b/tests/fleet/soak_server.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from typing import NoReturn
 
 import h11
 
@@ -46,6 +47,31 @@
         return self.grace_s + 2.0
 
 
+@dataclass(slots=True)
+class Exchange:
+    """A request and what is needed to answer it."""
+
+    request: ServerRequest
+    headers: dict[str, str]  # of the answer
+    connection: h11.Connection
+    writer: asyncio.StreamWriter
+    run: ServerRun
+
+    @property
+    def first_event(self) -> int:
+        """The number of the first event that the caller lacks."""
+        return int(self.request.headers.get("last-event-id", "0")) + 1
+
+    def chunked_head(self) -> bytes:
+        """The head of an answer in chunks."""
+        fields = {**self.headers, "Transfer-Encoding": "chunked"}
+        return self.encode(h11.Response(status_code=200, headers=list(fields.items())))
+
+    def encode(self, event: h11.Event) -> bytes:
+        """The bytes of an event of the answer."""
+        return self.connection.send(event) or b""
+
+
 class HoldingServer(ModelServer):
     """Holds each request for a drawn time, and stops at once when its connection is closed."""
 
@@ -70,117 +96,111 @@
         run = ServerRun(request.request_id, now, now + hold_s)
         self.history.runs.append(run)
         headers["X-Brackenusher-Response-Stamp"] = f"{self.id}.{len(self.history.runs)}"
+        exchange = Exchange(request, headers, connection, writer, run)
         self.running += 1
         try:
-            await self._respond(request, headers, connection, writer, run)
+            await self._respond(exchange)
         finally:
             run.ended_at = time.monotonic()
             self.running -= 1
 
-    async def _respond(
-        self,
-        request: ServerRequest,
-        headers: dict[str, str],
-        connection: h11.Connection,
-        writer: asyncio.StreamWriter,
-        run: ServerRun,
-    ) -> None:
+    async def _respond(self, exchange: Exchange) -> None:
         misstated = self.rng.random() < MISSTATED_SHARE
-        if request.target in (PATHS["safe"], PATHS["unsafe"]):
-            if self.rng.random() < LONG_SHARE:
-                await self._send_long(headers, connection, writer, run)
-                return
-            await self._hold(writer, run.planned_end)
-            if misstated:
-                self._send_two_lengths(headers, connection, writer, PLAIN_BODY)
-            else:
-                send_whole(connection, writer, 200, headers, PLAIN_BODY)
+        if exchange.request.target in (PATHS["safe"], PATHS["unsafe"]):
+            await self._respond_plain(exchange, misstated)
             return
-        first = int(request.headers.get("last-event-id", "0")) + 1
-        headers = {**headers, "Content-Type": "text/event-stream"}
-        if misstated and request.target == PATHS["resume"] and first < self.plan.events:
-            await self._stream_that_breaks_off(headers, writer, run, first)
+        exchange.headers = {**exchange.headers, "Content-Type": "text/event-stream"}
         if misstated:
-            await self._hold(writer, run.planned_end)
-            body = b"".join(map(soak_event, range(first, self.plan.events + 1)))
-            self._send_two_lengths(headers, connection, writer, body)
+            await self._stream_misstated(exchange)
+        elif self.rng.random() < UNFRAMED_SHARE:
+            await self._stream_until_close(exchange)
+        else:
+            await self._stream_in_chunks(exchange)
+
+    async def _respond_plain(self, exchange: Exchange, misstated: bool) -> None:
+        if self.rng.random() < LONG_SHARE:
+            await self._send_long(exchange)
             return
-        if self.rng.random() < UNFRAMED_SHARE:
-            await self._stream_until_close(headers, writer, run, first)
-            return
-        fields = {**headers, "Transfer-Encoding": "chunked"}
-        head = connection.send(h11.Response(status_code=200, headers=list(fields.items()))) or b""
-        async for number in self._paced_events(writer, run, first):
-            writer.write(head + (connection.send(h11.Data(soak_event(number))) or b""))
-            head = b""
-        writer.write(head + (connection.send(h11.EndOfMessage()) or b""))
+        await self._hold(exchange.writer, exchange.run.planned_end)
+        if misstated:
+            self._send_two_lengths(exchange, PLAIN_BODY)
+        else:
+            send_whole(exchange.connection, exchange.writer, 200, exchange.headers, PLAIN_BODY)
 
-    async def _send_long(
-        self,
-        headers: dict[str, str],
-        connection: h11.Connection,
-        writer: asyncio.StreamWriter,
-        run: ServerRun,
-    ) -> None:
+    async def _send_long(self, exchange: Exchange) -> None:
         """A long answer that flows at an even pace until the run is to end."""
-        fields = {**headers, "Transfer-Encoding": "chunked"}
-        writer.write(connection.send(h11.Response(status_code=200, headers=list(fields.items()))) or b"")
-        pause_s = (run.planned_end - run.arrived_at) / LONG_PIECES
+        exchange.writer.write(exchange.chunked_head())
+        pause_s = exchange.run.planned_s / LONG_PIECES
         for _ in range(LONG_PIECES):
-            await self._hold(writer, time.monotonic() + pause_s)
-            writer.write(connection.send(h11.Data(LONG_PIECE)) or b"")
-        writer.write(connection.send(h11.EndOfMessage()) or b"")
-
-    def _send_two_lengths(
-        self, headers: dict[str, str], connection: h11.Connection, writer: asyncio.StreamWriter, body: bytes
-    ) -> None:
+            await self._hold(exchange.writer, time.monotonic() + pause_s)
+            exchange.writer.write(exchange.encode(h11.Data(LONG_PIECE)))
+        exchange.writer.write(exchange.encode(h11.EndOfMessage()))
+
+    async def _stream_in_chunks(self, exchange: Exchange) -> None:
+        head = exchange.chunked_head()
+        async for number in self._paced_events(exchange):
+            exchange.writer.write(head + exchange.encode(h11.Data(soak_event(number))))
+            head = b""
+        exchange.writer.write(head + exchange.encode(h11.EndOfMessage()))
+
+    async def _stream_misstated(self, exchange: Exchange) -> None:
+        """A stream that states a wrong length; one that may be resumed breaks off before its last event."""
+        first = exchange.first_event
+        if exchange.request.target == PATHS["resume"] and first < self.plan.events:
+            await self._stream_that_breaks_off(exchange)
+        await self._hold(exchange.writer, exchange.run.planned_end)
+        body = b"".join(map(soak_event, range(first, self.plan.events + 1)))
+        self._send_two_lengths(exchange, body)
+
+    def _send_two_lengths(self, exchange: Exchange, body: bytes) -> None:
         """A response in chunks that also states another length; its connection stays open."""
         stated = self.rng.choice((0, len(body) + 100))
-        fields = {**headers, "Content-Length": str(stated), "Transfer-Encoding": "chunked"}
-        writer.write(raw_head(fields) + b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body))
-        connection.send(h11.Response(status_code=204, headers=[]))  # as if it had sent the response
-        connection.send(h11.EndOfMessage())
+        fields = {**exchange.headers, "Content-Length": str(stated), "Transfer-Encoding": "chunked"}
+        exchange.writer.write(raw_head(fields) + b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body))
+        exchange.encode(h11.Response(status_code=204, headers=[]))  # as if it had sent the response
+        exchange.encode(h11.EndOfMessage())
 
-    async def _stream_that_breaks_off(
-        self, headers: dict[str, str], writer: asyncio.StreamWriter, run: ServerRun, first: int
-    ) -> None:
+    async def _stream_that_breaks_off(self, exchange: Exchange) -> NoReturn:
         """A stream with a wrong length that ends after an event. Raises ConnectionAbortedError."""
-        run.broke_off = True
-        last = self.rng.randint(first, self.plan.events - 1)
+        exchange.run.broke_off = True
+        last = self.rng.randint(exchange.first_event, self.plan.events - 1)
         stated = {"Content-Length": str(self.rng.choice((1, 100)) * len(self.history.whole_stream))}
-        head = raw_head({**headers, **stated})
-        async for number in self._paced_events(writer, run, first):
-            writer.write(head + soak_event(number))
+        head = raw_head({**exchange.headers, **stated})
+        async for number in self._paced_events(exchange):
+            exchange.writer.write(head + soak_event(number))
             head = b""
             if number == last:
-                await writer.drain()
-                raise ConnectionAbortedError
+                break
+        await exchange.writer.drain()
+        raise ConnectionAbortedError
 
-    async def _stream_until_close(
-        self, headers: dict[str, str], writer: asyncio.StreamWriter, run: ServerRun, first: int
-    ) -> None:
+    async def _stream_until_close(self, exchange: Exchange) -> NoReturn:
         """A stream without a length; if it is torn, the end comes in the middle of an event."""
+        first = exchange.first_event
         torn_at = self.rng.randint(first, self.plan.events) if self.rng.random() < TORN_SHARE else 0
-        head = raw_head(headers)
-        async for number in self._paced_events(writer, run, first):
+        head = raw_head(exchange.headers)
+        async for number in self._paced_events(exchange):
             event = soak_event(number)
             if number == torn_at:
-                run.broke_off = True
-                writer.write(head + event[: self.rng.randint(1, len(event) - 1)])
-                await writer.drain()
-                await asyncio.sleep(TEAR_AFTER_S)
-                raise ConnectionAbortedError
-            writer.write(head + event)
+                await self._tear(exchange, head, event)
+            exchange.writer.write(head + event)
             head = b""
-        await writer.drain()
+        await exchange.writer.drain()
         raise ConnectionAbortedError  # ends the connection, and with it the response
 
-    async def _paced_events(
-        self, writer: asyncio.StreamWriter, run: ServerRun, first: int
-    ) -> AsyncIterator[int]:
+    async def _tear(self, exchange: Exchange, head: bytes, event: bytes) -> NoReturn:
+        """Send a part of an event, then end the connection."""
+        exchange.run.broke_off = True
+        exchange.writer.write(head + event[: self.rng.randint(1, len(event) - 1)])
+        await exchange.writer.drain()
+        await asyncio.sleep(TEAR_AFTER_S)
+        raise ConnectionAbortedError
+
+    async def _paced_events(self, exchange: Exchange) -> AsyncIterator[int]:
         """The number of each event when it is due; the whole takes as long as the run is planned."""
+        writer, run, first = exchange.writer, exchange.run, exchange.first_event
         if self.plan.pauses_between_events:
-            pause_s = (run.planned_end - run.arrived_at) / self.plan.events
+            pause_s = run.planned_s / self.plan.events
             for number in range(first, self.plan.events + 1):
                 await self._hold(writer, time.monotonic() + pause_s)
                 yield number
