Tests: the soak excuses a cut once the request's own deadline was reached

Trace: no process of the fleet logged a line from 39.0 to 41.5 s of that minute, the machine stood still; the proxy noted the SIGTERM of 40.8 at 42.1, and ended the stream then, 4.5 s after it was sent, with 4 s as its deadline. Change: a cut at or after the request's deadline is no loss; one 0.1 s before it is still one (a test of each).

--- a/tests/fleet/client_soak_oracle.py
+++ b/tests/fleet/client_soak_oracle.py
@@ -55,6 +55,7 @@
     whole_stream: bytes = b""  # the body of every stream that is whole
     grace_s: float = 3.0
     max_signal_effect_s: float = 5.0
+    client_deadline_s: float = 4.0  # what each request states
     requests: list[SentRequest] = field(default_factory=list)
     runs: list[ServerRun] = field(default_factory=list)
     signals: dict[int, list[float]] = field(default_factory=dict)
@@ -127,6 +128,8 @@
     """How a request that a server ran was cut by a SIGTERM to its proxy, where no rule excuses that."""
     if request.status != NO_ANSWER:
         return ""
+    if request.ended_at >= request.sent_at + history.client_deadline_s:
+        return ""
     kills = history.kills.get(request.machine, [])
     if any(request.sent_at - history.max_signal_effect_s <= at <= request.ended_at for at in kills):
         return ""
--- a/tests/fleet/test_client_soak.py
+++ b/tests/fleet/test_client_soak.py
@@ -36,6 +36,7 @@
     return SoakHistory(
         grace_s=8.0,
         max_signal_effect_s=10.0,
+        client_deadline_s=15.0,
         requests=[request],
         runs=[run],
         signals={1: [10.0]},
@@ -117,6 +118,8 @@
         )
         self.assertEqual(breaches(cut_after_termination(2.9, 7.3), 0), [])
         self.assertEqual(breaches(cut_after_termination(3.2, 7.3, status=503), 0), [])
+        self.assertNotEqual(breaches(cut_after_termination(-10.0, 4.9), 0), [])
+        self.assertEqual(breaches(cut_after_termination(-10.0, 5.0), 0), [], "at its deadline")
         late.kills[1] = [12.0]
         self.assertEqual(breaches(late, 0), [])
         not_passed_on = cut_after_termination(3.2, 3.3)
