--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -158,6 +158,11 @@
     "rules": {"stopSendingWithin": 500.0, "cold": 8800.0, "coldFrom": 0.32, "tipAfter": 1000.0},
 }
 
+# deadlines that a busy machine does not exceed
+LONG_DEADLINES = {
+    "classes": [{**c, "slo": 15_000.0, "deadline": 19_000.0, "window": 60_000.0} for c in SETTINGS["classes"]]
+}
+
 
 def write_config(tmp_path, **changes):
     """Write a configuration's file, and return its path."""
--- a/tests/test_http2_program.py
+++ b/tests/test_http2_program.py
@@ -13,17 +13,23 @@
 import httpx
 import pytest
 from frames import GET, HELLO, POST, OutputDecoder, head, reset, settings, window
-from helpers import ROOT, SETTINGS, Program, TurnServer, command, read_request, response, until, write_config
+from helpers import (
+    LONG_DEADLINES,
+    ROOT,
+    SETTINGS,
+    Program,
+    TurnServer,
+    command,
+    read_request,
+    response,
+    until,
+    write_config,
+)
 
 SHORT_DEADLINES = {
     "classes": [{**c, "slo": 300.0, "deadline": 400.0, "window": 6000.0} for c in SETTINGS["classes"]]
 }
 
-# deadlines that a busy machine does not exceed
-LONG_DEADLINES = {
-    "classes": [{**c, "slo": 15_000.0, "deadline": 19_000.0, "window": 60_000.0} for c in SETTINGS["classes"]]
-}
-
 
 def free_port():
     with socket.create_server(("127.0.0.1", 0)) as free:
