Connections: a lowered request limit holds for idle connections too

Cause: the limit was read only when an exchange ended. A connection that was idle when the policy lowered the limit was lent once more, though it had carried all that the limit allows. Ruled out: a spare connection that was opened and not used.

The new test fails without the change (the used connection is lent).

--- a/barleybarrow/connections.py
+++ b/barleybarrow/connections.py
@@ -431,11 +431,17 @@
 
     def is_usable(self, connection: PooledConnection, now: float, limit: float, safe: bool) -> bool:
         """Whether a request may be sent on an idle connection."""
+        if self.is_worn_out(connection):
+            return False
         age = now - connection.state_since
         return age < self.own_idle_limit(limit, connection) or (
             safe and connection.on_trial and age < 2 * limit
         )
 
+    def is_worn_out(self, connection: PooledConnection) -> bool:
+        """Whether a connection has carried all requests that the limit in force allows."""
+        return 0 < self.settings.max_requests <= connection.request_count
+
     def mark_in_use(self, connection: PooledConnection, now: float) -> None:
         server = connection.server
         if server.idle[-1] is connection:
@@ -639,9 +645,11 @@
         trial_due, shortest = now >= server.trial_at, self.shortest_idle_limit(limit)
         for position, connection in enumerate(server.idle):
             idle_time = now - connection.state_since
-            if idle_time < shortest and not age:
+            if idle_time < shortest and not age and not self.settings.max_requests:
                 break  # those after it have been idle for less time
-            if idle_time >= self.own_idle_limit(limit, connection):
+            if self.is_worn_out(connection):
+                due.append((connection, CloseReason.REQUESTS))
+            elif idle_time >= self.own_idle_limit(limit, connection):
                 if trial_due and not position and idle_time < min(2 * limit, self.base_idle_limit):
                     connection.on_trial = True
                     continue
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -260,6 +260,17 @@
     assert max(counts) <= 100 and min(counts) >= 100 * (1 - LIFETIME_SPREAD) and len(counts) > 4
 
 
+def test_request_limit_that_is_lowered_holds_for_idle_connections_too():
+    # guards against one request too many on each connection that was idle when the limit came into force
+    harness = Harness()
+    used, unused = harness.open_idle(1)[0], harness.open(ahead=True)
+    harness.planner.settings = replace(harness.planner.settings, max_requests=1)
+    assert harness.planner.acquire(harness.server, harness.now, True) is unused
+    assert harness.planner.acquire(harness.server, harness.now, True) is None
+    harness.sweep()
+    assert harness.closed_by_cause == {CloseReason.REQUESTS: 1} and used.state is ConnectionState.CLOSED
+
+
 def burst(harness, count, span):
     """Send `count` concurrent requests; returns how many found an open connection."""
     before = harness.planner.reused
