Tests: marks by chance are written within the test's process, not by a command each

Each mark was a command of its own, and most of its time was the start of an interpreter: 19 to 21 marks here, 3 on a machine that was held up. The command line is played by the tests beside it. The duration of a start on that machine was not measured: the cause is inferred from the counts.

--- a/tests/test_replica_processes.py
+++ b/tests/test_replica_processes.py
@@ -57,7 +57,7 @@
         def staff():
             while not done.is_set():
                 verb = rng.choice(["mark", "clear"])
-                group.replica(verb, rng.randrange(3), "server", f"x{rng.randrange(3)}")
+                group.write(rng.randrange(3), verb, "server", f"x{rng.randrange(3)}")
                 done.wait(rng.uniform(0.0, 0.3))
 
         thread = threading.Thread(target=staff, daemon=True)
