Tests: the end of gRPC's threads is waited for before they are counted

Suspected, not shown: the library waits for the poller's last event, not for its thread. The test now joins each thread for up to 20 s. An object that a cycle keeps still fails it, as the collector is off: a trial that holds a channel shows the thread after the wait.

--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -422,6 +422,9 @@
         assert [move async for move in stub.Play(moves(), timeout=20.0)] == ["re: e4"]
 gc.disable()
 asyncio.run(main())
+for thread in threading.enumerate():  # grpcio doesn't wait for the last steps of its own
+    if thread is not threading.main_thread():
+        thread.join(20.0)
 print([thread.name for thread in threading.enumerate()])
 """
 
