--- a/brackenusher/config/operators.py
+++ b/brackenusher/config/operators.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from barleybarrow import interface as face
-from barleybarrow.connections import ConnectionSettings
+from barleybarrow.connection_records import ConnectionSettings
 from barleybarrow.rate_limiter import RateLimit, RateLimiterSettings
 from barleybarrow.subsets import Subset
 from barleybarrow.tokens import KEY_ID_PATTERN, TokenSettings
--- a/brackenusher/upstream/connections.py
+++ b/brackenusher/upstream/connections.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from barleybarrow import interface as face
-from barleybarrow.connections import CloseReason, PooledConnection
+from barleybarrow.connection_records import CloseReason, PooledConnection
 from barleybarrow.interface import Outcome
 from barleybarrow.settings import REPORT_FIELDS
 from brackenusher.core.message import Message
--- a/brackenusher/upstream/pool.py
+++ b/brackenusher/upstream/pool.py
@@ -5,13 +5,13 @@
 from typing import Any, Protocol
 
 from barleybarrow import interface as face
-from barleybarrow.connections import (
+from barleybarrow.connection_records import (
     CloseReason,
     ConnectionSettings,
-    Planner,
     PooledConnection,
     ServerConnections,
 )
+from barleybarrow.connections import Planner
 from barleybarrow.subsets import Subset
 from brackenusher.upstream.listing import Host, Listing
 
--- a/testbed/proxy.py
+++ b/testbed/proxy.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from barleybarrow import interface as face
-from barleybarrow.connections import CloseReason
+from barleybarrow.connection_records import CloseReason
 from barleybarrow.interface import Outcome
 from barleybarrow.settings import read_settings
 from brackenusher.core.deadlines import Deadlines
--- a/testbed/world_processes.py
+++ b/testbed/world_processes.py
@@ -3,7 +3,7 @@
 import numpy as np
 
 from barleybarrow import interface as face
-from barleybarrow.connections import CloseReason
+from barleybarrow.connection_records import CloseReason
 from brackenusher.upstream.listing import Host as Listed
 from testbed import scenario as config
 from testbed.counts import SECOND
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -25,14 +25,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from barleybarrow.connections import (
-    LIFETIME_SPREAD,
-    MAX_PRECONNECT_CAPACITY_SHARE,
-    CloseReason,
-    ConnectionSettings,
-    ConnectionState,
-    Planner,
-)
+from barleybarrow.connection_records import CloseReason, ConnectionSettings, ConnectionState
+from barleybarrow.connections import LIFETIME_SPREAD, MAX_PRECONNECT_CAPACITY_SHARE, Planner
 from barleybarrow.interface import ListScope, Outcome
 from barleybarrow.settings import read_settings
 from barleybarrow.subsets import Subset
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -26,7 +26,7 @@
     Snapshot,
 )
 from barleybarrow.budget import ClientRetryBudget, ClientRetryLimit
-from barleybarrow.connections import ConnectionSettings
+from barleybarrow.connection_records import ConnectionSettings
 from barleybarrow.incarnations import Incarnation, Incarnations
 from barleybarrow.policy import PolicyError, Rules, parse_policy, stricter
 from barleybarrow.policy_gate import FollowerReport, PolicyGate
